Lay out the workspace and the domain types

Names, tables, keys and versions are the types that every other crate speaks. The other crates are empty packages so that the lock file is whole from the start.

--- /dev/null
+++ b/crates/eelgrasshill_control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions of one host on configuration, membership and claims.
--- /dev/null
+++ b/crates/eelgrasshill_domain/src/digest.rs
@@ -0,0 +1,166 @@
+//! Digests of keys and the rendezvous hash that spreads work over hosts.
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+use zeroize::Zeroizing;
+
+use crate::{KeyId, NameError};
+
+/// The fixed start of every key's text.
+const KEY_PREFIX: &str = "egh_";
+
+/// The SHA-256 digest of a key's whole text; tables never hold the text.
+#[derive(Clone, Copy, Debug, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct KeyDigest([u8; 32]);
+
+impl PartialEq for KeyDigest {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+/// A text that is not a digest in hexadecimal.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[display("a key digest is 64 hexadecimal digits")]
+pub struct DigestError;
+
+impl TryFrom<String> for KeyDigest {
+    type Error = DigestError;
+
+    fn try_from(text: String) -> Result<Self, DigestError> {
+        let mut bytes = [0; 32];
+        if text.len() != 64 || !text.is_ascii() {
+            return Err(DigestError);
+        }
+        for (byte, pair) in bytes.iter_mut().zip(text.as_bytes().chunks(2)) {
+            let pair = str::from_utf8(pair).map_err(|_utf8| DigestError)?;
+            *byte = u8::from_str_radix(pair, 16).map_err(|_digit| DigestError)?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl From<KeyDigest> for String {
+    fn from(digest: KeyDigest) -> Self {
+        hex(&digest.0)
+    }
+}
+
+/// The secret text that a caller presents; it is erased when dropped.
+#[derive(Clone)]
+pub struct KeyText(Zeroizing<String>);
+
+/// A presented text that cannot be a key.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum KeyTextError {
+    /// The text has not the form `egh_ID_SECRET`.
+    #[display("a key has the form {KEY_PREFIX}ID_SECRET")]
+    Form,
+    /// The id inside the key is not a name.
+    #[display("the key's id is not valid: {_0}")]
+    Id(NameError),
+}
+
+impl std::fmt::Debug for KeyText {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("KeyText(..)")
+    }
+}
+
+impl KeyText {
+    /// Wraps a presented text.
+    #[must_use]
+    pub fn new(text: String) -> Self {
+        Self(Zeroizing::new(text))
+    }
+
+    /// Makes the text of a key from its id and 32 random bytes.
+    #[must_use]
+    pub fn issue(id: &KeyId, secret: &[u8; 32]) -> Self {
+        Self::new(format!("{KEY_PREFIX}{id}_{}", hex(secret)))
+    }
+
+    /// Returns the id inside the key.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`KeyTextError`] when the text has not the form of a key.
+    pub fn id(&self) -> Result<KeyId, KeyTextError> {
+        let Some((id, _secret)) = self
+            .0
+            .strip_prefix(KEY_PREFIX)
+            .and_then(|t| t.rsplit_once('_'))
+        else {
+            return Err(KeyTextError::Form);
+        };
+        KeyId::new(id).map_err(KeyTextError::Id)
+    }
+
+    /// Returns the digest of the whole text.
+    #[must_use]
+    pub fn digest(&self) -> KeyDigest {
+        KeyDigest(Sha256::digest(self.0.as_bytes()).into())
+    }
+
+    /// Shows the secret text, for printing it once to the operator.
+    #[must_use]
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes
+        .iter()
+        .fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+            for digit in [byte >> 4, byte & 0xf] {
+                text.extend(char::from_digit(u32::from(digit), 16));
+            }
+            text
+        })
+}
+
+/// Returns the SHA-256 digest of some bytes in hexadecimal.
+#[must_use]
+pub fn digest_hex(bytes: &[u8]) -> String {
+    hex(&Sha256::digest(bytes))
+}
+
+/// Returns the rendezvous weight of a member for a subject.
+#[must_use]
+pub fn rendezvous_weight(member: &str, subject: &str) -> u64 {
+    let mut sha = Sha256::new();
+    sha.update(member.as_bytes());
+    sha.update([0]);
+    sha.update(subject.as_bytes());
+    let bytes: [u8; 32] = sha.finalize().into();
+    bytes
+        .iter()
+        .take(8)
+        .fold(0, |weight, byte| (weight << 8) | u64::from(*byte))
+}
+
+/// Orders members by falling rendezvous weight for a subject.
+#[must_use]
+pub fn rendezvous_order<'a, M: AsRef<str> + ?Sized + 'a>(
+    members: impl IntoIterator<Item = &'a M>,
+    subject: &str,
+) -> Vec<&'a M> {
+    let mut weighted: Vec<_> = members
+        .into_iter()
+        .map(|member| {
+            (
+                std::cmp::Reverse(rendezvous_weight(member.as_ref(), subject)),
+                member,
+            )
+        })
+        .collect();
+    weighted.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.as_ref().cmp(b.1.as_ref())));
+    weighted
+        .into_iter()
+        .map(|(_weight, member)| member)
+        .collect()
+}
--- /dev/null
+++ b/crates/eelgrasshill_domain/src/lib.rs
@@ -0,0 +1,26 @@
+//! Names, tables, keys, tokens and time that all parts of the system share.
+
+mod collections;
+mod config;
+mod digest;
+mod macros;
+mod name;
+mod row;
+mod tables;
+mod time;
+
+pub use collections::{FastMap, FastSet};
+pub use config::{ConfigRecord, Edit, EditOutcome, KeyGrant, Rejection, RowChange};
+pub use digest::{
+    KeyDigest, KeyText, KeyTextError, digest_hex, rendezvous_order, rendezvous_weight,
+};
+pub use name::{
+    AdapterName, AppendId, HostName, KeyId, ModelName, NameError, OrgName, PoolName, RequestId,
+    RouteName, StreamName, ZoneName,
+};
+pub use row::{
+    Caller, Class, Fencing, Host, Model, OnStale, Organisation, Pool, PoolKind, Repeat, Route, Row,
+    RowKey, Target,
+};
+pub use tables::{JoinError, Tables};
+pub use time::{Incarnation, Moment, Offset, Version};
--- /dev/null
+++ b/crates/eelgrasshill_limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on rate and burst of each organisation over all hosts.
--- /dev/null
+++ b/crates/eelgrasshill_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol between entry hosts.
--- /dev/null
+++ b/crates/eelgrasshill_route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions on queueing, choice of upstream, retry and resumption.
--- /dev/null
+++ b/crates/eelgrasshill_settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! INI settings and tables, resolved once into checked structs.
--- /dev/null
+++ b/crates/eelgrasshill_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and upstreams, with a load tool.
