--- a/crates/eelgrasshill_platform/src/lib.rs
+++ b/crates/eelgrasshill_platform/src/lib.rs
@@ -1,1 +1,25 @@
-//! Traits and HTTP adapters for the log, host list, engines and plain services.
+//! Traits for every outside system, each with one adapter that speaks HTTP.
+//!
+//! A new protocol of the platform or of an upstream costs one file here:
+//! the rest of the system knows only the traits and the records.
+
+mod client;
+mod engine;
+mod engine_http;
+mod error;
+mod host_list;
+mod log_service;
+mod plain;
+
+pub use client::{HttpClient, HttpClientSettings};
+pub use engine::{
+    Engine, EngineReport, GenerateChunk, GenerateRequest, Loading, Order, OrderAction, OrderAnswer,
+    Resident, Resume, StreamEvent, Usage,
+};
+pub use engine_http::{ChunkStream, HttpEngine};
+pub use error::{AppendError, CallError, ReadError};
+pub use host_list::{HostList, HostRole, HostState, HttpHostList, ListedHost};
+pub use log_service::{
+    AppendBody, AppendReply, HttpLog, Log, NewRecord, Page, ReadQuery, StoredRecord,
+};
+pub use plain::{HttpPlain, Plain, PlainCall, PlainReply};
