--- /dev/null
+++ b/crates/eelgrasshill_route/src/fleet.rs
@@ -0,0 +1,144 @@
+//! Which upstreams could take a request now.
+
+use eelgrasshill_domain::{FastMap, HostName, Moment};
+use std::time::Duration;
+
+use crate::health::{Health, Standing};
+use crate::ledger::Ledger;
+use crate::policy::Candidate;
+use crate::view::{Presence, Upstream, View};
+use crate::{Ticket, TicketId};
+
+/// Slots assumed of an upstream that has not reported.
+const DEFAULT_SLOTS: u32 = 8;
+
+/// Unused ledgers kept before those of hosts that left are dropped.
+const SPARE_LEDGERS: usize = 64;
+
+/// What a request may use of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Allowance {
+    /// Percent of the slots that may be taken, above 100 to queue on the upstream.
+    pub(crate) fill: u32,
+    /// Set for aged work, which goes ahead of other classes.
+    pub(crate) aged: Option<AgedPace>,
+}
+
+/// How often aged work may go ahead on one host.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AgedPace {
+    /// Other starts that must lie between two of aged work.
+    pub(crate) gap: u32,
+    /// Time after which the next one may start without other starts.
+    pub(crate) rest: Duration,
+}
+
+/// Whether some upstream can take a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Search {
+    /// At least one candidate was found.
+    Found,
+    /// Upstreams hold the work, and none has room.
+    Full,
+    /// No upstream holds the work.
+    Missing,
+}
+
+/// This host's own account of every upstream.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Fleet {
+    ledgers: FastMap<HostName, Ledger>,
+    pub(crate) health: Health,
+}
+
+impl Fleet {
+    /// Collects the candidates for a ticket, own zone first.
+    pub(crate) fn search(
+        &self,
+        view: &View,
+        ticket: &Ticket,
+        allowance: Allowance,
+        now: Moment,
+        found: &mut Vec<Candidate>,
+    ) -> Search {
+        found.clear();
+        let Some(holders) = view.holders(&ticket.pool, &ticket.work) else {
+            return Search::Missing;
+        };
+        let mut held = false;
+        for group in [&holders.own, &holders.other] {
+            for position in group {
+                let Some(upstream) = view.upstreams().get(*position) else {
+                    continue;
+                };
+                if upstream.presence == Presence::Leaving || !upstream.holds(&ticket.work) {
+                    continue;
+                }
+                held = true;
+                found.extend(self.candidate(view, *position, upstream, ticket, allowance, now));
+            }
+            if !found.is_empty() {
+                return Search::Found;
+            }
+        }
+        if held { Search::Full } else { Search::Missing }
+    }
+
+    pub(crate) fn start(&mut self, upstream: &Upstream, ticket: TicketId, aged: bool, now: Moment) {
+        let ledger = self.ledgers.entry(upstream.host.clone()).or_default();
+        if let Some(report) = &upstream.report {
+            ledger.forget(report.taken);
+        }
+        ledger.start(aged, now);
+        self.health.probe(&upstream.host, ticket, now);
+    }
+
+    pub(crate) fn finish(&mut self, host: &HostName, ticket: TicketId, now: Moment) {
+        if let Some(ledger) = self.ledgers.get_mut(host) {
+            ledger.finish(now);
+        }
+        self.health.release(host, ticket);
+    }
+
+    /// Drops the ledgers of hosts that left, once there are many.
+    pub(crate) fn prune(&mut self, view: &View) {
+        if self.ledgers.len() > view.upstreams().len() + SPARE_LEDGERS {
+            self.ledgers.retain(|_host, ledger| !ledger.is_idle());
+        }
+    }
+
+    fn candidate(
+        &self,
+        view: &View,
+        position: usize,
+        upstream: &Upstream,
+        ticket: &Ticket,
+        allowance: Allowance,
+        now: Moment,
+    ) -> Option<Candidate> {
+        if upstream.presence == Presence::Suspected || ticket.avoid.contains(&upstream.host) {
+            return None;
+        }
+        match self.health.standing(&upstream.host, now) {
+            Standing::Open | Standing::Trial => {}
+            Standing::Suspected | Standing::Leaving => return None,
+        }
+        let ledger = self.ledgers.get(&upstream.host);
+        if let (Some(ledger), Some(pace)) = (ledger, allowance.aged)
+            && !ledger.has_rested(pace.gap, pace.rest, now)
+        {
+            return None;
+        }
+        let report = upstream.report.as_ref();
+        let load = ledger.map_or_else(|| Ledger::default().load(report), |l| l.load(report));
+        let slots = report.map_or(DEFAULT_SLOTS, |r| r.slots);
+        let usable = u64::from(slots) * u64::from(allowance.fill) / 100;
+        (u64::from(load) < usable.max(1)).then(|| Candidate {
+            position,
+            load,
+            slots,
+            affinity: view.affinity(position, ticket.prefix),
+            cached: upstream.cached.contains(&ticket.prefix),
+        })
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_route/src/pool.rs
@@ -0,0 +1,212 @@
+//! The queues of one pool, and which of their tickets starts next.
+//!
+//! Classes go in order of priority, except that a class whose oldest startable ticket has aged
+//! goes ahead of the others once in a few starts on each host. The pace is kept for each host,
+//! so that aged work that only one host can serve does not crowd out the rest there.
+
+use std::time::Duration;
+
+use eelgrasshill_domain::{Class, FastMap, HostName, Moment, OrgName};
+
+use crate::fleet::{AgedPace, Allowance, Fleet, Search};
+use crate::miss::Misses;
+use crate::policy::Candidate;
+use crate::queue::{ClassQueue, Entry, Head, Payer, Scan, Shares, turn};
+use crate::{ChoicePolicy, DispatchSettings, View};
+
+/// Weight of the newest start in the mean time between starts, in percent.
+const PACE_WEIGHT: u32 = 10;
+
+const CLASSES: [Class; 3] = [Class::Urgent, Class::Interactive, Class::Batch];
+
+/// The waiting tickets of one pool.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PoolQueue {
+    urgent: ClassQueue,
+    interactive: ClassQueue,
+    batch: ClassQueue,
+    last: Option<Moment>,
+    gap: Duration,
+}
+
+impl PoolQueue {
+    pub(crate) fn class(&self, class: Class) -> &ClassQueue {
+        match class {
+            Class::Urgent => &self.urgent,
+            Class::Interactive => &self.interactive,
+            Class::Batch => &self.batch,
+        }
+    }
+
+    fn class_mut(&mut self, class: Class) -> &mut ClassQueue {
+        match class {
+            Class::Urgent => &mut self.urgent,
+            Class::Interactive => &mut self.interactive,
+            Class::Batch => &mut self.batch,
+        }
+    }
+
+    pub(crate) fn push(&mut self, seq: u64, entry: Entry) {
+        self.class_mut(entry.ticket.class).push(seq, entry);
+    }
+
+    pub(crate) fn remove(&mut self, class: Class, payer: &Payer, seq: u64) -> Option<Entry> {
+        self.class_mut(class).remove(payer, seq)
+    }
+
+    /// Returns how long its queues take to empty at the recent pace.
+    pub(crate) fn drain_time(&self, now: Moment) -> Duration {
+        let waiting: usize = CLASSES.iter().map(|c| self.class(*c).count()).sum();
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let quiet = self.last.map_or(Duration::ZERO, |last| now.since(last));
+        self.gap.saturating_mul(waiting).max(quiet)
+    }
+
+    /// Returns when the oldest ticket of a class ages, if that lies ahead.
+    pub(crate) fn next_aged(&self, settings: &DispatchSettings, now: Moment) -> Option<Moment> {
+        let ages = CLASSES.iter().filter_map(|class| {
+            let oldest = self.class(*class).oldest()?;
+            Some(oldest.after(settings.age(*class)?))
+        });
+        ages.filter(|at| *at > now).min()
+    }
+
+    fn note_start(&mut self, now: Moment) {
+        let since = self.last.map_or(Duration::ZERO, |last| now.since(last));
+        self.gap = (self.gap * (100 - PACE_WEIGHT) + since * PACE_WEIGHT) / 100;
+        self.last = Some(now);
+    }
+}
+
+/// One look through a pool's queues.
+#[derive(Debug)]
+pub(crate) struct Pick<'a, P> {
+    pub(crate) settings: &'a DispatchSettings,
+    pub(crate) weights: &'a FastMap<OrgName, u32>,
+    pub(crate) policy: &'a mut P,
+    pub(crate) misses: &'a mut Misses,
+    pub(crate) fleet: &'a mut Fleet,
+    pub(crate) view: &'a View,
+    pub(crate) now: Moment,
+}
+
+/// What was found without room for each class, as aged work and otherwise.
+#[derive(Debug, Default)]
+struct Scans {
+    aged: [Scan; 3],
+    plain: [Scan; 3],
+    found: Vec<Candidate>,
+}
+
+impl<P: ChoicePolicy> Pick<'_, P> {
+    /// Starts all that can start, in their order.
+    pub(crate) fn run(&mut self, queue: &mut PoolQueue, picks: &mut Vec<(Entry, HostName)>) {
+        let mut scans = Scans::default();
+        while let Some(pick) = self.next(queue, &mut scans) {
+            queue.note_start(self.now);
+            picks.push(pick);
+        }
+    }
+
+    fn next(&mut self, queue: &mut PoolQueue, scans: &mut Scans) -> Option<(Entry, HostName)> {
+        let Scans { aged, plain, found } = scans;
+        for class in self.overdue(queue, aged) {
+            let scan = &mut aged[class as usize];
+            let pick = self.start_one(queue.class_mut(class), scan, self.aged(), found);
+            if pick.is_some() {
+                return pick;
+            }
+        }
+        CLASSES.into_iter().find_map(|class| {
+            let scan = &mut plain[class as usize];
+            let allowance = Allowance {
+                fill: self.settings.fill.of(class),
+                aged: None,
+            };
+            self.start_one(queue.class_mut(class), scan, allowance, found)
+        })
+    }
+
+    fn aged(&self) -> Allowance {
+        Allowance {
+            fill: self.settings.fill.aged,
+            aged: Some(AgedPace {
+                gap: self.settings.aged_share.saturating_sub(1),
+                rest: self.settings.aged_rest,
+            }),
+        }
+    }
+
+    /// Returns the classes whose oldest startable ticket has aged, the most overdue first.
+    fn overdue(&self, queue: &PoolQueue, scans: &[Scan; 3]) -> Vec<Class> {
+        if self.settings.aged_share == 0 {
+            return Vec::new();
+        }
+        let mut classes = Vec::new();
+        for class in CLASSES {
+            let Some(age) = self.settings.age(class) else {
+                continue;
+            };
+            let heads = queue.class(class).heads(&scans[class as usize]);
+            let Some(oldest) = heads.iter().map(|head| head.offered).min() else {
+                continue;
+            };
+            let waited = self.now.since(oldest);
+            if waited >= age {
+                classes.push((waited.as_millis() * 1000 / age.as_millis().max(1), class));
+            }
+        }
+        classes.sort_by(|a, b| b.cmp(a));
+        classes.into_iter().map(|(_ratio, class)| class).collect()
+    }
+
+    fn start_one(
+        &mut self,
+        queue: &mut ClassQueue,
+        scan: &mut Scan,
+        allowance: Allowance,
+        found: &mut Vec<Candidate>,
+    ) -> Option<(Entry, HostName)> {
+        let shares = Shares {
+            weights: self.weights,
+            quantum: self.settings.quantum,
+        };
+        loop {
+            let heads = queue.heads(scan);
+            let head = turn(&heads, self.settings.order, shares)?;
+            let Some(position) = self.place(queue, head, allowance, found) else {
+                let entry = queue.get_mut(&head.payer, head.seq)?;
+                scan.pass(head, &entry.ticket);
+                continue;
+            };
+            let upstream = self.view.upstreams().get(position)?;
+            let entry = queue.take(head, &heads, shares)?;
+            let aged = allowance.aged.is_some();
+            self.fleet.start(upstream, entry.ticket.id, aged, self.now);
+            return Some((entry, upstream.host.clone()));
+        }
+    }
+
+    /// Returns the position of the upstream that a head's ticket goes to.
+    fn place(
+        &mut self,
+        queue: &mut ClassQueue,
+        head: &Head,
+        allowance: Allowance,
+        found: &mut Vec<Candidate>,
+    ) -> Option<usize> {
+        let entry = queue.get_mut(&head.payer, head.seq)?;
+        let search = self
+            .fleet
+            .search(self.view, &entry.ticket, allowance, self.now, found);
+        entry.held = search != Search::Missing;
+        match search {
+            Search::Found => Some(self.policy.choose(found)?.position),
+            Search::Full => None,
+            Search::Missing => {
+                self.misses.note(&entry.ticket, self.now);
+                None
+            }
+        }
+    }
+}
