--- /dev/null
+++ b/crates/eelgrasshill_settings/src/entry.rs
@@ -0,0 +1,241 @@
+//! The settings of one entry host.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use eelgrasshill_domain::{HostName, ZoneName};
+
+use crate::reader::Reader;
+use crate::section::{Section, read_sections};
+use crate::{Problem, Problems};
+
+const ADDRESS: &str = "an IP number and a port, as in 127.0.0.1:8080";
+const SECTIONS: &str = "[host], [platform], [peers], [bounds] and [fleet]";
+
+/// Bounds on what callers may take of an entry host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Largest request body in bytes.
+    pub body: usize,
+    /// Most open connections.
+    pub connections: usize,
+    /// Most requests that wait for an upstream.
+    pub queue: usize,
+    /// Longest time for a request's head and body to arrive.
+    pub arrival: Duration,
+    /// Most tokens that one answer may have.
+    pub answer: u64,
+    /// Time between leaving the balancer and closing the listener.
+    pub leave: Duration,
+    /// Longest time for running requests to end at shutdown.
+    pub drain: Duration,
+}
+
+/// What the platform can take from the whole fleet; zones share it equally.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetShares {
+    /// Model loads in ten seconds.
+    pub loads: u64,
+    /// Model loads at once.
+    pub parallel: u64,
+    /// Adapter loads at once.
+    pub adapters: u64,
+    /// Zones that share.
+    pub zones: u64,
+}
+
+/// The settings of one entry host, checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// The host's name.
+    pub name: HostName,
+    /// The zone it stands in.
+    pub zone: ZoneName,
+    /// Where callers reach it.
+    pub listen: SocketAddr,
+    /// Where its peers reach it.
+    pub peer: SocketAddr,
+    /// Threads that serve callers.
+    pub threads: usize,
+    /// Where the log service listens.
+    pub log: SocketAddr,
+    /// Where the host list listens.
+    pub hosts: SocketAddr,
+    /// Peers that are tried while the log and the list are out.
+    pub peers: Vec<SocketAddr>,
+    /// Bounds on callers.
+    pub bounds: Bounds,
+    /// Shares of the platform.
+    pub fleet: FleetShares,
+}
+
+impl EntrySettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake in it.
+    pub fn read(path: &Path) -> Result<Self, Problems> {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&file, &text),
+            Err(error) => {
+                let cause = error.to_string();
+                Err(Problems {
+                    list: vec![Problem::Unreadable { file, cause }],
+                })
+            }
+        }
+    }
+
+    /// Checks the text of a file of that name.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake in it.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Problems> {
+        let mut problems = Vec::new();
+        let mut sections = match read_sections(file, text) {
+            Ok(sections) => sections,
+            Err(problem) => {
+                return Err(Problems {
+                    list: vec![problem],
+                });
+            }
+        };
+        let mut take = |name: &str| {
+            let found = sections.iter().position(|section| section.name == name);
+            match found {
+                Some(at) => sections.remove(at),
+                None => Section {
+                    name: name.to_owned(),
+                    ..Section::default()
+                },
+            }
+        };
+        let host = read_host(Reader::new(file, take("host"), &mut problems));
+        let platform = read_platform(Reader::new(file, take("platform"), &mut problems));
+        let peers = read_peers(Reader::new(file, take("peers"), &mut problems));
+        let bounds = read_bounds(Reader::new(file, take("bounds"), &mut problems));
+        let fleet = read_fleet(Reader::new(file, take("fleet"), &mut problems));
+        problems.extend(sections.into_iter().map(|section| Problem::Section {
+            file: file.to_owned(),
+            section: section.name,
+            allowed: SECTIONS,
+        }));
+        match (host, platform) {
+            (Some(host), Some((log, hosts))) if problems.is_empty() => Ok(Self {
+                name: host.name,
+                zone: host.zone,
+                listen: host.listen,
+                peer: host.peer,
+                threads: host.threads,
+                log,
+                hosts,
+                peers,
+                bounds,
+                fleet,
+            }),
+            _ => Err(Problems { list: problems }),
+        }
+    }
+}
+
+struct HostSection {
+    name: HostName,
+    zone: ZoneName,
+    listen: SocketAddr,
+    peer: SocketAddr,
+    threads: usize,
+}
+
+fn read_host(mut reader: Reader<'_>) -> Option<HostSection> {
+    let name = reader.required("name", "a host name of a-z, 0-9 and `-`");
+    let zone = reader.required("zone", "a zone name of a-z, 0-9 and `-`");
+    let listen = reader.required("listen", ADDRESS);
+    let peer = reader.required("peer", ADDRESS);
+    let threads = reader.number("threads", "a number from 1 to 64", 1..=64, 2);
+    reader.finish();
+    Some(HostSection {
+        name: name?,
+        zone: zone?,
+        listen: listen?,
+        peer: peer?,
+        threads: to_usize(threads),
+    })
+}
+
+fn read_platform(mut reader: Reader<'_>) -> Option<(SocketAddr, SocketAddr)> {
+    let log = reader.required("log", ADDRESS);
+    let hosts = reader.required("hosts", ADDRESS);
+    reader.finish();
+    Some((log?, hosts?))
+}
+
+fn read_peers(mut reader: Reader<'_>) -> Vec<SocketAddr> {
+    let peers = reader.list(
+        "addresses",
+        "addresses between commas, each an IP number and a port",
+    );
+    reader.finish();
+    peers
+}
+
+fn read_bounds(mut reader: Reader<'_>) -> Bounds {
+    const MILLIS: &str = "milliseconds from 100 to 3600000";
+    let mut millis = |field: &str, default: u64| {
+        Duration::from_millis(reader.number(field, MILLIS, 100..=3_600_000, default))
+    };
+    let arrival = millis("arrival-ms", 10_000);
+    let leave = millis("leave-ms", 5_000);
+    let drain = millis("drain-ms", 120_000);
+    let body = reader.number(
+        "body-bytes",
+        "bytes from 1024 to 67108864",
+        1024..=67_108_864,
+        1 << 20,
+    );
+    let connections = reader.number(
+        "connections",
+        "a number from 1 to 100000",
+        1..=100_000,
+        4096,
+    );
+    let queue = reader.number("queue", "a number from 1 to 100000", 1..=100_000, 1024);
+    let answer = reader.number(
+        "answer-tokens",
+        "a number from 1 to 1000000",
+        1..=1_000_000,
+        4096,
+    );
+    reader.finish();
+    Bounds {
+        body: to_usize(body),
+        connections: to_usize(connections),
+        queue: to_usize(queue),
+        arrival,
+        answer,
+        leave,
+        drain,
+    }
+}
+
+fn read_fleet(mut reader: Reader<'_>) -> FleetShares {
+    let count = "a number from 1 to 10000";
+    let loads = reader.number("loads-per-10s", count, 1..=10_000, 20);
+    let parallel = reader.number("loads-at-once", count, 1..=10_000, 8);
+    let adapters = reader.number("adapters-at-once", count, 1..=10_000, 60);
+    let zones = reader.number("zones", "a number from 1 to 64", 1..=64, 3);
+    reader.finish();
+    FleetShares {
+        loads,
+        parallel,
+        adapters,
+        zones,
+    }
+}
+
+fn to_usize(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/eelgrasshill_settings/src/tables.rs
@@ -0,0 +1,277 @@
+//! The two tables that operators edit, read from INI.
+
+use eelgrasshill_domain::{
+    Caller, Class, Fencing, Host, Model, ModelName, OnStale, OrgName, Organisation, Pool, PoolKind,
+    Repeat, Route, Row, RowKey, Tables, Target,
+};
+
+use crate::reader::{Reader, parse_list};
+use crate::section::{Section, read_sections};
+use crate::{Problem, Problems};
+
+const ROUTES: &str = "[organisation.NAME] and [route.NAME]";
+const POOLS: &str = "[pool.NAME], [host.NAME] and [model.NAME]";
+const POOL: &str = "the name of a [pool.NAME] section of the pools table";
+
+/// Reads the routes table and the pools table and checks that they join.
+///
+/// # Errors
+///
+/// Returns every mistake of both files.
+pub fn read_tables(
+    routes_file: &str,
+    routes: &str,
+    pools_file: &str,
+    pools: &str,
+) -> Result<Tables, Problems> {
+    let mut problems = Vec::new();
+    let mut tables = Tables::default();
+    read_table(
+        routes_file,
+        routes,
+        ROUTES,
+        read_route_row,
+        &mut tables,
+        &mut problems,
+    );
+    read_table(
+        pools_file,
+        pools,
+        POOLS,
+        read_pool_row,
+        &mut tables,
+        &mut problems,
+    );
+    if problems.is_empty()
+        && let Err(errors) = tables.check_join()
+    {
+        problems.extend(errors.into_iter().map(|error| Problem::Join {
+            file: file_of(&error.row, routes_file, pools_file).to_owned(),
+            section: error.row.to_string(),
+            missing: error.missing.to_string(),
+        }));
+    }
+    if problems.is_empty() {
+        Ok(tables)
+    } else {
+        Err(Problems { list: problems })
+    }
+}
+
+fn file_of<'a>(row: &RowKey, routes: &'a str, pools: &'a str) -> &'a str {
+    match row {
+        RowKey::Organisation(_) | RowKey::Route(_) => routes,
+        RowKey::Pool(_) | RowKey::Host(_) | RowKey::Model(_) => pools,
+    }
+}
+
+type ReadRow = fn(&str, &str, Reader<'_>) -> Option<Result<(RowKey, Row), NotAllowed>>;
+
+/// A section whose kind or name is not allowed in its table.
+struct NotAllowed;
+
+fn read_table(
+    file: &str,
+    text: &str,
+    allowed: &'static str,
+    read: ReadRow,
+    tables: &mut Tables,
+    problems: &mut Vec<Problem>,
+) {
+    let sections = match read_sections(file, text) {
+        Ok(sections) => sections,
+        Err(problem) => {
+            problems.push(problem);
+            return;
+        }
+    };
+    for section in sections {
+        let name = section.name.clone();
+        let (kind, row) = name.split_once('.').unwrap_or((&name, ""));
+        match read(kind, row, reader_of(file, section, problems)) {
+            Some(Ok((key, row))) => {
+                let _same_kind = tables.set(&key, Some(row));
+            }
+            Some(Err(NotAllowed)) => {
+                let file = file.to_owned();
+                problems.push(Problem::Section {
+                    file,
+                    section: name,
+                    allowed,
+                });
+            }
+            None => {}
+        }
+    }
+}
+
+fn reader_of<'a>(file: &'a str, section: Section, problems: &'a mut Vec<Problem>) -> Reader<'a> {
+    Reader::new(file, section, problems)
+}
+
+fn read_route_row(
+    kind: &str,
+    name: &str,
+    mut reader: Reader<'_>,
+) -> Option<Result<(RowKey, Row), NotAllowed>> {
+    let pair = match (kind, OrgName::new(name), name.parse()) {
+        ("organisation", Ok(name), _) => {
+            let row = read_organisation(&mut reader);
+            row.map(|row| (RowKey::Organisation(name), Row::from(row)))
+        }
+        ("route", _, Ok(name)) => {
+            let row = read_route(&mut reader);
+            row.map(|row| (RowKey::Route(name), Row::from(row)))
+        }
+        _ => return Some(Err(NotAllowed)),
+    };
+    reader.finish();
+    pair.map(Ok)
+}
+
+fn read_pool_row(
+    kind: &str,
+    name: &str,
+    mut reader: Reader<'_>,
+) -> Option<Result<(RowKey, Row), NotAllowed>> {
+    let pair = match (kind, name.parse(), name.parse(), name.parse()) {
+        ("pool", Ok(name), _, _) => {
+            let row = read_pool(&mut reader);
+            row.map(|row| (RowKey::Pool(name), Row::from(row)))
+        }
+        ("host", _, Ok(name), _) => {
+            let row = read_host(&mut reader);
+            row.map(|row| (RowKey::Host(name), Row::from(row)))
+        }
+        ("model", _, _, Ok(name)) => {
+            let row = read_model(&mut reader);
+            row.map(|row| (RowKey::Model(name), Row::from(row)))
+        }
+        _ => return Some(Err(NotAllowed)),
+    };
+    reader.finish();
+    pair.map(Ok)
+}
+
+fn read_organisation(reader: &mut Reader<'_>) -> Option<Organisation> {
+    const TOKENS: &str = "a number of tokens from 1 to 1000000000";
+    let tokens = |text: &str| {
+        text.parse()
+            .ok()
+            .filter(|n| (1..=1_000_000_000).contains(n))
+    };
+    let rate = reader.required_with("rate", TOKENS, tokens);
+    let burst = reader.required_with("burst", TOKENS, tokens);
+    let weight = reader.number("weight", "a number from 1 to 1000", 1..=1000, 1);
+    let weight = u32::try_from(weight).unwrap_or(1);
+    Some(Organisation {
+        rate: rate?,
+        burst: burst?,
+        weight,
+    })
+}
+
+fn read_route(reader: &mut Reader<'_>) -> Option<Route> {
+    const MODELS: &str = "model names between commas, or give path";
+    let caller = reader.required_with("caller", "`open` or an organisation's name", parse_caller);
+    let models = reader.optional_with("models", MODELS, parse_list::<ModelName>);
+    let path = reader.optional_with("path", "a path that starts with `/`", parse_path);
+    let pool = reader.required("pool", POOL);
+    let class = reader.required_with("class", "urgent, interactive or batch", parse_class);
+    let repeat = reader.required_with("repeat", "yes or no", parse_repeat);
+    let stale = reader.optional_with("on-stale", "serve, or seconds from 1 to 86400", parse_stale);
+    let target = match (models, path) {
+        (Some(models), None) if !models.is_empty() => Some(Target::Models(models)),
+        (None, Some(path)) => Some(Target::Path(path)),
+        _ => reader.required_with("models", MODELS, |_text| None),
+    };
+    Some(Route {
+        caller: caller?,
+        target: target?,
+        pool: pool?,
+        class: class?,
+        repeat: repeat?,
+        on_stale: stale.unwrap_or(OnStale::Serve),
+    })
+}
+
+fn read_pool(reader: &mut Reader<'_>) -> Option<Pool> {
+    let kind = reader.required_with("kind", "engines or plain", |text| match text {
+        "engines" => Some(PoolKind::Engines),
+        "plain" => Some(PoolKind::Plain),
+        _ => None,
+    });
+    Some(Pool { kind: kind? })
+}
+
+fn read_host(reader: &mut Reader<'_>) -> Option<Host> {
+    let pool = reader.required("pool", POOL);
+    let zone = reader.required("zone", "the name of a zone");
+    let address = reader.required("address", "an IP number and a port, as in 127.0.0.1:8080");
+    let memory = reader.number("memory-mb", "MB from 0 to 100000000", 0..=100_000_000, 0);
+    let accelerators = reader.number("accelerators", "a number from 0 to 1000", 0..=1000, 0);
+    let fencing = reader.optional_with("fencing", "checked or ignored", |text| match text {
+        "checked" => Some(Fencing::Checked),
+        "ignored" => Some(Fencing::Ignored),
+        _ => None,
+    });
+    Some(Host {
+        pool: pool?,
+        zone: zone?,
+        address: address?,
+        memory,
+        accelerators: u32::try_from(accelerators).unwrap_or(0),
+        fencing: fencing.unwrap_or(Fencing::Ignored),
+    })
+}
+
+fn read_model(reader: &mut Reader<'_>) -> Option<Model> {
+    let pool = reader.required("pool", POOL);
+    let memory = reader.number("memory-mb", "MB from 1 to 100000000", 1..=100_000_000, 1);
+    let version = reader.required("version", "a version, as in 3");
+    let adapters = reader.list("adapters", "adapter names between commas");
+    Some(Model {
+        pool: pool?,
+        memory,
+        version: version?,
+        adapters,
+    })
+}
+
+fn parse_caller(text: &str) -> Option<Caller> {
+    match text {
+        "open" => Some(Caller::Open),
+        name => OrgName::new(name).ok().map(Caller::Organisation),
+    }
+}
+
+fn parse_path(text: &str) -> Option<String> {
+    text.starts_with('/').then(|| text.to_owned())
+}
+
+fn parse_class(text: &str) -> Option<Class> {
+    match text {
+        "urgent" => Some(Class::Urgent),
+        "interactive" => Some(Class::Interactive),
+        "batch" => Some(Class::Batch),
+        _ => None,
+    }
+}
+
+fn parse_repeat(text: &str) -> Option<Repeat> {
+    match text {
+        "yes" => Some(Repeat::Allowed),
+        "no" => Some(Repeat::Never),
+        _ => None,
+    }
+}
+
+fn parse_stale(text: &str) -> Option<OnStale> {
+    if text == "serve" {
+        return Some(OnStale::Serve);
+    }
+    text.parse()
+        .ok()
+        .filter(|seconds| (1..=86_400).contains(seconds))
+        .map(OnStale::Refuse)
+}
