--- /dev/null
+++ b/crates/eelgrasshill_control/src/access.rs
@@ -0,0 +1,318 @@
+//! Which organisation a request acts for and which route it takes.
+//!
+//! An [`Access`] is immutable: the control thread makes a new one when the fold
+//! changes, and traffic threads share it.
+
+use std::{sync::Arc, time::Duration};
+
+use derive_more::{Display, Error};
+use eelgrasshill_domain::{
+    AdapterName, Caller, FastMap, FastSet, KeyGrant, KeyId, KeyText, KeyTextError, ModelName,
+    Offset, OnStale, OrgName, Route, RouteName, Tables, Target,
+};
+
+use crate::{
+    ConfigFold,
+    path::{PathError, decode_path},
+};
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask<'a> {
+    /// A model, or an adapter as `model:adapter`.
+    Model(&'a str),
+    /// A plain call of this path, without the query.
+    Path(&'a str),
+}
+
+/// The right of a request to take a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The organisation for which the request runs; none without a valid key.
+    pub organisation: Option<OrgName>,
+    /// The key that was presented and works.
+    pub key: Option<KeyId>,
+    /// The name of the route.
+    pub name: RouteName,
+    /// The route.
+    pub route: Arc<Route>,
+    /// The model that was asked for.
+    pub model: Option<ModelName>,
+    /// The adapter that was asked for.
+    pub adapter: Option<AdapterName>,
+}
+
+/// Why a presented key does not count.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum KeyError {
+    /// The route needs a key and none was presented.
+    #[display("a key is needed")]
+    Missing,
+    /// The text is not a key.
+    #[display("{_0}")]
+    Form(KeyTextError),
+    /// No such key was issued.
+    #[display("the key is not known")]
+    Unknown,
+    /// The key was withdrawn.
+    #[display("the key was withdrawn")]
+    Withdrawn,
+}
+
+/// Why a request is refused before it runs.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum Refusal {
+    /// The request has no key that counts.
+    #[display("unauthorized: {_0}")]
+    Unauthorized(KeyError),
+    /// The key's organisation has no route to what was asked for.
+    #[display("forbidden: organisation `{organisation}` has no route to this")]
+    Forbidden {
+        /// The key's organisation.
+        #[error(not(source))]
+        organisation: OrgName,
+    },
+    /// No route reaches the model.
+    #[display("no route reaches this model")]
+    UnknownModel,
+    /// No route reaches the path.
+    #[display("no route reaches this path")]
+    UnknownPath,
+    /// The path could mean another one to an upstream.
+    #[display("{_0}")]
+    Path(PathError),
+    /// The tables are older than the route allows.
+    #[display("the tables are {} s old, and the route allows {} s", age.as_secs(), bound.as_secs())]
+    Stale {
+        /// Time since the tables were last known to be current.
+        age: Duration,
+        /// The most that the route allows.
+        bound: Duration,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    name: RouteName,
+    route: Arc<Route>,
+}
+
+/// Routes that reach one subject, by who may use them.
+#[derive(Clone, Debug, Default)]
+struct Choice {
+    open: Option<Entry>,
+    own: FastMap<OrgName, Entry>,
+}
+
+#[derive(Clone, Debug)]
+struct ModelEntry {
+    name: ModelName,
+    adapters: FastMap<Arc<str>, AdapterName>,
+    choice: Choice,
+}
+
+/// An index over the tables and keys of one version.
+#[derive(Clone, Debug, Default)]
+pub struct Access {
+    through: Offset,
+    keys: FastMap<KeyId, KeyGrant>,
+    withdrawn: FastSet<KeyId>,
+    models: FastMap<Arc<str>, ModelEntry>,
+    prefixes: FastMap<Arc<str>, Choice>,
+    lengths: Vec<usize>,
+}
+
+impl Choice {
+    /// Adds a route; of two for the same callers the first by name stays.
+    fn add(&mut self, entry: Entry) {
+        match &entry.route.caller {
+            Caller::Open => {
+                self.open.get_or_insert(entry);
+            }
+            Caller::Organisation(org) => {
+                self.own.entry(org.clone()).or_insert(entry);
+            }
+        }
+    }
+}
+
+impl Access {
+    /// Builds the index over a fold's state.
+    #[must_use]
+    pub fn new(fold: &ConfigFold) -> Self {
+        let tables = fold.tables();
+        let mut access = Self {
+            through: fold.last(),
+            keys: fold
+                .keys()
+                .iter()
+                .map(|(id, grant)| (id.clone(), grant.clone()))
+                .collect(),
+            withdrawn: fold.withdrawn().cloned().collect(),
+            ..Self::default()
+        };
+        for (name, route) in &tables.routes {
+            access.add_route(tables, name, route);
+        }
+        access.index_lengths();
+        access
+    }
+
+    fn add_route(&mut self, tables: &Tables, name: &RouteName, route: &Route) {
+        let entry = Entry {
+            name: name.clone(),
+            route: Arc::new(route.clone()),
+        };
+        match &route.target {
+            Target::Models(models) => {
+                for model in models {
+                    self.model_entry(tables, model).choice.add(entry.clone());
+                }
+            }
+            Target::Path(prefix) => {
+                let prefix = Arc::from(prefix.as_str());
+                self.prefixes.entry(prefix).or_default().add(entry);
+            }
+        }
+    }
+
+    fn model_entry(&mut self, tables: &Tables, name: &ModelName) -> &mut ModelEntry {
+        self.models
+            .entry(Arc::from(name.as_str()))
+            .or_insert_with(|| ModelEntry {
+                name: name.clone(),
+                adapters: tables
+                    .models
+                    .get(name)
+                    .into_iter()
+                    .flat_map(|model| &model.adapters)
+                    .map(|adapter| (Arc::from(adapter.as_str()), adapter.clone()))
+                    .collect(),
+                choice: Choice::default(),
+            })
+    }
+
+    fn index_lengths(&mut self) {
+        let mut lengths: Vec<_> = self.prefixes.keys().map(|prefix| prefix.len()).collect();
+        lengths.sort_unstable_by(|a, b| b.cmp(a));
+        lengths.dedup();
+        self.lengths = lengths;
+    }
+
+    /// Returns the offset up to which records are folded in.
+    #[must_use]
+    pub fn through(&self) -> Offset {
+        self.through
+    }
+
+    /// Returns whether a key works, for requests that already run.
+    #[must_use]
+    pub fn is_key_valid(&self, id: &KeyId) -> bool {
+        self.keys.contains_key(id)
+    }
+
+    /// Finds organisation and route of a request.
+    ///
+    /// `age` is the time since the tables were last known to be current. The
+    /// longest path prefix decides, whoever may use it: a shorter open route
+    /// does not lead around a longer one of an organisation.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`]; nothing of the request has run then.
+    pub fn resolve(
+        &self,
+        key: Option<&KeyText>,
+        ask: Ask<'_>,
+        age: Duration,
+    ) -> Result<Grant, Refusal> {
+        let caller = self.identify(key);
+        if caller == Err(KeyError::Withdrawn) {
+            return Err(Refusal::Unauthorized(KeyError::Withdrawn));
+        }
+        let (choice, model, adapter) = match ask {
+            Ask::Model(text) => {
+                let (entry, adapter) = self.find_model(text).ok_or(Refusal::UnknownModel)?;
+                (&entry.choice, Some(entry.name.clone()), adapter)
+            }
+            Ask::Path(path) => {
+                let path = decode_path(path).map_err(Refusal::Path)?;
+                let choice = self.find_prefix(&path).ok_or(Refusal::UnknownPath)?;
+                (choice, None, None)
+            }
+        };
+        let entry = choose(choice, &caller)?;
+        check_age(&entry.route, age)?;
+        let (key, organisation) = caller.ok().unzip();
+        Ok(Grant {
+            organisation,
+            key,
+            name: entry.name.clone(),
+            route: Arc::clone(&entry.route),
+            model,
+            adapter,
+        })
+    }
+
+    fn identify(&self, key: Option<&KeyText>) -> Result<(KeyId, OrgName), KeyError> {
+        let key = key.ok_or(KeyError::Missing)?;
+        let id = key.id().map_err(KeyError::Form)?;
+        if self.withdrawn.contains(&id) {
+            return Err(KeyError::Withdrawn);
+        }
+        let Some(grant) = self.keys.get(&id) else {
+            return Err(KeyError::Unknown);
+        };
+        if grant.digest != key.digest() {
+            return Err(KeyError::Unknown);
+        }
+        Ok((id, grant.organisation.clone()))
+    }
+
+    fn find_model(&self, text: &str) -> Option<(&ModelEntry, Option<AdapterName>)> {
+        if let Some(entry) = self.models.get(text) {
+            return Some((entry, None));
+        }
+        let (model, adapter) = text.rsplit_once(':')?;
+        let entry = self.models.get(model)?;
+        let adapter = entry.adapters.get(adapter)?;
+        Some((entry, Some(adapter.clone())))
+    }
+
+    fn find_prefix(&self, path: &str) -> Option<&Choice> {
+        self.lengths
+            .iter()
+            .filter_map(|length| path.get(..*length))
+            .find_map(|prefix| self.prefixes.get(prefix))
+    }
+}
+
+fn choose<'a>(
+    choice: &'a Choice,
+    caller: &Result<(KeyId, OrgName), KeyError>,
+) -> Result<&'a Entry, Refusal> {
+    let own = caller
+        .as_ref()
+        .ok()
+        .and_then(|(_key, organisation)| choice.own.get(organisation));
+    if let Some(entry) = own.or(choice.open.as_ref()) {
+        return Ok(entry);
+    }
+    match caller {
+        Ok((_key, organisation)) => Err(Refusal::Forbidden {
+            organisation: organisation.clone(),
+        }),
+        Err(error) => Err(Refusal::Unauthorized(error.clone())),
+    }
+}
+
+fn check_age(route: &Route, age: Duration) -> Result<(), Refusal> {
+    let OnStale::Refuse(seconds) = route.on_stale else {
+        return Ok(());
+    };
+    let bound = Duration::from_secs(u64::from(seconds));
+    if age <= bound {
+        return Ok(());
+    }
+    Err(Refusal::Stale { age, bound })
+}
