--- /dev/null
+++ b/crates/eelgrasshill_peer/src/convert.rs
@@ -0,0 +1,170 @@
+//! Conversions between generated messages and the types that decisions use.
+
+use std::net::{AddrParseError, SocketAddr};
+
+use derive_more::{Display, Error, From};
+use eelgrasshill_control::Heartbeat;
+use eelgrasshill_domain::{HostName, Incarnation, Moment, NameError, Offset, OrgName, ZoneName};
+use eelgrasshill_limit::{Amount, BorrowReply, BorrowRequest, LoanUsage, Process};
+
+use crate::generated as wire;
+
+/// Why a message of a peer has no meaning.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error, From)]
+pub enum ConvertError {
+    /// A name is not valid.
+    #[display("{_0}")]
+    Name(NameError),
+    /// An address is not valid.
+    #[display("{_0}")]
+    Address(AddrParseError),
+    /// A part that must be there is not.
+    #[from(skip)]
+    #[display("the message has no {part}")]
+    Missing {
+        /// The part.
+        part: &'static str,
+    },
+}
+
+impl From<&Heartbeat> for wire::Heartbeat {
+    fn from(beat: &Heartbeat) -> Self {
+        Self {
+            host: beat.host.to_string(),
+            zone: beat.zone.to_string(),
+            address: beat.process.address.to_string(),
+            incarnation: beat.process.incarnation.0,
+            offset: beat.offset.0,
+            age: u64::try_from(beat.age.as_millis()).unwrap_or(u64::MAX),
+            leaving: beat.leaving,
+        }
+    }
+}
+
+impl TryFrom<wire::Heartbeat> for Heartbeat {
+    type Error = ConvertError;
+
+    fn try_from(beat: wire::Heartbeat) -> Result<Self, ConvertError> {
+        let address: SocketAddr = beat.address.parse()?;
+        Ok(Self {
+            host: HostName::new(&beat.host)?,
+            zone: ZoneName::new(&beat.zone)?,
+            process: eelgrasshill_control::Process {
+                address,
+                incarnation: Incarnation(beat.incarnation),
+            },
+            offset: Offset(beat.offset),
+            age: std::time::Duration::from_millis(beat.age),
+            leaving: beat.leaving,
+        })
+    }
+}
+
+impl From<&Process> for wire::Process {
+    fn from(process: &Process) -> Self {
+        Self {
+            host: process.host.to_string(),
+            incarnation: process.incarnation.0,
+        }
+    }
+}
+
+fn process(wire: Option<wire::Process>, part: &'static str) -> Result<Process, ConvertError> {
+    let wire = wire.ok_or(ConvertError::Missing { part })?;
+    Ok(Process {
+        host: HostName::new(&wire.host)?,
+        incarnation: Incarnation(wire.incarnation),
+    })
+}
+
+impl From<&LoanUsage> for wire::LoanUsage {
+    fn from(usage: &LoanUsage) -> Self {
+        Self {
+            granted: usage.granted.0,
+            until: usage.until.0,
+            spent: usage.spent.0,
+            unspent: usage.unspent.0,
+            refund: usage.refund.0,
+        }
+    }
+}
+
+impl From<wire::LoanUsage> for LoanUsage {
+    fn from(usage: wire::LoanUsage) -> Self {
+        Self {
+            granted: Moment(usage.granted),
+            until: Moment(usage.until),
+            spent: Amount(usage.spent),
+            unspent: Amount(usage.unspent),
+            refund: Amount(usage.refund),
+        }
+    }
+}
+
+impl From<&BorrowRequest> for wire::BorrowRequest {
+    fn from(request: &BorrowRequest) -> Self {
+        Self {
+            organisation: request.organisation.to_string(),
+            home: Some((&request.home).into()),
+            borrower: Some((&request.borrower).into()),
+            number: request.number,
+            accepted: request.accepted,
+            least: request.least.0,
+            most: request.most.0,
+            usage: request.usage.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<wire::BorrowRequest> for BorrowRequest {
+    type Error = ConvertError;
+
+    fn try_from(request: wire::BorrowRequest) -> Result<Self, ConvertError> {
+        Ok(Self {
+            organisation: OrgName::new(&request.organisation)?,
+            home: process(request.home, "home")?,
+            borrower: process(request.borrower, "borrower")?,
+            number: request.number,
+            accepted: request.accepted,
+            least: Amount(request.least),
+            most: Amount(request.most),
+            usage: request.usage.into_iter().map(Into::into).collect(),
+        })
+    }
+}
+
+impl From<&BorrowReply> for wire::BorrowReply {
+    fn from(reply: &BorrowReply) -> Self {
+        Self {
+            organisation: reply.organisation.to_string(),
+            home: Some((&reply.home).into()),
+            borrower: Some((&reply.borrower).into()),
+            number: reply.number,
+            amount: reply.amount.0,
+            granted: reply.granted.0,
+            until: reply.until.0,
+            level: reply.level.0,
+            answered: true,
+        }
+    }
+}
+
+impl TryFrom<wire::BorrowReply> for BorrowReply {
+    type Error = ConvertError;
+
+    fn try_from(reply: wire::BorrowReply) -> Result<Self, ConvertError> {
+        if !reply.answered {
+            return Err(ConvertError::Missing { part: "answer" });
+        }
+        Ok(Self {
+            organisation: OrgName::new(&reply.organisation)?,
+            home: process(reply.home, "home")?,
+            borrower: process(reply.borrower, "borrower")?,
+            number: reply.number,
+            amount: Amount(reply.amount),
+            granted: Moment(reply.granted),
+            until: Moment(reply.until),
+            level: Amount(reply.level),
+        })
+    }
+}
