Add the lease, the accounts of engines and the planner of placement

Cause: a zone needs one host that decides what its engines hold, with a successor that knows what may still arrive (DESIGN 3.2).

The lease stream is folded alike by every host; a claim names the last lease record its author knew, so a renewal in between voids it. An append counts only once it is read back. Room and store slots are held per order until a report that was surely generated later shows the order's end; engines that ignore fencing numbers hold them until the stated bound on lateness. Ruled out: believing an append's answer alone (a woken holder's renewal is answered though its term is over); ordering reports by the earliest moment of their generation (an older report could replace a newer one); rotation of slots among zones by time (would hang on clocks that agree).

--- a/crates/eelgrasshill_placement/src/lib.rs
+++ b/crates/eelgrasshill_placement/src/lib.rs
@@ -1,1 +1,125 @@
 //! Decisions of a zone's lease holder on what each engine holds.
+//!
+//! Everything here is pure: [`Holder`] takes an event and a moment and returns effects.
+//!
+//! # Examples
+//!
+//! A host becomes holder, loads the tables' models on two engines and puts a missed one first.
+//!
+//! ```
+//! use std::{collections::BTreeMap, sync::Arc, time::Duration};
+//!
+//! use eelgrasshill_domain::{
+//!     Fencing, Host, HostName, Model, ModelName, Moment, Offset, Pool, PoolKind, PoolName, Tables,
+//!     ZoneName,
+//! };
+//! use eelgrasshill_placement::{
+//!     Action, Effect, EngineReport, Entry, Event, Holder, Outcome, Resident, Settings,
+//! };
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let (pool, zone) = (PoolName::new("chat")?, ZoneName::new("east")?);
+//! let mut tables = Tables::default();
+//! tables.pools.insert(pool.clone(), Pool { kind: PoolKind::Engines });
+//! for name in ["engine-1", "engine-2"] {
+//!     let host = Host {
+//!         pool: pool.clone(),
+//!         zone: zone.clone(),
+//!         address: "127.0.0.1:80".parse()?,
+//!         memory: 100,
+//!         accelerators: 1,
+//!         fencing: Fencing::Checked,
+//!     };
+//!     tables.hosts.insert(HostName::new(name)?, host);
+//! }
+//! for name in ["large", "small"] {
+//!     let (version, adapters) = ("v1".to_owned(), Vec::new());
+//!     let model = Model { pool: pool.clone(), memory: 80, version, adapters };
+//!     tables.models.insert(ModelName::new(name)?, model);
+//! }
+//!
+//! let settings = Settings::new(HostName::new("entry-1")?, zone.clone(), vec![zone]);
+//! let mut holder = Holder::new(settings);
+//! holder.handle(Event::Tables(Arc::new(tables)), Moment(0));
+//! let small = ModelName::new("small")?;
+//! let bound = Duration::from_secs(60);
+//! holder.handle(Event::Miss { model: small.clone(), adapter: None, bound }, Moment(0));
+//!
+//! // A log and engines that do at once what they are told.
+//! let (mut log, mut events) = (Vec::<Entry>::new(), Vec::new());
+//! let mut held = BTreeMap::from([("engine-1", None), ("engine-2", None)]);
+//! let (mut fence, mut loaded, mut met) = (Offset(0), Vec::new(), false);
+//! for now in (0..20_000).step_by(100).map(Moment) {
+//!     for (engine, model) in &held {
+//!         let version = "v1".to_owned();
+//!         let resident = model.iter().map(|model: &ModelName| Resident {
+//!             model: model.clone(), version: version.clone(), adapters: vec![], running: 0, waiting: 0,
+//!         });
+//!         let report = EngineReport {
+//!             host: HostName::new(engine)?, fence, resident: resident.collect(), loading: vec![],
+//!             unloading: vec![], used: if model.is_some() { 80 } else { 0 }, total: 100, slots: 8, at: 0,
+//!         };
+//!         events.push(Event::Report { report, asked: now });
+//!     }
+//!     for event in std::mem::take(&mut events) {
+//!         for effect in holder.handle(event, now) {
+//!             match effect {
+//!                 Effect::Append { id, record } => {
+//!                     let offset = Offset(log.len() as u64);
+//!                     log.push(Entry { offset, id: id.clone(), record });
+//!                     events.push(Event::AppendDone(id, offset));
+//!                 }
+//!                 Effect::Read(from) => events.push(Event::LeaseRead(log[from.0 as usize..].to_vec())),
+//!                 Effect::Send { engine, order } => {
+//!                     fence = order.fence;
+//!                     if let Action::Load { model, .. } = &order.action {
+//!                         loaded.push(model.clone());
+//!                         held.insert(if engine.as_str() == "engine-1" { "engine-1" } else { "engine-2" },
+//!                             Some(model.clone()));
+//!                     }
+//!                     events.push(Event::Answer { engine, order: order.id, outcome: Outcome::Done });
+//!                 }
+//!                 Effect::MissMet { model, .. } => met = model == small,
+//!                 _ => {}
+//!             }
+//!         }
+//!     }
+//! }
+//! assert!(holder.fence().is_some());
+//! assert_eq!(loaded, [small, ModelName::new("large")?]);
+//! assert!(met);
+//! # Ok(())
+//! # }
+//! ```
+
+mod account;
+mod adapters;
+mod assign;
+mod budget;
+mod demand;
+mod direct;
+mod engine;
+mod event;
+mod fold;
+mod holder;
+mod lease;
+mod ledger;
+mod misses;
+mod planner;
+mod record;
+mod settings;
+mod view;
+
+pub use account::{Account, OpenOrder, Seen, Stage};
+pub use assign::{Assignment, Duty};
+pub use budget::{Budget, Pace, Share};
+pub use demand::{Demand, ModelDemand};
+pub use engine::{EngineReport, Moving, Outcome, Resident};
+pub use event::{Effect, Event};
+pub use fold::{LeaseFold, Term, Verdict};
+pub use holder::Holder;
+pub use lease::{Change, Lease, LeaseSpans};
+pub use ledger::Ledger;
+pub use planner::{Move, Planner};
+pub use record::{Action, Entry, Intent, LeaseRecord, Order, OrderId};
+pub use settings::{DemandSpans, OrderSpans, Settings};
