--- /dev/null
+++ b/crates/eelgrasshill_standin/src/engine/batch.rs
@@ -0,0 +1,134 @@
+//! Continuous batching: answers that run at once and requests that wait.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use eelgrasshill_domain::{Class, RequestId};
+use eelgrasshill_platform::{GenerateChunk, Usage};
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::settings::{EngineCounts, EngineSettings};
+use crate::text::AnswerText;
+
+/// An answer that runs or waits.
+#[derive(Clone, Debug)]
+pub(super) struct Answer {
+    pub(super) id: RequestId,
+    pub(super) class: Class,
+    /// The serial of the copy of the model that it uses.
+    pub(super) copy: u64,
+    pub(super) text: AnswerText,
+    pub(super) index: u64,
+    pub(super) end: u64,
+    pub(super) finish: &'static str,
+    pub(super) usage: Usage,
+    pub(super) ready: Instant,
+    pub(super) events: UnboundedSender<GenerateChunk>,
+}
+
+impl Answer {
+    pub(super) fn chunk(&self) -> GenerateChunk {
+        GenerateChunk {
+            id: self.id.clone(),
+            index: self.index,
+            text: self.text.token(self.index),
+            finish: None,
+            usage: None,
+        }
+    }
+
+    fn last(&self) -> GenerateChunk {
+        GenerateChunk {
+            id: self.id.clone(),
+            index: self.end,
+            text: String::new(),
+            finish: Some(self.finish.to_owned()),
+            usage: Some(Usage {
+                completion: self.end,
+                ..self.usage
+            }),
+        }
+    }
+
+    fn send(&self, chunk: GenerateChunk) {
+        if self.events.send(chunk).is_err() {
+            log::debug!("standin engine: client of {} left", self.id);
+        }
+    }
+}
+
+/// The answers of an engine.
+#[derive(Debug, Default)]
+pub(super) struct Batch {
+    pub(super) running: Vec<Answer>,
+    pub(super) waiting: BTreeMap<(Class, u64), Answer>,
+    next: u64,
+}
+
+impl Batch {
+    pub(super) fn push(&mut self, answer: Answer) {
+        self.next += 1;
+        self.waiting.insert((answer.class, self.next), answer);
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
+    /// Returns how many answers of a copy run and how many wait.
+    pub(super) fn load(&self, copy: u64) -> (u32, u32) {
+        let running = self.running.iter().filter(|answer| answer.copy == copy);
+        let waiting = self.waiting.values().filter(|answer| answer.copy == copy);
+        let count = |number| u32::try_from(number).unwrap_or(u32::MAX);
+        (count(running.count()), count(waiting.count()))
+    }
+
+    pub(super) fn cancel(&mut self, id: &RequestId) {
+        self.running.retain(|answer| answer.id != *id);
+        self.waiting.retain(|_key, answer| answer.id != *id);
+    }
+
+    /// Drops answers whose client has left and returns their number.
+    pub(super) fn sweep(&mut self) -> u64 {
+        let before = self.running.len() + self.waiting.len();
+        self.running.retain(|answer| !answer.events.is_closed());
+        self.waiting
+            .retain(|_key, answer| !answer.events.is_closed());
+        (before - self.running.len() - self.waiting.len()) as u64
+    }
+
+    /// Fills free slots by class, then age.
+    pub(super) fn admit(&mut self, now: Instant, settings: &EngineSettings) {
+        while self.running.len() < settings.slots as usize {
+            let Some((_key, mut answer)) = self.waiting.pop_first() else {
+                return;
+            };
+            let missing = answer.usage.prompt.saturating_sub(answer.usage.cached);
+            let tokens = u32::try_from(missing).unwrap_or(u32::MAX);
+            answer.ready = now + settings.scaled(settings.prefill.saturating_mul(tokens));
+            self.running.push(answer);
+        }
+    }
+
+    /// Gives every prepared answer its next token and ends those that are whole.
+    pub(super) fn step(&mut self, now: Instant, counts: &mut EngineCounts) {
+        for answer in &mut self.running {
+            if answer.ready > now || answer.index >= answer.end {
+                continue;
+            }
+            answer.send(answer.chunk());
+            answer.index += 1;
+            counts.tokens += 1;
+        }
+        counts.widest = counts.widest.max(self.running.len() as u64);
+        let before = self.running.len();
+        self.running.retain(|answer| {
+            let whole = answer.ready <= now && answer.index >= answer.end;
+            if whole {
+                answer.send(answer.last());
+            }
+            !whole
+        });
+        counts.finished += (before - self.running.len()) as u64;
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_standin/src/engine/http.rs
@@ -0,0 +1,95 @@
+//! The paths that the stand-in engine answers.
+
+use std::sync::Arc;
+
+use actix_web::web::{self, Bytes, Json, ServiceConfig};
+use actix_web::{HttpRequest, HttpResponse};
+use eelgrasshill_domain::RequestId;
+use eelgrasshill_platform::{EngineReport, GenerateRequest, Order, OrderAnswer};
+
+use super::feed::Feed;
+use super::{Engine, EngineCounts, Miss};
+use crate::fault::Link;
+use crate::gate::refusal;
+use crate::seen::SeenCall;
+
+pub(super) fn configure(engine: &Engine, config: &mut ServiceConfig) {
+    config
+        .app_data(web::Data::new(engine.clone()))
+        .route("/generate", web::post().to(generate))
+        .route("/report", web::get().to(report))
+        .route("/orders", web::post().to(order))
+        .route("/cancel/{id}", web::post().to(cancel))
+        .route("/admin/counts", web::get().to(counts))
+        .route("/admin/seen", web::get().to(seen));
+}
+
+async fn generate(engine: web::Data<Engine>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    engine.seen.note(&request, &body);
+    let call: GenerateRequest = match serde_json::from_slice(&body) {
+        Ok(call) => call,
+        Err(error) => {
+            return refusal(HttpResponse::BadRequest(), "malformed", &error.to_string());
+        }
+    };
+    let events = match engine.take(&call) {
+        Ok(events) => events,
+        Err(miss) => return refuse(miss),
+    };
+    let feed = Feed {
+        id: call.id,
+        link: request.conn_data::<Arc<Link>>().cloned(),
+        events,
+        ping: engine.settings.scaled(engine.settings.ping),
+        sent: 0,
+        engine: engine.get_ref().clone(),
+    };
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .streaming(Box::pin(feed.stream()))
+}
+
+fn refuse(miss: Miss) -> HttpResponse {
+    let unavailable = HttpResponse::ServiceUnavailable;
+    match miss {
+        Miss::Model => refusal(
+            HttpResponse::NotFound(),
+            "model-not-resident",
+            "the model is not resident in this version",
+        ),
+        Miss::Adapter => refusal(
+            HttpResponse::NotFound(),
+            "adapter-not-resident",
+            "the adapter is not loaded on the model",
+        ),
+        Miss::Draining => refusal(unavailable(), "draining", "no new answers are taken"),
+        Miss::Full => refusal(unavailable(), "queue-full", "too many requests wait"),
+    }
+}
+
+async fn report(engine: web::Data<Engine>) -> Json<EngineReport> {
+    Json(engine.report())
+}
+
+async fn order(
+    engine: web::Data<Engine>,
+    request: HttpRequest,
+    body: Bytes,
+) -> Result<Json<OrderAnswer>, actix_web::Error> {
+    engine.seen.note(&request, &body);
+    let order: Order = serde_json::from_slice(&body).map_err(actix_web::error::ErrorBadRequest)?;
+    Ok(Json(engine.order(&order)))
+}
+
+async fn cancel(engine: web::Data<Engine>, id: web::Path<RequestId>) -> Json<()> {
+    engine.cancel(&id);
+    Json(())
+}
+
+async fn counts(engine: web::Data<Engine>) -> Json<EngineCounts> {
+    Json(engine.counts())
+}
+
+async fn seen(engine: web::Data<Engine>) -> Json<Vec<SeenCall>> {
+    Json(engine.seen.list())
+}
--- /dev/null
+++ b/crates/eelgrasshill_standin/src/engine/mod.rs
@@ -0,0 +1,288 @@
+//! A stand-in engine: batching, prefix cache, memory, orders and lagging reports.
+
+mod batch;
+mod cache;
+mod feed;
+mod http;
+mod memory;
+mod settings;
+mod work;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use actix_web::web::ServiceConfig;
+use eelgrasshill_domain::{AdapterName, RequestId};
+use eelgrasshill_platform::{
+    EngineReport, GenerateChunk, GenerateRequest, Order, OrderAnswer, Resident, Usage,
+};
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+
+pub use settings::{EngineCounts, EngineSettings, ModelCopy};
+
+use crate::fault::Faults;
+use crate::seen::SeenCalls;
+use crate::server::Standin;
+use crate::sync::lock;
+use crate::text::AnswerText;
+use batch::{Answer, Batch};
+use cache::PrefixCache;
+use memory::{Memory, Phase, Work};
+
+/// Why an engine does not take a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Miss {
+    Model,
+    Adapter,
+    Draining,
+    Full,
+}
+
+#[derive(Debug)]
+struct State {
+    memory: Memory,
+    batch: Batch,
+    cache: PrefixCache,
+    counts: EngineCounts,
+    published: EngineReport,
+    taken: Instant,
+}
+
+/// A stand-in engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    settings: Arc<EngineSettings>,
+    state: Arc<Mutex<State>>,
+    pushed: Arc<Notify>,
+    seen: SeenCalls,
+    faults: Faults,
+}
+
+impl Engine {
+    /// Makes an engine with its first models resident.
+    #[must_use]
+    pub fn new(settings: EngineSettings) -> Self {
+        let memory = Memory::new(settings.memory, &settings.resident);
+        let counts = EngineCounts {
+            peak: memory.used(),
+            ..EngineCounts::default()
+        };
+        let published = EngineReport {
+            host: settings.host.clone(),
+            sequence: 0,
+            fence: 0,
+            resident: Vec::new(),
+            loading: Vec::new(),
+            unloading: Vec::new(),
+            used: 0,
+            memory: settings.memory,
+            slots: settings.slots,
+            orders: Vec::new(),
+            age: 0,
+        };
+        let state = State {
+            memory,
+            batch: Batch::default(),
+            cache: PrefixCache::new(settings.blocks),
+            counts,
+            published,
+            taken: Instant::now(),
+        };
+        let engine = Self {
+            settings: Arc::new(settings),
+            state: Arc::new(Mutex::new(state)),
+            pushed: Arc::new(Notify::new()),
+            seen: SeenCalls::default(),
+            faults: Faults::new(),
+        };
+        engine.publish();
+        engine
+    }
+
+    /// Returns what was counted so far.
+    #[must_use]
+    pub fn counts(&self) -> EngineCounts {
+        lock(&self.state).counts
+    }
+
+    /// Returns the calls that the engine saw.
+    #[must_use]
+    pub fn seen(&self) -> &SeenCalls {
+        &self.seen
+    }
+
+    /// Returns the published report, with its age.
+    #[must_use]
+    pub fn report(&self) -> EngineReport {
+        let state = lock(&self.state);
+        let age = state.taken.elapsed().as_millis();
+        EngineReport {
+            age: u64::try_from(age).unwrap_or(u64::MAX),
+            ..state.published.clone()
+        }
+    }
+
+    /// Publishes the present state as the report that readers get.
+    pub fn publish(&self) {
+        let mut state = lock(&self.state);
+        let report = state.account(&self.settings);
+        state.published = report;
+        state.taken = Instant::now();
+    }
+
+    fn order(&self, order: &Order) -> OrderAnswer {
+        let (answer, work) = self.process(order);
+        if work != Work::Nothing {
+            self.begin(work);
+        }
+        answer
+    }
+
+    fn process(&self, order: &Order) -> (OrderAnswer, Work) {
+        let fencing = self.faults.get().fencing.unwrap_or(self.settings.fencing);
+        let mut state = lock(&self.state);
+        let State { memory, counts, .. } = &mut *state;
+        let result = memory.order(order, fencing, counts);
+        state.release();
+        result
+    }
+
+    /// Takes a request in and returns the events of its answer.
+    fn take(&self, request: &GenerateRequest) -> Result<UnboundedReceiver<GenerateChunk>, Miss> {
+        if self.faults.get().draining {
+            return Err(Miss::Draining);
+        }
+        let mut state = lock(&self.state);
+        let copy = state.find(request)?;
+        if state.batch.waiting.len() >= self.settings.queue {
+            return Err(Miss::Full);
+        }
+        let (prompt, cached) = state.cache.enter(request);
+        state.counts.accepted += 1;
+        state.counts.cached += cached;
+        state.counts.computed += prompt - cached;
+        let adapter = request.adapter.as_ref().map(AdapterName::as_str);
+        let text = AnswerText::new(request.model.as_str(), adapter, &request.input);
+        let own = self.settings.natural.map(|longest| text.length(longest));
+        let stops = own.is_some_and(|length| length < request.max_tokens);
+        let end = own.unwrap_or(u64::MAX).min(request.max_tokens);
+        let (events, receiver) = unbounded_channel();
+        state.batch.push(Answer {
+            id: request.id.clone(),
+            class: request.class,
+            copy,
+            text,
+            index: request.resume.as_ref().map_or(0, |resume| resume.index),
+            end,
+            finish: if stops { "stop" } else { "length" },
+            usage: Usage {
+                prompt,
+                cached,
+                completion: 0,
+            },
+            ready: Instant::now(),
+            events,
+        });
+        self.pushed.notify_one();
+        Ok(receiver)
+    }
+
+    fn cancel(&self, id: &RequestId) {
+        let mut state = lock(&self.state);
+        let before = state.batch.running.len() + state.batch.waiting.len();
+        state.batch.cancel(id);
+        let after = state.batch.running.len() + state.batch.waiting.len();
+        state.counts.cancelled += (before - after) as u64;
+        state.release();
+    }
+
+    /// Makes a chunk that belongs to another request.
+    fn foreign(&self, id: &RequestId, own: GenerateChunk) -> GenerateChunk {
+        let state = lock(&self.state);
+        let other = state.batch.running.iter().find(|answer| answer.id != *id);
+        if let Some(other) = other {
+            return other.chunk();
+        }
+        let id = RequestId::new("crossed-answer").unwrap_or(own.id);
+        GenerateChunk { id, ..own }
+    }
+}
+
+impl State {
+    fn find(&mut self, request: &GenerateRequest) -> Result<u64, Miss> {
+        let found = self.memory.resident(&request.model, &request.version);
+        let Some(slot) = found else {
+            self.counts.misses += 1;
+            let leaving = self.memory.unloads(&request.model);
+            return Err(if leaving { Miss::Draining } else { Miss::Model });
+        };
+        let held = |name| slot.copy.adapters.contains(name);
+        if !request.adapter.as_ref().is_none_or(held) {
+            self.counts.misses += 1;
+            return Err(Miss::Adapter);
+        }
+        Ok(slot.serial)
+    }
+
+    /// Frees the memory of copies to be unloaded that no answer uses.
+    fn release(&mut self) {
+        let batch = &self.batch;
+        let before = self.memory.slots.len();
+        self.memory
+            .slots
+            .retain(|slot| slot.phase != Phase::Unloading || batch.load(slot.serial) != (0, 0));
+        self.counts.unloads += (before - self.memory.slots.len()) as u64;
+    }
+
+    fn account(&self, settings: &EngineSettings) -> EngineReport {
+        let of_phase = |phase| {
+            let slots = self.memory.slots.iter();
+            slots.filter(move |slot| slot.phase == phase)
+        };
+        let resident = of_phase(Phase::Resident).map(|slot| {
+            let (running, waiting) = self.batch.load(slot.serial);
+            Resident {
+                model: slot.copy.model.clone(),
+                version: slot.copy.version.clone(),
+                adapters: slot.copy.adapters.clone(),
+                running,
+                waiting,
+            }
+        });
+        let orders = self.memory.orders.iter();
+        EngineReport {
+            host: settings.host.clone(),
+            sequence: self.published.sequence + 1,
+            fence: self.memory.fence,
+            resident: resident.collect(),
+            loading: of_phase(Phase::Loading).map(memory::Slot::name).collect(),
+            unloading: of_phase(Phase::Unloading).map(memory::Slot::name).collect(),
+            used: self.memory.used(),
+            memory: settings.memory,
+            slots: settings.slots,
+            orders: orders.map(|(id, _answer)| id.clone()).collect(),
+            age: 0,
+        }
+    }
+}
+
+impl Standin for Engine {
+    fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    fn listen(&self) -> SocketAddr {
+        self.settings.listen
+    }
+
+    fn configure(&self, config: &mut ServiceConfig) {
+        http::configure(self, config);
+    }
+
+    fn work(&self) {
+        actix_web::rt::spawn(work::generate(self.clone()));
+        actix_web::rt::spawn(work::publish(self.clone()));
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_standin/src/hosts.rs
@@ -0,0 +1,114 @@
+//! The platform's host list, which shows an edit only after a lag.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use actix_web::HttpResponse;
+use actix_web::web::{self, Json, ServiceConfig};
+use eelgrasshill_platform::ListedHost;
+
+use crate::fault::Faults;
+use crate::server::Standin;
+use crate::sync::lock;
+
+/// Settings of the host list.
+#[derive(Clone, Debug)]
+pub struct HostsSettings {
+    /// Where to listen.
+    pub listen: SocketAddr,
+    /// How long after an edit the list still shows the earlier hosts.
+    pub lag: Duration,
+    /// The hosts that are listed at the start.
+    pub hosts: Vec<ListedHost>,
+}
+
+impl Default for HostsSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            lag: Duration::from_secs(1),
+            hosts: Vec::new(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Lists {
+    shown: Vec<ListedHost>,
+    coming: Vec<(Instant, Vec<ListedHost>)>,
+}
+
+/// The platform's host list.
+#[derive(Clone, Debug)]
+pub struct Hosts {
+    listen: SocketAddr,
+    lag: Duration,
+    lists: Arc<Mutex<Lists>>,
+    faults: Faults,
+}
+
+impl Hosts {
+    /// Makes a list that shows its first hosts at once.
+    #[must_use]
+    pub fn new(settings: HostsSettings) -> Self {
+        let lists = Lists {
+            shown: settings.hosts,
+            coming: Vec::new(),
+        };
+        Self {
+            listen: settings.listen,
+            lag: settings.lag,
+            lists: Arc::new(Mutex::new(lists)),
+            faults: Faults::new(),
+        }
+    }
+
+    /// Replaces the hosts, visible after the lag.
+    pub fn set(&self, hosts: Vec<ListedHost>) {
+        let due = Instant::now() + self.lag;
+        lock(&self.lists).coming.push((due, hosts));
+    }
+
+    /// Returns the hosts that a reader sees now.
+    #[must_use]
+    pub fn shown(&self) -> Vec<ListedHost> {
+        let now = Instant::now();
+        let mut lists = lock(&self.lists);
+        while lists
+            .coming
+            .first()
+            .is_some_and(|(due, _hosts)| *due <= now)
+        {
+            let (_due, hosts) = lists.coming.remove(0);
+            lists.shown = hosts;
+        }
+        lists.shown.clone()
+    }
+}
+
+impl Standin for Hosts {
+    fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+
+    fn configure(&self, config: &mut ServiceConfig) {
+        config
+            .app_data(web::Data::new(self.clone()))
+            .route("/hosts", web::get().to(list))
+            .route("/admin/hosts", web::post().to(replace));
+    }
+}
+
+async fn list(hosts: web::Data<Hosts>) -> Json<Vec<ListedHost>> {
+    Json(hosts.shown())
+}
+
+async fn replace(hosts: web::Data<Hosts>, list: Json<Vec<ListedHost>>) -> HttpResponse {
+    hosts.set(list.into_inner());
+    HttpResponse::NoContent().finish()
+}
--- /dev/null
+++ b/crates/eelgrasshill_standin/src/log.rs
@@ -0,0 +1,291 @@
+//! The platform's append-only log service with retention and a cap on appends.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime};
+
+use actix_web::web::{self, Json, ServiceConfig};
+use actix_web::{HttpRequest, HttpResponse};
+use eelgrasshill_domain::{FastMap, Offset, StreamName, record};
+use eelgrasshill_platform::{AppendBody, AppendReply, NewRecord, Page, ReadQuery, StoredRecord};
+use tokio::sync::Notify;
+
+use crate::fault::Faults;
+use crate::gate::{label, refusal};
+use crate::server::Standin;
+use crate::sync::lock;
+
+/// The part of a second's appends that may come at once.
+const BURST_PART: f64 = 0.25;
+
+/// Settings of the log.
+#[derive(Clone, Debug)]
+pub struct LogSettings {
+    /// Where to listen.
+    pub listen: SocketAddr,
+    /// Most records that a stream holds.
+    pub records: usize,
+    /// Longest time that a record is held.
+    pub age: Duration,
+    /// Appends that the service takes in a second.
+    pub rate: u32,
+    /// Most records of one page.
+    pub page: usize,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            records: 1_000_000,
+            age: Duration::from_hours(24),
+            rate: 400,
+            page: 10_000,
+        }
+    }
+}
+
+record! {
+    /// What the log has counted, as an oracle for tests.
+    #[derive(Copy, Default)]
+    pub struct LogCounts {
+        /// Appends that took effect.
+        pub appends: u64,
+        /// Records of those appends.
+        pub records: u64,
+        /// Appends refused because too many came.
+        pub capped: u64,
+        /// Reads answered.
+        pub reads: u64,
+    }
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    records: VecDeque<StoredRecord>,
+    dropped: u64,
+}
+
+impl Stream {
+    fn end(&self) -> u64 {
+        self.dropped + self.records.len() as u64 + 1
+    }
+
+    fn append(&mut self, time: u64, new: Vec<NewRecord>) -> Vec<Offset> {
+        let start = self.end();
+        let count = new.len() as u64;
+        for (position, record) in (start..).zip(new) {
+            self.records.push_back(StoredRecord {
+                offset: Offset(position),
+                id: record.id,
+                time,
+                body: record.body,
+            });
+        }
+        (start..start + count).map(Offset).collect()
+    }
+
+    fn expire(&mut self, now: u64, settings: &LogSettings) {
+        let age = u64::try_from(settings.age.as_millis()).unwrap_or(u64::MAX);
+        let oldest = now.saturating_sub(age);
+        let many = self.records.len().saturating_sub(settings.records);
+        let old = self.records.partition_point(|record| record.time < oldest);
+        let gone = many.max(old);
+        self.records.drain(..gone);
+        self.dropped += gone as u64;
+    }
+
+    fn page(&self, from: u64, max: usize) -> Page {
+        let first = self.dropped + 1;
+        let skip = usize::try_from(from.saturating_sub(first)).unwrap_or(usize::MAX);
+        Page {
+            first: Offset(first),
+            end: Offset(self.end()),
+            records: self.records.iter().skip(skip).take(max).cloned().collect(),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    streams: FastMap<StreamName, Stream>,
+    counts: LogCounts,
+    level: f64,
+    filled: Instant,
+}
+
+/// The platform's log service.
+#[derive(Clone, Debug)]
+pub struct Log {
+    settings: Arc<LogSettings>,
+    state: Arc<Mutex<State>>,
+    grown: Arc<Notify>,
+    faults: Faults,
+}
+
+impl Log {
+    /// Makes a log without streams; an append makes its stream.
+    #[must_use]
+    pub fn new(settings: LogSettings) -> Self {
+        let state = State {
+            streams: FastMap::default(),
+            counts: LogCounts::default(),
+            level: f64::from(settings.rate) * BURST_PART,
+            filled: Instant::now(),
+        };
+        Self {
+            settings: Arc::new(settings),
+            state: Arc::new(Mutex::new(state)),
+            grown: Arc::new(Notify::new()),
+            faults: Faults::new(),
+        }
+    }
+
+    /// Returns what was counted so far.
+    #[must_use]
+    pub fn counts(&self) -> LogCounts {
+        lock(&self.state).counts
+    }
+
+    /// Returns every record that a stream still holds.
+    #[must_use]
+    pub fn records(&self, stream: &StreamName) -> Vec<StoredRecord> {
+        self.page(stream, 0, usize::MAX).records
+    }
+
+    /// Drops all records of a stream before an offset, as retention would.
+    pub fn expire_before(&self, stream: &StreamName, offset: Offset) {
+        let mut state = lock(&self.state);
+        let stream = state.streams.entry(stream.clone()).or_default();
+        let gone = stream
+            .records
+            .partition_point(|record| record.offset < offset);
+        stream.records.drain(..gone);
+        stream.dropped += gone as u64;
+    }
+
+    /// Appends past the cap and the faults, as an operator's tool in a test may.
+    #[expect(
+        clippy::must_use_candidate,
+        reason = "tests append for the effect alone"
+    )]
+    pub fn append(&self, stream: &StreamName, new: Vec<NewRecord>) -> Vec<Offset> {
+        let now = clock();
+        let mut state = lock(&self.state);
+        state.counts.appends += 1;
+        state.counts.records += new.len() as u64;
+        let stream = state.streams.entry(stream.clone()).or_default();
+        let offsets = stream.append(now, new);
+        stream.expire(now, &self.settings);
+        drop(state);
+        self.grown.notify_waiters();
+        offsets
+    }
+
+    fn page(&self, stream: &StreamName, from: u64, max: usize) -> Page {
+        let mut state = lock(&self.state);
+        let stream = state.streams.entry(stream.clone()).or_default();
+        stream.expire(clock(), &self.settings);
+        stream.page(from, max)
+    }
+
+    fn admit(&self) -> bool {
+        let rate = f64::from(self.settings.rate);
+        let mut state = lock(&self.state);
+        let now = Instant::now();
+        let grown = now.duration_since(state.filled).as_secs_f64() * rate;
+        state.filled = now;
+        state.level = (state.level + grown).min((rate * BURST_PART).max(1.0));
+        if state.level < 1.0 {
+            state.counts.capped += 1;
+            return false;
+        }
+        state.level -= 1.0;
+        true
+    }
+
+    /// Waits until the stream holds a record at or after an offset.
+    async fn await_page(&self, stream: &StreamName, query: &ReadQuery, label: &str) -> Page {
+        let due = tokio::time::Instant::now() + Duration::from_millis(query.wait);
+        let max = query.max.min(self.settings.page);
+        let mut changes = self.faults.changes();
+        loop {
+            let grown = self.grown.notified();
+            let page = self.page(stream, query.from, max);
+            if page.end.0 > query.from.max(1) || self.faults.is_out(label) {
+                return page;
+            }
+            tokio::select! {
+                () = grown => {}
+                _changed = changes.changed() => {}
+                () = tokio::time::sleep_until(due) => return self.page(stream, query.from, max),
+            }
+        }
+    }
+}
+
+/// Returns the log's clock, in milliseconds since 1970.
+fn clock() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Standin for Log {
+    fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    fn listen(&self) -> SocketAddr {
+        self.settings.listen
+    }
+
+    fn configure(&self, config: &mut ServiceConfig) {
+        config
+            .app_data(web::Data::new(self.clone()))
+            .route("/streams/{name}", web::post().to(append))
+            .route("/streams/{name}", web::get().to(read))
+            .route("/admin/counts", web::get().to(counts));
+    }
+}
+
+async fn append(
+    log: web::Data<Log>,
+    name: web::Path<StreamName>,
+    body: Json<AppendBody>,
+) -> HttpResponse {
+    if !log.admit() {
+        return refusal(
+            HttpResponse::TooManyRequests(),
+            "too-many-appends",
+            "the log takes no more appends in this second",
+        );
+    }
+    let offsets = log.append(&name, body.into_inner().records);
+    HttpResponse::Ok().json(AppendReply { offsets })
+}
+
+async fn read(
+    request: HttpRequest,
+    log: web::Data<Log>,
+    name: web::Path<StreamName>,
+    query: web::Query<ReadQuery>,
+) -> HttpResponse {
+    let label = label(request.method(), request.path());
+    let page = log.await_page(&name, &query, &label).await;
+    if log.faults.is_out(&label) {
+        return refusal(
+            HttpResponse::ServiceUnavailable(),
+            "outage",
+            "out of service",
+        );
+    }
+    lock(&log.state).counts.reads += 1;
+    HttpResponse::Ok().json(page)
+}
+
+async fn counts(log: web::Data<Log>) -> Json<LogCounts> {
+    Json(log.counts())
+}
--- /dev/null
+++ b/crates/eelgrasshill_standin/src/plain.rs
@@ -0,0 +1,268 @@
+//! A plain service that counts how often each call ran.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use actix_web::web::{self, Bytes, Json, ServiceConfig};
+use actix_web::{HttpRequest, HttpResponse};
+use eelgrasshill_domain::record;
+use tokio::sync::oneshot;
+
+use crate::fault::Faults;
+use crate::seen::{SeenCall, SeenCalls};
+use crate::server::Standin;
+use crate::sync::lock;
+
+/// The header that carries the request's id.
+const REQUEST_ID: &str = "x-request-id";
+/// The header that carries the caller's idempotency key.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Longest wait of a crossed answer for another to be swapped with.
+const CROSS_WAIT: Duration = Duration::from_secs(2);
+
+/// Settings of the plain service.
+#[derive(Clone, Debug)]
+pub struct PlainSettings {
+    /// Where to listen.
+    pub listen: SocketAddr,
+    /// The name that the answers give.
+    pub name: String,
+    /// How long a call takes, its effect coming first.
+    pub work: Duration,
+}
+
+impl Default for PlainSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            name: "plain".to_owned(),
+            work: Duration::ZERO,
+        }
+    }
+}
+
+record! {
+    /// The answer's body.
+    pub struct PlainEcho {
+        /// The name of the service.
+        pub service: String,
+        /// The request's id.
+        pub id: Option<String>,
+        /// The caller's idempotency key.
+        pub key: Option<String>,
+        /// How often a call with that key, or else that id, has run.
+        pub count: u64,
+        /// The method and the path.
+        pub call: String,
+        /// Bytes of the body.
+        pub bytes: usize,
+    }
+
+    /// The number of times that one call ran.
+    pub struct RunCount {
+        /// The path.
+        pub path: String,
+        /// The request id or the idempotency key.
+        pub id: String,
+        /// The number of runs.
+        pub count: u64,
+    }
+
+    /// How often each call ran, as an oracle for tests.
+    #[derive(Default)]
+    pub struct RunCounts {
+        /// Runs of all calls.
+        pub total: u64,
+        /// Runs by request id.
+        pub requests: Vec<RunCount>,
+        /// Runs by idempotency key.
+        pub keys: Vec<RunCount>,
+    }
+}
+
+impl RunCounts {
+    /// Returns the number of runs of an idempotency key over all paths.
+    #[must_use]
+    pub fn of_key(&self, key: &str) -> u64 {
+        let of_key = self.keys.iter().filter(|run| run.id == key);
+        of_key.map(|run| run.count).sum()
+    }
+
+    /// Returns the number of runs of a request id over all paths.
+    #[must_use]
+    pub fn of_request(&self, id: &str) -> u64 {
+        let of_id = self.requests.iter().filter(|run| run.id == id);
+        of_id.map(|run| run.count).sum()
+    }
+
+    /// Returns the most runs of one idempotency key on one path.
+    #[must_use]
+    pub fn most(&self) -> u64 {
+        self.keys.iter().map(|run| run.count).max().unwrap_or(0)
+    }
+}
+
+type Counts = BTreeMap<(String, String), u64>;
+
+#[derive(Debug, Default)]
+struct State {
+    total: u64,
+    requests: Counts,
+    keys: Counts,
+    crossing: Option<(Answer, oneshot::Sender<Answer>)>,
+}
+
+#[derive(Clone, Debug)]
+struct Answer {
+    id: Option<String>,
+    echo: PlainEcho,
+}
+
+/// A plain service.
+#[derive(Clone, Debug)]
+pub struct Plain {
+    settings: Arc<PlainSettings>,
+    state: Arc<Mutex<State>>,
+    seen: SeenCalls,
+    faults: Faults,
+}
+
+impl Plain {
+    /// Makes a service that has run nothing.
+    #[must_use]
+    pub fn new(settings: PlainSettings) -> Self {
+        Self {
+            settings: Arc::new(settings),
+            state: Arc::default(),
+            seen: SeenCalls::default(),
+            faults: Faults::new(),
+        }
+    }
+
+    /// Returns how often each call ran.
+    #[must_use]
+    pub fn runs(&self) -> RunCounts {
+        let list = |counts: &Counts| {
+            let run = |((path, id), count): (&(String, String), &u64)| RunCount {
+                path: path.clone(),
+                id: id.clone(),
+                count: *count,
+            };
+            counts.iter().map(run).collect()
+        };
+        let state = lock(&self.state);
+        RunCounts {
+            total: state.total,
+            requests: list(&state.requests),
+            keys: list(&state.keys),
+        }
+    }
+
+    /// Returns the calls that the service saw.
+    #[must_use]
+    pub fn seen(&self) -> &SeenCalls {
+        &self.seen
+    }
+
+    fn run(&self, request: &HttpRequest, body: &Bytes) -> Answer {
+        let header = |name: &str| {
+            let value = request.headers().get(name)?;
+            value.to_str().ok().map(str::to_owned)
+        };
+        let id = header(REQUEST_ID);
+        let key = header(IDEMPOTENCY_KEY);
+        let path = request.path().to_owned();
+        let mut state = lock(&self.state);
+        state.total += 1;
+        let by_id = id.as_ref().map(|id| tally(&mut state.requests, &path, id));
+        let by_key = key.as_ref().map(|key| tally(&mut state.keys, &path, key));
+        let echo = PlainEcho {
+            service: self.settings.name.clone(),
+            id: id.clone(),
+            key,
+            count: by_key.or(by_id).unwrap_or(1),
+            call: format!("{} {path}", request.method()),
+            bytes: body.len(),
+        };
+        Answer { id, echo }
+    }
+
+    /// Swaps an answer with that of the next crossed call, if one comes.
+    async fn cross(&self, answer: Answer) -> Answer {
+        let own = answer.clone();
+        let receiver = match self.pair(answer) {
+            Ok(other) => return other,
+            Err(receiver) => receiver,
+        };
+        if let Ok(Ok(other)) = tokio::time::timeout(CROSS_WAIT, receiver).await {
+            return other;
+        }
+        lock(&self.state).crossing = None;
+        own
+    }
+
+    /// Swaps with an answer that waits, or waits for the next one.
+    fn pair(&self, answer: Answer) -> Result<Answer, oneshot::Receiver<Answer>> {
+        let mut state = lock(&self.state);
+        let answer = match state.crossing.take() {
+            None => answer,
+            Some((other, partner)) => match partner.send(answer) {
+                Ok(()) => return Ok(other),
+                Err(answer) => answer,
+            },
+        };
+        let (sender, receiver) = oneshot::channel();
+        state.crossing = Some((answer, sender));
+        Err(receiver)
+    }
+}
+
+fn tally(counts: &mut Counts, path: &str, id: &str) -> u64 {
+    let count = counts.entry((path.to_owned(), id.to_owned())).or_default();
+    *count += 1;
+    *count
+}
+
+impl Standin for Plain {
+    fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    fn listen(&self) -> SocketAddr {
+        self.settings.listen
+    }
+
+    fn configure(&self, config: &mut ServiceConfig) {
+        config
+            .app_data(web::Data::new(self.clone()))
+            .route("/admin/runs", web::get().to(runs))
+            .route("/admin/seen", web::get().to(seen))
+            .default_service(web::to(call));
+    }
+}
+
+async fn call(plain: web::Data<Plain>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    plain.seen.note(&request, &body);
+    let mut answer = plain.run(&request, &body);
+    if !plain.settings.work.is_zero() {
+        tokio::time::sleep(plain.settings.work).await;
+    }
+    if plain.faults.take_cross() {
+        answer = plain.cross(answer).await;
+    }
+    let mut response = HttpResponse::Ok();
+    if let Some(id) = &answer.id {
+        response.insert_header((REQUEST_ID, id.as_str()));
+    }
+    response.json(&answer.echo)
+}
+
+async fn runs(plain: web::Data<Plain>) -> Json<RunCounts> {
+    Json(plain.runs())
+}
+
+async fn seen(plain: web::Data<Plain>) -> Json<Vec<SeenCall>> {
+    Json(plain.seen.list())
+}
--- /dev/null
+++ b/crates/eelgrasshill_standin/src/seen.rs
@@ -0,0 +1,85 @@
+//! A bounded record of the calls that reached an upstream.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+
+use actix_web::HttpRequest;
+use eelgrasshill_domain::record;
+
+use crate::sync::lock;
+
+/// Most calls that are kept; older ones are dropped.
+const MAX_CALLS: usize = 4096;
+/// Most bytes that are kept of one body.
+const MAX_BODY_BYTES: usize = 16 << 10;
+
+record! {
+    /// A call as an upstream saw it.
+    pub struct SeenCall {
+        /// The HTTP method.
+        pub method: String,
+        /// The path and the query.
+        pub path: String,
+        /// The headers in the order of their names.
+        pub headers: Vec<(String, String)>,
+        /// The start of the body.
+        pub body: String,
+    }
+}
+
+impl SeenCall {
+    /// Returns whether a text stands anywhere in the call.
+    #[must_use]
+    pub fn contains(&self, text: &str) -> bool {
+        self.path.contains(text)
+            || self.body.contains(text)
+            || self
+                .headers
+                .iter()
+                .any(|(name, value)| name.contains(text) || value.contains(text))
+    }
+}
+
+/// The latest calls that an upstream saw.
+#[derive(Clone, Debug, Default)]
+pub struct SeenCalls {
+    calls: Arc<Mutex<VecDeque<SeenCall>>>,
+}
+
+impl SeenCalls {
+    /// Returns the calls that are still kept, oldest first.
+    #[must_use]
+    pub fn list(&self) -> Vec<SeenCall> {
+        lock(&self.calls).iter().cloned().collect()
+    }
+
+    /// Returns whether a text stands anywhere in any call.
+    #[must_use]
+    pub fn contain(&self, text: &str) -> bool {
+        lock(&self.calls).iter().any(|call| call.contains(text))
+    }
+
+    pub(crate) fn note(&self, request: &HttpRequest, body: &[u8]) {
+        let mut headers: Vec<(String, String)> = request
+            .headers()
+            .iter()
+            .map(|(name, value)| {
+                let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+                (name.to_string(), value)
+            })
+            .collect();
+        headers.sort();
+        let start = body.get(..MAX_BODY_BYTES).unwrap_or(body);
+        let call = SeenCall {
+            method: request.method().to_string(),
+            path: request.uri().to_string(),
+            headers,
+            body: String::from_utf8_lossy(start).into_owned(),
+        };
+        let mut calls = lock(&self.calls);
+        if calls.len() == MAX_CALLS {
+            calls.pop_front();
+        }
+        calls.push_back(call);
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_standin/src/text.rs
@@ -0,0 +1,87 @@
+//! The text of an answer as a function of its request, so that a client can check it.
+
+use serde_json::Value;
+
+/// Bytes of prompt that count as one token.
+const TOKEN_BYTES: usize = 4;
+
+const WORDS: [&str; 64] = [
+    "pump", "pole", "yard", "level", "crew", "visit", "stock", "route", "check", "valve", "note",
+    "north", "south", "east", "west", "water", "meter", "order", "first", "second", "third",
+    "hour", "day", "week", "ready", "clear", "open", "shut", "high", "low", "near", "far", "new",
+    "old", "ribbon", "garland", "town", "lake", "shore", "sump", "cellar", "stair", "gate", "wall",
+    "lamp", "cable", "hose", "drain", "filter", "motor", "switch", "sensor", "report", "plan",
+    "list", "tag", "crate", "truck", "van", "call", "reply", "done", "next", "again",
+];
+
+/// The text that an engine gives for one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerText {
+    seed: u64,
+}
+
+impl AnswerText {
+    /// Makes the text for a model, an adapter and the caller's input.
+    #[must_use]
+    pub fn new(model: &str, adapter: Option<&str>, input: &Value) -> Self {
+        let mut hash = Fnv::default();
+        hash.write(model.as_bytes());
+        hash.write(&[0]);
+        hash.write(adapter.unwrap_or_default().as_bytes());
+        hash.write(&[0]);
+        hash.write(input.to_string().as_bytes());
+        Self { seed: hash.0 }
+    }
+
+    /// Returns one token, with the space that follows it.
+    #[must_use]
+    pub fn token(&self, index: u64) -> String {
+        let drawn = mix(self.seed.wrapping_add(index)) % WORDS.len() as u64;
+        let word = usize::try_from(drawn).map_or("", |drawn| WORDS[drawn]);
+        format!("{word} ")
+    }
+
+    /// Returns the first tokens together.
+    #[must_use]
+    pub fn prefix(&self, tokens: u64) -> String {
+        (0..tokens).map(|index| self.token(index)).collect()
+    }
+
+    /// Returns the answer's own length in tokens, from 1 to `longest`.
+    #[must_use]
+    pub fn length(&self, longest: u64) -> u64 {
+        1 + mix(!self.seed) % longest.max(1)
+    }
+}
+
+/// Returns the number of tokens of a prompt or a list of messages.
+#[must_use]
+pub fn prompt_tokens(input: &Value) -> u64 {
+    input.to_string().len().div_ceil(TOKEN_BYTES) as u64
+}
+
+/// The FNV-1a hash, which stays the same over versions and machines.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Fnv(pub(crate) u64);
+
+impl Default for Fnv {
+    fn default() -> Self {
+        Self(0xcbf2_9ce4_8422_2325)
+    }
+}
+
+impl Fnv {
+    pub(crate) fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+}
+
+/// Spreads a number over all bits, as the finaliser of `SplitMix64` does.
+fn mix(number: u64) -> u64 {
+    let mut z = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/crates/eelgrasshill_standin/tests/engine.rs
@@ -0,0 +1,320 @@
+//! The engine's protocol against the platform's adapter: answers, batches, orders.
+#![expect(clippy::unwrap_used, reason = "a test may end at the first surprise")]
+
+mod common;
+
+use std::time::Duration;
+
+use common::{BOUND, collect, copy, engines, give, load, order, request, resume, start, text};
+use eelgrasshill_domain::{AdapterName, Class, Fencing};
+use eelgrasshill_platform::{CallError, Engine as _, Order, OrderAction, OrderAnswer};
+use eelgrasshill_standin::Standin as _;
+use futures_util::future::join_all;
+
+#[actix_web::test]
+async fn an_answer_is_whole_and_its_own() {
+    struct Case {
+        name: &'static str,
+        adapter: Option<&'static str>,
+        max: u64,
+        from: u64,
+        natural: Option<u64>,
+        finish: &'static str,
+    }
+    let case = |name, adapter, max, from, natural, finish| Case {
+        name,
+        adapter,
+        max,
+        from,
+        natural,
+        finish,
+    };
+    let cases = [
+        case("plain", None, 7, 0, None, "length"),
+        case("adapter", Some("field"), 5, 0, None, "length"),
+        case("resumed", None, 9, 4, None, "length"),
+        case("resumed at its end", None, 3, 3, None, "length"),
+        case("ends by itself", None, 1000, 0, Some(1), "stop"),
+    ];
+    for case in cases {
+        let mut settings = common::settings();
+        settings.natural = case.natural;
+        let engine = start(settings);
+        let mut call = request("r-1", "how high is the water?", case.max);
+        call.adapter = case.adapter.map(|name| AdapterName::new(name).unwrap());
+        let words = text(&call);
+        if case.from > 0 {
+            call = resume(call, case.from, &words.prefix(case.from));
+        }
+        let answer = collect(engine.address, &call, BOUND).await.unwrap();
+        let length = case
+            .natural
+            .map_or(case.max, |longest| words.length(longest));
+        let whole = words.prefix(case.from) + &answer.text();
+        assert_eq!(whole, words.prefix(length), "{}", case.name);
+        assert_eq!(answer.finish.as_deref(), Some(case.finish), "{}", case.name);
+        assert_eq!(answer.usage.unwrap().completion, length, "{}", case.name);
+        let indices: Vec<u64> = answer.chunks.iter().map(|c| c.index).collect();
+        assert_eq!(indices, (case.from..length).collect::<Vec<_>>());
+        assert!(answer.chunks.iter().all(|c| c.id == call.id));
+    }
+    let other = text(&request("r-1", "another question", 0));
+    let own = text(&request("r-1", "how high is the water?", 0));
+    assert_ne!(other.prefix(8), own.prefix(8), "texts of two inputs differ");
+}
+
+#[actix_web::test]
+async fn requests_are_refused_with_their_reason() {
+    struct Case {
+        model: &'static str,
+        version: &'static str,
+        adapter: Option<&'static str>,
+        draining: bool,
+        status: u16,
+        code: &'static str,
+    }
+    let case = |model, version, adapter, draining, status, code| Case {
+        model,
+        version,
+        adapter,
+        draining,
+        status,
+        code,
+    };
+    let cases = [
+        case("other", "1", None, false, 404, "model-not-resident"),
+        case("assist", "2", None, false, 404, "model-not-resident"),
+        case("assist", "1", Some("x"), false, 404, "adapter-not-resident"),
+        case("assist", "1", None, true, 503, "draining"),
+    ];
+    let engine = start(common::settings());
+    for case in cases {
+        let mut set = engine.handle.faults().get();
+        set.draining = case.draining;
+        engine.handle.faults().set(set);
+        let mut call = request("r-1", "q", 3);
+        call.model = common::model(case.model);
+        call.version = case.version.to_owned();
+        call.adapter = case.adapter.map(|name| AdapterName::new(name).unwrap());
+        let error = engines().generate(engine.address, &call).await.unwrap_err();
+        let CallError::Status { status, detail, .. } = error else {
+            panic!("{}: {error}", case.code);
+        };
+        assert_eq!(status, case.status, "{}", case.code);
+        assert!(detail.contains(case.code), "{detail}");
+    }
+}
+
+#[actix_web::test]
+async fn a_batch_is_bounded_and_urgent_goes_first() {
+    let mut settings = common::settings();
+    settings.slots = 2;
+    settings.queue = 6;
+    let engine = start(settings);
+    let calls: Vec<_> = (0..10)
+        .map(|number| {
+            let mut call = request(&format!("r-{number}"), &format!("q {number}"), 40);
+            call.class = [Class::Batch, Class::Urgent][number % 2];
+            call
+        })
+        .collect();
+    let address = engine.address;
+    let answers = calls.iter().map(|call| async move {
+        let answer = collect(address, call, BOUND).await;
+        (call, answer, std::time::Instant::now())
+    });
+    let mut urgent = Vec::new();
+    let mut batch = Vec::new();
+    let mut full = 0;
+    for (call, answer, ended) in join_all(answers).await {
+        match answer {
+            Ok(answer) => {
+                assert_eq!(answer.text(), text(call).prefix(40));
+                [&mut urgent, &mut batch][usize::from(call.class == Class::Batch)].push(ended);
+            }
+            Err(CallError::Status { status: 503, .. }) => full += 1,
+            Err(error) => panic!("{error}"),
+        }
+    }
+    let counts = engine.handle.counts();
+    assert_eq!(counts.widest, 2);
+    assert_eq!(counts.finished + full, 10);
+    assert!(full >= 1, "the queue holds six, the batch two");
+    assert!(urgent.iter().max() < batch.iter().max(), "batch ends last");
+}
+
+#[actix_web::test]
+async fn a_cached_prefix_is_counted_and_the_oldest_forgotten() {
+    let mut settings = common::settings();
+    settings.blocks = 8;
+    let engine = start(settings);
+    let prompts = ["a".repeat(400), "b".repeat(400)];
+    let mut cached = Vec::new();
+    for prompt in [&prompts[0], &prompts[0], &prompts[1], &prompts[0]] {
+        let call = request("r-1", prompt, 1);
+        let answer = collect(engine.address, &call, BOUND).await.unwrap();
+        let usage = answer.usage.unwrap();
+        assert!(usage.cached <= usage.prompt);
+        cached.push(usage.cached);
+    }
+    assert_eq!(cached[0], 0);
+    assert!(cached[1] > 90, "the same prompt is held: {cached:?}");
+    assert_eq!(&cached[2..], [0, 0], "six blocks of eight were replaced");
+}
+
+#[actix_web::test]
+async fn a_client_that_leaves_or_cancels_frees_its_slot() {
+    let engine = start(common::settings());
+    let events = engines()
+        .generate(engine.address, &request("r-1", "q", 1_000_000))
+        .await
+        .unwrap();
+    common::until("the answer runs", || engine.handle.counts().tokens > 0).await;
+    drop(events);
+    common::until("the client left", || engine.handle.counts().cancelled == 1).await;
+    let call = request("r-2", "q", 1_000_000);
+    let answer = collect(engine.address, &call, BOUND);
+    let cancel = async {
+        common::until("it runs", || engine.handle.counts().accepted == 2).await;
+        engines().cancel(engine.address, &call.id).await.unwrap();
+    };
+    let (answer, ()) = futures_util::future::join(answer, cancel).await;
+    assert_eq!(answer.unwrap().finish, None, "a cancelled answer just ends");
+    assert_eq!(engine.handle.counts().cancelled, 2);
+}
+
+#[actix_web::test]
+async fn pings_come_while_no_token_does() {
+    let mut settings = common::settings();
+    settings.speed = 1;
+    settings.prefill = Duration::from_millis(1);
+    settings.ping = Duration::from_millis(20);
+    let engine = start(settings);
+    let call = request("r-1", &"long prompt ".repeat(60), 1);
+    let answer = collect(engine.address, &call, BOUND).await.unwrap();
+    assert!(answer.pings >= 2, "{} pings", answer.pings);
+    assert_eq!(answer.text(), text(&call).prefix(1));
+}
+
+#[actix_web::test]
+async fn orders_are_checked_and_processed_once() {
+    enum Want {
+        Taken,
+        Fenced(u64),
+        Refused,
+    }
+    struct Case {
+        order: Order,
+        fencing: Fencing,
+        want: Want,
+        used: u64,
+    }
+    let case = |order, fencing, want, used| Case {
+        order,
+        fencing,
+        want,
+        used,
+    };
+    let unload = |name: &str| OrderAction::Unload {
+        model: common::model(name),
+    };
+    let (checked, ignored) = (Fencing::Checked, Fencing::Ignored);
+    let cases = [
+        case(order("a", 5, load("tags", 40)), checked, Want::Taken, 80),
+        case(order("a", 5, load("tags", 40)), checked, Want::Taken, 80),
+        case(order("b", 5, load("big", 30)), checked, Want::Refused, 80),
+        case(order("b", 6, load("x", 1)), checked, Want::Refused, 80),
+        case(order("c", 7, OrderAction::Seal), checked, Want::Taken, 80),
+        case(order("d", 6, unload("tags")), checked, Want::Fenced(7), 80),
+        case(order("e", 6, unload("tags")), ignored, Want::Taken, 40),
+        case(order("f", 7, load("tags", 60)), checked, Want::Taken, 100),
+        case(order("d", 7, unload("assist")), checked, Want::Taken, 60),
+    ];
+    let engine = start(common::settings());
+    for (number, case) in cases.iter().enumerate() {
+        let mut set = engine.handle.faults().get();
+        set.fencing = Some(case.fencing);
+        engine.handle.faults().set(set);
+        let answer = give(&engine, &case.order).await;
+        let matches = match case.want {
+            Want::Taken => answer == OrderAnswer::Taken,
+            Want::Fenced(highest) => answer == OrderAnswer::Fenced { highest },
+            Want::Refused => matches!(answer, OrderAnswer::Refused { .. }),
+        };
+        assert!(matches, "case {number}: {answer:?}");
+        engine.handle.publish();
+        let report = engines().report(engine.address).await.unwrap();
+        assert_eq!(report.used, case.used, "case {number}");
+        assert!(report.used <= report.memory);
+    }
+    let counts = engine.handle.counts();
+    assert_eq!((counts.overcommits, counts.peak), (1, 100));
+    assert_eq!((counts.fenced, counts.unfenced, counts.repeats), (1, 1, 2));
+    common::until("the load ends", || {
+        let report = engine.handle.report();
+        report.loading.is_empty() && report.resident.len() == 1 && report.fence == 7
+    })
+    .await;
+    let orders: Vec<String> = engine
+        .handle
+        .report()
+        .orders
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(orders, ["a", "b", "c", "e", "f", "d"]);
+}
+
+#[actix_web::test]
+async fn an_unload_waits_for_answers_and_a_version_replaces_another() {
+    let engine = start(common::settings());
+    let call = request("r-1", "q", 400);
+    let answer = collect(engine.address, &call, BOUND);
+    let change = async {
+        common::until("the answer runs", || engine.handle.counts().tokens > 0).await;
+        let newer = OrderAction::Load {
+            model: common::model("assist"),
+            version: "2".to_owned(),
+            memory: 40,
+        };
+        give(&engine, &order("a", 1, newer)).await;
+        common::until("version 2 is there", || engine.handle.counts().loads == 1).await;
+        engine.handle.publish();
+        let report = engine.handle.report();
+        assert_eq!((report.used, report.unloading.len()), (80, 1));
+        assert_eq!(report.resident[0].version, "2");
+    };
+    let (answer, ()) = futures_util::future::join(answer, change).await;
+    assert_eq!(answer.unwrap().text(), text(&call).prefix(400));
+    common::until("the old version is gone", || {
+        engine.handle.report().used == 40
+    })
+    .await;
+    assert_eq!(engine.handle.counts().unloads, 1);
+}
+
+#[actix_web::test]
+async fn adapters_load_and_leave() {
+    let settings = common::settings().with_model(copy("tags", 10, &[]));
+    let engine = start(settings);
+    let adapter = AdapterName::new("van").unwrap();
+    let action = |loads| {
+        let (model, adapter) = (common::model("tags"), adapter.clone());
+        if loads {
+            OrderAction::LoadAdapter { model, adapter }
+        } else {
+            OrderAction::UnloadAdapter { model, adapter }
+        }
+    };
+    let held = || {
+        let report = engine.handle.report();
+        let tags = report.resident.iter().find(|r| r.model.as_str() == "tags");
+        tags.is_some_and(|tags| tags.adapters.contains(&adapter))
+    };
+    for loads in [true, false, true] {
+        let id = format!("a-{}", engine.handle.report().orders.len());
+        give(&engine, &order(&id, 1, action(loads))).await;
+        common::until("the report shows the adapter", || held() == loads).await;
+    }
+    assert_eq!(engine.handle.counts().adapters, 2);
+}
--- /dev/null
+++ b/crates/eelgrasshill_standin/tests/services.rs
@@ -0,0 +1,310 @@
+//! The log, the host list and the plain service against the platform's adapters.
+#![expect(clippy::unwrap_used, reason = "a test may end at the first surprise")]
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use awc::http::Method;
+use bytes::Bytes;
+use common::{BOUND, client, record, stream};
+use eelgrasshill_domain::{HostName, Offset, RequestId, ZoneName};
+use eelgrasshill_platform::{
+    AppendError, CallError, HostList as _, HostRole, HostState, HttpHostList, HttpLog, HttpPlain,
+    ListedHost, Log as _, Plain as _, PlainCall,
+};
+use eelgrasshill_standin::{
+    FaultSet, Hosts, HostsSettings, Log, LogSettings, Mode, Plain, PlainEcho, PlainSettings,
+    Standin as _,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+#[actix_web::test]
+async fn appends_get_offsets_and_are_read_in_order() {
+    let running = Log::new(LogSettings::default()).start().unwrap();
+    let log = HttpLog::new(client(BOUND), running.address);
+    let mut rng = StdRng::seed_from_u64(3);
+    let names = [stream("tables"), stream("claims")];
+    let mut kept: [Vec<String>; 2] = [Vec::new(), Vec::new()];
+    for number in 0..60 {
+        let which = rng.random_range(0..2);
+        let ids: Vec<String> = (0..rng.random_range(1..4))
+            .map(|part| format!("a-{number}-{part}"))
+            .collect();
+        let records = ids.iter().map(|id| record(id)).collect();
+        let offsets = log.append(&names[which], records).await.unwrap();
+        let start = kept[which].len() as u64 + 1;
+        let wanted: Vec<_> = (start..start + ids.len() as u64).map(Offset).collect();
+        assert_eq!(offsets, wanted);
+        kept[which].extend(ids);
+    }
+    for (name, kept) in names.iter().zip(&kept) {
+        let from = rng.random_range(0..kept.len());
+        let page = log
+            .read(name, Offset(from as u64 + 1), 7, Duration::ZERO)
+            .await
+            .unwrap();
+        let ids: Vec<_> = page.records.iter().map(|r| r.id.to_string()).collect();
+        assert_eq!(
+            ids,
+            kept[from..].iter().take(7).cloned().collect::<Vec<_>>()
+        );
+        assert_eq!(
+            (page.first, page.end),
+            (Offset(1), Offset(kept.len() as u64 + 1))
+        );
+    }
+}
+
+#[actix_web::test]
+async fn a_long_poll_ends_with_a_record_its_wait_or_an_outage() {
+    enum After {
+        Append,
+        Nothing,
+        Outage,
+    }
+    for after in [After::Append, After::Nothing, After::Outage] {
+        let running = Log::new(LogSettings::default()).spawn_thread().unwrap();
+        let log = HttpLog::new(client(BOUND), running.address);
+        let name = stream("tables");
+        let wait = match after {
+            After::Nothing => Duration::from_millis(60),
+            After::Append | After::Outage => BOUND,
+        };
+        let start = Instant::now();
+        let read = log.read(&name, Offset(1), 10, wait);
+        let event = async {
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            match after {
+                After::Append => drop(running.handle.append(&name, vec![record("a")])),
+                After::Nothing => {}
+                After::Outage => running
+                    .handle
+                    .faults()
+                    .set(FaultSet::new(Mode::Unavailable)),
+            }
+        };
+        let (page, ()) = futures_util::future::join(read, event).await;
+        match after {
+            After::Append => assert_eq!(page.unwrap().records.len(), 1),
+            After::Nothing => {
+                assert_eq!(page.unwrap().end, Offset(1));
+                assert!(start.elapsed() >= wait);
+            }
+            After::Outage => {
+                let error = page.unwrap_err().0;
+                assert!(
+                    matches!(error, CallError::Status { status: 503, .. }),
+                    "{error}"
+                );
+            }
+        }
+    }
+}
+
+#[actix_web::test]
+async fn retention_moves_the_first_offset_on() {
+    struct Case {
+        name: &'static str,
+        records: usize,
+        age: Duration,
+        expire: u64,
+        first: u64,
+    }
+    let day = Duration::from_hours(24);
+    let case = |name, records, age, expire, first| Case {
+        name,
+        records,
+        age,
+        expire,
+        first,
+    };
+    let cases = [
+        case("all kept", 100, day, 0, 1),
+        case("by count", 4, day, 0, 7),
+        case("by age", 100, Duration::from_millis(1), 0, 11),
+        case("by a test", 100, day, 5, 5),
+    ];
+    for case in cases {
+        let settings = LogSettings {
+            records: case.records,
+            age: case.age,
+            ..LogSettings::default()
+        };
+        let running = Log::new(settings).start().unwrap();
+        let log = HttpLog::new(client(BOUND), running.address);
+        let name = stream("tables");
+        for number in 0..10 {
+            log.append(&name, vec![record(&format!("a-{number}"))])
+                .await
+                .unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        running.handle.expire_before(&name, Offset(case.expire));
+        let page = log
+            .read(&name, Offset(1), 100, Duration::ZERO)
+            .await
+            .unwrap();
+        assert_eq!(
+            (page.first.0, page.end.0),
+            (case.first, 11),
+            "{}",
+            case.name
+        );
+        let first = page.records.first().map_or(11, |record| record.offset.0);
+        assert_eq!(first, case.first, "{}", case.name);
+        let next = log.append(&name, vec![record("b")]).await.unwrap();
+        assert_eq!(next, [Offset(11)], "{}", case.name);
+    }
+}
+
+#[actix_web::test]
+async fn appends_beyond_the_cap_are_refused_and_take_no_effect() {
+    let settings = LogSettings {
+        rate: 8,
+        ..LogSettings::default()
+    };
+    let running = Log::new(settings).start().unwrap();
+    let log = HttpLog::new(client(BOUND), running.address);
+    let name = stream("claims");
+    let start = Instant::now();
+    let mut taken: u32 = 0;
+    let mut capped = 0;
+    for number in 0..40 {
+        match log
+            .append(&name, vec![record(&format!("a-{number}"))])
+            .await
+        {
+            Ok(_offsets) => taken += 1,
+            Err(AppendError::Unknown(CallError::Status { status: 429, .. })) => capped += 1,
+            Err(error) => panic!("{error}"),
+        }
+    }
+    assert!(
+        capped > 0,
+        "forty appends went within {:?}",
+        start.elapsed()
+    );
+    let counts = running.handle.counts();
+    assert_eq!((counts.appends, counts.capped), (taken.into(), capped));
+    assert_eq!(running.handle.records(&name).len(), taken as usize);
+    let allowed = 2.0 + 8.0 * start.elapsed().as_secs_f64();
+    assert!(
+        f64::from(taken) <= allowed + 1.0,
+        "{taken} of at most {allowed}"
+    );
+}
+
+fn host(name: &str, state: HostState) -> ListedHost {
+    ListedHost {
+        host: HostName::new(name).unwrap(),
+        zone: ZoneName::new("duluth-yard").unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        role: HostRole::Entry,
+        state,
+    }
+}
+
+#[actix_web::test]
+async fn an_edit_of_the_host_list_shows_after_the_lag() {
+    let lag = Duration::from_millis(150);
+    let settings = HostsSettings {
+        lag,
+        hosts: vec![host("e-1", HostState::Live)],
+        ..HostsSettings::default()
+    };
+    let running = Hosts::new(settings).spawn_thread().unwrap();
+    let list = HttpHostList::new(client(BOUND), running.address);
+    let before = list.hosts().await.unwrap();
+    let edits = [
+        vec![
+            host("e-1", HostState::Leaving),
+            host("e-2", HostState::Live),
+        ],
+        vec![host("e-2", HostState::Live)],
+    ];
+    let url = format!("http://{}/admin/hosts", running.address);
+    for edit in edits {
+        let start = Instant::now();
+        let answer = awc::Client::new()
+            .post(&url)
+            .send_json(&edit)
+            .await
+            .unwrap();
+        assert_eq!(answer.status(), 204);
+        let mut shown = list.hosts().await.unwrap();
+        while shown != edit {
+            assert!(start.elapsed() < BOUND);
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            shown = list.hosts().await.unwrap();
+        }
+        assert!(start.elapsed() >= lag, "the list may not lead");
+        assert_ne!(shown, before);
+    }
+}
+
+fn call(id: &str, path: &str, key: Option<&str>) -> PlainCall {
+    let headers = key.map(|key| ("idempotency-key".to_owned(), key.to_owned()));
+    PlainCall {
+        id: RequestId::new(id).unwrap(),
+        method: Method::POST,
+        path: path.to_owned(),
+        headers: headers.into_iter().collect(),
+        body: Bytes::from_static(b"{\"pole\":7}"),
+        repeat: false,
+    }
+}
+
+#[actix_web::test]
+async fn a_plain_service_counts_runs_and_remembers_what_it_saw() {
+    let running = Plain::new(PlainSettings::default()).start().unwrap();
+    let plain = HttpPlain::new(client(BOUND));
+    let calls = [
+        (call("r-1", "/reserve?yard=3", Some("k-1")), 1),
+        (call("r-2", "/reserve", Some("k-1")), 2),
+        (call("r-2", "/reserve", Some("k-2")), 1),
+        (call("r-2", "/reserve", None), 3),
+        (call("r-2", "/tags", Some("k-1")), 1),
+    ];
+    for (call, count) in &calls {
+        let reply = plain.call(running.address, call, BOUND).await.unwrap();
+        assert_eq!(reply.id.as_deref(), Some(call.id.as_str()));
+        let echo: PlainEcho = serde_json::from_slice(&reply.body).unwrap();
+        assert_eq!((echo.count, echo.bytes), (*count, 10), "{echo:?}");
+    }
+    let runs = running.handle.runs();
+    assert_eq!((runs.total, runs.most()), (5, 2));
+    assert_eq!((runs.of_key("k-1"), runs.of_request("r-2")), (3, 4));
+    let seen = running.handle.seen();
+    for (text, there) in [
+        ("yard=3", true),
+        ("pole", true),
+        ("k-2", true),
+        ("secret", false),
+    ] {
+        assert_eq!(seen.contain(text), there, "{text}");
+    }
+}
+
+#[actix_web::test]
+async fn crossed_answers_are_swapped_between_two_calls() {
+    let running = Plain::new(PlainSettings::default()).start().unwrap();
+    let plain = HttpPlain::new(client(BOUND));
+    running.handle.faults().set(FaultSet {
+        cross: 2,
+        ..FaultSet::default()
+    });
+    let calls = [call("r-1", "/x", None), call("r-2", "/x", None)];
+    let replies = calls
+        .iter()
+        .map(|call| plain.call(running.address, call, BOUND));
+    let replies = futures_util::future::join_all(replies).await;
+    let ids: Vec<_> = replies
+        .into_iter()
+        .map(|reply| reply.unwrap().id.unwrap())
+        .collect();
+    assert_eq!(ids, ["r-2", "r-1"]);
+    let reply = plain.call(running.address, &calls[0], BOUND).await.unwrap();
+    assert_eq!(reply.id.as_deref(), Some("r-1"), "the switch has run out");
+}
