control: claim non-idempotent calls through the log

A claim is won only by a read of the log; a claim id that lost or was aborted is spent, so that a late or repeated landing never wins. Aborts are for liveness alone: safety rests on a requester that never runs what it gave up. Ruled out: keys that expire a fixed time after their winner, because hosts that start reading at different records then part on the winner of a third claim; keys expire when they were quiet, and a fold that cannot have seen the start of a key lets nobody win it.

--- /dev/null
+++ b/crates/eelgrasshill_control/src/claims/requester.rs
@@ -0,0 +1,442 @@
+//! The claims of one entry host, from a call's arrival to its recorded outcome.
+//!
+//! A call runs at most once because a claim leaves the stage of claiming only
+//! one way: it runs, or it is given up and never runs. Before "not run" is said
+//! of a claim that may stand in the log, an abort for it is on its way.
+
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use eelgrasshill_domain::{FastMap, HostName, Moment, OrgName, RequestId, record};
+
+use super::{
+    CallDigest, CallKey, CallOutcome, Claim, ClaimBounds, ClaimId, ClaimRecord, Held, Verdict,
+};
+use crate::Process;
+
+record! {
+    /// A call with an idempotency key, as it arrived.
+    pub struct Call {
+        /// The id of the request.
+        pub request: RequestId,
+        /// The idempotency key within the organisation.
+        pub key: CallKey,
+        /// The organisation for which it runs.
+        pub organisation: Option<OrgName>,
+        /// The digest of method, path and body.
+        pub digest: CallDigest,
+    }
+
+    /// Why a call was not run; it never will be under this request.
+    #[derive(Copy, Display, Error)]
+    pub enum NotRun {
+        /// The host has too many calls open.
+        #[display("too many calls are open")]
+        Busy,
+        /// The log cannot be reached, so no claim could be won.
+        #[display("the claim could not be recorded in time")]
+        LogOut,
+        /// No byte of the call left for an upstream.
+        #[display("no upstream could be reached")]
+        NotSent,
+    }
+
+    /// The answer to a call that this request does not run.
+    pub enum Answer {
+        /// The call ran before, and this is its outcome.
+        Recorded(Arc<CallOutcome>),
+        /// The call was not run.
+        NotRun(NotRun),
+        /// The call may have run, and its outcome is not known.
+        Unknown,
+        /// The key was used for another request.
+        Conflict,
+        /// The call ran so long ago that its outcome is no longer kept.
+        Expired,
+    }
+
+    /// How sending a call ended.
+    pub enum RunEnd {
+        /// The upstream answered.
+        Answered(CallOutcome),
+        /// The upstream's answer was lost after a byte was sent.
+        Lost,
+        /// No byte was sent.
+        NotSent,
+    }
+}
+
+/// What the requester asks of its host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RequesterEffect {
+    /// Send the record to a writer of the key's shard.
+    Submit {
+        /// Which writer of the list, counted from its start and round it.
+        attempt: usize,
+        /// The record.
+        record: ClaimRecord,
+    },
+    /// Send the call to an upstream, once.
+    Run {
+        /// The claim that was won.
+        claim: ClaimId,
+        /// The request.
+        request: RequestId,
+    },
+    /// Answer the caller.
+    Answer {
+        /// The request.
+        request: RequestId,
+        /// The answer.
+        answer: Answer,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Claiming,
+    Waiting(ClaimId),
+    Running,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    call: Call,
+    stage: Stage,
+    until: Moment,
+    sent: Moment,
+    attempt: usize,
+    /// Whether the claim may land although no writer answers for it.
+    in_doubt: bool,
+}
+
+/// An outcome or abort that is not yet known to stand in the log.
+#[derive(Clone, Debug)]
+struct Pending {
+    record: ClaimRecord,
+    sent: Moment,
+    attempt: usize,
+}
+
+/// The state of all claims of one process.
+#[derive(Clone, Debug)]
+pub struct Requester {
+    host: HostName,
+    process: Process,
+    bounds: ClaimBounds,
+    seq: u64,
+    open: FastMap<ClaimId, Open>,
+    pending: FastMap<ClaimId, Pending>,
+}
+
+impl Requester {
+    /// Makes the requester of a process that has no claims yet.
+    #[must_use]
+    pub fn new(host: HostName, process: Process, bounds: ClaimBounds) -> Self {
+        Self {
+            host,
+            process,
+            bounds,
+            seq: 0,
+            open: FastMap::default(),
+            pending: FastMap::default(),
+        }
+    }
+
+    /// Returns whether no call is open and every outcome stands in the log.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.pending.is_empty()
+    }
+
+    /// Starts to claim a call.
+    pub fn begin(&mut self, call: Call, now: Moment) -> Vec<RequesterEffect> {
+        if self.open.len() + self.pending.len() >= self.bounds.calls {
+            return vec![refuse(call.request, NotRun::Busy)];
+        }
+        let until = now.after(self.bounds.claim);
+        vec![self.claim(call, until, now)]
+    }
+
+    fn claim(&mut self, call: Call, until: Moment, now: Moment) -> RequesterEffect {
+        self.seq += 1;
+        let id = ClaimId {
+            process: self.process,
+            seq: self.seq,
+        };
+        let record = self.record(id, &call);
+        let open = Open {
+            call,
+            stage: Stage::Claiming,
+            until,
+            sent: now,
+            attempt: 0,
+            in_doubt: false,
+        };
+        self.open.insert(id, open);
+        RequesterEffect::Submit { attempt: 0, record }
+    }
+
+    fn record(&self, id: ClaimId, call: &Call) -> ClaimRecord {
+        ClaimRecord::Claim(Claim {
+            id,
+            key: call.key,
+            organisation: call.organisation.clone(),
+            request: call.digest,
+            host: self.host.clone(),
+        })
+    }
+
+    /// Takes in what a writer read in the log; `is_stopped` knows proven ends.
+    pub fn decide(
+        &mut self,
+        id: ClaimId,
+        verdict: &Verdict,
+        is_stopped: impl Fn(Process) -> bool,
+        now: Moment,
+    ) -> Vec<RequesterEffect> {
+        let Some(open) = self.open.get_mut(&id) else {
+            return Vec::new();
+        };
+        if open.stage == Stage::Running {
+            return Vec::new();
+        }
+        if now >= open.until {
+            open.in_doubt = true;
+            return self.give_up(id, now);
+        }
+        match verdict {
+            Verdict::Won => {
+                open.stage = Stage::Running;
+                open.until = now.after(self.bounds.start);
+                let request = open.call.request.clone();
+                vec![RequesterEffect::Run { claim: id, request }]
+            }
+            Verdict::Lost { same: false, .. } => self.close(id, Answer::Conflict, now),
+            Verdict::Lost { winner, held, .. } => match held {
+                Held::Running if is_stopped(winner.process) => self.close(id, Answer::Unknown, now),
+                Held::Running => {
+                    self.wait(id, *winner, now);
+                    Vec::new()
+                }
+                Held::Done(outcome) => {
+                    let answer = match **outcome {
+                        CallOutcome::Answered { .. } => Answer::Recorded(Arc::clone(outcome)),
+                        CallOutcome::Unknown => Answer::Unknown,
+                    };
+                    self.close(id, answer, now)
+                }
+                Held::Expired => self.close(id, Answer::Expired, now),
+            },
+            Verdict::Freed => self.claim_again(id, now),
+            Verdict::Refused => self.refused(id, now),
+        }
+    }
+
+    fn wait(&mut self, id: ClaimId, winner: ClaimId, now: Moment) {
+        let until = now.after(self.bounds.wait);
+        if let Some(open) = self.open.get_mut(&id) {
+            if open.stage == Stage::Claiming {
+                open.until = until;
+            }
+            open.stage = Stage::Waiting(winner);
+        }
+    }
+
+    fn claim_again(&mut self, id: ClaimId, now: Moment) -> Vec<RequesterEffect> {
+        let Some(open) = self.open.remove(&id) else {
+            return Vec::new();
+        };
+        let until = match open.stage {
+            Stage::Waiting(_) => now.after(self.bounds.claim),
+            Stage::Claiming | Stage::Running => open.until,
+        };
+        vec![self.claim(open.call, until, now)]
+    }
+
+    /// Tries each writer of the own zone once, and then says that the log is out.
+    fn refused(&mut self, id: ClaimId, now: Moment) -> Vec<RequesterEffect> {
+        let Some(open) = self.open.get(&id) else {
+            return Vec::new();
+        };
+        if open.attempt + 1 < crate::WRITERS {
+            return self.resend(id, now).into_iter().collect();
+        }
+        self.give_up(id, now)
+    }
+
+    fn resend(&mut self, id: ClaimId, now: Moment) -> Option<RequesterEffect> {
+        let open = self.open.get_mut(&id)?;
+        open.attempt += 1;
+        open.sent = now;
+        let attempt = open.attempt;
+        let call = open.call.clone();
+        Some(RequesterEffect::Submit {
+            attempt,
+            record: self.record(id, &call),
+        })
+    }
+
+    /// Ends a claim that has not run with the answer that its stage allows.
+    fn give_up(&mut self, id: ClaimId, now: Moment) -> Vec<RequesterEffect> {
+        let Some(open) = self.open.get_mut(&id) else {
+            return Vec::new();
+        };
+        let answer = match open.stage {
+            Stage::Claiming => Answer::NotRun(NotRun::LogOut),
+            Stage::Waiting(_) => Answer::Unknown,
+            Stage::Running => return Vec::new(),
+        };
+        self.close(id, answer, now)
+    }
+
+    /// Ends a claim that has not run, and aborts it if it may hold or land.
+    fn close(&mut self, id: ClaimId, answer: Answer, now: Moment) -> Vec<RequesterEffect> {
+        let Some(open) = self.open.remove(&id) else {
+            return Vec::new();
+        };
+        let mut effects = Vec::new();
+        if open.in_doubt {
+            let key = open.call.key;
+            effects.push(self.keep(ClaimRecord::Abort { id, key }, open.attempt, now));
+        }
+        let request = open.call.request;
+        effects.push(RequesterEffect::Answer { request, answer });
+        effects
+    }
+
+    fn keep(&mut self, record: ClaimRecord, attempt: usize, now: Moment) -> RequesterEffect {
+        let pending = Pending {
+            record: record.clone(),
+            sent: now,
+            attempt,
+        };
+        self.pending.insert(record.id(), pending);
+        RequesterEffect::Submit { attempt, record }
+    }
+
+    /// Returns whether the first byte of a won call may still leave.
+    ///
+    /// Ask right before it leaves: after a long pause the log may have
+    /// forgotten the claim. End the run as not sent when it may not.
+    #[must_use]
+    pub fn may_send(&self, id: ClaimId, now: Moment) -> bool {
+        self.open
+            .get(&id)
+            .is_some_and(|open| open.stage == Stage::Running && now < open.until)
+    }
+
+    /// Takes in how a call that was sent ended.
+    pub fn ran(&mut self, id: ClaimId, end: RunEnd, now: Moment) -> Vec<RequesterEffect> {
+        let Some(open) = self.open.get_mut(&id) else {
+            return Vec::new();
+        };
+        if open.stage != Stage::Running {
+            return Vec::new();
+        }
+        // The claim holds, so it has to be aborted if it was not sent.
+        open.in_doubt = true;
+        let outcome = match end {
+            RunEnd::NotSent => return self.close(id, Answer::NotRun(NotRun::NotSent), now),
+            RunEnd::Answered(outcome) => outcome,
+            RunEnd::Lost => CallOutcome::Unknown,
+        };
+        let Some(open) = self.open.remove(&id) else {
+            return Vec::new();
+        };
+        let answer = match &outcome {
+            CallOutcome::Answered { .. } => None,
+            CallOutcome::Unknown => Some(RequesterEffect::Answer {
+                request: open.call.request,
+                answer: Answer::Unknown,
+            }),
+        };
+        let key = open.call.key;
+        let record = ClaimRecord::Outcome { id, key, outcome };
+        let mut effects = vec![self.keep(record, open.attempt, now)];
+        effects.extend(answer);
+        effects
+    }
+
+    /// Notes that an outcome or abort stands in the log.
+    pub fn recorded(&mut self, id: ClaimId) {
+        self.pending.remove(&id);
+    }
+
+    /// Answers the calls that wait for a process that is proven to have stopped.
+    pub fn stopped(&mut self, process: Process, now: Moment) -> Vec<RequesterEffect> {
+        let mut ids: Vec<_> = self
+            .open
+            .iter()
+            .filter(|(_id, open)| {
+                matches!(open.stage, Stage::Waiting(winner)
+                    if winner.process.address == process.address
+                        && winner.process.incarnation <= process.incarnation)
+            })
+            .map(|(id, _open)| *id)
+            .collect();
+        ids.sort_unstable();
+        ids.into_iter()
+            .flat_map(|id| self.close(id, Answer::Unknown, now))
+            .collect()
+    }
+
+    /// Gives up what took too long and sends unanswered records again.
+    pub fn tick(&mut self, now: Moment) -> Vec<RequesterEffect> {
+        let mut effects = Vec::new();
+        let mut ids: Vec<_> = self.open.keys().copied().collect();
+        ids.sort_unstable();
+        for id in ids {
+            effects.extend(self.tick_open(id, now));
+        }
+        effects.extend(self.tick_pending(now));
+        effects
+    }
+
+    fn tick_open(&mut self, id: ClaimId, now: Moment) -> Vec<RequesterEffect> {
+        let Some(open) = self.open.get_mut(&id) else {
+            return Vec::new();
+        };
+        if open.stage == Stage::Running {
+            return Vec::new();
+        }
+        if now >= open.until {
+            open.in_doubt = true;
+            return self.give_up(id, now);
+        }
+        if now.since(open.sent) < self.bounds.resend {
+            return Vec::new();
+        }
+        open.in_doubt = true;
+        self.resend(id, now).into_iter().collect()
+    }
+
+    fn tick_pending(&mut self, now: Moment) -> Vec<RequesterEffect> {
+        let resend = self.bounds.resend;
+        let mut due: Vec<_> = self
+            .pending
+            .values_mut()
+            .filter(|pending| now.since(pending.sent) >= resend)
+            .map(|pending| {
+                pending.sent = now;
+                pending.attempt += 1;
+                RequesterEffect::Submit {
+                    attempt: pending.attempt,
+                    record: pending.record.clone(),
+                }
+            })
+            .collect();
+        due.sort_by_key(|effect| match effect {
+            RequesterEffect::Submit { record, .. } => Some(record.id()),
+            RequesterEffect::Run { .. } | RequesterEffect::Answer { .. } => None,
+        });
+        due
+    }
+}
+
+fn refuse(request: RequestId, reason: NotRun) -> RequesterEffect {
+    RequesterEffect::Answer {
+        request,
+        answer: Answer::NotRun(reason),
+    }
+}
--- a/crates/eelgrasshill_control/src/lib.rs
+++ b/crates/eelgrasshill_control/src/lib.rs
@@ -61,20 +61,107 @@
 //! # Ok(())
 //! # }
 //! ```
+//!
+//! Claim a call, run it once, record its outcome and answer a repeat:
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use eelgrasshill_control::{
+//!     Answer, Body, Call, CallDigest, CallKey, CallOutcome, ClaimBounds, ClaimWriter, Delta, LogTime,
+//!     Process, Requester, RequesterEffect, RunEnd, Stored, WriterEffect,
+//! };
+//! use eelgrasshill_domain::{HostName, Incarnation, Moment, Offset, RequestId, StreamName};
+//!
+//! /// Stands for the log: takes an append and gives back a page with it.
+//! fn carry(writer: &mut ClaimWriter, offset: u64) -> Vec<WriterEffect> {
+//!     let now = Moment(offset * 1000);
+//!     let effects = writer.tick(now);
+//!     let Some(WriterEffect::Append { id, batch, .. }) = effects.into_iter().next() else {
+//!         return Vec::new();
+//!     };
+//!     writer.answer(&id, Ok(Offset(offset)), now);
+//!     let record = (*batch).clone();
+//!     let stored = Stored { offset: Offset(offset), at: LogTime(now.0), id, record };
+//!     let page = Delta::new(Offset(offset), vec![stored]);
+//!     writer.page(Offset(1), LogTime(0), &page, true, now)
+//! }
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let process = Process { address: "10.0.0.1:7000".parse()?, incarnation: Incarnation(1) };
+//! let bounds = ClaimBounds::new(Duration::from_secs(24 * 3600));
+//! let mut requester = Requester::new(HostName::new("entry-1")?, process, bounds.clone());
+//! let mut writer = ClaimWriter::new(StreamName::new("claims-0")?, process, bounds);
+//! let call = |request: &str| -> Result<Call, Box<dyn std::error::Error>> {
+//!     Ok(Call {
+//!         request: RequestId::new(request)?,
+//!         key: CallKey::new(None, "reservation-7"),
+//!         organisation: None,
+//!         digest: CallDigest::new(&[b"POST", b"/reservations", b"{}"]),
+//!     })
+//! };
+//!
+//! // Nothing runs before the claim was read back.
+//! for effect in requester.begin(call("first")?, Moment(0)) {
+//!     if let RequesterEffect::Submit { record, .. } = effect {
+//!         writer.submit(record, Moment(0));
+//!     }
+//! }
+//! let decided = carry(&mut writer, 1);
+//! let [WriterEffect::Decided(id, verdict)] = &decided[..] else { panic!("{decided:?}") };
+//! let effects = requester.decide(*id, verdict, |_process| false, Moment(1000));
+//! assert!(matches!(effects[..], [RequesterEffect::Run { .. }]));
+//!
+//! // The outcome goes into the log.
+//! let outcome = CallOutcome::Answered {
+//!     status: 201,
+//!     kind: "text/plain".to_owned(),
+//!     body: Body::new(b"booked"),
+//! };
+//! for effect in requester.ran(*id, RunEnd::Answered(outcome.clone()), Moment(1500)) {
+//!     if let RequesterEffect::Submit { record, .. } = effect {
+//!         writer.submit(record, Moment(1500));
+//!     }
+//! }
+//! assert_eq!(carry(&mut writer, 2), [WriterEffect::Recorded(*id)]);
+//! requester.recorded(*id);
+//! assert!(requester.is_idle());
+//!
+//! // A repeat gets the recorded answer.
+//! let effects = requester.begin(call("second")?, Moment(3000));
+//! let [RequesterEffect::Submit { record, .. }] = &effects[..] else { panic!("{effects:?}") };
+//! let decided = writer.submit(record.clone(), Moment(3000));
+//! let Some(WriterEffect::Decided(id, verdict)) = decided.first() else { panic!("{decided:?}") };
+//! let effects = requester.decide(*id, verdict, |_process| false, Moment(3000));
+//! let answer = Answer::Recorded(outcome.into());
+//! assert!(matches!(&effects[..], [RequesterEffect::Answer { answer: a, .. }] if *a == answer));
+//! # Ok(())
+//! # }
+//! ```
 
 mod access;
+mod append;
 mod checkpoint;
+mod claims;
 mod fold;
 mod judge;
 mod members;
 mod path;
+mod publish;
 mod spread;
 mod time;
 
 pub use access::{Access, Ask, Grant, KeyError, Refusal};
+pub use append::{Append, AppendError, AppendStep};
 pub use checkpoint::{Checkpoint, ConfigEntry, Judged, Mark, Saved, StateDigest, TAKEOVER};
+pub use claims::{
+    Answer, Body, Call, CallDigest, CallKey, CallOutcome, Claim, ClaimBatch, ClaimBounds,
+    ClaimFold, ClaimId, ClaimRecord, ClaimWriter, Held, HexError, MAX_BODY_BYTES, NotRun,
+    Requester, RequesterEffect, RunEnd, Verdict, WriterEffect,
+};
 pub use fold::{Applied, CatchUp, ConfigFold, Gap, MAX_RECENT};
 pub use members::{Heartbeat, Listed, MAX_AGE, MAX_SILENCE, Member, Members, Process};
 pub use path::PathError;
+pub use publish::{Publish, PublishStep};
 pub use spread::{Plan, READERS, WRITERS};
 pub use time::{Delta, LogTime, Stored};
