--- /dev/null
+++ b/crates/eelgrasshill_entry/src/control/actor.rs
@@ -0,0 +1,487 @@
+//! The actor that owns the control state of one host.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{Actor, AsyncContext, Context, Handler};
+use eelgrasshill_control::{
+    Access, ConfigEntry, ConfigFold, Delta, Listed, LogTime, Members, Process, Stored,
+};
+use eelgrasshill_domain::{FastMap, HostName, Incarnation, Moment, Offset, OrgName, RowKey};
+use eelgrasshill_limit::{Holder, Limit, RightsRecord, Share};
+use eelgrasshill_platform::{Engine, EngineReport, HostList, HostRole, HostState, Log, Page};
+use eelgrasshill_route::{Presence, Report, Resident, Upstream, View};
+use serde_json::json;
+use tokio::sync::Notify;
+
+use crate::control::messages::{Cursor, Followed, HostsRead, PageRead, Reported};
+use crate::shared::Picture;
+use crate::{BootClock, Shared};
+
+/// How often queues, limits and plans are looked after.
+const TICK: Duration = Duration::from_millis(20);
+
+/// How often the plan of who follows whom is made.
+const PLAN: Duration = Duration::from_millis(500);
+
+/// Age after which an engine's report may be replaced by one of any sequence.
+const REPORT_LIFE: Duration = Duration::from_secs(5);
+
+/// The outside systems, as the control thread meets them.
+#[derive(Clone, Debug)]
+pub(crate) struct Outside<L, H, E> {
+    #[expect(dead_code, reason = "claims will append through it")]
+    pub(crate) log: L,
+    pub(crate) hosts: H,
+    pub(crate) engine: E,
+}
+
+/// The newest report of an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Known {
+    pub(crate) report: EngineReport,
+    pub(crate) taken: Moment,
+    pub(crate) heard: Moment,
+}
+
+/// The control state of one host.
+#[derive(Debug)]
+pub(crate) struct Control<L, H, E> {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) outside: Rc<Outside<L, H, E>>,
+    pub(crate) fold: ConfigFold,
+    pub(crate) members: Members,
+    pub(crate) known: BTreeMap<HostName, Known>,
+    pub(crate) reads: bool,
+    pub(crate) follows: BTreeMap<HostName, actix::SpawnHandle>,
+    pub(crate) news: Arc<Notify>,
+    pub(crate) polled: FastMap<HostName, Moment>,
+    pub(crate) processes: BTreeMap<HostName, Holder>,
+    leaving: BTreeSet<HostName>,
+    rights: Offset,
+    planned: Moment,
+    stale: bool,
+}
+
+impl<L, H, E> Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    /// Makes the state of a host that has just started.
+    pub(crate) fn new(shared: Arc<Shared>, outside: Outside<L, H, E>, news: Arc<Notify>) -> Self {
+        let settings = &shared.settings;
+        let process = Process {
+            address: settings.peer,
+            incarnation: shared.incarnation,
+        };
+        let members = Members::new(settings.name.clone(), settings.zone.clone(), process);
+        Self {
+            outside: Rc::new(outside),
+            fold: ConfigFold::new(),
+            members,
+            known: BTreeMap::new(),
+            reads: true,
+            follows: BTreeMap::new(),
+            news,
+            polled: FastMap::default(),
+            processes: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            rights: Offset::default(),
+            planned: Moment::default(),
+            stale: true,
+            shared,
+        }
+    }
+
+    /// Puts the folded tables in force for the traffic threads.
+    pub(crate) fn publish(&mut self, now: Moment) {
+        let through = self.fold.last();
+        let tables = self.fold.tables().clone();
+        let weights = tables
+            .organisations
+            .iter()
+            .map(|(name, row)| (name.clone(), row.weight))
+            .collect();
+        self.shared.dispatch.set_weights(weights);
+        let limits: BTreeMap<OrgName, Limit> = tables
+            .organisations
+            .iter()
+            .map(|(name, row)| {
+                let version = self.fold.version(&RowKey::Organisation(name.clone()));
+                (
+                    name.clone(),
+                    Limit {
+                        version,
+                        share: Share::from(row),
+                    },
+                )
+            })
+            .collect();
+        let version = eelgrasshill_domain::Version(through.0);
+        self.shared
+            .quota
+            .with(now, |limiter| limiter.configure(version, limits, now));
+        let access = Access::new(&self.fold);
+        self.shared.picture.store(Arc::new(Picture {
+            access,
+            tables,
+            ready: through.0 > 0,
+        }));
+        self.stale = true;
+        self.news.notify_waiters();
+    }
+
+    /// Notes how recent the tables are known to be.
+    pub(crate) fn note_fresh(&self) {
+        if let Some(fresh) = self.members.fresh(self.fold.last()) {
+            self.shared.set_fresh(fresh);
+        }
+    }
+
+    fn fold_config(&mut self, page: &Page, now: Moment) {
+        let before = self.fold.last();
+        let records = page.records.iter().filter_map(|record| {
+            let entry: ConfigEntry = serde_json::from_value(record.body.clone())
+                .inspect_err(|error| {
+                    log::warn!(
+                        "config: the record at {} is skipped: {error}",
+                        record.offset
+                    );
+                })
+                .ok()?;
+            Some(Stored {
+                offset: record.offset,
+                at: LogTime(record.time),
+                id: record.id.clone(),
+                record: entry,
+            })
+        });
+        let from = page
+            .records
+            .first()
+            .map_or(page.end, |record| record.offset);
+        let delta = Delta {
+            from,
+            to: Offset(page.end.0.saturating_sub(1)),
+            records: records.collect(),
+        };
+        match self.fold.read(page.first, &delta) {
+            Ok(applied) => {
+                for (id, outcome) in applied {
+                    log::info!("config: {id}: {outcome:?}");
+                }
+            }
+            Err(gap) => log::warn!("config: {gap}"),
+        }
+        let is_end = page
+            .records
+            .last()
+            .is_none_or(|last| last.offset.next() == page.end);
+        if is_end && self.fold.gap().is_none() {
+            self.members.note_read(now);
+            self.note_fresh();
+            self.shared
+                .quota
+                .with(now, |limiter| limiter.confirm_current(now));
+        }
+        if self.fold.last() != before || !self.shared.picture.load().ready {
+            self.publish(now);
+        }
+    }
+
+    fn fold_rights(&mut self, page: &Page, now: Moment) {
+        for record in &page.records {
+            self.rights = record.offset;
+            match serde_json::from_value::<RightsRecord>(record.body.clone()) {
+                Ok(body) => {
+                    let offset = record.offset;
+                    let outcome = self
+                        .shared
+                        .quota
+                        .with(now, |limiter| limiter.read(offset, &body, now));
+                    log::debug!("rights: {}: {outcome:?}", record.id);
+                }
+                Err(error) => {
+                    log::warn!(
+                        "rights: the record at {} is skipped: {error}",
+                        record.offset
+                    );
+                }
+            }
+        }
+    }
+
+    /// Notes an engine's report unless a newer one is known.
+    pub(crate) fn note_report(&mut self, report: EngineReport, now: Moment) {
+        let taken = Moment(now.0.saturating_sub(report.age));
+        let newer = self.known.get(&report.host).is_none_or(|known| {
+            report.sequence > known.report.sequence || now.since(known.heard) > REPORT_LIFE
+        });
+        if newer {
+            let known = Known {
+                taken,
+                heard: now,
+                report,
+            };
+            self.known.insert(known.report.host.clone(), known);
+            self.stale = true;
+            self.news.notify_waiters();
+        }
+    }
+
+    /// Rebuilds what the traffic threads know of the upstreams.
+    fn rebuild_view(&mut self) {
+        self.stale = false;
+        let upstreams = self
+            .fold
+            .tables()
+            .hosts
+            .iter()
+            .map(|(name, row)| {
+                let mut upstream = Upstream::new(name.clone(), row.pool.clone(), row.zone.clone());
+                if self.leaving.contains(name) {
+                    upstream = upstream.with_presence(Presence::Leaving);
+                }
+                if let Some(known) = self.known.get(name) {
+                    upstream = with_report(upstream, known);
+                }
+                upstream
+            })
+            .collect();
+        let view = View::new(self.members.zone(), upstreams);
+        self.shared.view.store(Arc::new(view));
+    }
+
+    fn tick(&mut self, context: &mut Context<Self>) {
+        let now = BootClock.now();
+        if self.stale {
+            self.rebuild_view();
+        }
+        self.shared.dispatch.pump(now);
+        if self.shared.quota.next_wake() <= now {
+            self.shared.quota.with(now, |_limiter| ());
+        }
+        if now.since(self.planned) >= PLAN {
+            self.planned = now;
+            self.plan(context, now);
+        }
+    }
+
+    fn plan(&mut self, context: &mut Context<Self>, now: Moment) {
+        let plan = self.members.plan(now);
+        self.reads = plan.reads;
+        self.follow(context, &plan.follows);
+        self.poll_engines(context, now);
+        let live: BTreeSet<_> = self.members.live(now).map(|(host, _member)| host).collect();
+        let mut holders: Vec<_> = self
+            .processes
+            .iter()
+            .filter(|(host, _holder)| live.contains(host))
+            .map(|(_host, holder)| holder.clone())
+            .collect();
+        if !self.shared.is_leaving() {
+            holders.push(self.own_holder());
+        }
+        self.shared
+            .quota
+            .with(now, |limiter| limiter.set_members(holders));
+        self.show_status(now);
+    }
+
+    fn own_holder(&self) -> Holder {
+        let settings = &self.shared.settings;
+        Holder {
+            process: eelgrasshill_limit::Process {
+                host: settings.name.clone(),
+                incarnation: self.shared.incarnation,
+            },
+            zone: settings.zone.clone(),
+            address: settings.peer,
+        }
+    }
+
+    /// Remembers the process behind a heartbeat, for the division of rights.
+    pub(crate) fn note_process(&mut self, beat: &eelgrasshill_control::Heartbeat) {
+        let known = self.processes.get(&beat.host);
+        let newest = known.map_or(Incarnation(0), |holder| holder.process.incarnation);
+        if beat.host == self.shared.settings.name || beat.process.incarnation < newest {
+            return;
+        }
+        if beat.leaving {
+            self.processes.remove(&beat.host);
+            return;
+        }
+        let holder = Holder {
+            process: eelgrasshill_limit::Process {
+                host: beat.host.clone(),
+                incarnation: beat.process.incarnation,
+            },
+            zone: beat.zone.clone(),
+            address: beat.process.address,
+        };
+        self.processes.insert(beat.host.clone(), holder);
+    }
+
+    fn show_status(&self, now: Moment) {
+        let members: Vec<_> = self
+            .members
+            .live(now)
+            .map(|(host, member)| json!({ "host": host, "zone": member.zone, "offset": member.offset }))
+            .collect();
+        let engines: Vec<_> = self
+            .known
+            .values()
+            .map(|known| {
+                json!({
+                    "report": known.report,
+                    "age-ms": u64::try_from(now.since(known.taken).as_millis()).unwrap_or(u64::MAX),
+                })
+            })
+            .collect();
+        let age = self.shared.tables_age(now);
+        let status = json!({
+            "host": self.shared.settings.name,
+            "zone": self.shared.settings.zone,
+            "incarnation": self.shared.incarnation,
+            "ready": self.shared.is_ready(),
+            "config": {
+                "offset": self.fold.last(),
+                "age-ms": u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+                "gap": self.fold.gap().map(|gap| gap.to_string()),
+            },
+            "reads-log": self.reads,
+            "follows": self.follows.keys().collect::<Vec<_>>(),
+            "members": members,
+            "running": self.shared.dispatch.running(),
+            "engines": engines,
+        });
+        self.shared.status.store(Arc::new(status));
+    }
+}
+
+fn with_report(mut upstream: Upstream, known: &Known) -> Upstream {
+    let report = &known.report;
+    let sum = |count: fn(&eelgrasshill_platform::Resident) -> u32| {
+        report.resident.iter().map(count).sum::<u32>()
+    };
+    upstream = upstream.with_report(Report {
+        running: sum(|resident| resident.running),
+        waiting: sum(|resident| resident.waiting),
+        slots: report.slots,
+        taken: known.taken,
+    });
+    for resident in &report.resident {
+        upstream = upstream.with_resident(Resident {
+            model: resident.model.clone(),
+            version: resident.version.clone(),
+            adapters: resident.adapters.clone(),
+        });
+    }
+    upstream
+}
+
+impl<L, H, E> Actor for Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.run_interval(TICK, Self::tick);
+        self.poll_hosts(ctx);
+        self.bootstrap(ctx);
+    }
+}
+
+impl<L, H, E> Handler<Cursor> for Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    type Result = Option<Offset>;
+
+    fn handle(&mut self, Cursor(stream): Cursor, _ctx: &mut Self::Context) -> Self::Result {
+        match stream {
+            Followed::Config => self.reads.then(|| self.fold.cursor()),
+            Followed::Rights => Some(self.rights.next()),
+        }
+    }
+}
+
+impl<L, H, E> Handler<PageRead> for Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    type Result = ();
+
+    fn handle(&mut self, msg: PageRead, _ctx: &mut Self::Context) {
+        let now = BootClock.now();
+        match msg.stream {
+            Followed::Config => self.fold_config(&msg.page, now),
+            Followed::Rights => self.fold_rights(&msg.page, now),
+        }
+    }
+}
+
+impl<L, H, E> Handler<HostsRead> for Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    type Result = ();
+
+    fn handle(&mut self, HostsRead(hosts): HostsRead, _ctx: &mut Self::Context) {
+        let now = BootClock.now();
+        let entries: Vec<_> = hosts
+            .iter()
+            .filter(|listed| listed.role == HostRole::Entry)
+            .map(|listed| Listed {
+                host: listed.host.clone(),
+                zone: listed.zone.clone(),
+                address: listed.address,
+                leaving: listed.state == HostState::Leaving,
+            })
+            .collect();
+        self.members.list(&entries, now);
+        self.leaving = hosts
+            .into_iter()
+            .filter(|listed| {
+                listed.role == HostRole::Upstream && listed.state == HostState::Leaving
+            })
+            .map(|listed| listed.host)
+            .collect();
+        self.stale = true;
+    }
+}
+
+impl<L, H, E> Handler<Reported> for Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    type Result = ();
+
+    fn handle(&mut self, Reported(report): Reported, _ctx: &mut Self::Context) {
+        self.note_report(report, BootClock.now());
+    }
+}
+
+/// Returns where an engine listens, by the tables.
+pub(crate) fn address_in(
+    tables: &eelgrasshill_domain::Tables,
+    host: &HostName,
+) -> Option<SocketAddr> {
+    tables.hosts.get(host).map(|row| row.address)
+}
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/control/exchange.rs
@@ -0,0 +1,281 @@
+//! Heartbeats and news between this host and those that it follows.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix::{ActorFutureExt, Addr, AsyncContext, Context, Handler, WrapFuture};
+use eelgrasshill_control::{CatchUp, Heartbeat};
+use eelgrasshill_domain::{FastMap, HostName, Moment, Offset};
+use eelgrasshill_peer::PeerClient;
+use eelgrasshill_peer::generated as wire;
+use eelgrasshill_platform::{Engine, EngineReport, HostList, Log};
+use tonic::transport::{Channel, Endpoint};
+
+use crate::BootClock;
+use crate::control::Control;
+use crate::control::messages::{Ask, Asked, Exchange, Exchanged, Heard, IsFollowed};
+
+/// How long a peer may wait for news.
+const WAIT: Duration = Duration::from_secs(1);
+
+/// Longest wait for a peer's answer beyond that.
+const ANSWER: Duration = Duration::from_secs(1);
+
+/// Shortest time between two exchanges with a peer.
+const PACE: Duration = Duration::from_millis(250);
+
+/// Largest message of a peer, in bytes.
+pub(crate) const MESSAGE: usize = 64 << 20;
+
+/// Opens a channel to a peer on its first use.
+pub(crate) fn channel(address: SocketAddr, bound: Duration) -> Option<Channel> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+    Some(
+        endpoint
+            .connect_timeout(ANSWER)
+            .timeout(bound)
+            .tcp_nodelay(true)
+            .connect_lazy(),
+    )
+}
+
+impl<L, H, E> Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    /// Keeps exchanges with just these hosts.
+    pub(crate) fn follow(&mut self, context: &mut Context<Self>, hosts: &[HostName]) {
+        let gone: Vec<_> = self
+            .follows
+            .keys()
+            .filter(|host| !hosts.contains(host))
+            .cloned()
+            .collect();
+        for host in gone {
+            if let Some(handle) = self.follows.remove(&host) {
+                context.cancel_future(handle);
+            }
+        }
+        for host in hosts {
+            let Some(address) = self.members.get(host).map(|member| member.address) else {
+                continue;
+            };
+            if !self.follows.contains_key(host) {
+                let follow = follow_peer(context.address(), address, Some(host.clone()));
+                let handle = context.spawn(follow.into_actor(self));
+                self.follows.insert(host.clone(), handle);
+            }
+        }
+    }
+
+    /// Asks the peers of the settings until any tables are known.
+    pub(crate) fn bootstrap(&mut self, context: &mut Context<Self>) {
+        for address in self.shared.settings.peers.clone() {
+            let follow = follow_peer(context.address(), address, None);
+            context.spawn(follow.into_actor(self).map(|(), _control, _context| ()));
+        }
+    }
+
+    fn heartbeat(&self, now: Moment) -> Heartbeat {
+        self.members
+            .heartbeat(self.fold.last(), self.shared.is_leaving(), now)
+    }
+
+    fn hear(&mut self, beat: &Heartbeat, now: Moment) {
+        if let Some(stopped) = self.members.hear(beat, now) {
+            log::info!(
+                "members: an older process at {} has stopped",
+                stopped.address
+            );
+        }
+        self.note_process(beat);
+    }
+
+    fn newer_reports(&self, marks: &[wire::ReportMark], now: Moment) -> Vec<Vec<u8>> {
+        let marks: FastMap<&str, u64> = marks
+            .iter()
+            .map(|mark| (mark.host.as_str(), mark.sequence))
+            .collect();
+        self.known
+            .values()
+            .filter(|known| {
+                let seen = marks.get(known.report.host.as_str());
+                seen.is_none_or(|sequence| known.report.sequence > *sequence)
+            })
+            .filter_map(|known| {
+                let age = u64::try_from(now.since(known.taken).as_millis()).ok()?;
+                let report = EngineReport {
+                    age,
+                    ..known.report.clone()
+                };
+                serde_json::to_vec(&report).ok()
+            })
+            .collect()
+    }
+
+    fn catch_up(&mut self, reply: &wire::ExchangeReply, now: Moment) {
+        let sent = if !reply.checkpoint.is_empty() {
+            serde_json::from_slice(&reply.checkpoint).map(|c| CatchUp::Checkpoint(Box::new(c)))
+        } else if !reply.delta.is_empty() {
+            serde_json::from_slice(&reply.delta).map(CatchUp::Delta)
+        } else {
+            return;
+        };
+        let before = self.fold.last();
+        match sent.map(|sent| self.fold.catch_up(&sent)) {
+            Ok(Ok(_applied)) => {}
+            Ok(Err(gap)) => log::warn!("config: a peer sent too little: {gap}"),
+            Err(error) => log::warn!("config: a peer sent what cannot be read: {error}"),
+        }
+        if self.fold.last() != before {
+            log::info!("config: {} came from a peer", self.fold.last());
+            self.publish(now);
+        }
+    }
+}
+
+/// Exchanges with a peer until it is no longer followed.
+async fn follow_peer<L, H, E>(
+    addr: Addr<Control<L, H, E>>,
+    address: SocketAddr,
+    host: Option<HostName>,
+) where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    let mut kept = None;
+    loop {
+        if let Some(host) = &host
+            && !addr.send(IsFollowed(host.clone())).await.unwrap_or(false)
+        {
+            return;
+        }
+        let began = tokio::time::Instant::now();
+        let Ok(Asked(request)) = addr.send(Ask(WAIT)).await else {
+            return;
+        };
+        let bootstrapped =
+            host.is_none() && request.heartbeat.as_ref().is_some_and(|b| b.offset > 0);
+        if bootstrapped {
+            return;
+        }
+        // A channel that failed may be silent for good, so that the next try opens a new one.
+        let Some(open) = kept.take().or_else(|| channel(address, WAIT + ANSWER)) else {
+            return;
+        };
+        let mut client = PeerClient::new(open.clone()).max_decoding_message_size(MESSAGE);
+        match client.exchange(request).await {
+            Ok(reply) => {
+                kept = Some(open);
+                addr.do_send(Heard {
+                    reply: reply.into_inner(),
+                });
+            }
+            Err(error) => log::debug!("peer: {address}: {}", error.code()),
+        }
+        tokio::time::sleep_until(began + PACE).await;
+    }
+}
+
+impl<L, H, E> Handler<Exchange> for Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    type Result = Exchanged;
+
+    fn handle(&mut self, msg: Exchange, _ctx: &mut Self::Context) -> Exchanged {
+        let now = BootClock.now();
+        let seen = msg.beat.as_ref().map_or(Offset(0), |beat| beat.offset);
+        if let Some(beat) = &msg.beat {
+            self.hear(beat, now);
+        }
+        let mut reply = wire::ExchangeReply {
+            heartbeat: Some((&self.heartbeat(now)).into()),
+            reports: self.newer_reports(&msg.reports, now),
+            ..wire::ExchangeReply::default()
+        };
+        if seen < self.fold.last() {
+            let written = match self.fold.since(seen) {
+                CatchUp::Delta(delta) => serde_json::to_vec(&delta).map(|json| reply.delta = json),
+                CatchUp::Checkpoint(checkpoint) => {
+                    serde_json::to_vec(&checkpoint).map(|json| reply.checkpoint = json)
+                }
+            };
+            if let Err(error) = written {
+                log::warn!("config: cannot be written for a peer: {error}");
+            }
+        }
+        let news = !reply.reports.is_empty() || seen < self.fold.last();
+        Exchanged { reply, news }
+    }
+}
+
+impl<L, H, E> Handler<Ask> for Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    type Result = Asked;
+
+    fn handle(&mut self, Ask(wait): Ask, _ctx: &mut Self::Context) -> Asked {
+        let now = BootClock.now();
+        let reports = self
+            .known
+            .values()
+            .map(|known| wire::ReportMark {
+                host: known.report.host.to_string(),
+                sequence: known.report.sequence,
+            })
+            .collect();
+        Asked(wire::ExchangeRequest {
+            heartbeat: Some((&self.heartbeat(now)).into()),
+            wait: u64::try_from(wait.as_millis()).unwrap_or_default(),
+            reports,
+        })
+    }
+}
+
+impl<L, H, E> Handler<Heard> for Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    type Result = ();
+
+    fn handle(&mut self, Heard { reply }: Heard, _ctx: &mut Self::Context) {
+        let now = BootClock.now();
+        self.catch_up(&reply, now);
+        for report in &reply.reports {
+            match serde_json::from_slice(report) {
+                Ok(report) => self.note_report(report, now),
+                Err(error) => log::warn!("report: a peer sent what cannot be read: {error}"),
+            }
+        }
+        match reply.heartbeat.map(Heartbeat::try_from) {
+            Some(Ok(beat)) => self.hear(&beat, now),
+            Some(Err(error)) => log::warn!("members: a peer's heartbeat: {error}"),
+            None => {}
+        }
+        self.note_fresh();
+    }
+}
+
+impl<L, H, E> Handler<IsFollowed> for Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    type Result = bool;
+
+    fn handle(&mut self, IsFollowed(host): IsFollowed, _ctx: &mut Self::Context) -> bool {
+        self.follows.contains_key(&host)
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/control/lend.rs
@@ -0,0 +1,103 @@
+//! Carries out what the limiter asks for: loans from homes and records of rights.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrasshill_domain::{AppendId, FastMap, StreamName};
+use eelgrasshill_limit::{BorrowReply, BorrowRequest, Effect, RightsRecord};
+use eelgrasshill_peer::PeerClient;
+use eelgrasshill_platform::{Log, NewRecord};
+use tokio::sync::mpsc;
+use tonic::transport::Channel;
+
+use crate::control::exchange::channel;
+use crate::{BootClock, Shared};
+
+/// Longest wait for a home's answer; a later one would be dropped.
+const ANSWER: Duration = Duration::from_secs(1);
+
+/// The stream of the rights to accrue tokens.
+const RIGHTS: &str = "rights";
+
+/// Carries out effects until the limiter is gone.
+pub(crate) async fn carry_out<L: Log + Clone + 'static>(
+    shared: Arc<Shared>,
+    log: L,
+    mut effects: mpsc::Receiver<Effect>,
+) {
+    let (failed, mut failures) = mpsc::unbounded_channel();
+    let mut channels: FastMap<SocketAddr, Channel> = FastMap::default();
+    let mut appends = 0_u64;
+    while let Some(effect) = effects.recv().await {
+        while let Ok(address) = failures.try_recv() {
+            channels.remove(&address);
+        }
+        match effect {
+            Effect::Borrow { home, request } => {
+                let Some(open) = channel(home.address, ANSWER) else {
+                    continue;
+                };
+                let open = channels.entry(home.address).or_insert(open).clone();
+                let shared = Arc::clone(&shared);
+                let failed = failed.clone();
+                tokio::task::spawn_local(async move {
+                    if !borrow(&shared, open, &request).await {
+                        // The channel may be silent for good; only the receiver's end can fail.
+                        let _ended = failed.send(home.address);
+                    }
+                });
+            }
+            Effect::Append(record) => {
+                appends += 1;
+                let log = log.clone();
+                let id = format!(
+                    "rights-{}-{:x}-{appends:x}",
+                    shared.settings.name, shared.incarnation.0
+                );
+                tokio::task::spawn_local(async move { append(&log, &id, &record).await });
+            }
+            Effect::Ready(_) => {}
+        }
+    }
+}
+
+async fn borrow(shared: &Shared, open: Channel, request: &BorrowRequest) -> bool {
+    let mut client = PeerClient::new(open);
+    let reply = match client
+        .borrow(eelgrasshill_peer::generated::BorrowRequest::from(request))
+        .await
+    {
+        Ok(reply) => reply.into_inner(),
+        Err(error) => {
+            log::debug!(
+                "quota: {} does not lend: {}",
+                request.home.host,
+                error.code()
+            );
+            return false;
+        }
+    };
+    if let Ok(reply) = BorrowReply::try_from(reply) {
+        let now = BootClock.now();
+        shared
+            .quota
+            .with(now, |limiter| limiter.receive(&reply, now));
+    }
+    true
+}
+
+async fn append<L: Log>(log: &L, id: &str, record: &RightsRecord) {
+    let (Ok(stream), Ok(id), Ok(body)) = (
+        StreamName::new(RIGHTS),
+        AppendId::new(id),
+        serde_json::to_value(record),
+    ) else {
+        log::error!("rights: a record has no valid form");
+        return;
+    };
+    // The limiter asks again for what is still needed once the log is read.
+    if let Err(error) = log.append(&stream, vec![NewRecord { id, body }]).await {
+        log::warn!("rights: {error}");
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/control/mod.rs
@@ -0,0 +1,15 @@
+//! The control thread: folds the log, hears the peers and replaces the pictures
+//! that the traffic threads read.
+
+mod actor;
+mod exchange;
+mod follow;
+mod lend;
+pub(crate) mod messages;
+mod peer;
+mod survey;
+
+pub(crate) use actor::{Control, Outside};
+pub(crate) use follow::follow_log;
+pub(crate) use lend::carry_out;
+pub(crate) use peer::serve_peers;
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/dispatch.rs
@@ -0,0 +1,182 @@
+//! The queues of one host, shared by its traffic threads.
+//!
+//! Each waiting request holds a [`Place`]; dropping it, for whatever reason,
+//! gives the place in the queue or on the upstream back.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use eelgrasshill_domain::{FastMap, HostName, Moment, OrgName};
+use eelgrasshill_route::{
+    Decision, DispatchSettings, Dispatcher, Miss, Observation, PrefixTwo, Refusal, RefusalCause,
+    Ticket, TicketId, View,
+};
+use tokio::sync::oneshot;
+
+use crate::lock::lock;
+
+/// Advice to a caller whose place was lost in a restart of the queue.
+const LOST_RETRY: Duration = Duration::from_secs(1);
+
+type Verdict = Result<HostName, Refusal>;
+
+#[derive(Debug)]
+struct Inner {
+    dispatcher: Dispatcher<PrefixTwo>,
+    waiters: FastMap<TicketId, oneshot::Sender<Verdict>>,
+    misses: Vec<Miss>,
+    last: u64,
+}
+
+/// The queues of one host and the requests that wait in them.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    inner: Arc<Mutex<Inner>>,
+    view: Arc<ArcSwap<View>>,
+}
+
+/// A request's place in a queue or on an upstream.
+#[derive(Debug)]
+pub struct Place {
+    dispatch: Dispatch,
+    id: TicketId,
+    verdict: Option<oneshot::Receiver<Verdict>>,
+}
+
+impl Dispatch {
+    /// Makes empty queues.
+    #[must_use]
+    pub fn new(settings: DispatchSettings, view: Arc<ArcSwap<View>>) -> Self {
+        let inner = Inner {
+            dispatcher: Dispatcher::new(settings, PrefixTwo),
+            waiters: FastMap::default(),
+            misses: Vec::new(),
+            last: 0,
+        };
+        Self {
+            inner: Arc::new(Mutex::new(inner)),
+            view,
+        }
+    }
+
+    /// Returns an id that no other ticket of this host has.
+    #[must_use]
+    pub fn next_id(&self) -> TicketId {
+        let mut inner = lock(&self.inner);
+        inner.last += 1;
+        TicketId(inner.last)
+    }
+
+    /// Sets the organisations' weights.
+    pub fn set_weights(&self, weights: FastMap<OrgName, u32>) {
+        lock(&self.inner).dispatcher.set_weights(weights);
+    }
+
+    /// Queues a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`] when a queue is full or the request's time has passed.
+    pub fn offer(&self, ticket: Ticket, now: Moment) -> Result<Place, Refusal> {
+        let (sender, receiver) = oneshot::channel();
+        let id = ticket.id;
+        let mut inner = lock(&self.inner);
+        inner.dispatcher.offer(ticket, now)?;
+        inner.waiters.insert(id, sender);
+        inner.pump(&self.view.load(), now);
+        Ok(Place {
+            dispatch: self.clone(),
+            id,
+            verdict: Some(receiver),
+        })
+    }
+
+    /// Starts and expires what is due.
+    pub fn pump(&self, now: Moment) {
+        lock(&self.inner).pump(&self.view.load(), now);
+    }
+
+    /// Notes what traffic showed of an upstream.
+    pub fn observe(&self, host: &HostName, seen: Observation, now: Moment) {
+        lock(&self.inner).dispatcher.observe(host, seen, now);
+    }
+
+    /// Returns the models that requests wait for and that nothing holds.
+    #[must_use]
+    pub fn take_misses(&self) -> Vec<Miss> {
+        std::mem::take(&mut lock(&self.inner).misses)
+    }
+
+    /// Returns when the queues need attention without another event.
+    #[must_use]
+    pub fn next_wake(&self, now: Moment) -> Option<Moment> {
+        lock(&self.inner).dispatcher.next_wake(now)
+    }
+
+    /// Returns the number of running requests.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        lock(&self.inner).dispatcher.running()
+    }
+}
+
+impl Inner {
+    fn pump(&mut self, view: &View, now: Moment) {
+        loop {
+            let decisions = self.dispatcher.poll(view, now);
+            if decisions.is_empty() {
+                return;
+            }
+            for decision in decisions {
+                self.deliver(decision, now);
+            }
+        }
+    }
+
+    fn deliver(&mut self, decision: Decision, now: Moment) {
+        let (id, verdict) = match decision {
+            Decision::Start { ticket, host } => (ticket.id, Ok(host)),
+            Decision::Expired { ticket, refusal } => (ticket.id, Err(refusal)),
+            Decision::Miss(miss) => {
+                self.misses.push(miss);
+                return;
+            }
+        };
+        let gone = match self.waiters.remove(&id) {
+            Some(waiter) => waiter.send(verdict).is_err(),
+            None => true,
+        };
+        if gone {
+            self.dispatcher.cancel(id, now);
+        }
+    }
+}
+
+impl Place {
+    /// Waits for the upstream that the request was given.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`] when the request expired in its queue.
+    pub async fn started(&mut self) -> Result<HostName, Refusal> {
+        let lost = Refusal {
+            cause: RefusalCause::Deadline,
+            retry_after: LOST_RETRY,
+        };
+        let Some(verdict) = self.verdict.take() else {
+            return Err(lost);
+        };
+        verdict.await.unwrap_or(Err(lost))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let now = crate::BootClock.now();
+        let mut inner = lock(&self.dispatch.inner);
+        inner.waiters.remove(&self.id);
+        inner.dispatcher.cancel(self.id, now);
+        inner.pump(&self.dispatch.view.load(), now);
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/http/body.rs
@@ -0,0 +1,42 @@
+//! Reads a caller's body within bounds of size and time.
+
+use std::time::Duration;
+
+use actix_web::web::Payload;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+
+use crate::{ApiError, Code};
+
+/// Reads a whole body of at most `limit` bytes within `bound`.
+///
+/// # Errors
+///
+/// Returns [`ApiError`] when it is too long, too slow or broken off.
+pub(crate) async fn read_body(
+    payload: Payload,
+    limit: usize,
+    bound: Duration,
+) -> Result<Bytes, ApiError> {
+    match tokio::time::timeout(bound, collect(payload, limit)).await {
+        Ok(body) => body,
+        Err(_elapsed) => {
+            let millis = bound.as_millis();
+            let message = format!("the body did not arrive within {millis} ms");
+            Err(ApiError::not_run(Code::BadRequest, message))
+        }
+    }
+}
+
+async fn collect(mut payload: Payload, limit: usize) -> Result<Bytes, ApiError> {
+    let mut body = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|error| ApiError::not_run(Code::BadRequest, error))?;
+        if body.len() + part.len() > limit {
+            let message = format!("the body is longer than {limit} bytes");
+            return Err(ApiError::not_run(Code::BodyTooLarge, message));
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body.freeze())
+}
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/http/models.rs
@@ -0,0 +1,48 @@
+//! The models that a key may reach.
+
+use actix_web::web::Data;
+use actix_web::{HttpRequest, HttpResponse};
+use eelgrasshill_control::Ask;
+use serde_json::json;
+
+use crate::http::presented::presented_key;
+use crate::{ApiError, BootClock, Shared};
+
+/// Answers `GET /v1/models`.
+pub(crate) async fn models(
+    shared: Data<Shared>,
+    request: HttpRequest,
+) -> Result<HttpResponse, ApiError> {
+    let picture = shared.picture.load();
+    let key = presented_key(&request);
+    let age = shared.tables_age(BootClock.now());
+    let mut reachable = Vec::new();
+    let mut refusal = None;
+    for (name, model) in &picture.tables.models {
+        match picture
+            .access
+            .resolve(key.as_ref(), Ask::Model(name.as_str()), age)
+        {
+            Ok(_grant) => {
+                reachable.push(name.to_string());
+                reachable.extend(
+                    model
+                        .adapters
+                        .iter()
+                        .map(|adapter| format!("{name}:{adapter}")),
+                );
+            }
+            Err(error) => refusal = Some(error),
+        }
+    }
+    if let (true, Some(refusal @ eelgrasshill_control::Refusal::Unauthorized(_))) =
+        (reachable.is_empty(), refusal)
+    {
+        return Err(refusal.into());
+    }
+    let data: Vec<_> = reachable
+        .iter()
+        .map(|id| json!({ "id": id, "object": "model" }))
+        .collect();
+    Ok(HttpResponse::Ok().json(json!({ "object": "list", "data": data })))
+}
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/http/presented.rs
@@ -0,0 +1,35 @@
+//! The key that a caller presents, and the proof that it goes no further.
+
+use actix_web::HttpRequest;
+use actix_web::http::header::AUTHORIZATION;
+use eelgrasshill_domain::KeyText;
+
+use crate::{ApiError, Code};
+
+/// The scheme of the authorization header.
+const SCHEME: &str = "Bearer ";
+
+/// Returns the key of a request, if it presents one.
+pub(crate) fn presented_key(request: &HttpRequest) -> Option<KeyText> {
+    let value = request.headers().get(AUTHORIZATION)?.to_str().ok()?;
+    let key = value.strip_prefix(SCHEME)?.trim();
+    Some(KeyText::new(key.to_owned()))
+}
+
+/// Refuses content for an upstream that holds the presented key.
+///
+/// # Errors
+///
+/// Returns [`ApiError`] when the key stands in the content.
+pub(crate) fn refuse_key_in(key: Option<&KeyText>, content: &[u8]) -> Result<(), ApiError> {
+    let Some(key) = key else {
+        return Ok(());
+    };
+    let text = key.reveal().as_bytes();
+    let is_inside = !text.is_empty() && content.windows(text.len()).any(|part| part == text);
+    if is_inside {
+        let message = "the key stands in the request itself; send it in Authorization only";
+        return Err(ApiError::not_run(Code::BadRequest, message));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/http/server.rs
@@ -0,0 +1,67 @@
+//! The listeners of one host: one for callers, one for operators.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use actix_web::dev::Server;
+use actix_web::web::{self, Data};
+use actix_web::{App, HttpServer};
+use eelgrasshill_platform::{HttpClient, HttpClientSettings};
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::Shared;
+use crate::http::{admin, chat, models, plain};
+
+/// Threads that answer operators.
+const ADMIN_THREADS: usize = 1;
+
+/// Listens for callers.
+pub(crate) fn serve_callers(shared: &Arc<Shared>, listener: TcpListener) -> io::Result<Server> {
+    let data = Data::from(Arc::clone(shared));
+    let settings = &shared.settings;
+    let bounds = settings.bounds;
+    let per_thread = bounds.connections.div_ceil(settings.threads);
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(Data::new(HttpClient::new(HttpClientSettings::default())))
+            .route("/ready", web::get().to(admin::ready))
+            .route("/v1/models", web::get().to(models::models))
+            .route("/v1/chat/completions", web::post().to(chat::chat))
+            .route("/v1/completions", web::post().to(chat::text))
+            .default_service(web::to(plain::plain))
+    })
+    .workers(settings.threads)
+    .max_connections(per_thread)
+    .client_request_timeout(bounds.arrival)
+    .shutdown_timeout(bounds.drain.as_secs())
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    Ok(server)
+}
+
+/// Listens for operators.
+pub(crate) fn serve_admin(
+    shared: &Arc<Shared>,
+    listener: TcpListener,
+    metrics: Option<PrometheusHandle>,
+) -> io::Result<Server> {
+    let data = Data::from(Arc::clone(shared));
+    let metrics = Data::new(metrics);
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(metrics.clone())
+            .route("/ready", web::get().to(admin::ready))
+            .route("/metrics", web::get().to(admin::metrics))
+            .route("/status", web::get().to(admin::status))
+            .route("/explain/{id}", web::get().to(admin::explain))
+    })
+    .workers(ADMIN_THREADS)
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    Ok(server)
+}
--- a/crates/eelgrasshill_entry/src/lib.rs
+++ b/crates/eelgrasshill_entry/src/lib.rs
@@ -1,1 +1,24 @@
 //! The entry host: traffic threads, one control thread, metrics and drain.
+
+mod answer;
+mod clock;
+mod control;
+mod dispatch;
+mod http;
+mod journal;
+mod lock;
+mod measure;
+mod quota;
+mod refusal;
+mod run;
+mod shared;
+mod signal;
+
+pub use clock::BootClock;
+pub use dispatch::{Dispatch, Place};
+pub use journal::{Journal, Step, StepEvent, Trace};
+pub use quota::{Quota, Reservation};
+pub use refusal::{ApiError, Code, RUN_HEADER, Run};
+pub use run::{EntryHost, StartError};
+pub use shared::{OpenRequest, Picture, Shared};
+pub use signal::wait_for_stop;
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/main.rs
@@ -0,0 +1,49 @@
+//! The daemon of an entry host.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use eelgrasshill_entry::{EntryHost, wait_for_stop};
+use eelgrasshill_settings::EntrySettings;
+use metrics_exporter_prometheus::PrometheusBuilder;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// The exit status of a host whose settings are wrong.
+const WRONG_SETTINGS: u8 = 2;
+
+/// Serves callers of many models; an entry host of eelgrasshill.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// the INI file of the host's settings
+    #[argh(positional)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let arguments: Arguments = argh::from_env();
+    let settings = match EntrySettings::read(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(problems) => {
+            eprintln!("{problems}");
+            return ExitCode::from(WRONG_SETTINGS);
+        }
+    };
+    let metrics = PrometheusBuilder::new().install_recorder().ok();
+    let host = match EntryHost::start(settings, metrics) {
+        Ok(host) => host,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    wait_for_stop();
+    if host.drain() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/quota.rs
@@ -0,0 +1,159 @@
+//! Rate and burst of each organisation, as the traffic threads of one host see them.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use eelgrasshill_domain::{FastMap, Moment, OrgName};
+use eelgrasshill_limit::{Admission, Effect, Limiter, Refusal, ReservationId};
+use tokio::sync::{Notify, mpsc};
+
+use crate::BootClock;
+use crate::lock::lock;
+
+/// Most effects that wait for the control thread.
+const OUTBOX: usize = 4096;
+
+/// Requests of one organisation that wait for tokens, first come, first served.
+#[derive(Clone, Debug, Default)]
+struct Line {
+    turn: Arc<tokio::sync::Mutex<()>>,
+    ready: Arc<Notify>,
+}
+
+/// The limiter of one host, shared by its threads.
+#[derive(Clone, Debug)]
+pub struct Quota {
+    limiter: Arc<Mutex<Limiter>>,
+    lines: Arc<Mutex<FastMap<OrgName, Line>>>,
+    outbox: mpsc::Sender<Effect>,
+}
+
+/// Tokens that a request has reserved; what is unused is given back once.
+#[derive(Debug)]
+pub struct Reservation {
+    quota: Quota,
+    id: ReservationId,
+    cost: u64,
+    used: u64,
+}
+
+impl Quota {
+    /// Wraps a limiter and returns the effects that the control thread must carry out.
+    #[must_use]
+    pub fn new(limiter: Limiter) -> (Self, mpsc::Receiver<Effect>) {
+        let (outbox, effects) = mpsc::channel(OUTBOX);
+        let quota = Self {
+            limiter: Arc::new(Mutex::new(limiter)),
+            lines: Arc::default(),
+            outbox,
+        };
+        (quota, effects)
+    }
+
+    /// Works on the limiter and carries out what follows.
+    pub fn with<T>(&self, now: Moment, work: impl FnOnce(&mut Limiter) -> T) -> T {
+        let (result, effects) = {
+            let mut limiter = lock(&self.limiter);
+            let result = work(&mut limiter);
+            (result, limiter.poll(now))
+        };
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        result
+    }
+
+    fn carry_out(&self, effect: Effect) {
+        if let Effect::Ready(organisation) = &effect {
+            self.line(organisation).ready.notify_waiters();
+            return;
+        }
+        // Requests are repeated by the limiter, so that a full outbox only delays them.
+        if self.outbox.try_send(effect).is_err() {
+            log::warn!("quota: the control thread is behind, an effect is dropped");
+        }
+    }
+
+    /// Returns when the limiter needs attention.
+    #[must_use]
+    pub fn next_wake(&self) -> Moment {
+        lock(&self.limiter).next_wake()
+    }
+
+    fn line(&self, organisation: &OrgName) -> Line {
+        lock(&self.lines)
+            .entry(organisation.clone())
+            .or_default()
+            .clone()
+    }
+
+    /// Reserves tokens, waiting for them until a moment.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`] when they did not come in time.
+    pub async fn admit(
+        &self,
+        organisation: &OrgName,
+        cost: u64,
+        until: Moment,
+    ) -> Result<Reservation, Refusal> {
+        let line = self.line(organisation);
+        let clock = BootClock;
+        let left = until.since(clock.now());
+        let Ok(_turn) = tokio::time::timeout(left, line.turn.lock()).await else {
+            return Err(Refusal::Scarce {
+                retry: Duration::from_secs(1),
+            });
+        };
+        loop {
+            let now = clock.now();
+            let ready = line.ready.notified();
+            let wait = match self.with(now, |limiter| limiter.admit(organisation, cost, now)) {
+                Admission::Admitted(id) => {
+                    return Ok(Reservation {
+                        quota: self.clone(),
+                        id,
+                        cost,
+                        used: 0,
+                    });
+                }
+                Admission::Wait(moment) => moment,
+                Admission::Refused(refusal) => match retry_moment(&refusal, now, until) {
+                    Some(moment) => moment,
+                    None => return Err(refusal),
+                },
+            };
+            tokio::select! {
+                () = ready => {}
+                () = clock.sleep_until(wait) => {}
+            }
+        }
+    }
+}
+
+/// Returns when to try again, if that is within the request's bound.
+fn retry_moment(refusal: &Refusal, now: Moment, until: Moment) -> Option<Moment> {
+    match refusal {
+        Refusal::Unknown { .. } | Refusal::TooLarge { .. } => None,
+        Refusal::Scarce { retry } | Refusal::Unreachable { retry } => {
+            let moment = now.after(*retry);
+            (moment < until).then_some(moment)
+        }
+    }
+}
+
+impl Reservation {
+    /// Notes tokens that were truly used.
+    pub fn spend(&mut self, tokens: u64) {
+        self.used = self.used.saturating_add(tokens).min(self.cost);
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let now = BootClock.now();
+        self.quota
+            .with(now, |limiter| limiter.settle(self.id, self.used, now));
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/run.rs
@@ -0,0 +1,270 @@
+//! Starts the threads of one entry host and ends them again.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, channel};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use actix::Actor;
+use actix_web::dev::ServerHandle;
+use arc_swap::ArcSwap;
+use derive_more::{Display, Error, From};
+use eelgrasshill_domain::Incarnation;
+use eelgrasshill_limit::{Effect, Holder, LimitSettings, Limiter, Process};
+use eelgrasshill_platform::{HttpClient, HttpClientSettings, HttpEngine, HttpHostList, HttpLog};
+use eelgrasshill_route::{DispatchSettings, Drain, DrainEvent, DrainSettings, DrainState, View};
+use eelgrasshill_settings::EntrySettings;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::sync::{Notify, mpsc};
+
+use crate::control::messages::Followed;
+use crate::control::{Control, Outside, carry_out, follow_log, serve_peers};
+use crate::http::{serve_admin, serve_callers};
+use crate::{BootClock, Dispatch, Quota, Shared};
+
+/// How often a draining host looks whether it is empty.
+const DRAIN_TICK: Duration = Duration::from_millis(20);
+
+/// Longest time for rights to be released after the last request.
+const RELEASE: Duration = Duration::from_secs(5);
+
+/// Why a host did not start.
+#[derive(Debug, Display, Error, From)]
+pub enum StartError {
+    /// An address could not be bound or a thread not started.
+    #[display("the host cannot start: {_0}")]
+    Io(io::Error),
+    /// A thread ended before it served.
+    #[display("a thread ended before it served")]
+    Ended,
+}
+
+/// An entry host that runs on threads of this process.
+#[derive(Debug)]
+pub struct EntryHost {
+    shared: Arc<Shared>,
+    callers: ServerHandle,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl EntryHost {
+    /// Starts the host's threads; returns once it listens.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] when an address cannot be bound.
+    pub fn start(
+        settings: EntrySettings,
+        metrics: Option<PrometheusHandle>,
+    ) -> Result<Self, StartError> {
+        let (settings, listeners) = bind(settings)?;
+        let (shared, effects) = join(settings, BootClock.incarnation());
+        let control = spawn_control(&shared, effects, listeners.peer)?;
+        let (http, callers) = spawn_http(&shared, listeners.callers, listeners.admin, metrics)?;
+        log::info!(
+            "host: {} serves callers at {} and peers at {}",
+            shared.settings.name,
+            shared.settings.listen,
+            shared.settings.peer
+        );
+        Ok(Self {
+            shared,
+            callers,
+            threads: vec![control, http],
+        })
+    }
+
+    /// Returns what the threads share.
+    #[must_use]
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Shuts down without cutting a request off; returns whether all ended in time.
+    #[must_use]
+    pub fn drain(self) -> bool {
+        let shared = &self.shared;
+        log::info!("host: {} leaves", shared.settings.name);
+        let mut state = shared.step_drain(DrainEvent::Begin, BootClock.now());
+        while matches!(
+            state,
+            DrainState::Ready | DrainState::NotReady | DrainState::NoNewConnections
+        ) {
+            std::thread::sleep(DRAIN_TICK);
+            state = shared.step_drain(DrainEvent::Tick, BootClock.now());
+        }
+        self.release();
+        let graceful = state == DrainState::Empty;
+        self.end(graceful);
+        graceful
+    }
+
+    fn release(&self) {
+        let began = BootClock.now();
+        self.shared.quota.with(began, Limiter::drain);
+        while BootClock.now().since(began) < RELEASE {
+            let now = BootClock.now();
+            if self.shared.quota.with(now, |limiter| limiter.is_drained()) {
+                return;
+            }
+            std::thread::sleep(DRAIN_TICK);
+        }
+        log::warn!("host: the rights were not released in time");
+    }
+
+    /// Stops at once, as in tests of a host that dies.
+    pub fn kill(self) {
+        self.end(false);
+    }
+
+    fn end(self, graceful: bool) {
+        self.shared.stop();
+        // The handle's future only waits for the end, which the joins below do.
+        drop(self.callers.stop(graceful));
+        for thread in self.threads {
+            if thread.join().is_err() {
+                log::error!("host: a thread panicked");
+            }
+        }
+    }
+}
+
+/// The sockets of one host.
+struct Listeners {
+    callers: TcpListener,
+    peer: TcpListener,
+    admin: TcpListener,
+}
+
+/// Binds all sockets and notes their addresses, also where a port was left to the system.
+fn bind(mut settings: EntrySettings) -> io::Result<(EntrySettings, Listeners)> {
+    let callers = TcpListener::bind(settings.listen)?;
+    let peer = TcpListener::bind(settings.peer)?;
+    let admin = TcpListener::bind(settings.admin)?;
+    peer.set_nonblocking(true)?;
+    settings.listen = callers.local_addr()?;
+    settings.peer = peer.local_addr()?;
+    settings.admin = admin.local_addr()?;
+    Ok((
+        settings,
+        Listeners {
+            callers,
+            peer,
+            admin,
+        },
+    ))
+}
+
+fn join(
+    settings: EntrySettings,
+    incarnation: Incarnation,
+) -> (Arc<Shared>, mpsc::Receiver<Effect>) {
+    let view = Arc::new(ArcSwap::from_pointee(View::new(&settings.zone, Vec::new())));
+    let dispatch = DispatchSettings {
+        class_limit: settings.bounds.queue,
+        ..Default::default()
+    };
+    let dispatch = Dispatch::new(dispatch, Arc::clone(&view));
+    let me = Holder {
+        process: Process {
+            host: settings.name.clone(),
+            incarnation,
+        },
+        zone: settings.zone.clone(),
+        address: settings.peer,
+    };
+    let (quota, effects) = Quota::new(Limiter::new(me, LimitSettings::default()));
+    let drain = Drain::new(DrainSettings {
+        notice: settings.bounds.leave,
+        bound: settings.bounds.drain,
+    });
+    let shared = Shared::new(settings, incarnation, view, dispatch, quota, drain);
+    (Arc::new(shared), effects)
+}
+
+fn spawn_control(
+    shared: &Arc<Shared>,
+    effects: mpsc::Receiver<Effect>,
+    listener: TcpListener,
+) -> Result<JoinHandle<()>, StartError> {
+    let shared = Arc::clone(shared);
+    let thread = std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let system = actix::System::new();
+            system.block_on(control(shared, effects, listener));
+        })?;
+    Ok(thread)
+}
+
+async fn control(shared: Arc<Shared>, effects: mpsc::Receiver<Effect>, listener: TcpListener) {
+    let client = HttpClient::new(HttpClientSettings::default());
+    let answer = client.settings().answer;
+    let log = HttpLog::new(client.clone(), shared.settings.log);
+    let outside = Outside {
+        log: log.clone(),
+        hosts: HttpHostList::new(client.clone(), shared.settings.hosts),
+        engine: HttpEngine::new(client, answer),
+    };
+    let news = Arc::new(Notify::new());
+    let addr = Control::new(Arc::clone(&shared), outside, Arc::clone(&news)).start();
+    actix::spawn(follow_log(log.clone(), addr.clone(), Followed::Config));
+    actix::spawn(follow_log(log.clone(), addr.clone(), Followed::Rights));
+    actix::spawn(carry_out(Arc::clone(&shared), log, effects));
+    match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => {
+            let serve = serve_peers(listener, addr, Arc::clone(&shared), news);
+            actix::spawn(async move {
+                if let Err(error) = serve.await {
+                    log::error!("peer: the listener ended: {error}");
+                }
+            });
+        }
+        Err(error) => log::error!("peer: no listener: {error}"),
+    }
+    while !shared.is_stopped() {
+        tokio::time::sleep(DRAIN_TICK).await;
+    }
+}
+
+type Started = Result<ServerHandle, io::Error>;
+
+fn spawn_http(
+    shared: &Arc<Shared>,
+    callers: TcpListener,
+    admin: TcpListener,
+    metrics: Option<PrometheusHandle>,
+) -> Result<(JoinHandle<()>, ServerHandle), StartError> {
+    let shared = Arc::clone(shared);
+    let (sender, started): (_, Receiver<Started>) = channel();
+    let thread = std::thread::Builder::new()
+        .name("http".to_owned())
+        .spawn(move || {
+            let system = actix::System::new();
+            system.block_on(async move {
+                let servers = serve_callers(&shared, callers).and_then(|callers| {
+                    let admin = serve_admin(&shared, admin, metrics)?;
+                    Ok((callers, admin))
+                });
+                let (callers, admin) = match servers {
+                    Ok(servers) => servers,
+                    Err(error) => {
+                        // The starter waits for this message and nothing else.
+                        let _gone = sender.send(Err(error));
+                        return;
+                    }
+                };
+                let _gone = sender.send(Ok(callers.handle()));
+                let stop = admin.handle();
+                actix::spawn(admin);
+                if let Err(error) = callers.await {
+                    log::error!("http: the listener ended: {error}");
+                }
+                stop.stop(false).await;
+            });
+        })?;
+    let handle = started.recv().map_err(|_ended| StartError::Ended)??;
+    Ok((thread, handle))
+}
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/shared.rs
@@ -0,0 +1,193 @@
+//! What the traffic threads and the control thread of one host share.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use eelgrasshill_control::Access;
+use eelgrasshill_domain::{FastMap, HostName, Incarnation, Moment, RequestId, Tables};
+use eelgrasshill_route::{
+    Admission, Bounds, Drain, DrainEvent, DrainState, RetryBudget, RetrySettings, View,
+};
+use eelgrasshill_settings::EntrySettings;
+
+use crate::lock::lock;
+use crate::{BootClock, Dispatch, Journal, Quota};
+
+/// An immutable picture of the tables, replaced by the control thread.
+#[derive(Debug, Default)]
+pub struct Picture {
+    /// Who may reach what.
+    pub access: Access,
+    /// The rows in force.
+    pub tables: Tables,
+    /// Whether any tables were received.
+    pub ready: bool,
+}
+
+/// What the threads of one host share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The host's settings.
+    pub settings: EntrySettings,
+    /// The number of this start of the host.
+    pub incarnation: Incarnation,
+    /// Time bounds of the classes.
+    pub bounds: Bounds,
+    /// The tables in force.
+    pub picture: ArcSwap<Picture>,
+    /// What is known of the upstreams.
+    pub view: Arc<ArcSwap<View>>,
+    /// The queues.
+    pub dispatch: Dispatch,
+    /// Rate and burst.
+    pub quota: Quota,
+    /// The latest requests.
+    pub journal: Journal,
+    /// How the host's control thread sees itself.
+    pub status: ArcSwap<serde_json::Value>,
+    /// Tokens that callers of this host asked for, by model and adapter.
+    pub asked: Mutex<FastMap<String, u64>>,
+    drain: Mutex<Drain>,
+    retries: Mutex<RetryBudget>,
+    fresh: AtomicU64,
+    requests: AtomicU64,
+    stopped: AtomicBool,
+}
+
+/// Counts a request as open until it is dropped.
+#[derive(Debug)]
+pub struct OpenRequest {
+    shared: Arc<Shared>,
+    /// Whether the connection must close after the answer.
+    pub last: bool,
+}
+
+impl Shared {
+    /// Joins the parts of a host that has just started.
+    #[must_use]
+    pub fn new(
+        settings: EntrySettings,
+        incarnation: Incarnation,
+        view: Arc<ArcSwap<View>>,
+        dispatch: Dispatch,
+        quota: Quota,
+        drain: Drain,
+    ) -> Self {
+        Self {
+            settings,
+            incarnation,
+            bounds: Bounds::default(),
+            picture: ArcSwap::default(),
+            view,
+            dispatch,
+            quota,
+            journal: Journal::default(),
+            status: ArcSwap::default(),
+            asked: Mutex::default(),
+            drain: Mutex::new(drain),
+            retries: Mutex::new(RetryBudget::new(RetrySettings::default())),
+            fresh: AtomicU64::new(0),
+            requests: AtomicU64::new(0),
+            stopped: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns an id for a new request, unique over all hosts and starts.
+    ///
+    /// # Panics
+    ///
+    /// Never: host names and numbers make a valid name.
+    #[must_use]
+    pub fn next_request(&self) -> RequestId {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        let text = format!("{}-{:x}-{number:x}", self.settings.name, self.incarnation.0);
+        RequestId::new(&text).expect("host names and hexadecimal digits make a name")
+    }
+
+    /// Notes that the tables were current at a moment.
+    pub fn set_fresh(&self, at: Moment) {
+        self.fresh.fetch_max(at.0, Ordering::Relaxed);
+    }
+
+    /// Returns the time since the tables were last known to be current.
+    #[must_use]
+    pub fn tables_age(&self, now: Moment) -> Duration {
+        now.since(Moment(self.fresh.load(Ordering::Relaxed)))
+    }
+
+    /// Lets a request in, unless the host has stopped serving.
+    #[must_use]
+    pub fn open(self: &Arc<Self>, now: Moment) -> Option<OpenRequest> {
+        let mut drain = lock(&self.drain);
+        let last = match drain.admission() {
+            Admission::Serve => false,
+            Admission::ServeLast => true,
+            Admission::Refuse => return None,
+        };
+        drain.step(DrainEvent::Opened, now);
+        Some(OpenRequest {
+            shared: Arc::clone(self),
+            last,
+        })
+    }
+
+    /// Takes a step of the shutdown and returns the state after it.
+    pub fn step_drain(&self, event: DrainEvent, now: Moment) -> DrainState {
+        let mut drain = lock(&self.drain);
+        drain.step(event, now);
+        drain.state()
+    }
+
+    /// Returns whether the balancer may send requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.picture.load().ready && lock(&self.drain).state() == DrainState::Ready
+    }
+
+    /// Returns whether the host is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        lock(&self.drain).state() != DrainState::Ready
+    }
+
+    /// Works on the budget of retries.
+    pub fn with_retries<T>(&self, work: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        work(&mut lock(&self.retries))
+    }
+
+    /// Notes that the control thread must end.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the control thread must end.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+
+    /// Returns where an upstream listens.
+    #[must_use]
+    pub fn address_of(&self, host: &HostName) -> Option<std::net::SocketAddr> {
+        self.picture
+            .load()
+            .tables
+            .hosts
+            .get(host)
+            .map(|row| row.address)
+    }
+
+    /// Counts tokens that a caller asked for, for the placement.
+    pub fn note_demand(&self, model: &str, tokens: u64) {
+        let mut asked = lock(&self.asked);
+        *asked.entry(model.to_owned()).or_default() += tokens;
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        lock(&self.shared.drain).step(DrainEvent::Closed, BootClock.now());
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_entry/tests/session.rs
@@ -0,0 +1,173 @@
+//! Whole sessions of callers against entry hosts on stand-ins.
+
+mod support;
+
+use eelgrasshill_standin::AnswerText;
+use serde_json::{Value, json};
+use support::{Fleet, wait_for};
+
+async fn chat(url: &str, key: Option<&str>, body: &Value) -> (u16, String, String) {
+    let client = awc::Client::builder().disable_timeout().finish();
+    let mut request = client.post(url);
+    if let Some(key) = key {
+        request = request.insert_header(("authorization", format!("Bearer {key}")));
+    }
+    let mut response = request.send_json(body).await.unwrap();
+    let header = |name: &str| {
+        let value = response.headers().get(name);
+        value
+            .map(|v| v.to_str().unwrap().to_owned())
+            .unwrap_or_default()
+    };
+    let run = header("eelgrasshill-run");
+    let status = response.status().as_u16();
+    let body = response.body().await.unwrap();
+    (status, run, String::from_utf8(body.to_vec()).unwrap())
+}
+
+/// Returns the texts of a stream's events, joined, and the data of the last one.
+fn stream_text(body: &str) -> (String, String) {
+    let mut text = String::new();
+    let mut last = String::new();
+    for line in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        last = line.to_owned();
+        if let Ok(event) = serde_json::from_str::<Value>(line) {
+            text += event["choices"][0]["delta"]["content"]
+                .as_str()
+                .unwrap_or_default();
+        }
+    }
+    (text, last)
+}
+
+#[actix_web::test]
+async fn answers_are_whole_and_refusals_typed() {
+    let mut fleet = Fleet::start(3);
+    let key = fleet.issue_key("crew-1", "crew");
+    let key = Some(key.reveal());
+    let messages = json!([{ "role": "user", "content": "Which pump failed last night?" }]);
+    let expected = AnswerText::new("notes", None, &messages).prefix(20);
+
+    for host in 0..3 {
+        let url = fleet.url(host, "/v1/chat/completions");
+        let body =
+            json!({ "model": "notes", "messages": messages, "max_tokens": 20, "stream": true });
+        let (status, _run, events) = chat(&url, key, &body).await;
+        assert_eq!(status, 200, "{events}");
+        assert_eq!(
+            stream_text(&events),
+            (expected.clone(), "[DONE]".to_owned())
+        );
+        let body = json!({ "model": "notes", "messages": messages, "max_tokens": 20 });
+        let (status, _run, whole) = chat(&url, key, &body).await;
+        assert_eq!(status, 200, "{whole}");
+        let whole: Value = serde_json::from_str(&whole).unwrap();
+        assert_eq!(whole["choices"][0]["message"]["content"], expected);
+    }
+
+    struct Case {
+        name: &'static str,
+        key: Option<String>,
+        body: Value,
+        status: u16,
+        code: &'static str,
+    }
+    let fine = json!({ "model": "notes", "messages": messages, "max_tokens": 5 });
+    let own = key.map(str::to_owned);
+    let cases = [
+        Case {
+            name: "no key",
+            key: None,
+            body: fine.clone(),
+            status: 401,
+            code: "unauthorized",
+        },
+        Case {
+            name: "unknown key",
+            key: Some("egh_crew-1_00".to_owned()),
+            body: fine.clone(),
+            status: 401,
+            code: "unauthorized",
+        },
+        Case {
+            name: "unknown model",
+            key: own.clone(),
+            body: json!({ "model": "none", "messages": messages }),
+            status: 404,
+            code: "unknown-model",
+        },
+        Case {
+            name: "no messages",
+            key: own.clone(),
+            body: json!({ "model": "notes" }),
+            status: 400,
+            code: "bad-request",
+        },
+        Case {
+            name: "no tokens",
+            key: own.clone(),
+            body: json!({ "model": "notes", "messages": messages, "max_tokens": 0 }),
+            status: 400,
+            code: "bad-request",
+        },
+        Case {
+            name: "key in the prompt",
+            key: own.clone(),
+            body: json!({ "model": "notes", "messages": own }),
+            status: 400,
+            code: "bad-request",
+        },
+        Case {
+            name: "large body",
+            key: own.clone(),
+            body: json!({ "model": "notes", "messages": "x".repeat(2 << 20) }),
+            status: 413,
+            code: "body-too-large",
+        },
+    ];
+    let url = fleet.url(0, "/v1/chat/completions");
+    for case in cases {
+        let (status, run, body) = chat(&url, case.key.as_deref(), &case.body).await;
+        let body: Value = serde_json::from_str(&body).unwrap();
+        let code = body["error"]["code"].as_str().unwrap();
+        assert_eq!(
+            (status, code, run.as_str()),
+            (case.status, case.code, "not-run"),
+            "{}",
+            case.name
+        );
+    }
+    fleet.stop();
+}
+
+#[actix_web::test]
+async fn a_withdrawn_key_ends_its_streams() {
+    let mut fleet = Fleet::start(1);
+    let key = fleet.issue_key("crew-1", "crew");
+    let url = fleet.url(0, "/v1/chat/completions");
+    let body =
+        json!({ "model": "notes", "messages": "a long story", "max_tokens": 4000, "stream": true });
+    let text = key.reveal().to_owned();
+    let open = actix_web::rt::spawn(async move { chat(&url, Some(&text), &body).await });
+    let running = || fleet.hosts[0].shared().dispatch.running() == 1;
+    for _attempt in 0..500 {
+        if running() {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    assert!(running());
+    fleet.withdraw_key("crew-1");
+    let (_status, _run, events) = open.await.unwrap();
+    let (_text, last) = stream_text(&events);
+    assert!(last.contains("key-withdrawn"), "{last}");
+    let url = fleet.url(0, "/v1/chat/completions");
+    let body = json!({ "model": "notes", "messages": "again", "max_tokens": 4 });
+    let (status, _run, body) = chat(&url, Some(key.reveal()), &body).await;
+    assert_eq!(status, 401, "{body}");
+    assert!(body.contains("key-withdrawn"), "{body}");
+    wait_for("the place is free", || {
+        fleet.hosts[0].shared().dispatch.running() == 0
+    });
+    fleet.stop();
+}
--- /dev/null
+++ b/crates/eelgrasshill_entry/tests/support/mod.rs
@@ -0,0 +1,266 @@
+//! A small fleet on stand-ins: the log, the host list, engines, a plain service and hosts.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+#![expect(clippy::unwrap_used, reason = "a test stops at its first failure")]
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use eelgrasshill_control::ConfigEntry;
+use eelgrasshill_domain::{
+    AppendId, ConfigRecord, Edit, KeyGrant, KeyId, KeyText, ModelName, RowChange, RowKey,
+    StreamName, Tables, Version,
+};
+use eelgrasshill_entry::EntryHost;
+use eelgrasshill_platform::{HostRole, HostState, ListedHost, NewRecord};
+use eelgrasshill_settings::{EntrySettings, read_tables};
+use eelgrasshill_standin::{
+    Engine, EngineSettings, Hosts, HostsSettings, Log, LogSettings, ModelCopy, Plain,
+    PlainSettings, Running, Standin,
+};
+
+pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+pub struct Fleet {
+    pub log: Running<Log>,
+    pub list: Running<Hosts>,
+    pub engines: Vec<Running<Engine>>,
+    pub plain: Running<Plain>,
+    pub hosts: Vec<EntryHost>,
+    pub tables: Tables,
+    appends: u64,
+}
+
+pub const ROUTES: &str = "
+[organisation.crew]
+rate = 2000
+burst = 20000
+weight = 2
+
+[organisation.home]
+rate = 100
+burst = 200
+
+[route.crew-notes]
+caller = crew
+models = notes, urgent
+pool = engines
+class = interactive
+repeat = yes
+
+[route.home-visits]
+caller = home
+models = notes
+pool = engines
+class = batch
+repeat = yes
+
+[route.tags]
+caller = open
+models = tags
+pool = engines
+class = urgent
+repeat = yes
+
+[route.lookup]
+caller = crew
+path = /yard
+pool = desk
+class = urgent
+repeat = yes
+
+[route.booking]
+caller = crew
+path = /bookings
+pool = desk
+class = urgent
+repeat = no
+";
+
+impl Fleet {
+    /// Starts stand-ins and one entry host in each of the first `hosts` zones.
+    pub fn start(hosts: usize) -> Self {
+        let log = Log::new(LogSettings::default()).spawn_thread().unwrap();
+        let plain = Plain::new(PlainSettings::default()).spawn_thread().unwrap();
+        let engines: Vec<_> = (0..3).map(start_engine).collect();
+        let listed = HostsSettings {
+            lag: Duration::from_millis(100),
+            ..HostsSettings::default()
+        };
+        let list = Hosts::new(listed).spawn_thread().unwrap();
+        let pools = pools_table(&engines, plain.address);
+        let tables = read_tables("routes.ini", ROUTES, "pools.ini", &pools).unwrap();
+        let mut fleet = Self {
+            log,
+            list,
+            engines,
+            plain,
+            hosts: Vec::new(),
+            tables,
+            appends: 0,
+        };
+        let tables = fleet.tables.clone();
+        fleet.publish(&tables);
+        for zone in ZONES.iter().take(hosts) {
+            fleet.add_host(zone);
+        }
+        fleet.list_hosts();
+        fleet.wait_ready();
+        fleet
+    }
+
+    pub fn add_host(&mut self, zone: &str) {
+        let number = self.hosts.len();
+        let text = format!(
+            "[host]\nname = entry-{number}\nzone = {zone}\nlisten = 127.0.0.1:0\n\
+             peer = 127.0.0.1:0\nadmin = 127.0.0.1:0\nthreads = 1\n\
+             [platform]\nlog = {}\nhosts = {}\n[bounds]\nleave-ms = 200\n",
+            self.log.address, self.list.address,
+        );
+        let settings = EntrySettings::parse("entry.ini", &text).unwrap();
+        self.hosts.push(EntryHost::start(settings, None).unwrap());
+    }
+
+    pub fn list_hosts(&self) {
+        let listed = self.hosts.iter().map(|host| {
+            let settings = &host.shared().settings;
+            ListedHost {
+                host: settings.name.clone(),
+                zone: settings.zone.clone(),
+                address: settings.peer,
+                role: HostRole::Entry,
+                state: HostState::Live,
+            }
+        });
+        self.list.handle.set(listed.collect());
+    }
+
+    pub fn wait_ready(&self) {
+        wait_for("hosts are ready", || {
+            self.hosts.iter().all(|host| host.shared().is_ready())
+                && self.hosts.iter().all(|host| {
+                    let view = host.shared().view.load();
+                    view.upstreams()
+                        .iter()
+                        .filter(|u| u.report.is_some())
+                        .count()
+                        >= 3
+                })
+        });
+    }
+
+    pub fn append(&mut self, record: ConfigRecord) -> AppendId {
+        self.appends += 1;
+        let id = AppendId::new(&format!("test-{}", self.appends)).unwrap();
+        let body = serde_json::to_value(ConfigEntry::Record(record)).unwrap();
+        let stream = StreamName::new("config").unwrap();
+        self.log.handle.append(
+            &stream,
+            vec![NewRecord {
+                id: id.clone(),
+                body,
+            }],
+        );
+        id
+    }
+
+    /// Publishes every row of new tables.
+    pub fn publish(&mut self, tables: &Tables) -> AppendId {
+        let changes = tables
+            .keys()
+            .into_iter()
+            .map(|key| RowChange {
+                base: Version(0),
+                row: tables.get(&key),
+                key,
+            })
+            .collect();
+        self.append(ConfigRecord::Edit(Edit {
+            author: "test".to_owned(),
+            changes,
+        }))
+    }
+
+    pub fn issue_key(&mut self, id: &str, organisation: &str) -> KeyText {
+        let id = KeyId::new(id).unwrap();
+        let key = KeyText::issue(&id, &[7; 32]);
+        let grant = KeyGrant {
+            digest: key.digest(),
+            organisation: organisation.parse().unwrap(),
+        };
+        self.append(ConfigRecord::IssueKey {
+            id: id.clone(),
+            grant,
+        });
+        wait_for("the key is in force", || {
+            self.hosts
+                .iter()
+                .all(|h| h.shared().picture.load().access.is_key_valid(&id))
+        });
+        key
+    }
+
+    pub fn withdraw_key(&mut self, id: &str) {
+        let id = KeyId::new(id).unwrap();
+        self.append(ConfigRecord::WithdrawKey { id });
+    }
+
+    pub fn url(&self, host: usize, path: &str) -> String {
+        format!("http://{}{path}", self.hosts[host].shared().settings.listen)
+    }
+
+    pub fn stop(self) {
+        for host in self.hosts {
+            host.kill();
+        }
+    }
+}
+
+fn start_engine(number: usize) -> Running<Engine> {
+    let mut settings = EngineSettings::new(format!("engine-{number}").parse().unwrap());
+    settings.lag = Duration::from_millis(50);
+    settings.base = Duration::from_millis(4);
+    for (model, memory) in [("notes", 10_000), ("urgent", 5_000), ("tags", 1_000)] {
+        settings = settings.with_model(ModelCopy {
+            model: ModelName::new(model).unwrap(),
+            version: "1".to_owned(),
+            memory,
+            adapters: Vec::new(),
+        });
+    }
+    Engine::new(settings).spawn_thread().unwrap()
+}
+
+fn pools_table(engines: &[Running<Engine>], plain: SocketAddr) -> String {
+    let mut text = String::from("[pool.engines]\nkind = engines\n[pool.desk]\nkind = plain\n");
+    for (number, engine) in engines.iter().enumerate() {
+        let zone = ZONES[number % ZONES.len()];
+        text += &format!(
+            "[host.engine-{number}]\npool = engines\nzone = {zone}\naddress = {}\n\
+             memory-mb = 80000\naccelerators = 8\nfencing = checked\n",
+            engine.address,
+        );
+    }
+    text += &format!("[host.desk-0]\npool = desk\nzone = zone-a\naddress = {plain}\n");
+    for (model, memory) in [("notes", 10_000), ("urgent", 5_000), ("tags", 1_000)] {
+        text += &format!("[model.{model}]\npool = engines\nmemory-mb = {memory}\nversion = 1\n");
+    }
+    text
+}
+
+/// Waits until a condition holds, far longer than it should take.
+pub fn wait_for(what: &str, condition: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !condition() {
+        assert!(
+            began.elapsed() < Duration::from_secs(30),
+            "{what}: not within 30 s"
+        );
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// The row key of an organisation.
+pub fn organisation(name: &str) -> RowKey {
+    RowKey::Organisation(name.parse().unwrap())
+}
--- a/crates/eelgrasshill_settings/src/entry.rs
+++ b/crates/eelgrasshill_settings/src/entry.rs
@@ -56,6 +56,8 @@
     pub listen: SocketAddr,
     /// Where its peers reach it.
     pub peer: SocketAddr,
+    /// Where operators read metrics, status and traces.
+    pub admin: SocketAddr,
     /// Threads that serve callers.
     pub threads: usize,
     /// Where the log service listens.
@@ -130,6 +132,7 @@
                 zone: host.zone,
                 listen: host.listen,
                 peer: host.peer,
+                admin: host.admin,
                 threads: host.threads,
                 log,
                 hosts,
@@ -147,6 +150,7 @@
     zone: ZoneName,
     listen: SocketAddr,
     peer: SocketAddr,
+    admin: SocketAddr,
     threads: usize,
 }
 
@@ -155,6 +159,7 @@
     let zone = reader.required("zone", "a zone name of a-z, 0-9 and `-`");
     let listen = reader.required("listen", ADDRESS);
     let peer = reader.required("peer", ADDRESS);
+    let admin = reader.required("admin", ADDRESS);
     let threads = reader.number("threads", "a number from 1 to 64", 1..=64, 2);
     reader.finish();
     Some(HostSection {
@@ -162,6 +167,7 @@
         zone: zone?,
         listen: listen?,
         peer: peer?,
+        admin: admin?,
         threads: to_usize(threads),
     })
 }
