--- a/crates/eelgrasshill_entry/src/control/actor.rs
+++ b/crates/eelgrasshill_entry/src/control/actor.rs
@@ -17,7 +17,9 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
+use crate::control::claims::Claims;
 use crate::control::messages::{Cursor, Followed, HostsRead, PageRead, Reported};
+use crate::control::place::Placing;
 use crate::shared::Picture;
 use crate::{BootClock, Shared};
 
@@ -33,7 +35,6 @@
 /// The outside systems, as the control thread meets them.
 #[derive(Clone, Debug)]
 pub(crate) struct Outside<L, H, E> {
-    #[expect(dead_code, reason = "claims will append through it")]
     pub(crate) log: L,
     pub(crate) hosts: H,
     pub(crate) engine: E,
@@ -60,7 +61,9 @@
     pub(crate) news: Arc<Notify>,
     pub(crate) polled: FastMap<HostName, Moment>,
     pub(crate) processes: BTreeMap<HostName, Holder>,
-    leaving: BTreeSet<HostName>,
+    pub(crate) leaving: BTreeSet<HostName>,
+    pub(crate) placing: Placing,
+    pub(crate) claims: Claims,
     rights: Offset,
     planned: Moment,
     stale: bool,
@@ -90,6 +93,8 @@
             news,
             polled: FastMap::default(),
             processes: BTreeMap::new(),
+            placing: Placing::new(&shared),
+            claims: Claims::new(&shared, process),
             leaving: BTreeSet::new(),
             rights: Offset::default(),
             planned: Moment::default(),
@@ -99,7 +104,7 @@
     }
 
     /// Puts the folded tables in force for the traffic threads.
-    pub(crate) fn publish(&mut self, now: Moment) {
+    pub(crate) fn publish(&mut self, ctx: &mut Context<Self>, now: Moment) {
         let through = self.fold.last();
         let tables = self.fold.tables().clone();
         let weights = tables
@@ -134,6 +139,7 @@
         }));
         self.stale = true;
         self.news.notify_waiters();
+        self.place_tables(ctx, now);
     }
 
     /// Notes how recent the tables are known to be.
@@ -143,7 +149,7 @@
         }
     }
 
-    fn fold_config(&mut self, page: &Page, now: Moment) {
+    fn fold_config(&mut self, ctx: &mut Context<Self>, page: &Page, now: Moment) {
         let before = self.fold.last();
         let records = page.records.iter().filter_map(|record| {
             let entry: ConfigEntry = serde_json::from_value(record.body.clone())
@@ -190,7 +196,7 @@
                 .with(now, |limiter| limiter.confirm_current(now));
         }
         if self.fold.last() != before || !self.shared.picture.load().ready {
-            self.publish(now);
+            self.publish(ctx, now);
         }
     }
 
@@ -217,12 +223,19 @@
     }
 
     /// Notes an engine's report unless a newer one is known.
-    pub(crate) fn note_report(&mut self, report: EngineReport, now: Moment) {
-        let taken = Moment(now.0.saturating_sub(report.age));
+    pub(crate) fn note_report(
+        &mut self,
+        ctx: &mut Context<Self>,
+        report: EngineReport,
+        asked: Moment,
+        now: Moment,
+    ) {
+        let taken = Moment(asked.0.saturating_sub(report.age));
         let newer = self.known.get(&report.host).is_none_or(|known| {
             report.sequence > known.report.sequence || now.since(known.heard) > REPORT_LIFE
         });
         if newer {
+            self.place_report(ctx, &report, asked, now);
             let known = Known {
                 taken,
                 heard: now,
@@ -266,6 +279,8 @@
         if self.shared.quota.next_wake() <= now {
             self.shared.quota.with(now, |_limiter| ());
         }
+        self.tick_placement(context, now);
+        self.tick_claims(context, now);
         if now.since(self.planned) >= PLAN {
             self.planned = now;
             self.plan(context, now);
@@ -357,6 +372,7 @@
             "reads-log": self.reads,
             "follows": self.follows.keys().collect::<Vec<_>>(),
             "members": members,
+            "holder-fence": self.placing.fence(),
             "running": self.shared.dispatch.running(),
             "engines": engines,
         });
@@ -424,10 +440,10 @@
 {
     type Result = ();
 
-    fn handle(&mut self, msg: PageRead, _ctx: &mut Self::Context) {
+    fn handle(&mut self, msg: PageRead, ctx: &mut Self::Context) {
         let now = BootClock.now();
         match msg.stream {
-            Followed::Config => self.fold_config(&msg.page, now),
+            Followed::Config => self.fold_config(ctx, &msg.page, now),
             Followed::Rights => self.fold_rights(&msg.page, now),
         }
     }
@@ -473,8 +489,8 @@
 {
     type Result = ();
 
-    fn handle(&mut self, Reported(report): Reported, _ctx: &mut Self::Context) {
-        self.note_report(report, BootClock.now());
+    fn handle(&mut self, msg: Reported, ctx: &mut Self::Context) {
+        self.note_report(ctx, msg.report, msg.asked, BootClock.now());
     }
 }
 
--- a/crates/eelgrasshill_entry/src/control/exchange.rs
+++ b/crates/eelgrasshill_entry/src/control/exchange.rs
@@ -83,12 +83,13 @@
             .heartbeat(self.fold.last(), self.shared.is_leaving(), now)
     }
 
-    fn hear(&mut self, beat: &Heartbeat, now: Moment) {
+    fn hear(&mut self, ctx: &mut Context<Self>, beat: &Heartbeat, now: Moment) {
         if let Some(stopped) = self.members.hear(beat, now) {
             log::info!(
                 "members: an older process at {} has stopped",
                 stopped.address
             );
+            self.note_stopped(ctx, stopped, now);
         }
         self.note_process(beat);
     }
@@ -115,7 +116,7 @@
             .collect()
     }
 
-    fn catch_up(&mut self, reply: &wire::ExchangeReply, now: Moment) {
+    fn catch_up(&mut self, ctx: &mut Context<Self>, reply: &wire::ExchangeReply, now: Moment) {
         let sent = if !reply.checkpoint.is_empty() {
             serde_json::from_slice(&reply.checkpoint).map(|c| CatchUp::Checkpoint(Box::new(c)))
         } else if !reply.delta.is_empty() {
@@ -131,7 +132,7 @@
         }
         if self.fold.last() != before {
             log::info!("config: {} came from a peer", self.fold.last());
-            self.publish(now);
+            self.publish(ctx, now);
         }
     }
 }
@@ -154,6 +155,7 @@
             return;
         }
         let began = tokio::time::Instant::now();
+        let asked = BootClock.now();
         let Ok(Asked(request)) = addr.send(Ask(WAIT)).await else {
             return;
         };
@@ -172,6 +174,7 @@
                 kept = Some(open);
                 addr.do_send(Heard {
                     reply: reply.into_inner(),
+                    asked,
                 });
             }
             Err(error) => log::debug!("peer: {address}: {}", error.code()),
@@ -188,11 +191,11 @@
 {
     type Result = Exchanged;
 
-    fn handle(&mut self, msg: Exchange, _ctx: &mut Self::Context) -> Exchanged {
+    fn handle(&mut self, msg: Exchange, ctx: &mut Self::Context) -> Exchanged {
         let now = BootClock.now();
         let seen = msg.beat.as_ref().map_or(Offset(0), |beat| beat.offset);
         if let Some(beat) = &msg.beat {
-            self.hear(beat, now);
+            self.hear(ctx, beat, now);
         }
         let mut reply = wire::ExchangeReply {
             heartbeat: Some((&self.heartbeat(now)).into()),
@@ -249,17 +252,17 @@
 {
     type Result = ();
 
-    fn handle(&mut self, Heard { reply }: Heard, _ctx: &mut Self::Context) {
+    fn handle(&mut self, Heard { reply, asked }: Heard, ctx: &mut Self::Context) {
         let now = BootClock.now();
-        self.catch_up(&reply, now);
+        self.catch_up(ctx, &reply, now);
         for report in &reply.reports {
             match serde_json::from_slice(report) {
-                Ok(report) => self.note_report(report, now),
+                Ok(report) => self.note_report(ctx, report, asked, now),
                 Err(error) => log::warn!("report: a peer sent what cannot be read: {error}"),
             }
         }
         match reply.heartbeat.map(Heartbeat::try_from) {
-            Some(Ok(beat)) => self.hear(&beat, now),
+            Some(Ok(beat)) => self.hear(ctx, &beat, now),
             Some(Err(error)) => log::warn!("members: a peer's heartbeat: {error}"),
             None => {}
         }
--- a/crates/eelgrasshill_entry/src/control/messages.rs
+++ b/crates/eelgrasshill_entry/src/control/messages.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use actix::Message;
-use eelgrasshill_control::Heartbeat;
-use eelgrasshill_domain::{HostName, Offset, scalar};
+use eelgrasshill_control::{AppendError, ClaimId, Heartbeat};
+use eelgrasshill_domain::{AppendId, HostName, Moment, Offset, scalar};
 use eelgrasshill_peer::generated as wire;
+use tokio::sync::oneshot;
+
+use crate::ClaimCommand;
 use eelgrasshill_platform::{EngineReport, ListedHost, Page};
 
 scalar! {
@@ -42,7 +45,11 @@
 /// An engine reported, or a peer passed its report on.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-pub(crate) struct Reported(pub(crate) EngineReport);
+pub(crate) struct Reported {
+    pub(crate) report: EngineReport,
+    /// The moment just before it was asked for.
+    pub(crate) asked: Moment,
+}
 
 /// A peer exchanges heartbeats with this host.
 #[derive(Debug, Message)]
@@ -73,9 +80,60 @@
 #[rtype(result = "()")]
 pub(crate) struct Heard {
     pub(crate) reply: wire::ExchangeReply,
+    /// The moment just before it was asked for.
+    pub(crate) asked: Moment,
 }
 
 /// Asks whether a peer is still followed.
 #[derive(Debug, Message)]
 #[rtype(result = "bool")]
 pub(crate) struct IsFollowed(pub(crate) HostName);
+
+/// Something happened that the placement must know.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Happened(pub(crate) eelgrasshill_placement::Event);
+
+/// A host told its demand.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Demanded(pub(crate) wire::DemandRequest);
+
+/// A caller's thread asks something about a claim.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Command(pub(crate) ClaimCommand);
+
+/// A peer submits a claim's record to this writer.
+#[derive(Debug, Message)]
+#[rtype(result = "SubmittedReply")]
+pub(crate) struct Submitted(pub(crate) wire::SubmitRequest);
+
+/// The writer's reply, once the log says something.
+#[derive(Debug, actix::MessageResponse)]
+pub(crate) struct SubmittedReply(pub(crate) oneshot::Receiver<wire::SubmitReply>);
+
+/// A writer replied to a record of this host.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Decided {
+    pub(crate) id: ClaimId,
+    pub(crate) reply: wire::SubmitReply,
+}
+
+/// The log answered an append of claims.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct ClaimsWritten {
+    pub(crate) shard: u32,
+    pub(crate) id: AppendId,
+    pub(crate) answer: Result<Offset, AppendError>,
+}
+
+/// A claims stream was read; none where that failed.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct ClaimsRead {
+    pub(crate) shard: u32,
+    pub(crate) page: Option<Page>,
+}
--- a/crates/eelgrasshill_entry/src/control/peer.rs
+++ b/crates/eelgrasshill_entry/src/control/peer.rs
@@ -17,7 +17,7 @@
 
 use crate::control::Control;
 use crate::control::exchange::MESSAGE;
-use crate::control::messages::{Exchange, Exchanged};
+use crate::control::messages::{Demanded, Exchange, Exchanged, Submitted, SubmittedReply};
 use crate::{BootClock, Shared};
 
 /// Longest wait for news that a peer may ask for.
@@ -124,8 +124,22 @@
 
     async fn demand(
         &self,
-        _request: Request<wire::DemandRequest>,
+        request: Request<wire::DemandRequest>,
     ) -> Result<Response<wire::DemandReply>, Status> {
+        self.addr.do_send(Demanded(request.into_inner()));
         Ok(Response::new(wire::DemandReply::default()))
     }
+
+    async fn submit(
+        &self,
+        request: Request<wire::SubmitRequest>,
+    ) -> Result<Response<wire::SubmitReply>, Status> {
+        let submitted = self.addr.send(Submitted(request.into_inner())).await;
+        let SubmittedReply(reply) =
+            submitted.map_err(|error| Status::unavailable(error.to_string()))?;
+        reply
+            .await
+            .map(Response::new)
+            .map_err(|error| Status::unavailable(error.to_string()))
+    }
 }
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/control/place.rs
@@ -0,0 +1,445 @@
+//! Drives the zone's lease and the orders to its engines.
+//!
+//! The readers of a zone are the candidates for its lease. All of them hear
+//! reports and demand, so that a successor need not start from nothing.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{ActorFutureExt, AsyncContext, Context, Handler, WrapFuture};
+use eelgrasshill_domain::{AppendId, HostName, ModelName, Moment, Offset, StreamName};
+use eelgrasshill_peer::PeerClient;
+use eelgrasshill_peer::generated as wire;
+use eelgrasshill_placement::{
+    Action, Budget, Effect, EngineReport, Entry, Event, Holder, ModelDemand, Moving, Order,
+    Outcome, Resident, Settings,
+};
+use eelgrasshill_platform::{self as platform, Engine, HostList, Log, NewRecord, OrderAnswer};
+use eelgrasshill_route::Work;
+use eelgrasshill_settings::EntrySettings;
+
+use crate::control::Control;
+use crate::control::actor::address_in;
+use crate::control::exchange::channel;
+use crate::control::messages::{Demanded, Happened};
+use crate::lock::lock;
+use crate::{BootClock, Shared};
+
+/// How often demand is told to the candidates.
+const DEMAND: Duration = Duration::from_secs(1);
+
+/// Age after which a host's demand counts no more.
+const DEMAND_LIFE: Duration = Duration::from_secs(5);
+
+/// Longest wait for a candidate's answer.
+const ANSWER: Duration = Duration::from_secs(1);
+
+/// Most records of one read of the lease stream.
+const PAGE: usize = 1000;
+
+/// The placement's part of a host's control state.
+#[derive(Debug)]
+pub(crate) struct Placing {
+    holder: Holder,
+    stream: Option<StreamName>,
+    demand: BTreeMap<HostName, (Moment, Vec<ModelDemand>)>,
+    told: Moment,
+}
+
+impl Placing {
+    pub(crate) fn new(shared: &Shared) -> Self {
+        let settings = &shared.settings;
+        let holder = Holder::new(placement_settings(settings, shared));
+        let stream = StreamName::new(&format!("lease-{}", settings.zone)).ok();
+        Self {
+            holder,
+            stream,
+            demand: BTreeMap::new(),
+            told: Moment::default(),
+        }
+    }
+
+    /// Returns the fencing number while this host is the zone's holder.
+    pub(crate) fn fence(&self) -> Option<Offset> {
+        self.holder.fence()
+    }
+}
+
+fn placement_settings(settings: &EntrySettings, shared: &Shared) -> Settings {
+    let fleet = &settings.fleet;
+    let base = Settings::new(
+        settings.name.clone(),
+        settings.zone.clone(),
+        fleet.zones.clone(),
+    );
+    let count = |number: u64| u32::try_from(number).unwrap_or(u32::MAX);
+    Settings {
+        incarnation: shared.incarnation,
+        budget: Budget {
+            rate: f64::from(count(fleet.loads)) / 10.0,
+            slots: count(fleet.parallel),
+            adapters: count(fleet.adapters),
+        },
+        adapter_memory: fleet.adapter,
+        ..base
+    }
+}
+
+impl<L, H, E> Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    /// Tells the placement what happened, if this host is a candidate or the holder.
+    pub(crate) fn place(&mut self, ctx: &mut Context<Self>, event: Event, now: Moment) {
+        for effect in self.placing.holder.handle(event, now) {
+            self.carry_out(ctx, effect);
+        }
+    }
+
+    /// Keeps the lease and the plan going.
+    pub(crate) fn tick_placement(&mut self, ctx: &mut Context<Self>, now: Moment) {
+        if now.since(self.placing.told) >= DEMAND {
+            self.tell_demand(ctx, now);
+        }
+        let candidates = self.members.readers(self.members.zone(), now);
+        let is_candidate = candidates.contains(self.members.host());
+        if !is_candidate && self.placing.fence().is_none() {
+            return;
+        }
+        if self.shared.is_leaving() {
+            self.place(ctx, Event::Drain, now);
+        } else {
+            let event = Event::Members {
+                candidates,
+                leaving: self.leaving.clone(),
+                gone: BTreeSet::new(),
+            };
+            self.place(ctx, event, now);
+        }
+        self.place(ctx, Event::Tick, now);
+    }
+
+    /// Tells the placement of the tables in force.
+    pub(crate) fn place_tables(&mut self, ctx: &mut Context<Self>, now: Moment) {
+        let tables = Arc::new(self.fold.tables().clone());
+        self.place(ctx, Event::Tables(tables), now);
+    }
+
+    /// Tells the placement of an engine's report.
+    pub(crate) fn place_report(
+        &mut self,
+        ctx: &mut Context<Self>,
+        report: &platform::EngineReport,
+        asked: Moment,
+        now: Moment,
+    ) {
+        let event = Event::Report {
+            report: convert_report(report),
+            asked,
+        };
+        self.place(ctx, event, now);
+    }
+
+    fn carry_out(&mut self, ctx: &mut Context<Self>, effect: Effect) {
+        let outside = Rc::clone(&self.outside);
+        let addr = ctx.address();
+        let Some(stream) = self.placing.stream.clone() else {
+            return;
+        };
+        match effect {
+            Effect::Append { id, record } => {
+                let append = async move {
+                    let Ok(body) = serde_json::to_value(&record) else {
+                        return;
+                    };
+                    let new = NewRecord {
+                        id: id.clone(),
+                        body,
+                    };
+                    let event = match outside.log.append(&stream, vec![new]).await {
+                        Ok(offsets) => {
+                            Event::AppendDone(id, offsets.first().copied().unwrap_or_default())
+                        }
+                        Err(error) => {
+                            log::warn!("placement: {error}");
+                            Event::AppendUnknown(id)
+                        }
+                    };
+                    addr.do_send(Happened(event));
+                };
+                ctx.spawn(append.into_actor(self).map(|(), _control, _ctx| ()));
+            }
+            Effect::Read(from) => {
+                let read = async move {
+                    let page = outside.log.read(&stream, from, PAGE, Duration::ZERO).await;
+                    let event = page.map_or(Event::ReadFailed, |page| {
+                        Event::LeaseRead(page.records.into_iter().filter_map(entry).collect())
+                    });
+                    addr.do_send(Happened(event));
+                };
+                ctx.spawn(read.into_actor(self).map(|(), _control, _ctx| ()));
+            }
+            Effect::Send { engine, order } => self.send_order(ctx, engine, &order),
+            Effect::Became(fence) => log::info!("placement: this host orders with fence {fence}"),
+            Effect::Lost => log::info!("placement: this host orders no more"),
+            Effect::MissMet { model, .. } => log::debug!("placement: {model} is there"),
+            Effect::MissExpired { model, .. } => {
+                log::warn!("placement: {model} did not come in time");
+            }
+        }
+    }
+
+    fn send_order(&mut self, ctx: &mut Context<Self>, engine: HostName, order: &Order) {
+        let Some(address) = address_in(self.fold.tables(), &engine) else {
+            return;
+        };
+        let Some(wire) = convert_order(order) else {
+            return;
+        };
+        log::info!("placement: {engine} is ordered: {:?}", order.action);
+        let outside = Rc::clone(&self.outside);
+        let addr = ctx.address();
+        let id = order.id;
+        let send = async move {
+            let outcome = match outside.engine.order(address, &wire).await {
+                Ok(OrderAnswer::Taken) => Outcome::Done,
+                Ok(OrderAnswer::Fenced { highest }) => Outcome::Refused(Offset(highest)),
+                Ok(OrderAnswer::Refused { reason }) => {
+                    log::warn!("placement: {engine} refuses: {reason}");
+                    Outcome::Failed
+                }
+                Err(error) => {
+                    // The order may take effect; the holder repeats it and reads the reports.
+                    log::warn!("placement: {engine}: {error}");
+                    return;
+                }
+            };
+            addr.do_send(Happened(Event::Answer {
+                engine,
+                order: id,
+                outcome,
+            }));
+        };
+        ctx.spawn(send.into_actor(self).map(|(), _control, _ctx| ()));
+    }
+
+    /// Sends this host's demand and misses to the candidates of its zone.
+    fn tell_demand(&mut self, ctx: &mut Context<Self>, now: Moment) {
+        let span = now
+            .since(self.placing.told)
+            .as_secs_f64()
+            .max(DEMAND.as_secs_f64());
+        self.placing.told = now;
+        let mut request = wire::DemandRequest {
+            host: self.members.host().to_string(),
+            models: Vec::new(),
+        };
+        for (model, tokens) in std::mem::take(&mut *lock(&self.shared.asked)) {
+            let rate = rate_of(tokens, span);
+            request.models.push(wire::ModelDemand {
+                model,
+                rate,
+                ..Default::default()
+            });
+        }
+        request.models.extend(self.misses());
+        self.take_demand(ctx, &request, now);
+        let candidates = self.members.readers(self.members.zone(), now);
+        for host in candidates {
+            let Some(address) = self.members.get(&host).map(|member| member.address) else {
+                continue;
+            };
+            if host == *self.members.host() {
+                continue;
+            }
+            let request = request.clone();
+            let send = async move {
+                let Some(open) = channel(address, ANSWER) else {
+                    return;
+                };
+                if let Err(error) = PeerClient::new(open).demand(request).await {
+                    log::debug!("placement: {host} does not hear demand: {}", error.code());
+                }
+            };
+            ctx.spawn(send.into_actor(self).map(|(), _control, _ctx| ()));
+        }
+    }
+
+    fn misses(&self) -> Vec<wire::ModelDemand> {
+        let bound = self.shared.bounds.interactive.queue_wait;
+        let bound = u64::try_from(bound.as_millis()).unwrap_or(u64::MAX);
+        let misses = self.shared.dispatch.take_misses();
+        misses
+            .into_iter()
+            .filter_map(|miss| match miss.work {
+                Work::Model { model, adapter, .. } => Some(wire::ModelDemand {
+                    model: model.to_string(),
+                    adapter: adapter.map(String::from).unwrap_or_default(),
+                    bound,
+                    rate: 0,
+                }),
+                Work::Plain => None,
+            })
+            .collect()
+    }
+
+    /// Takes a host's demand into the zone's and tells the placement of both.
+    fn take_demand(&mut self, ctx: &mut Context<Self>, told: &wire::DemandRequest, now: Moment) {
+        let Ok(host) = HostName::new(&told.host) else {
+            return;
+        };
+        let mut rates = Vec::new();
+        for line in &told.models {
+            let Ok(model) = ModelName::new(&line.model) else {
+                continue;
+            };
+            if line.bound == 0 {
+                let rate = f64::from(u32::try_from(line.rate).unwrap_or(u32::MAX));
+                rates.push(ModelDemand { model, rate });
+                continue;
+            }
+            let event = Event::Miss {
+                model,
+                adapter: line.adapter.parse().ok(),
+                bound: Duration::from_millis(line.bound),
+            };
+            self.place(ctx, event, now);
+        }
+        self.placing.demand.insert(host, (now, rates));
+        self.placing
+            .demand
+            .retain(|_host, (at, _rates)| now.since(*at) < DEMAND_LIFE);
+        if told.host != self.members.host().as_str() {
+            return;
+        }
+        let mut sums: BTreeMap<ModelName, f64> = self
+            .fold
+            .tables()
+            .models
+            .keys()
+            .map(|model| (model.clone(), 0.0))
+            .collect();
+        for (_at, rates) in self.placing.demand.values() {
+            for demand in rates {
+                *sums.entry(demand.model.clone()).or_default() += demand.rate;
+            }
+        }
+        let demand = sums
+            .into_iter()
+            .map(|(model, rate)| ModelDemand { model, rate })
+            .collect();
+        self.place(ctx, Event::Demand(demand), now);
+    }
+}
+
+fn rate_of(tokens: u64, span: f64) -> u64 {
+    let tokens = f64::from(u32::try_from(tokens).unwrap_or(u32::MAX));
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a rate is never negative and far below the bounds of the type"
+    )]
+    let rate = (tokens / span).round() as u64;
+    rate
+}
+
+fn entry(record: platform::StoredRecord) -> Option<Entry> {
+    let body = serde_json::from_value(record.body)
+        .inspect_err(|error| log::warn!("lease: {} is skipped: {error}", record.offset))
+        .ok()?;
+    Some(Entry {
+        offset: record.offset,
+        id: record.id,
+        record: body,
+    })
+}
+
+fn convert_report(report: &platform::EngineReport) -> EngineReport {
+    let moving = |list: &[platform::Loading]| {
+        list.iter()
+            .map(|line| Moving {
+                model: line.model.clone(),
+                version: line.version.clone(),
+            })
+            .collect()
+    };
+    EngineReport {
+        host: report.host.clone(),
+        fence: Offset(report.fence),
+        resident: report
+            .resident
+            .iter()
+            .map(|line| Resident {
+                model: line.model.clone(),
+                version: line.version.clone(),
+                adapters: line.adapters.clone(),
+                running: line.running,
+                waiting: line.waiting,
+            })
+            .collect(),
+        loading: moving(&report.loading),
+        unloading: moving(&report.unloading),
+        used: report.used,
+        total: report.memory,
+        slots: report.slots,
+        at: report.age,
+    }
+}
+
+fn convert_order(order: &Order) -> Option<platform::Order> {
+    let action = match order.action.clone() {
+        Action::Load {
+            model,
+            version,
+            memory,
+        } => platform::OrderAction::Load {
+            model,
+            version,
+            memory,
+        },
+        Action::Unload { model } => platform::OrderAction::Unload { model },
+        Action::LoadAdapter { model, adapter } => {
+            platform::OrderAction::LoadAdapter { model, adapter }
+        }
+        Action::UnloadAdapter { model, adapter } => {
+            platform::OrderAction::UnloadAdapter { model, adapter }
+        }
+        Action::Seal => platform::OrderAction::Seal,
+    };
+    let id = AppendId::new(&format!("{}.{}", order.id.fence, order.id.seq)).ok()?;
+    Some(platform::Order {
+        id,
+        fence: order.fence.0,
+        action,
+    })
+}
+
+impl<L, H, E> Handler<Happened> for Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    type Result = ();
+
+    fn handle(&mut self, Happened(event): Happened, ctx: &mut Self::Context) {
+        self.place(ctx, event, BootClock.now());
+    }
+}
+
+impl<L, H, E> Handler<Demanded> for Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    type Result = ();
+
+    fn handle(&mut self, Demanded(request): Demanded, ctx: &mut Self::Context) {
+        self.take_demand(ctx, &request, BootClock.now());
+    }
+}
--- a/crates/eelgrasshill_entry/src/control/survey.rs
+++ b/crates/eelgrasshill_entry/src/control/survey.rs
@@ -65,7 +65,9 @@
             let addr = context.address();
             let ask = async move {
                 match outside.engine.report(address).await {
-                    Ok(report) if report.host == host => addr.do_send(Reported(report)),
+                    Ok(report) if report.host == host => {
+                        addr.do_send(Reported { report, asked: now });
+                    }
                     Ok(report) => log::warn!("report: {host} answers as {}", report.host),
                     Err(error) => log::debug!("report: {host}: {error}"),
                 }
--- a/crates/eelgrasshill_entry/src/http/plain.rs
+++ b/crates/eelgrasshill_entry/src/http/plain.rs
@@ -2,30 +2,32 @@
 
 use std::sync::Arc;
 
+use actix_web::http::StatusCode;
 use actix_web::web::{Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
-use eelgrasshill_control::{Ask, Grant};
+use eelgrasshill_control::{Ask, CallDigest, CallKey};
 use eelgrasshill_domain::{Moment, Repeat};
-use eelgrasshill_platform::{HttpClient, HttpPlain, Plain, PlainCall, PlainReply};
-use eelgrasshill_route::{Call, Observation, Ticket, Work};
+use eelgrasshill_platform::{HttpClient, HttpPlain, PlainCall, PlainReply};
 
 use crate::http::body::read_body;
 use crate::http::presented::{presented_key, refuse_key_in};
 use crate::measure::{Labels, count_refusal};
+use crate::once::run_once;
+use crate::passing::Passing;
 use crate::{ApiError, BootClock, Code, Shared};
 
+/// The header by which a caller names a call that must run once.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
 /// The headers of a caller that an upstream may see.
 const ALLOWED: [&str; 5] = [
     "accept",
     "accept-language",
     "content-type",
     "content-language",
-    "idempotency-key",
+    IDEMPOTENCY_KEY,
 ];
 
-/// Tokens that a plain call costs.
-const PLAIN_COST: u64 = 1;
-
 /// Answers every path that is not the system's own.
 pub(crate) async fn plain(
     shared: Data<Shared>,
@@ -35,23 +37,58 @@
 ) -> Result<HttpResponse, ApiError> {
     let shared = shared.into_inner();
     let arrived = BootClock.now();
-    let Some(_open) = shared.open(arrived) else {
+    let Some(open) = shared.open(arrived) else {
         return Err(ApiError::not_run(Code::NotReady, "the host is leaving"));
     };
-    let result = pass_on(&shared, &client, &request, payload, arrived).await;
-    result.inspect_err(|error| count_refusal(error.code, None))
+    let passing = match resolve(&shared, &client, &request, payload, arrived).await {
+        Ok(passing) => passing,
+        Err(error) => {
+            count_refusal(error.code, None);
+            return Err(error);
+        }
+    };
+    let organisation = passing.grant.organisation.clone();
+    let labels = Labels::new(organisation.as_ref(), passing.grant.route.class);
+    let id = passing.call.id.to_string();
+    // The call goes on when its caller is gone, since it may run only once.
+    let task = actix_web::rt::spawn(async move {
+        let _open = open;
+        match claim_of(&request, &passing) {
+            Some(claim) => run_once(&shared, &passing, claim).await,
+            None => passing.run(&shared).await,
+        }
+    });
+    let result = task
+        .await
+        .unwrap_or_else(|error| Err(ApiError::unknown(Code::UpstreamFailed, error)));
+    match result {
+        Ok(reply) => {
+            labels.whole_answer(BootClock.now().since(arrived));
+            Ok(respond(id, reply))
+        }
+        Err(error) => {
+            count_refusal(error.code, organisation.as_ref());
+            Err(error)
+        }
+    }
 }
 
-async fn pass_on(
+async fn resolve(
     shared: &Arc<Shared>,
     client: &HttpClient,
     request: &HttpRequest,
     payload: Payload,
     arrived: Moment,
-) -> Result<HttpResponse, ApiError> {
+) -> Result<Passing<HttpPlain>, ApiError> {
     let key = presented_key(request);
     let grant = {
         let picture = shared.picture.load();
+        if !picture.ready {
+            return Err(ApiError::not_run(
+                Code::NotReady,
+                "no tables were received yet",
+            ));
+        }
         let age = shared.tables_age(arrived);
         picture
             .access
@@ -65,13 +102,13 @@
         .map_or("/", |path| path.as_str());
     refuse_key_in(key.as_ref(), path.as_bytes())?;
     refuse_key_in(key.as_ref(), &body)?;
-    let headers = ALLOWED
+    let headers: Vec<_> = ALLOWED
         .iter()
-        .filter_map(|name| {
-            let value = request.headers().get(*name)?.to_str().ok()?;
-            Some(((*name).to_owned(), value.to_owned()))
-        })
+        .filter_map(|name| Some(((*name).to_owned(), header(request, name)?.to_owned())))
         .collect();
+    for (_name, value) in &headers {
+        refuse_key_in(key.as_ref(), value.as_bytes())?;
+    }
     let call = PlainCall {
         id: shared.next_request(),
         method: request.method().clone(),
@@ -80,97 +117,49 @@
         body,
         repeat: grant.route.repeat == Repeat::Allowed,
     };
-    let labels = Labels::new(grant.organisation.as_ref(), grant.route.class);
-    let reply = run(shared, client, &grant, &call, arrived).await?;
-    labels.whole_answer(BootClock.now().since(arrived));
-    Ok(respond(&call, reply))
+    let plain = HttpPlain::new(client.clone());
+    Ok(Passing {
+        plain,
+        grant,
+        call,
+        arrived,
+    })
 }
 
-/// Finds an upstream and sends the call, again if it may be repeated.
-async fn run(
-    shared: &Arc<Shared>,
-    client: &HttpClient,
-    grant: &Grant,
-    call: &PlainCall,
-    arrived: Moment,
-) -> Result<PlainReply, ApiError> {
-    let class = shared.bounds.of(grant.route.class);
-    let until = arrived.after(class.queue_wait);
-    let mut reservation = match &grant.organisation {
-        Some(organisation) => Some(shared.quota.admit(organisation, PLAIN_COST, until).await?),
-        None => None,
-    };
-    let mut avoid = Vec::new();
-    let mut state = None;
-    let plain = HttpPlain::new(client.clone());
-    loop {
-        let id = shared.dispatch.next_id();
-        let pool = grant.route.pool.clone();
-        let mut ticket = Ticket::new(id, grant.route.class, pool, Work::Plain, PLAIN_COST, until)
-            .with_avoid(avoid.clone());
-        ticket.organisation.clone_from(&grant.organisation);
-        let mut place = shared.dispatch.offer(ticket, BootClock.now())?;
-        let host = place.started().await?;
-        let Some(address) = shared.address_of(&host) else {
-            return Err(ApiError::not_run(
-                Code::NoUpstream,
-                "the upstream left the tables",
-            ));
-        };
-        if let Some(reservation) = &mut reservation {
-            reservation.spend(PLAIN_COST);
-        }
-        let sent = state
-            .take()
-            .unwrap_or_else(|| Call::new(grant.route.repeat))
-            .send();
-        let opened = BootClock.now();
-        let outcome = plain.call(address, call, class.whole_answer).await;
-        let now = BootClock.now();
-        let error = match outcome {
-            Ok(reply) if reply.id.as_deref().is_none_or(|id| id == call.id.as_str()) => {
-                shared
-                    .dispatch
-                    .observe(&host, Observation::Answered { opened }, now);
-                let _ran = sent.answer();
-                return Ok(reply);
-            }
-            Ok(_crossed) => ApiError::unknown(
-                Code::UpstreamFailed,
-                "the upstream answered another request",
-            ),
-            Err(error) => {
-                shared
-                    .dispatch
-                    .observe(&host, Observation::ConnectFailed, now);
-                let unsent = error.is_unsent();
-                let refusal = if unsent {
-                    ApiError::not_run
-                } else {
-                    ApiError::unknown
-                };
-                refusal(Code::UpstreamFailed, error)
-            }
-        };
-        log::info!("plain: {} on {host} failed: {}", call.id, error.message);
-        let may_retry = shared
-            .with_retries(|budget| sent.retry(budget, now))
-            .is_ok();
-        if !may_retry {
-            return Err(error);
-        }
-        avoid.push(host);
-        state = Some(Call::new(grant.route.repeat));
+fn header<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
+
+/// Returns the claim of a call that may not be repeated and names its key.
+fn claim_of(
+    request: &HttpRequest,
+    passing: &Passing<HttpPlain>,
+) -> Option<eelgrasshill_control::Call> {
+    if passing.call.repeat {
+        return None;
     }
+    let key = header(request, IDEMPOTENCY_KEY)?;
+    let call = &passing.call;
+    let parts = [
+        call.method.as_str().as_bytes(),
+        call.path.as_bytes(),
+        &call.body,
+    ];
+    Some(eelgrasshill_control::Call {
+        request: call.id.clone(),
+        key: CallKey::new(passing.grant.organisation.as_ref(), key),
+        organisation: passing.grant.organisation.clone(),
+        digest: CallDigest::new(&parts),
+    })
 }
 
-fn respond(call: &PlainCall, reply: PlainReply) -> HttpResponse {
-    let status = actix_web::http::StatusCode::from_u16(reply.status);
-    let mut response =
-        HttpResponse::build(status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY));
+fn respond(id: String, reply: PlainReply) -> HttpResponse {
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
     if let Some(content) = reply.content {
         response.content_type(content);
     }
-    response.insert_header(("x-request-id", call.id.to_string()));
-    response.body(reply.body)
+    response
+        .insert_header(("x-request-id", id))
+        .body(reply.body)
 }
--- a/crates/eelgrasshill_entry/src/lib.rs
+++ b/crates/eelgrasshill_entry/src/lib.rs
@@ -8,6 +8,8 @@
 mod journal;
 mod lock;
 mod measure;
+mod once;
+mod passing;
 mod quota;
 mod refusal;
 mod run;
@@ -15,6 +17,7 @@
 mod signal;
 
 pub use clock::BootClock;
+pub use control::{ClaimCommand, ClaimTurn};
 pub use dispatch::{Dispatch, Place};
 pub use journal::{Journal, Step, StepEvent, Trace};
 pub use quota::{Quota, Reservation};
--- a/crates/eelgrasshill_entry/src/run.rs
+++ b/crates/eelgrasshill_entry/src/run.rs
@@ -20,13 +20,16 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::control::messages::Followed;
-use crate::control::{Control, Outside, carry_out, follow_log, serve_peers};
+use crate::control::{Control, Outside, carry_out, follow_log, forward_claims, serve_peers};
 use crate::http::{serve_admin, serve_callers};
-use crate::{BootClock, Dispatch, Quota, Shared};
+use crate::{BootClock, ClaimCommand, Dispatch, Quota, Shared};
 
 /// How often a draining host looks whether it is empty.
 const DRAIN_TICK: Duration = Duration::from_millis(20);
 
+/// Most claim commands that wait for the control thread.
+const COMMANDS: usize = 4096;
+
 /// Longest time for rights to be released after the last request.
 const RELEASE: Duration = Duration::from_secs(5);
 
@@ -60,8 +63,8 @@
         metrics: Option<PrometheusHandle>,
     ) -> Result<Self, StartError> {
         let (settings, listeners) = bind(settings)?;
-        let (shared, effects) = join(settings, BootClock.incarnation());
-        let control = spawn_control(&shared, effects, listeners.peer)?;
+        let (shared, inbox) = join(settings, BootClock.incarnation());
+        let control = spawn_control(&shared, inbox, listeners.peer)?;
         let (http, callers) = spawn_http(&shared, listeners.callers, listeners.admin, metrics)?;
         log::info!(
             "host: {} serves callers at {} and peers at {}",
@@ -95,12 +98,27 @@
             std::thread::sleep(DRAIN_TICK);
             state = shared.step_drain(DrainEvent::Tick, BootClock.now());
         }
+        self.settle_claims();
         self.release();
         let graceful = state == DrainState::Empty;
         self.end(graceful);
         graceful
     }
 
+    /// Waits until the outcomes of all claims stand in the log, as far as it can be reached.
+    fn settle_claims(&self) {
+        let began = BootClock.now();
+        // The last request's outcome is on its way to the control thread.
+        std::thread::sleep(DRAIN_TICK * 5);
+        while !self.shared.are_claims_idle() {
+            if BootClock.now().since(began) > RELEASE {
+                log::warn!("host: the outcomes of claims were not recorded in time");
+                return;
+            }
+            std::thread::sleep(DRAIN_TICK);
+        }
+    }
+
     fn release(&self) {
         let began = BootClock.now();
         self.shared.quota.with(began, Limiter::drain);
@@ -157,10 +175,13 @@
     ))
 }
 
-fn join(
-    settings: EntrySettings,
-    incarnation: Incarnation,
-) -> (Arc<Shared>, mpsc::Receiver<Effect>) {
+/// What traffic threads ask of the control thread.
+struct Inbox {
+    effects: mpsc::Receiver<Effect>,
+    commands: mpsc::Receiver<ClaimCommand>,
+}
+
+fn join(settings: EntrySettings, incarnation: Incarnation) -> (Arc<Shared>, Inbox) {
     let view = Arc::new(ArcSwap::from_pointee(View::new(&settings.zone, Vec::new())));
     let dispatch = DispatchSettings {
         class_limit: settings.bounds.queue,
@@ -180,13 +201,14 @@
         notice: settings.bounds.leave,
         bound: settings.bounds.drain,
     });
-    let shared = Shared::new(settings, incarnation, view, dispatch, quota, drain);
-    (Arc::new(shared), effects)
+    let (claims, commands) = mpsc::channel(COMMANDS);
+    let shared = Shared::new(settings, incarnation, view, dispatch, quota, drain, claims);
+    (Arc::new(shared), Inbox { effects, commands })
 }
 
 fn spawn_control(
     shared: &Arc<Shared>,
-    effects: mpsc::Receiver<Effect>,
+    inbox: Inbox,
     listener: TcpListener,
 ) -> Result<JoinHandle<()>, StartError> {
     let shared = Arc::clone(shared);
@@ -194,12 +216,12 @@
         .name("control".to_owned())
         .spawn(move || {
             let system = actix::System::new();
-            system.block_on(control(shared, effects, listener));
+            system.block_on(control(shared, inbox, listener));
         })?;
     Ok(thread)
 }
 
-async fn control(shared: Arc<Shared>, effects: mpsc::Receiver<Effect>, listener: TcpListener) {
+async fn control(shared: Arc<Shared>, inbox: Inbox, listener: TcpListener) {
     let client = HttpClient::new(HttpClientSettings::default());
     let answer = client.settings().answer;
     let log = HttpLog::new(client.clone(), shared.settings.log);
@@ -212,7 +234,8 @@
     let addr = Control::new(Arc::clone(&shared), outside, Arc::clone(&news)).start();
     actix::spawn(follow_log(log.clone(), addr.clone(), Followed::Config));
     actix::spawn(follow_log(log.clone(), addr.clone(), Followed::Rights));
-    actix::spawn(carry_out(Arc::clone(&shared), log, effects));
+    actix::spawn(carry_out(Arc::clone(&shared), log, inbox.effects));
+    actix::spawn(forward_claims(addr.clone(), inbox.commands));
     match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => {
             let serve = serve_peers(listener, addr, Arc::clone(&shared), news);
--- a/crates/eelgrasshill_entry/src/shared.rs
+++ b/crates/eelgrasshill_entry/src/shared.rs
@@ -11,9 +11,10 @@
     Admission, Bounds, Drain, DrainEvent, DrainState, RetryBudget, RetrySettings, View,
 };
 use eelgrasshill_settings::EntrySettings;
+use tokio::sync::mpsc;
 
 use crate::lock::lock;
-use crate::{BootClock, Dispatch, Journal, Quota};
+use crate::{BootClock, ClaimCommand, Dispatch, Journal, Quota};
 
 /// An immutable picture of the tables, replaced by the control thread.
 #[derive(Debug, Default)]
@@ -47,6 +48,8 @@
     pub journal: Journal,
     /// How the host's control thread sees itself.
     pub status: ArcSwap<serde_json::Value>,
+    /// Where claims of non-idempotent calls are asked for.
+    pub claims: mpsc::Sender<ClaimCommand>,
     /// Tokens that callers of this host asked for, by model and adapter.
     pub asked: Mutex<FastMap<String, u64>>,
     drain: Mutex<Drain>,
@@ -54,6 +57,7 @@
     fresh: AtomicU64,
     requests: AtomicU64,
     stopped: AtomicBool,
+    claims_idle: AtomicBool,
 }
 
 /// Counts a request as open until it is dropped.
@@ -74,6 +78,7 @@
         dispatch: Dispatch,
         quota: Quota,
         drain: Drain,
+        claims: mpsc::Sender<ClaimCommand>,
     ) -> Self {
         Self {
             settings,
@@ -85,12 +90,14 @@
             quota,
             journal: Journal::default(),
             status: ArcSwap::default(),
+            claims,
             asked: Mutex::default(),
             drain: Mutex::new(drain),
             retries: Mutex::new(RetryBudget::new(RetrySettings::default())),
             fresh: AtomicU64::new(0),
             requests: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
+            claims_idle: AtomicBool::new(true),
         }
     }
 
@@ -168,6 +175,17 @@
         self.stopped.load(Ordering::Relaxed)
     }
 
+    /// Notes whether all claims of this host are settled in the log.
+    pub fn set_claims_idle(&self, idle: bool) {
+        self.claims_idle.store(idle, Ordering::Relaxed);
+    }
+
+    /// Returns whether all claims of this host are settled in the log.
+    #[must_use]
+    pub fn are_claims_idle(&self) -> bool {
+        self.claims_idle.load(Ordering::Relaxed)
+    }
+
     /// Returns where an upstream listens.
     #[must_use]
     pub fn address_of(&self, host: &HostName) -> Option<std::net::SocketAddr> {
--- /dev/null
+++ b/crates/eelgrasshill_entry/tests/plain.rs
@@ -0,0 +1,162 @@
+//! Calls of plain services: passed on without the key, and run at most once where they must be.
+
+#![expect(clippy::unwrap_used, reason = "a test stops at its first failure")]
+
+mod support;
+
+use std::time::Duration;
+
+use eelgrasshill_standin::{FaultSet, Mode, Standin};
+use support::{Fleet, wait_for};
+
+#[derive(Debug, PartialEq, Eq)]
+struct Reply {
+    status: u16,
+    run: String,
+    body: String,
+}
+
+async fn post(url: &str, key: &str, idempotency: Option<&str>, body: &str) -> Reply {
+    let client = awc::Client::builder()
+        .timeout(Duration::from_mins(1))
+        .finish();
+    let mut request = client
+        .post(url)
+        .insert_header(("authorization", format!("Bearer {key}")))
+        .insert_header(("cookie", key));
+    if let Some(idempotency) = idempotency {
+        request = request.insert_header(("idempotency-key", idempotency));
+    }
+    let mut response = request.send_body(body.to_owned()).await.unwrap();
+    let run = response.headers().get("eelgrasshill-run");
+    let run = run
+        .map(|v| v.to_str().unwrap().to_owned())
+        .unwrap_or_default();
+    let status = response.status().as_u16();
+    let body = response.body().await.unwrap();
+    Reply {
+        status,
+        run,
+        body: String::from_utf8(body.to_vec()).unwrap(),
+    }
+}
+
+#[actix_web::test]
+async fn a_booking_runs_once_however_often_it_is_sent() {
+    let mut fleet = Fleet::start(3);
+    let key = fleet.issue_key("crew-1", "crew");
+    let key = key.reveal();
+    let urls: Vec<_> = (0..3).map(|host| fleet.url(host, "/bookings/7")).collect();
+    let calls = urls
+        .iter()
+        .map(|url| post(url, key, Some("booking-7"), "pole 7"));
+    let replies = futures_util::future::join_all(calls).await;
+    for reply in &replies {
+        assert_eq!(reply.status, 200, "{replies:?}");
+        assert_eq!(reply.body, replies[0].body);
+    }
+    let again = post(&urls[2], key, Some("booking-7"), "pole 7").await;
+    assert_eq!((again.status, &again.body), (200, &replies[0].body));
+    let other = post(&urls[1], key, Some("booking-7"), "pole 8").await;
+    assert_eq!(
+        (other.status, other.run.as_str()),
+        (409, "not-run"),
+        "{other:?}"
+    );
+    assert_eq!(fleet.plain.handle.runs().of_key("booking-7"), 1);
+
+    let seen = fleet.plain.handle.seen();
+    assert!(seen.contain("pole 7"), "the stand-in records what it saw");
+    assert!(!seen.contain(key), "the key reached the upstream");
+    fleet.stop();
+}
+
+#[actix_web::test]
+async fn a_lost_answer_is_never_followed_by_a_second_run() {
+    let mut fleet = Fleet::start(2);
+    let key = fleet.issue_key("crew-1", "crew");
+    let key = key.reveal();
+    let lose = FaultSet {
+        lose_share: 1000,
+        ..FaultSet::default()
+    };
+    fleet.plain.handle.faults().set(lose);
+    let url = fleet.url(0, "/bookings/1");
+    let lost = post(&url, key, Some("lost"), "x").await;
+    assert_eq!(
+        (lost.status, lost.run.as_str()),
+        (502, "unknown"),
+        "{lost:?}"
+    );
+    fleet.plain.handle.faults().clear();
+    for host in 0..2 {
+        let url = fleet.url(host, "/bookings/1");
+        let again = post(&url, key, Some("lost"), "x").await;
+        assert_eq!(
+            (again.status, again.run.as_str()),
+            (409, "unknown"),
+            "{again:?}"
+        );
+    }
+    assert_eq!(fleet.plain.handle.runs().of_key("lost"), 1);
+    fleet.stop();
+}
+
+#[actix_web::test]
+async fn without_the_log_a_booking_is_refused_as_not_run_and_never_runs() {
+    let mut fleet = Fleet::start(2);
+    let key = fleet.issue_key("crew-1", "crew");
+    let key = key.reveal();
+    let url = fleet.url(0, "/yard/pole-2");
+    let known = post(&url, key, None, "").await;
+    assert_eq!(
+        known.status, 200,
+        "the host holds tokens before the outage: {known:?}"
+    );
+    let out = FaultSet::new(Mode::Unavailable);
+    fleet.log.handle.faults().set(out);
+    let url = fleet.url(0, "/bookings/2");
+    let refused = post(&url, key, Some("outage"), "x").await;
+    assert_eq!(
+        (refused.status, refused.run.as_str()),
+        (503, "not-run"),
+        "{refused:?}"
+    );
+    fleet.log.handle.faults().clear();
+    wait_for("claims are settled", || {
+        fleet.hosts[0].shared().are_claims_idle()
+    });
+    assert_eq!(fleet.plain.handle.runs().of_key("outage"), 0);
+    // The same key may run now, since the refusal was true.
+    let url = fleet.url(1, "/bookings/2");
+    let booked = post(&url, key, Some("outage"), "x").await;
+    assert_eq!(booked.status, 200, "{booked:?}");
+    assert_eq!(fleet.plain.handle.runs().of_key("outage"), 1);
+    fleet.stop();
+}
+
+#[actix_web::test]
+async fn the_logs_lost_answers_do_not_run_a_booking_twice() {
+    let mut fleet = Fleet::start(3);
+    let key = fleet.issue_key("crew-1", "crew");
+    let key = key.reveal();
+    let lose = FaultSet {
+        lose_share: 1000,
+        ..FaultSet::default()
+    };
+    fleet
+        .log
+        .handle
+        .faults()
+        .set(lose.with_only("POST /streams/claims"));
+    let urls: Vec<_> = (0..3).map(|host| fleet.url(host, "/bookings/3")).collect();
+    let calls = urls.iter().map(|url| post(url, key, Some("doubt"), "x"));
+    let replies = futures_util::future::join_all(calls).await;
+    fleet.log.handle.faults().clear();
+    let runs = fleet.plain.handle.runs().of_key("doubt");
+    assert!(runs <= 1, "{runs} runs: {replies:?}");
+    if replies.iter().all(|reply| reply.run == "not-run") {
+        assert_eq!(runs, 0, "{replies:?}");
+    }
+    fleet.stop();
+}
--- a/crates/eelgrasshill_entry/tests/session.rs
+++ b/crates/eelgrasshill_entry/tests/session.rs
@@ -1,5 +1,7 @@
 //! Whole sessions of callers against entry hosts on stand-ins.
 
+#![expect(clippy::unwrap_used, reason = "a test stops at its first failure")]
+
 mod support;
 
 use eelgrasshill_standin::AnswerText;
@@ -30,7 +32,7 @@
     let mut text = String::new();
     let mut last = String::new();
     for line in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
-        last = line.to_owned();
+        line.clone_into(&mut last);
         if let Ok(event) = serde_json::from_str::<Value>(line) {
             text += event["choices"][0]["delta"]["content"]
                 .as_str()
@@ -40,6 +42,14 @@
     (text, last)
 }
 
+struct Case {
+    name: &'static str,
+    key: Option<String>,
+    body: Value,
+    status: u16,
+    code: &'static str,
+}
+
 #[actix_web::test]
 async fn answers_are_whole_and_refusals_typed() {
     let mut fleet = Fleet::start(3);
@@ -65,13 +75,6 @@
         assert_eq!(whole["choices"][0]["message"]["content"], expected);
     }
 
-    struct Case {
-        name: &'static str,
-        key: Option<String>,
-        body: Value,
-        status: u16,
-        code: &'static str,
-    }
     let fine = json!({ "model": "notes", "messages": messages, "max_tokens": 5 });
     let own = key.map(str::to_owned);
     let cases = [
--- a/crates/eelgrasshill_entry/tests/support/mod.rs
+++ b/crates/eelgrasshill_entry/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A small fleet on stand-ins: the log, the host list, engines, a plain service and hosts.
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
+#![expect(clippy::format_push_string, reason = "short texts, read at a glance")]
 #![expect(clippy::unwrap_used, reason = "a test stops at its first failure")]
 
 use std::net::SocketAddr;
@@ -114,7 +115,8 @@
         let text = format!(
             "[host]\nname = entry-{number}\nzone = {zone}\nlisten = 127.0.0.1:0\n\
              peer = 127.0.0.1:0\nadmin = 127.0.0.1:0\nthreads = 1\n\
-             [platform]\nlog = {}\nhosts = {}\n[bounds]\nleave-ms = 200\n",
+             [platform]\nlog = {}\nhosts = {}\n[bounds]\nleave-ms = 200\n\
+             [fleet]\nzones = zone-a, zone-b, zone-c\n",
             self.log.address, self.list.address,
         );
         let settings = EntrySettings::parse("entry.ini", &text).unwrap();
--- a/crates/eelgrasshill_platform/src/error.rs
+++ b/crates/eelgrasshill_platform/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use derive_more::{Display, Error};
 
 /// Why a call to an upstream or to the platform has no usable answer.
@@ -63,6 +63,13 @@
     pub(crate) fn from_send(address: &str, bound: Duration, error: &SendRequestError) -> Self {
         let address = address.to_owned();
         match error {
+            // The client calls a connection that ended before an answer "disconnected".
+            SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => {
+                Self::Lost {
+                    address,
+                    cause: "the connection ended without an answer".to_owned(),
+                }
+            }
             SendRequestError::Url(_) | SendRequestError::Connect(_) | SendRequestError::Http(_) => {
                 Self::NotSent {
                     address,
--- a/crates/eelgrasshill_settings/src/entry.rs
+++ b/crates/eelgrasshill_settings/src/entry.rs
@@ -6,11 +6,12 @@
 
 use eelgrasshill_domain::{HostName, ZoneName};
 
-use crate::reader::Reader;
+use crate::reader::{Reader, parse_list};
 use crate::section::{Section, read_sections};
 use crate::{Problem, Problems};
 
 const ADDRESS: &str = "an IP number and a port, as in 127.0.0.1:8080";
+const ZONES: &str = "the names of all zones between commas";
 const SECTIONS: &str = "[host], [platform], [peers], [bounds] and [fleet]";
 
 /// Bounds on what callers may take of an entry host.
@@ -33,7 +34,7 @@
 }
 
 /// What the platform can take from the whole fleet; zones share it equally.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetShares {
     /// Model loads in ten seconds.
     pub loads: u64,
@@ -41,8 +42,10 @@
     pub parallel: u64,
     /// Adapter loads at once.
     pub adapters: u64,
+    /// Memory of one adapter in MB.
+    pub adapter: u64,
     /// Zones that share.
-    pub zones: u64,
+    pub zones: Vec<ZoneName>,
 }
 
 /// The settings of one entry host, checked.
@@ -64,6 +67,8 @@
     pub log: SocketAddr,
     /// Where the host list listens.
     pub hosts: SocketAddr,
+    /// How long the log keeps a record.
+    pub retention: Duration,
     /// Peers that are tried while the log and the list are out.
     pub peers: Vec<SocketAddr>,
     /// Bounds on callers.
@@ -126,16 +131,17 @@
             section: section.name,
             allowed: SECTIONS,
         }));
-        match (host, platform) {
-            (Some(host), Some((log, hosts))) if problems.is_empty() => Ok(Self {
+        match (host, platform, fleet) {
+            (Some(host), Some(platform), Some(fleet)) if problems.is_empty() => Ok(Self {
                 name: host.name,
                 zone: host.zone,
                 listen: host.listen,
                 peer: host.peer,
                 admin: host.admin,
                 threads: host.threads,
-                log,
-                hosts,
+                log: platform.log,
+                hosts: platform.hosts,
+                retention: platform.retention,
                 peers,
                 bounds,
                 fleet,
@@ -172,11 +178,23 @@
     })
 }
 
-fn read_platform(mut reader: Reader<'_>) -> Option<(SocketAddr, SocketAddr)> {
+struct PlatformSection {
+    log: SocketAddr,
+    hosts: SocketAddr,
+    retention: Duration,
+}
+
+fn read_platform(mut reader: Reader<'_>) -> Option<PlatformSection> {
+    const HOURS: &str = "hours from 1 to 8760";
     let log = reader.required("log", ADDRESS);
     let hosts = reader.required("hosts", ADDRESS);
+    let hours = reader.number("retention-hours", HOURS, 1..=8760, 24);
     reader.finish();
-    Some((log?, hosts?))
+    Some(PlatformSection {
+        log: log?,
+        hosts: hosts?,
+        retention: Duration::from_secs(hours * 3600),
+    })
 }
 
 fn read_peers(mut reader: Reader<'_>) -> Vec<SocketAddr> {
@@ -227,19 +245,25 @@
     }
 }
 
-fn read_fleet(mut reader: Reader<'_>) -> FleetShares {
+fn read_fleet(mut reader: Reader<'_>) -> Option<FleetShares> {
     let count = "a number from 1 to 10000";
     let loads = reader.number("loads-per-10s", count, 1..=10_000, 20);
     let parallel = reader.number("loads-at-once", count, 1..=10_000, 8);
     let adapters = reader.number("adapters-at-once", count, 1..=10_000, 60);
-    let zones = reader.number("zones", "a number from 1 to 64", 1..=64, 3);
+    let adapter = reader.number("adapter-mb", "MB from 0 to 100000", 0..=100_000, 64);
+    let zones = reader.required_with("zones", ZONES, parse_zones);
     reader.finish();
-    FleetShares {
+    Some(FleetShares {
         loads,
         parallel,
         adapters,
-        zones,
-    }
+        adapter,
+        zones: zones?,
+    })
+}
+
+fn parse_zones(text: &str) -> Option<Vec<ZoneName>> {
+    parse_list(text).filter(|zones| !zones.is_empty())
 }
 
 fn to_usize(number: u64) -> usize {
