Test the load tool and the binary

Cause: the load tool's figures will be quoted, so its counting needs its own proof. An entry host in the test answers by the caller's key (good, refused, cut, typed error, another's text, slow, stalled), so that every count is known. Plain calls go to services that run them twice, never, or in spite of a refusal that says not-run.

--- /dev/null
+++ b/crates/eelgrasshill_standin/tests/load.rs
@@ -0,0 +1,398 @@
+//! The load tool: its plan of arrivals, its counts and its checks.
+
+#![expect(clippy::unwrap_used, reason = "a test may end at the first surprise")]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::web::{self, Bytes};
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer};
+use common::{copy, settings, start};
+use eelgrasshill_domain::Class;
+use eelgrasshill_standin::{
+    AnswerText, Burst, Caller, FaultSet, Goal, LoadError, LoadReport, LoadSettings, ModelShare,
+    Plain, PlainLoad, PlainSettings, Standin as _, Subject, prompt_tokens, run_load, schedule,
+};
+use futures_util::stream::{StreamExt, iter};
+use serde_json::{Value, json};
+
+/// An entry host whose answers depend on the caller's key.
+async fn chat(request: HttpRequest, body: web::Json<Value>) -> HttpResponse {
+    let header = request.headers().get("authorization").unwrap();
+    let key = header.to_str().unwrap().strip_prefix("Bearer ").unwrap();
+    if key == "limited" {
+        let error = json!({"error": {"code": "rate-limited", "message": "later"}});
+        return HttpResponse::TooManyRequests().json(error);
+    }
+    let model = body["model"].as_str().unwrap();
+    let count = body["max_tokens"].as_u64().unwrap();
+    let input = if key == "crossed" {
+        json!("other")
+    } else {
+        body["messages"].clone()
+    };
+    let text = AnswerText::new(model, None, &input);
+    let mut parts: Vec<Value> = (0..count)
+        .map(|index| json!({"choices": [{"index": 0, "delta": {"content": text.token(index)}}]}))
+        .collect();
+    if key == "withdrawn" {
+        parts.push(json!({"error": {"code": "key-withdrawn", "message": "gone"}}));
+    }
+    let mut events: Vec<String> = parts
+        .iter()
+        .map(|part| format!("data: {part}\n\n"))
+        .collect();
+    if key != "cut" {
+        events.push("data: [DONE]\n\n".to_owned());
+    }
+    let pause = match key {
+        "slow" => Duration::from_millis(260),
+        "stalled" => Duration::from_millis(700),
+        _ => Duration::ZERO,
+    };
+    let stream = iter(events).then(move |event| async move {
+        tokio::time::sleep(pause).await;
+        Ok::<_, std::io::Error>(Bytes::from(event))
+    });
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .streaming(Box::pin(stream))
+}
+
+/// A plain call that runs behind the entry host as its path says.
+async fn plain(service: web::Data<SocketAddr>, request: HttpRequest) -> HttpResponse {
+    let path = request.path();
+    let runs = match path {
+        "/lost" | "/refused" => 0,
+        "/twice" => 2,
+        _ => 1,
+    };
+    let key = request.headers().get("idempotency-key").unwrap();
+    for _ in 0..runs {
+        let call = awc::Client::default()
+            .post(format!("http://{}{path}", service.get_ref()))
+            .insert_header(("idempotency-key", key.to_str().unwrap()));
+        call.send().await.unwrap();
+    }
+    match path {
+        "/refused" | "/untrue" => HttpResponse::ServiceUnavailable()
+            .insert_header(("eelgrasshill-run", "not-run"))
+            .finish(),
+        "/unknown" => HttpResponse::Conflict()
+            .insert_header(("eelgrasshill-run", "unknown"))
+            .finish(),
+        _ => HttpResponse::Ok().finish(),
+    }
+}
+
+fn entry(service: SocketAddr) -> SocketAddr {
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(service))
+            .route("/v1/chat/completions", web::post().to(chat))
+            .default_service(web::to(plain))
+    })
+    .workers(1)
+    .disable_signals()
+    .bind("127.0.0.1:0")
+    .unwrap();
+    let address = server.addrs()[0];
+    actix_web::rt::spawn(server.run());
+    address
+}
+
+/// Runs a load beside the caller's system.
+async fn run(settings: LoadSettings) -> LoadReport {
+    web::block(move || run_load(&settings))
+        .await
+        .unwrap()
+        .unwrap()
+}
+
+fn small(targets: Vec<SocketAddr>, callers: Vec<Caller>) -> LoadSettings {
+    LoadSettings {
+        rate: 400.0,
+        count: 60,
+        answer: (3, 5),
+        callers,
+        threads: 2,
+        goal: Goal {
+            first: Duration::from_secs(20),
+            mean: Duration::from_secs(20),
+            tail: Duration::from_secs(20),
+        },
+        stall: Duration::from_secs(20),
+        ..LoadSettings::new(targets, Caller::new("x", "x"), ModelShare::new("assist"))
+    }
+}
+
+#[actix_web::test]
+async fn answers_are_counted_by_what_came_of_them() {
+    struct Case {
+        key: &'static str,
+        /// Completed, attained, refused, broken, wrong, stalled: all answers or none.
+        all: [bool; 6],
+    }
+    let case = |key, all| Case { key, all };
+    let cases = [
+        case("good", [true, true, false, false, false, false]),
+        case("limited", [false, false, true, false, false, false]),
+        case("cut", [false, false, false, true, false, false]),
+        case("withdrawn", [false, false, false, true, false, false]),
+        case("crossed", [true, false, false, false, true, false]),
+        case("stalled", [true, false, false, false, false, true]),
+        case("slow", [true, false, false, false, false, false]),
+    ];
+    let target = entry(SocketAddr::from(([127, 0, 0, 1], 9)));
+    let callers = cases
+        .iter()
+        .map(|case| Caller::new(case.key, case.key))
+        .collect();
+    let mut load = small(vec![target], callers);
+    load.goal.mean = Duration::from_millis(200);
+    load.stall = Duration::from_millis(600);
+    load.accelerators = Some(2);
+    let report = run(load).await;
+    assert_eq!(report.total.requests, 60);
+    for case in &cases {
+        let row = report
+            .rows
+            .iter()
+            .find(|row| row.organisation == case.key)
+            .unwrap();
+        let [completed, attained, refused, broken, wrong, stalled] =
+            case.all.map(|all| if all { row.requests } else { 0 });
+        let exact = [
+            row.completed,
+            row.refused,
+            row.wrongful,
+            row.broken,
+            row.wrong,
+        ];
+        assert_eq!(
+            exact,
+            [completed, refused, refused, broken, wrong],
+            "{row:?}"
+        );
+        assert!(
+            row.stalled >= stalled && row.attained <= attained,
+            "{row:?}"
+        );
+        assert_eq!(row.served, row.attained, "{row:?}");
+    }
+    let row = |name: &str| {
+        report
+            .rows
+            .iter()
+            .find(|row| row.organisation == name)
+            .unwrap()
+    };
+    assert_eq!(report.refusals["429 rate-limited"], row("limited").requests);
+    assert_eq!(report.breaks["cut"], row("cut").requests);
+    assert_eq!(report.breaks["key-withdrawn"], row("withdrawn").requests);
+    assert!(row("slow").gap.median >= 259.0);
+    assert!(row("good").attained > 0);
+    let worst = report.worst.as_ref().unwrap();
+    assert!(worst.attainment <= 0.0 && worst.organisation != "good");
+    assert!(report.accelerator.is_some());
+    assert!(report.to_string().contains("refused 429 rate-limited"));
+    let written = serde_json::to_string(&report).unwrap();
+    let read: LoadReport = serde_json::from_str(&written).unwrap();
+    assert_eq!(read.total.requests, 60);
+}
+
+#[actix_web::test]
+async fn a_direct_load_is_checked_against_the_engines() {
+    let engines: Vec<_> = (0..2)
+        .map(|_| start(settings().with_model(copy("tags", 20, &[]))))
+        .collect();
+    let targets = engines.iter().map(|engine| engine.address).collect();
+    let models = ["assist", "assist:field", "tags"]
+        .map(ModelShare::new)
+        .to_vec();
+    let classes = [Class::Urgent, Class::Interactive, Class::Batch];
+    let callers = classes
+        .map(|class| Caller::new("lakeshore", "k").with_class(class))
+        .to_vec();
+    let mut load = small(targets, callers);
+    load.direct = true;
+    load.models = models;
+    let report = run(load.clone()).await;
+    assert_eq!(report.rows.len(), 3);
+    assert_eq!(
+        (report.total.completed, report.total.wrong),
+        (60, 0),
+        "{report}"
+    );
+    assert_eq!(report.total.attained, 60);
+    let finished: u64 = engines
+        .iter()
+        .map(|engine| engine.handle.counts().finished)
+        .sum();
+    assert_eq!(finished, 60);
+    for engine in &engines {
+        engine.handle.faults().set(FaultSet {
+            cross: 1,
+            ..FaultSet::default()
+        });
+    }
+    let report = run(load.clone()).await;
+    assert_eq!(report.breaks.get("crossed"), Some(&2), "{report}");
+    load.models = vec![ModelShare::new("absent")];
+    let report = run(load).await;
+    assert_eq!(report.refusals["404 model-not-resident"], 60, "{report}");
+}
+
+#[actix_web::test]
+async fn plain_calls_are_compared_with_the_services_counts() {
+    struct Case {
+        path: &'static str,
+        /// Acknowledged, refused, unknown, twice, lost, untrue: all calls or none.
+        all: [bool; 6],
+    }
+    let case = |path, all| Case { path, all };
+    let cases = [
+        case(
+            "/honest-but-repeated",
+            [true, false, false, true, false, false],
+        ),
+        case("/twice", [true, false, false, true, false, false]),
+        case("/lost", [true, false, false, false, true, false]),
+        case("/refused", [false, true, false, false, false, false]),
+        case("/untrue", [false, true, false, true, false, true]),
+        case("/unknown", [false, false, true, true, false, false]),
+    ];
+    for case in cases {
+        let service = Plain::new(PlainSettings::default()).spawn_thread().unwrap();
+        let target = entry(service.address);
+        let mut load = small(vec![target], vec![Caller::new("kjallaravakt", "k")]);
+        load.count = 8;
+        load.plain = Some(PlainLoad {
+            path: case.path.to_owned(),
+            share: 1.0,
+            tries: 2,
+            check: vec![service.address],
+        });
+        let report = run(load).await;
+        let plain = report.plain.unwrap();
+        let counts = [
+            plain.acknowledged,
+            plain.refused,
+            plain.unknown,
+            plain.twice,
+            plain.lost,
+            plain.untrue,
+        ];
+        assert!(plain.checked && plain.calls == 8);
+        let wanted = case.all.map(|all| if all { 8 } else { 0 });
+        if case.path == "/honest-but-repeated" {
+            // One call in four is sent again; this entry host doesn't drop repeats.
+            assert_eq!(counts, [8, 0, 0, 2, 0, 0], "{}", case.path);
+            assert_eq!(plain.sent, 10);
+        } else {
+            assert_eq!(counts, wanted, "{}", case.path);
+        }
+    }
+}
+
+#[test]
+fn arrivals_follow_the_seed_the_rate_and_the_bursts() {
+    let seconds = Duration::from_secs;
+    let target = SocketAddr::from(([127, 0, 0, 1], 9));
+    for seed in 0..8 {
+        let load = LoadSettings {
+            seed,
+            rate: 100.0,
+            count: 100_000,
+            span: seconds(40),
+            callers: vec![
+                Caller::new("a", "k").with_share(3.0),
+                Caller::new("b", "k").with_limit(200, 2000),
+            ],
+            models: vec![ModelShare::new("m").with_share(9.0), ModelShare::new("n")],
+            bursts: vec![
+                Burst {
+                    subject: Subject::Organisation("b".to_owned()),
+                    factor: 5.0,
+                    from: seconds(10),
+                    until: seconds(20),
+                },
+                Burst {
+                    subject: Subject::Model("n".to_owned()),
+                    factor: 10.0,
+                    from: seconds(20),
+                    until: seconds(30),
+                },
+            ],
+            ..LoadSettings::new(vec![target], Caller::new("a", "k"), ModelShare::new("m"))
+        };
+        let arrivals = schedule(&load);
+        assert_eq!(arrivals, schedule(&load), "the seed decides");
+        assert!(arrivals.is_sorted_by_key(|arrival| arrival.at));
+        let part = |from, until, caller: Option<usize>, model: Option<usize>| {
+            let during = arrivals.iter().filter(|arrival| {
+                arrival.at >= seconds(from)
+                    && arrival.at < seconds(until)
+                    && caller.is_none_or(|caller| arrival.caller == caller)
+                    && model.is_none_or(|model| arrival.model == model)
+            });
+            u32::try_from(during.count()).map(f64::from).unwrap()
+        };
+        let expected = [
+            (part(0, 10, None, None), 1000.0),
+            (part(0, 10, Some(1), None), 250.0),
+            (part(10, 20, Some(0), None), 750.0),
+            (part(10, 20, Some(1), None), 1250.0),
+            (part(0, 20, None, Some(1)), 300.0),
+            (part(20, 30, None, Some(1)), 1000.0 * 10.0 / 19.0),
+            (part(20, 40, None, None), 2000.0),
+        ];
+        for (count, mean) in expected {
+            let spread = 5.0 * f64::sqrt(mean);
+            assert!(
+                (count - mean).abs() < spread,
+                "seed {seed}: {count} of {mean}"
+            );
+        }
+        check_within(&load);
+    }
+}
+
+/// Checks each window that ends with an admitted request against rate and burst.
+fn check_within(load: &LoadSettings) {
+    let limit = load.callers[1].limit.unwrap();
+    let admitted: Vec<_> = schedule(load)
+        .into_iter()
+        .filter(|arrival| arrival.caller == 1 && arrival.within)
+        .map(|arrival| {
+            (
+                arrival.at,
+                prompt_tokens(&arrival.messages) + arrival.tokens,
+            )
+        })
+        .collect();
+    assert!(!admitted.is_empty());
+    for (from, (start, _cost)) in admitted.iter().enumerate() {
+        let mut used = 0;
+        for (at, cost) in &admitted[from..] {
+            used += cost;
+            let millis = u64::try_from(at.saturating_sub(*start).as_millis()).unwrap();
+            let allowed = limit.burst + limit.rate * (millis + 1) / 1000 + 1;
+            assert!(used <= allowed, "{used} of {allowed}");
+        }
+    }
+}
+
+#[test]
+fn a_load_that_cannot_be_run_says_why() {
+    let target = SocketAddr::from(([127, 0, 0, 1], 9));
+    let good = || LoadSettings::new(vec![target], Caller::new("a", "k"), ModelShare::new("m"));
+    let mut range = good();
+    range.answer = (5, 4);
+    let mut models = good();
+    models.models.clear();
+    assert!(matches!(run_load(&range), Err(LoadError::Range)));
+    assert!(matches!(run_load(&models), Err(LoadError::Empty)));
+}
--- /dev/null
+++ b/crates/eelgrasshill_standin/tests/program.rs
@@ -0,0 +1,152 @@
+//! The binary: its flags, the address that it prints, and a load from the shell.
+
+#![expect(clippy::unwrap_used, reason = "a test may end at the first surprise")]
+
+mod common;
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+
+use argh::FromArgs;
+use eelgrasshill_standin::{Arguments, LoadReport};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_eelgrasshill-standin");
+const FREE: &str = "127.0.0.1:0";
+
+/// A process that is killed when the test ends.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.0.kill().unwrap();
+        self.0.wait().unwrap();
+    }
+}
+
+/// Starts a stand-in and reads the addresses that it prints.
+fn spawn(arguments: &[&str], lines: usize) -> (Process, Vec<SocketAddr>) {
+    let mut child = Command::new(PROGRAM)
+        .args(arguments)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let output = BufReader::new(child.stdout.take().unwrap());
+    let process = Process(child);
+    let addresses = output
+        .lines()
+        .take(lines)
+        .map(|line| line.unwrap().split(' ').nth(1).unwrap().parse().unwrap())
+        .collect();
+    (process, addresses)
+}
+
+async fn get(address: SocketAddr, path: &str) -> u16 {
+    let url = format!("http://{address}{path}");
+    let answer = awc::Client::default().get(url).send().await.unwrap();
+    answer.status().as_u16()
+}
+
+#[actix_web::test]
+async fn each_stand_in_serves_as_a_process() {
+    let host = "e-1,duluth-yard,127.0.0.1:9,entry,leaving";
+    let model = "assist,1,40,field+yard";
+    let cases: [(&[&str], &str); 5] = [
+        (&["log", "--rate", "9"], "/streams/s?from=1&max=1&wait=0"),
+        (&["hosts", "--host", host], "/hosts"),
+        (&["store", "--rate", "2.5"], "/admin/counts"),
+        (&["plain", "--name", "yard"], "/any/path"),
+        (
+            &[
+                "engine",
+                "--host",
+                "g-1",
+                "--model",
+                model,
+                "--fencing",
+                "ignored",
+            ],
+            "/report",
+        ),
+    ];
+    for (arguments, path) in cases {
+        let arguments: Vec<&str> = arguments
+            .iter()
+            .copied()
+            .chain(["--listen", FREE])
+            .collect();
+        let (_process, addresses) = spawn(&arguments, 1);
+        assert_eq!(get(addresses[0], path).await, 200, "{path}");
+        assert_eq!(get(addresses[0], "/admin/faults").await, 200, "{path}");
+    }
+}
+
+#[actix_web::test]
+async fn a_load_goes_through_a_relay_to_an_engine() {
+    let model = "assist,1,40";
+    let engine = [
+        "engine", "--host", "g-1", "--model", model, "--speed", "10", "--listen", FREE,
+    ];
+    let (_engine, engine) = spawn(&engine, 1);
+    let target = engine[0].to_string();
+    let relay = [
+        "relay", "--link", FREE, "--listen", FREE, "--target", &target,
+    ];
+    let (_relay, relay) = spawn(&relay, 2);
+    assert_eq!(get(relay[1], "/admin/relay").await, 200);
+    let output = Command::new(PROGRAM)
+        .args(["load", "--direct", "--json", "--model", "assist"])
+        .args(["--caller", "lakeshore,k,1,urgent,1000,5000"])
+        .args([
+            "--count",
+            "10",
+            "--rate",
+            "200",
+            "--target",
+            &relay[0].to_string(),
+        ])
+        .output()
+        .unwrap();
+    assert!(output.status.success(), "{output:?}");
+    let report: LoadReport = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!((report.total.completed, report.total.wrong), (10, 0));
+}
+
+#[test]
+fn flags_with_a_mistake_are_refused_with_their_form() {
+    let cases: [(&[&str], &str); 9] = [
+        (&["log"], "--listen"),
+        (&["log", "--listen", "here"], "listen"),
+        (
+            &["engine", "--listen", FREE, "--host", "no space"],
+            "host name",
+        ),
+        (
+            &["engine", "--listen", FREE, "--host", "g", "--model", "a,1"],
+            "NAME,VERSION,MB",
+        ),
+        (
+            &["engine", "--listen", FREE, "--host", "g", "--fencing", "x"],
+            "checked or ignored",
+        ),
+        (
+            &["hosts", "--listen", FREE, "--host", "a,b,c,entry"],
+            "not an address",
+        ),
+        (
+            &["load", "--caller", "a,k,1,soon"],
+            "urgent, interactive or batch",
+        ),
+        (&["load", "--burst", "key,a,1,0,1"], "org or model"),
+        (&["load", "--model", "a,b,c"], "MODEL[:ADAPTER]"),
+    ];
+    for (arguments, text) in cases {
+        let early = Arguments::from_args(&["eelgrasshill-standin"], arguments).unwrap_err();
+        assert!(early.status.is_err());
+        assert!(
+            early.output.contains(text),
+            "{arguments:?}: {}",
+            early.output
+        );
+    }
+}
