--- a/crates/eelgrasshill_settings/src/lib.rs
+++ b/crates/eelgrasshill_settings/src/lib.rs
@@ -13,4 +13,4 @@
 pub use entry::{Bounds, EntrySettings, FleetShares};
 pub use problem::{Problem, Problems};
 pub use render::{render_pools, render_routes};
-pub use tables::read_tables;
+pub use tables::{EditedTables, read_edited, read_tables};
--- a/crates/eelgrasshill_settings/src/render.rs
+++ b/crates/eelgrasshill_settings/src/render.rs
@@ -3,13 +3,14 @@
 use std::fmt::{self, Write};
 
 use eelgrasshill_domain::{
-    Caller, Fencing, Host, Model, OnStale, PoolKind, Repeat, Route, Tables, Target,
+    Caller, Fencing, Host, Model, OnStale, PoolKind, Repeat, Route, Tables, Target, Version,
 };
 
-/// Writes the routes table as INI.
+/// Writes the routes table of a version as INI.
 #[must_use]
-pub fn render_routes(tables: &Tables) -> String {
+pub fn render_routes(tables: &Tables, from: Version) -> String {
     written(|out| {
+        write_edit(out, from)?;
         for (name, row) in &tables.organisations {
             writeln!(out, "[organisation.{name}]")?;
             writeln!(
@@ -26,10 +27,11 @@
     })
 }
 
-/// Writes the pools table as INI.
+/// Writes the pools table of a version as INI.
 #[must_use]
-pub fn render_pools(tables: &Tables) -> String {
+pub fn render_pools(tables: &Tables, from: Version) -> String {
     written(|out| {
+        write_edit(out, from)?;
         for (name, row) in &tables.pools {
             let kind = match row.kind {
                 PoolKind::Engines => "engines",
@@ -56,6 +58,10 @@
     text
 }
 
+fn write_edit(out: &mut String, from: Version) -> fmt::Result {
+    writeln!(out, "[edit]\nfrom = {from}\n")
+}
+
 fn write_route(out: &mut String, row: &Route) -> fmt::Result {
     match &row.caller {
         Caller::Open => writeln!(out, "caller = open")?,
@@ -104,7 +110,10 @@
         "pool = {}\nmemory-mb = {}\nversion = {}",
         row.pool, row.memory, row.version
     )?;
-    writeln!(out, "adapters = {}\n", joined(&row.adapters))
+    if !row.adapters.is_empty() {
+        writeln!(out, "adapters = {}", joined(&row.adapters))?;
+    }
+    writeln!(out)
 }
 
 fn joined<T: ToString>(names: &[T]) -> String {
--- a/crates/eelgrasshill_settings/src/tables.rs
+++ b/crates/eelgrasshill_settings/src/tables.rs
@@ -2,17 +2,27 @@
 
 use eelgrasshill_domain::{
     Caller, Class, Fencing, Host, Model, ModelName, OnStale, OrgName, Organisation, Pool, PoolKind,
-    Repeat, Route, Row, RowKey, Tables, Target,
+    Repeat, Route, Row, RowKey, Tables, Target, Version,
 };
 
 use crate::reader::{Reader, parse_list};
 use crate::section::{Section, read_sections};
 use crate::{Problem, Problems};
 
-const ROUTES: &str = "[organisation.NAME] and [route.NAME]";
-const POOLS: &str = "[pool.NAME], [host.NAME] and [model.NAME]";
+const ROUTES: &str = "[edit], [organisation.NAME] and [route.NAME]";
+const POOLS: &str = "[edit], [pool.NAME], [host.NAME] and [model.NAME]";
+const EDIT: &str = "edit";
 const POOL: &str = "the name of a [pool.NAME] section of the pools table";
 
+/// Both tables as an operator edited them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EditedTables {
+    /// The rows.
+    pub tables: Tables,
+    /// The lowest version that either file says it was edited from.
+    pub from: Version,
+}
+
 /// Reads the routes table and the pools table and checks that they join.
 ///
 /// # Errors
@@ -24,24 +34,26 @@
     pools_file: &str,
     pools: &str,
 ) -> Result<Tables, Problems> {
+    read_edited(routes_file, routes, pools_file, pools).map(|edited| edited.tables)
+}
+
+/// Reads both tables and the version that they were edited from.
+///
+/// # Errors
+///
+/// Returns every mistake of both files.
+pub fn read_edited(
+    routes_file: &str,
+    routes: &str,
+    pools_file: &str,
+    pools: &str,
+) -> Result<EditedTables, Problems> {
     let mut problems = Vec::new();
     let mut tables = Tables::default();
-    read_table(
-        routes_file,
-        routes,
-        ROUTES,
-        read_route_row,
-        &mut tables,
-        &mut problems,
-    );
-    read_table(
-        pools_file,
-        pools,
-        POOLS,
-        read_pool_row,
-        &mut tables,
-        &mut problems,
-    );
+    let mut read =
+        |file, text, allowed, row| read_table(file, text, allowed, row, &mut tables, &mut problems);
+    let from = read(routes_file, routes, ROUTES, read_route_row as ReadRow);
+    let from = from.min(read(pools_file, pools, POOLS, read_pool_row));
     if problems.is_empty()
         && let Err(errors) = tables.check_join()
     {
@@ -52,7 +64,7 @@
         }));
     }
     if problems.is_empty() {
-        Ok(tables)
+        Ok(EditedTables { tables, from })
     } else {
         Err(Problems { list: problems })
     }
@@ -77,16 +89,25 @@
     read: ReadRow,
     tables: &mut Tables,
     problems: &mut Vec<Problem>,
-) {
+) -> Version {
+    let mut from = Version::default();
     let sections = match read_sections(file, text) {
         Ok(sections) => sections,
         Err(problem) => {
             problems.push(problem);
-            return;
+            return from;
         }
     };
     for section in sections {
         let name = section.name.clone();
+        if name == EDIT {
+            let mut reader = Reader::new(file, section, problems);
+            from = reader
+                .required("from", "the version that the file was edited from")
+                .map_or(from, Version);
+            reader.finish();
+            continue;
+        }
         let (kind, row) = name.split_once('.').unwrap_or((&name, ""));
         match read(kind, row, reader_of(file, section, problems)) {
             Some(Ok((key, row))) => {
@@ -103,6 +124,7 @@
             None => {}
         }
     }
+    from
 }
 
 fn reader_of<'a>(file: &'a str, section: Section, problems: &'a mut Vec<Problem>) -> Reader<'a> {
--- /dev/null
+++ b/crates/eelgrasshill_settings/tests/tables.rs
@@ -0,0 +1,126 @@
+//! Reads good and bad files; a bad one must name file, section, field and what is allowed.
+
+#![expect(clippy::unwrap_used, reason = "a test stops at its first failure")]
+
+use std::path::Path;
+
+use eelgrasshill_domain::Version;
+use eelgrasshill_settings::{EntrySettings, read_edited, render_pools, render_routes};
+
+fn example(name: &str, file: &str) -> String {
+    let path = format!(
+        "{}/../../examples/{name}/{file}",
+        env!("CARGO_MANIFEST_DIR")
+    );
+    std::fs::read_to_string(path).unwrap()
+}
+
+#[test]
+fn examples_are_read_and_written_without_loss() {
+    struct Case {
+        name: &'static str,
+        models: usize,
+        engines: usize,
+        adapters: usize,
+    }
+    let cases = [
+        Case {
+            name: "lakeshore",
+            models: 20,
+            engines: 15,
+            adapters: 60,
+        },
+        Case {
+            name: "kjallaravakt",
+            models: 15,
+            engines: 15,
+            adapters: 80,
+        },
+    ];
+    for case in cases {
+        let (routes, pools) = (
+            example(case.name, "routes.ini"),
+            example(case.name, "pools.ini"),
+        );
+        let edited = read_edited("routes.ini", &routes, "pools.ini", &pools).unwrap();
+        let tables = edited.tables;
+        assert_eq!((tables.organisations.len(), edited.from), (5, Version(0)));
+        assert_eq!(tables.models.len(), case.models);
+        assert_eq!(
+            tables.hosts.values().filter(|h| h.accelerators > 0).count(),
+            case.engines
+        );
+        let adapters: usize = tables.models.values().map(|m| m.adapters.len()).sum();
+        assert_eq!(adapters, case.adapters);
+        let routes = render_routes(&tables, Version(7));
+        let pools = render_pools(&tables, Version(9));
+        let again = read_edited("r", &routes, "p", &pools).unwrap();
+        assert_eq!((again.tables, again.from), (tables, Version(7)));
+        let entry = example(case.name, "entry.ini");
+        EntrySettings::parse("entry.ini", &entry).unwrap();
+    }
+}
+
+#[test]
+fn every_mistake_is_named_with_its_place() {
+    struct Case {
+        name: &'static str,
+        routes: &'static str,
+        pools: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "fields",
+            routes: "[organisation.crew]\nrate = many\nweight = 0\n\n\
+                     [route.a]\ncaller = crew\nmodels = m\npool = p\nclass = soon\nrepeat = maybe\n\
+                     colour = red\n",
+            pools: "[pool.p]\nkind = both\n[host.h]\npool = p\nzone = z\naddress = example:80\n",
+        },
+        Case {
+            name: "sections",
+            routes: "[limits]\nrate = 3\n[pool.p]\nkind = plain\n",
+            pools: "[route.a]\ncaller = open\n[edit]\nfrom = last\n",
+        },
+        Case {
+            name: "join",
+            routes: "[route.a]\ncaller = crew\nmodels = m, n\npool = p\nclass = batch\nrepeat = yes\n",
+            pools: "[pool.q]\nkind = engines\n[model.m]\npool = q\nmemory-mb = 5\nversion = 1\n",
+        },
+        Case {
+            name: "syntax",
+            routes: "[route.a\ncaller",
+            pools: "",
+        },
+    ];
+    for case in cases {
+        let problems = read_edited("routes.ini", case.routes, "pools.ini", case.pools);
+        insta::assert_snapshot!(format!("tables_{}", case.name), problems.unwrap_err());
+    }
+}
+
+#[test]
+fn entry_settings_are_checked_in_full() {
+    struct Case {
+        name: &'static str,
+        text: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "empty",
+            text: "",
+        },
+        Case {
+            name: "wrong",
+            text: "[host]\nname = a b\nzone = z\nlisten = localhost:80\npeer = 127.0.0.1:1\n\
+                   admin = 127.0.0.1:2\nthreads = 900\nport = 3\n\
+                   [platform]\nlog = 127.0.0.1:3\nhosts = 127.0.0.1\n[bounds]\nqueue = none\n\
+                   [cluster]\nsize = 3\n",
+        },
+    ];
+    for case in cases {
+        let problems = EntrySettings::parse("entry.ini", case.text);
+        insta::assert_snapshot!(format!("entry_{}", case.name), problems.unwrap_err());
+    }
+    let missing = EntrySettings::read(Path::new("no-such-file.ini")).unwrap_err();
+    assert!(missing.to_string().starts_with("no-such-file.ini: "));
+}
