--- a/crates/eelgrasshill_route/src/dispatcher.rs
+++ b/crates/eelgrasshill_route/src/dispatcher.rs
@@ -58,6 +58,14 @@
     seq: u64,
 }
 
+#[derive(Clone, Debug)]
+struct Running {
+    host: HostName,
+    pool: PoolName,
+    class: Class,
+    payer: Payer,
+}
+
 /// Queues tickets and starts them on upstreams that have room.
 #[derive(Clone, Debug)]
 pub struct Dispatcher<P> {
@@ -66,7 +74,7 @@
     weights: FastMap<OrgName, u32>,
     pools: BTreeMap<PoolName, PoolQueue>,
     places: FastMap<TicketId, Place>,
-    running: FastMap<TicketId, HostName>,
+    running: FastMap<TicketId, Running>,
     expiries: BTreeSet<(Moment, TicketId)>,
     misses: Misses,
     fleet: Fleet,
@@ -175,8 +183,14 @@
             let id = entry.ticket.id;
             self.places.remove(&id);
             self.expiries.remove(&(entry.expires, id));
-            self.running.insert(id, host.clone());
             let ticket = entry.ticket;
+            let running = Running {
+                host: host.clone(),
+                pool: ticket.pool.clone(),
+                class: ticket.class,
+                payer: ticket.organisation.clone(),
+            };
+            self.running.insert(id, running);
             decisions.push(Decision::Start { ticket, host });
         }
         decisions.extend(self.misses.report(now).map(Decision::Miss));
@@ -185,11 +199,7 @@
 
     /// Frees what a running ticket used; returns whether it ran.
     pub fn finish(&mut self, ticket: TicketId, now: Moment) -> bool {
-        let Some(host) = self.running.remove(&ticket) else {
-            return false;
-        };
-        self.fleet.finish(&host, ticket, now);
-        true
+        self.end(ticket, now).is_some()
     }
 
     /// Drops a ticket whose caller went away.
@@ -197,11 +207,8 @@
         if self.remove(ticket).is_some() {
             return Cancelled::Waiting;
         }
-        let Some(host) = self.running.remove(&ticket) else {
-            return Cancelled::Unknown;
-        };
-        self.fleet.finish(&host, ticket, now);
-        Cancelled::Running(host)
+        self.end(ticket, now)
+            .map_or(Cancelled::Unknown, Cancelled::Running)
     }
 
     /// Takes in what this host's traffic showed of an upstream.
@@ -236,6 +243,16 @@
         self.running.len()
     }
 
+    /// Frees what a running ticket used and returns its upstream.
+    fn end(&mut self, ticket: TicketId, now: Moment) -> Option<HostName> {
+        let ended = self.running.remove(&ticket)?;
+        self.fleet.finish(&ended.host, ticket, now);
+        if let Some(queue) = self.pools.get_mut(&ended.pool) {
+            queue.finish(ended.class, &ended.payer);
+        }
+        Some(ended.host)
+    }
+
     fn remove(&mut self, ticket: TicketId) -> Option<Entry> {
         let place = self.places.remove(&ticket)?;
         let queue = self.pools.get_mut(&place.pool)?;
--- a/crates/eelgrasshill_route/src/fleet.rs
+++ b/crates/eelgrasshill_route/src/fleet.rs
@@ -24,6 +24,14 @@
     pub(crate) aged: Option<AgedPace>,
 }
 
+impl Allowance {
+    /// Returns the allowance with a percentage of the slots left free.
+    pub(crate) fn without(self, reserve: u32) -> Self {
+        let fill = self.fill.saturating_sub(reserve);
+        Self { fill, ..self }
+    }
+}
+
 /// How often aged work may go ahead on one host.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AgedPace {
--- a/crates/eelgrasshill_route/src/lib.rs
+++ b/crates/eelgrasshill_route/src/lib.rs
@@ -86,6 +86,7 @@
 mod resumption;
 mod settings;
 mod ticket;
+mod usage;
 mod view;
 
 pub use budget::{RetryBudget, RetrySettings};
--- a/crates/eelgrasshill_route/src/pool.rs
+++ b/crates/eelgrasshill_route/src/pool.rs
@@ -6,13 +6,13 @@
 
 use std::time::Duration;
 
-use eelgrasshill_domain::{Class, FastMap, HostName, Moment, OrgName};
+use eelgrasshill_domain::{Class, FastMap, FastSet, HostName, Moment, OrgName};
 
 use crate::fleet::{AgedPace, Allowance, Fleet, Search};
 use crate::miss::Misses;
 use crate::policy::Candidate;
 use crate::queue::{ClassQueue, Entry, Head, Payer, Scan, Shares, turn};
-use crate::{ChoicePolicy, DispatchSettings, View};
+use crate::{ChoicePolicy, DispatchSettings, Order, View};
 
 /// Weight of the newest start in the mean time between starts, in percent.
 const PACE_WEIGHT: u32 = 10;
@@ -54,6 +54,11 @@
         self.class_mut(class).remove(payer, seq)
     }
 
+    /// Counts a running ticket of a payer as ended.
+    pub(crate) fn finish(&mut self, class: Class, payer: &Payer) {
+        self.class_mut(class).usage.finish(payer);
+    }
+
     /// Returns how long its queues take to empty at the recent pace.
     pub(crate) fn drain_time(&self, now: Moment) -> Duration {
         let waiting: usize = CLASSES.iter().map(|c| self.class(*c).count()).sum();
@@ -127,6 +132,16 @@
         })
     }
 
+    /// Returns the organisations that must leave some slots free.
+    fn over(&self, queue: &ClassQueue) -> FastSet<Payer> {
+        match self.settings.order {
+            Order::FirstCome => FastSet::default(),
+            Order::FairShare => queue.over(Shares {
+                weights: self.weights,
+            }),
+        }
+    }
+
     fn aged(&self) -> Allowance {
         Allowance {
             fill: self.settings.fill.aged,
@@ -147,7 +162,8 @@
             let Some(age) = self.settings.age(class) else {
                 continue;
             };
-            let heads = queue.class(class).heads(&scans[class as usize]);
+            let queue = queue.class(class);
+            let heads = heads_of(queue, &scans[class as usize], &self.over(queue), true);
             let Some(oldest) = heads.iter().map(|head| head.offered).min() else {
                 continue;
             };
@@ -169,18 +185,25 @@
     ) -> Option<(Entry, HostName)> {
         let shares = Shares {
             weights: self.weights,
-            quantum: self.settings.quantum,
         };
+        let over = self.over(queue);
         loop {
-            let heads = queue.heads(scan);
-            let head = turn(&heads, self.settings.order, shares)?;
-            let Some(position) = self.place(queue, head, allowance, found) else {
+            let heads = heads_of(queue, scan, &over, allowance.aged.is_some());
+            let head = turn(&heads, self.settings.order)?;
+            let is_over = over.contains(&head.payer);
+            let reserve = if is_over {
+                self.settings.share_reserve
+            } else {
+                0
+            };
+            let room = allowance.without(reserve);
+            let Some(position) = self.place(queue, head, room, found) else {
                 let entry = queue.get_mut(&head.payer, head.seq)?;
-                scan.pass(head, &entry.ticket);
+                scan.pass(head, &entry.ticket, is_over);
                 continue;
             };
             let upstream = self.view.upstreams().get(position)?;
-            let entry = queue.take(head, &heads, shares)?;
+            let entry = queue.take(head, shares)?;
             let aged = allowance.aged.is_some();
             self.fleet.start(upstream, entry.ticket.id, aged, self.now);
             return Some((entry, upstream.host.clone()));
@@ -210,3 +233,12 @@
         }
     }
 }
+
+/// Returns the next ticket of each organisation.
+///
+/// One that is over its share has itself to blame for its wait, so it does not age.
+fn heads_of(queue: &ClassQueue, scan: &Scan, over: &FastSet<Payer>, aged: bool) -> Vec<Head> {
+    let mut heads = queue.heads(scan, over);
+    heads.retain(|head| !aged || !over.contains(&head.payer));
+    heads
+}
--- a/crates/eelgrasshill_route/src/queue.rs
+++ b/crates/eelgrasshill_route/src/queue.rs
@@ -1,17 +1,23 @@
 //! The queue of one class of one pool, fair among organisations.
 //!
-//! Organisations take turns by weighted deficit round robin: each holds a deficit in tokens, a
-//! start costs its ticket's tokens, and when nobody can pay, all that could start get as many
-//! rounds as the nearest of them needs. A scan remembers what was found without room, so that
-//! a ticket whose model is full or absent does not hold up those behind it.
+//! Organisations take turns by start-time fair queueing: each ticket's start tag is its
+//! organisation's last finish tag or the queue's virtual time, whichever is later, and the lowest
+//! tag goes first. A finish tag grows by tokens over weight. An organisation that was idle is
+//! thus next at once, and one that sends more than its share waits behind the others. A scan
+//! remembers what was found without room, so that a ticket whose model is full or absent does
+//! not hold up those behind it.
 
 use std::collections::BTreeMap;
 
 use eelgrasshill_domain::{FastMap, FastSet, Moment, OrgName};
 
 use crate::settings::Order;
+use crate::usage::Usage;
 use crate::{Ticket, Work};
 
+/// Parts of a token in which tags are counted, so that weights divide them evenly.
+const TAG_PARTS: u64 = 1024;
+
 /// Who pays, none on open routes.
 pub(crate) type Payer = Option<OrgName>;
 
@@ -25,25 +31,22 @@
     pub(crate) held: bool,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Line {
-    entries: BTreeMap<u64, Entry>,
-    deficit: u64,
-    served: u64,
-}
-
 /// The waiting tickets of one class.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ClassQueue {
-    lines: BTreeMap<Payer, Line>,
+    lines: BTreeMap<Payer, BTreeMap<u64, Entry>>,
+    finishes: FastMap<Payer, u64>,
+    virtual_time: u64,
     count: usize,
-    starts: u64,
+    pub(crate) usage: Usage,
 }
 
 /// What one look through a queue has found without room.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Scan {
     blocked: FastSet<Work>,
+    /// Found without room by organisations over their share.
+    blocked_over: FastSet<Work>,
     passed: FastMap<Payer, u64>,
 }
 
@@ -53,134 +56,127 @@
     pub(crate) payer: Payer,
     pub(crate) seq: u64,
     pub(crate) offered: Moment,
-    cost: u64,
-    deficit: u64,
-    served: u64,
+    start: u64,
 }
 
-/// The weights of organisations and the size of a round.
+/// The weights of organisations.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Shares<'a> {
     pub(crate) weights: &'a FastMap<OrgName, u32>,
-    pub(crate) quantum: u64,
 }
 
 impl Shares<'_> {
-    /// Returns the tokens that a payer gets in a round.
-    fn of(&self, payer: &Payer) -> u64 {
-        let weight = payer
-            .as_ref()
-            .and_then(|name| self.weights.get(name))
-            .copied()
-            .unwrap_or(1);
-        self.quantum.max(1) * u64::from(weight.max(1))
-    }
-
-    fn rounds(&self, head: &Head) -> u64 {
-        head.cost
-            .saturating_sub(head.deficit)
-            .div_ceil(self.of(&head.payer))
+    /// Returns a payer's weight, one when none is set.
+    pub(crate) fn of(self, payer: &Payer) -> u64 {
+        let weight = payer.as_ref().and_then(|name| self.weights.get(name));
+        u64::from(weight.copied().unwrap_or(1).max(1))
     }
 }
 
 impl Scan {
     /// Passes over a ticket, and over all like it unless it was refused for itself alone.
-    pub(crate) fn pass(&mut self, head: &Head, ticket: &Ticket) {
+    pub(crate) fn pass(&mut self, head: &Head, ticket: &Ticket, over: bool) {
+        let blocked = if over {
+            &mut self.blocked_over
+        } else {
+            &mut self.blocked
+        };
         if ticket.avoid.is_empty() {
-            self.blocked.insert(ticket.work.clone());
+            blocked.insert(ticket.work.clone());
         }
         self.passed.insert(head.payer.clone(), head.seq + 1);
     }
 }
 
+impl Scan {
+    fn blocks(&self, work: &Work, over: bool) -> bool {
+        self.blocked.contains(work) || (over && self.blocked_over.contains(work))
+    }
+}
+
 impl ClassQueue {
     pub(crate) fn count(&self) -> usize {
         self.count
     }
 
     pub(crate) fn count_of(&self, payer: &Payer) -> usize {
-        self.lines.get(payer).map_or(0, |line| line.entries.len())
+        self.lines.get(payer).map_or(0, BTreeMap::len)
     }
 
     pub(crate) fn push(&mut self, seq: u64, entry: Entry) {
         let payer = entry.ticket.organisation.clone();
+        self.usage.offer(&payer, entry.offered);
         let line = self.lines.entry(payer).or_default();
-        line.entries.insert(seq, entry);
+        line.insert(seq, entry);
         self.count += 1;
     }
 
     pub(crate) fn get_mut(&mut self, payer: &Payer, seq: u64) -> Option<&mut Entry> {
-        self.lines.get_mut(payer)?.entries.get_mut(&seq)
+        self.lines.get_mut(payer)?.get_mut(&seq)
     }
 
     pub(crate) fn remove(&mut self, payer: &Payer, seq: u64) -> Option<Entry> {
         let line = self.lines.get_mut(payer)?;
-        let entry = line.entries.remove(&seq)?;
+        let entry = line.remove(&seq)?;
         self.count -= 1;
-        // An organisation that waits for nothing saves up nothing.
-        if line.entries.is_empty() {
+        if line.is_empty() {
             self.lines.remove(payer);
         }
         Some(entry)
     }
 
+    /// Returns the organisations that are over their share of the class.
+    pub(crate) fn over(&self, shares: Shares<'_>) -> FastSet<Payer> {
+        self.usage.over(shares, |payer| self.count_of(payer))
+    }
+
     /// Returns when the longest waiting ticket was offered.
     pub(crate) fn oldest(&self) -> Option<Moment> {
-        let firsts = self
-            .lines
-            .values()
-            .filter_map(|l| l.entries.first_key_value());
+        let firsts = self.lines.values().filter_map(|l| l.first_key_value());
         firsts.map(|(_seq, entry)| entry.offered).min()
     }
 
     /// Returns the first ticket of each organisation that the scan has not passed.
-    pub(crate) fn heads(&self, scan: &Scan) -> Vec<Head> {
+    pub(crate) fn heads(&self, scan: &Scan, over: &FastSet<Payer>) -> Vec<Head> {
         let heads = self.lines.iter().filter_map(|(payer, line)| {
+            let is_over = over.contains(payer);
             let from = scan.passed.get(payer).copied().unwrap_or_default();
             let (seq, entry) = line
-                .entries
                 .range(from..)
-                .find(|(_seq, entry)| !scan.blocked.contains(&entry.ticket.work))?;
+                .find(|(_seq, entry)| !scan.blocks(&entry.ticket.work, is_over))?;
             Some(Head {
                 payer: payer.clone(),
                 seq: *seq,
                 offered: entry.offered,
-                cost: entry.ticket.cost,
-                deficit: line.deficit,
-                served: line.served,
+                start: self.start_tag(payer),
             })
         });
         heads.collect()
     }
 
     /// Takes out the ticket of a head and charges its organisation.
-    pub(crate) fn take(
-        &mut self,
-        head: &Head,
-        heads: &[Head],
-        shares: Shares<'_>,
-    ) -> Option<Entry> {
-        let rounds = shares.rounds(head);
-        for other in heads {
-            if let Some(line) = self.lines.get_mut(&other.payer) {
-                line.deficit += rounds * shares.of(&other.payer);
-            }
-        }
-        self.starts += 1;
-        if let Some(line) = self.lines.get_mut(&head.payer) {
-            line.deficit = line.deficit.saturating_sub(head.cost);
-            line.served = self.starts;
-        }
-        self.remove(&head.payer, head.seq)
+    pub(crate) fn take(&mut self, head: &Head, shares: Shares<'_>) -> Option<Entry> {
+        let entry = self.remove(&head.payer, head.seq)?;
+        self.usage.start(&head.payer);
+        let cost = entry.ticket.cost.max(1).saturating_mul(TAG_PARTS);
+        let finish = head.start.saturating_add(cost / shares.of(&head.payer));
+        self.finishes.insert(head.payer.clone(), finish);
+        self.virtual_time = self.virtual_time.max(head.start);
+        let now = self.virtual_time;
+        self.finishes.retain(|_payer, finish| *finish > now);
+        Some(entry)
+    }
+
+    fn start_tag(&self, payer: &Payer) -> u64 {
+        let finish = self.finishes.get(payer).copied().unwrap_or_default();
+        finish.max(self.virtual_time)
     }
 }
 
 /// Returns the head whose turn it is.
-pub(crate) fn turn<'a>(heads: &'a [Head], order: Order, shares: Shares<'_>) -> Option<&'a Head> {
+pub(crate) fn turn(heads: &[Head], order: Order) -> Option<&Head> {
     match order {
         Order::FirstCome => heads.iter().min_by_key(|head| head.seq),
-        Order::FairShare => heads
-            .iter()
-            .min_by_key(|head| (shares.rounds(head), head.served, head.seq)),
+        Order::FairShare => heads.iter().min_by_key(|head| (head.start, head.seq)),
     }
 }
--- a/crates/eelgrasshill_route/src/settings.rs
+++ b/crates/eelgrasshill_route/src/settings.rs
@@ -53,8 +53,6 @@
         pub class_limit: usize,
         /// Most requests of one organisation that wait in a class.
         pub organisation_limit: usize,
-        /// Tokens that an organisation of weight one gets in a round.
-        pub quantum: u64,
         /// Wait after which interactive work goes ahead of urgent work.
         pub interactive_age: Duration,
         /// Wait after which batch work goes ahead of other classes.
@@ -65,6 +63,8 @@
         pub aged_rest: Duration,
         /// Percent of a host's slots that each class may fill.
         pub fill: ClassFill,
+        /// Percent of a host's slots left free by organisations over their share.
+        pub share_reserve: u32,
         /// Time between two reports of the same missing model.
         pub miss_interval: Duration,
     }
@@ -73,7 +73,7 @@
 scalar! {
     /// Order in which waiting organisations are served.
     pub enum Order {
-        /// Weighted deficit round robin by tokens.
+        /// Start-time fair queueing by tokens over weights.
         FairShare,
         /// First come, first served; a baseline for measurements.
         FirstCome,
@@ -170,12 +170,12 @@
             order: Order::FairShare,
             class_limit: 512,
             organisation_limit: 256,
-            quantum: 512,
             interactive_age: Duration::from_secs(2),
             batch_age: Duration::from_secs(30),
             aged_share: 4,
             aged_rest: Duration::from_secs(1),
             fill: ClassFill::default(),
+            share_reserve: 15,
             miss_interval: Duration::from_secs(1),
         }
     }
