Give operators a command line, and a demo of the whole on stand-ins

Edits carry the version they were made from, so that racing operators learn who won; golden sessions show accepted, rejected and conflicting edits, keys issued and withdrawn, and a publish whose answer was lost.

--- /dev/null
+++ b/crates/eelgrasshill/src/args.rs
@@ -0,0 +1,171 @@
+//! The command line and what each command does.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use eelgrasshill_domain::{KeyId, OrgName, RequestId};
+
+use crate::demo::{Demo, demo};
+use crate::{CommandError, check, key, publish, show};
+
+/// Edits the tables and keys of eelgrasshill and shows what its hosts do.
+#[derive(Debug, FromArgs)]
+pub struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(Check),
+    Publish(Publish),
+    Tables(Tables),
+    Key(Key),
+    Status(Status),
+    Explain(Explain),
+    Demo(Demo),
+}
+
+/// Validates tables and a host's settings without any connection.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// the routes table
+    #[argh(option)]
+    routes: Option<PathBuf>,
+    /// the pools table
+    #[argh(option)]
+    pools: Option<PathBuf>,
+    /// the settings of an entry host
+    #[argh(option)]
+    entry: Option<PathBuf>,
+}
+
+/// Publishes edited tables and says whether they are in force.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "publish")]
+struct Publish {
+    /// address of the log service
+    #[argh(option)]
+    log: SocketAddr,
+    /// the routes table
+    #[argh(option)]
+    routes: PathBuf,
+    /// the pools table
+    #[argh(option)]
+    pools: PathBuf,
+    /// who edits, for the logs
+    #[argh(option, default = "String::from(\"operator\")")]
+    author: String,
+}
+
+/// Writes the tables in force into a folder, to be edited and published.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "tables")]
+struct Tables {
+    /// address of the log service
+    #[argh(option)]
+    log: SocketAddr,
+    /// folder for routes.ini and pools.ini; without it they are printed
+    #[argh(option)]
+    dir: Option<PathBuf>,
+}
+
+/// Issues, withdraws and lists keys.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "key")]
+struct Key {
+    #[argh(subcommand)]
+    command: KeyCommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum KeyCommand {
+    Issue(Issue),
+    Withdraw(Withdraw),
+    List(List),
+}
+
+/// Issues a key and prints its text, which is kept nowhere.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "issue")]
+struct Issue {
+    /// address of the log service
+    #[argh(option)]
+    log: SocketAddr,
+    /// the organisation for which the key acts
+    #[argh(option)]
+    organisation: OrgName,
+    /// the public id by which the key is withdrawn
+    #[argh(option)]
+    id: KeyId,
+}
+
+/// Withdraws a key for good.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "withdraw")]
+struct Withdraw {
+    /// address of the log service
+    #[argh(option)]
+    log: SocketAddr,
+    /// the public id of the key
+    #[argh(option)]
+    id: KeyId,
+}
+
+/// Lists the keys that work.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+struct List {
+    /// address of the log service
+    #[argh(option)]
+    log: SocketAddr,
+}
+
+/// Shows how a host sees itself, its peers and the engines.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+struct Status {
+    /// the host's address for operators
+    #[argh(option)]
+    host: SocketAddr,
+}
+
+/// Shows where a request went and why.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct Explain {
+    /// the address for operators of the host that served it
+    #[argh(option)]
+    host: SocketAddr,
+    /// the request's id, as in the header x-request-id
+    #[argh(positional)]
+    id: RequestId,
+}
+
+/// Runs a command and returns what it prints.
+///
+/// # Errors
+///
+/// Returns [`CommandError`], whose status the process should exit with.
+pub fn run(arguments: Arguments) -> Result<String, CommandError> {
+    let system = actix::System::new();
+    system.block_on(async {
+        match arguments.command {
+            Command::Check(a) => check::check(a.routes, a.pools, a.entry),
+            Command::Publish(a) => publish::publish(a.log, &a.routes, &a.pools, a.author).await,
+            Command::Tables(a) => show::tables(a.log, a.dir).await,
+            Command::Key(a) => match a.command {
+                KeyCommand::Issue(a) => key::issue(a.log, a.organisation, a.id).await,
+                KeyCommand::Withdraw(a) => key::withdraw(a.log, a.id).await,
+                KeyCommand::List(a) => key::list(a.log).await,
+            },
+            Command::Status(a) => show::status(a.host).await,
+            Command::Explain(a) => show::explain(a.host, &a.id).await,
+            Command::Demo(a) => demo(a).await,
+        }
+    })
+}
--- /dev/null
+++ b/crates/eelgrasshill/src/demo/example.rs
@@ -0,0 +1,97 @@
+//! The two example deployments, with the sizes and names of today's users.
+
+use std::str::FromStr;
+
+use derive_more::{Display, Error};
+use eelgrasshill_domain::{Tables, ZoneName};
+use eelgrasshill_settings::{EntrySettings, read_tables};
+
+use crate::CommandError;
+
+/// One of the example deployments.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Example {
+    /// Maypoles, stored and rented.
+    Lakeshore,
+    /// Pump inspections.
+    Kjallaravakt,
+}
+
+/// A name that is no example's.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[display("the examples are lakeshore and kjallaravakt")]
+pub struct ExampleError;
+
+impl FromStr for Example {
+    type Err = ExampleError;
+
+    fn from_str(text: &str) -> Result<Self, ExampleError> {
+        match text {
+            "lakeshore" => Ok(Self::Lakeshore),
+            "kjallaravakt" => Ok(Self::Kjallaravakt),
+            _ => Err(ExampleError),
+        }
+    }
+}
+
+impl Example {
+    const fn files(self) -> [&'static str; 3] {
+        match self {
+            Self::Lakeshore => [
+                include_str!("../../../../examples/lakeshore/routes.ini"),
+                include_str!("../../../../examples/lakeshore/pools.ini"),
+                include_str!("../../../../examples/lakeshore/entry.ini"),
+            ],
+            Self::Kjallaravakt => [
+                include_str!("../../../../examples/kjallaravakt/routes.ini"),
+                include_str!("../../../../examples/kjallaravakt/pools.ini"),
+                include_str!("../../../../examples/kjallaravakt/entry.ini"),
+            ],
+        }
+    }
+
+    /// Returns the tables.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CommandError`] when the shipped files have mistakes.
+    pub fn tables(self) -> Result<Tables, CommandError> {
+        let [routes, pools, _entry] = self.files();
+        Ok(read_tables("routes.ini", routes, "pools.ini", pools)?)
+    }
+
+    /// Returns the settings of an entry host.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CommandError`] when the shipped files have mistakes.
+    pub fn entry(self) -> Result<EntrySettings, CommandError> {
+        let [_routes, _pools, entry] = self.files();
+        Ok(EntrySettings::parse("entry.ini", entry)?)
+    }
+
+    /// Returns the names of the zones.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CommandError`] when the shipped files have mistakes.
+    pub fn zones(self) -> Result<Vec<ZoneName>, CommandError> {
+        Ok(self.entry()?.fleet.zones)
+    }
+
+    /// Returns the organisation and the model that the demo asks for.
+    pub(crate) const fn question(self) -> (&'static str, &'static str, &'static str) {
+        match self {
+            Self::Lakeshore => (
+                "duluth-festivals",
+                "festival-planner",
+                "Which maypole suits a square of thirty metres?",
+            ),
+            Self::Kjallaravakt => (
+                "vettvangur",
+                "sump-log",
+                "Summarise last night's sump log of Laugavegur 12.",
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill/src/publish.rs
@@ -0,0 +1,59 @@
+//! Turns edited files into an edit of rows and publishes it.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use eelgrasshill_control::ConfigFold;
+use eelgrasshill_domain::{ConfigRecord, Edit, RowChange, RowKey, Version};
+use eelgrasshill_settings::{EditedTables, read_edited};
+
+use crate::check::read_file;
+use crate::{CommandError, LogSession};
+
+/// Publishes two edited files and returns the verdict in words.
+pub(crate) async fn publish(
+    log: SocketAddr,
+    routes: &Path,
+    pools: &Path,
+    author: String,
+) -> Result<String, CommandError> {
+    let (routes_text, pools_text) = (read_file(routes)?, read_file(pools)?);
+    let (routes, pools) = (routes.display().to_string(), pools.display().to_string());
+    let edited = read_edited(&routes, &routes_text, &pools, &pools_text)?;
+    let mut session = LogSession::open(log).await?;
+    let base = session.as_of(edited.from).await?;
+    let changes = changes(&edited, &base);
+    if changes.is_empty() {
+        return Ok(format!("nothing changed since version {}\n", edited.from));
+    }
+    let rows: Vec<_> = changes
+        .iter()
+        .map(|change| format!("  [{}]\n", change.key))
+        .collect();
+    let edit = Edit { author, changes };
+    let version = session.publish(ConfigRecord::Edit(edit)).await?;
+    Ok(format!("accepted as version {version}:\n{}", rows.concat()))
+}
+
+/// Returns the rows that the operator changed, each with the version that was seen.
+pub(crate) fn changes(edited: &EditedTables, base: &ConfigFold) -> Vec<RowChange> {
+    let mut keys: Vec<RowKey> = edited.tables.keys();
+    let removed = base
+        .tables()
+        .keys()
+        .into_iter()
+        .filter(|key| edited.tables.get(key).is_none());
+    keys.extend(removed);
+    keys.into_iter()
+        .filter_map(|key| {
+            let row = edited.tables.get(&key);
+            let is_changed = row != base.tables().get(&key);
+            let base = if is_changed {
+                base.version(&key)
+            } else {
+                Version::default()
+            };
+            is_changed.then_some(RowChange { key, base, row })
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/eelgrasshill/tests/commands.rs
@@ -0,0 +1,231 @@
+//! Golden sessions of operators at the command line.
+
+#![expect(clippy::unwrap_used, reason = "a test stops at its first failure")]
+
+use std::path::Path;
+
+use argh::FromArgs;
+use eelgrasshill::{Arguments, Deployment, DeploymentSettings, Example, run};
+use eelgrasshill_standin::{FaultSet, Log, LogSettings, Running, Standin};
+
+/// A session: each command with its exit status and what it prints.
+struct Session {
+    log: Running<Log>,
+    dir: tempdir::Dir,
+    text: String,
+}
+
+mod tempdir {
+    //! A folder of one test, removed at its end.
+
+    use std::path::{Path, PathBuf};
+
+    pub struct Dir(PathBuf);
+
+    impl Dir {
+        pub fn new(name: &str) -> Self {
+            let path = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+            std::fs::create_dir_all(&path).unwrap();
+            Self(path)
+        }
+
+        pub fn path(&self) -> &Path {
+            &self.0
+        }
+    }
+
+    impl Drop for Dir {
+        fn drop(&mut self) {
+            let _left = std::fs::remove_dir_all(&self.0);
+        }
+    }
+}
+
+fn command(words: &[&str]) -> (u8, String) {
+    let arguments = Arguments::from_args(&["eelgrasshill"], words).unwrap();
+    match run(arguments) {
+        Ok(text) => (0, text),
+        Err(error) => (error.status(), format!("{error}\n")),
+    }
+}
+
+impl Session {
+    fn new(name: &str) -> Self {
+        let log = Log::new(LogSettings::default()).spawn_thread().unwrap();
+        Self {
+            log,
+            dir: tempdir::Dir::new(name),
+            text: String::new(),
+        }
+    }
+
+    fn file(&self, name: &str) -> String {
+        self.dir.path().join(name).display().to_string()
+    }
+
+    /// Runs a command, in which LOG and DIR stand for the session's own.
+    fn run(&mut self, line: &str) -> String {
+        let log = self.log.address.to_string();
+        let dir = self.dir.path().display().to_string();
+        let real = |text: &str| text.replace("LOG", &log).replace("DIR", &dir);
+        let words: Vec<String> = line.split(' ').map(real).collect();
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        let (status, printed) = command(&words);
+        let shown = printed.replace(&dir, "DIR").replace(&log, "LOG");
+        self.text += &format!("$ eelgrasshill {line}\n{shown}");
+        if status != 0 {
+            self.text += &format!("(exit status {status})\n");
+        }
+        printed
+    }
+
+    fn edit(&mut self, file: &str, from: &str, to: &str) {
+        let path = self.file(file);
+        let text = std::fs::read_to_string(&path).unwrap();
+        assert!(text.contains(from), "{file} holds {from}");
+        std::fs::write(&path, text.replacen(from, to, 1)).unwrap();
+        self.text += &format!("# {file}: {from} -> {to}\n");
+    }
+
+    fn copy(&self, from: &str, to: &str) {
+        std::fs::create_dir_all(Path::new(&self.file(to)).parent().unwrap()).unwrap();
+        std::fs::copy(self.file(from), self.file(to)).unwrap();
+    }
+}
+
+fn copy_example(session: &Session, example: &str) {
+    for file in ["routes.ini", "pools.ini", "entry.ini"] {
+        let path = format!(
+            "{}/../../examples/{example}/{file}",
+            env!("CARGO_MANIFEST_DIR")
+        );
+        std::fs::copy(path, session.file(file)).unwrap();
+    }
+}
+
+#[test]
+fn operators_edit_and_race() {
+    let mut session = Session::new("eelgrasshill-edit");
+    copy_example(&session, "lakeshore");
+    session.run("check --routes DIR/routes.ini --pools DIR/pools.ini --entry DIR/entry.ini");
+    session.run("publish --log LOG --routes DIR/routes.ini --pools DIR/pools.ini --author ada");
+    session.run("publish --log LOG --routes DIR/routes.ini --pools DIR/pools.ini --author ada");
+    session.run("tables --log LOG --dir DIR");
+    session.run("publish --log LOG --routes DIR/routes.ini --pools DIR/pools.ini --author ada");
+    session.copy("routes.ini", "second/routes.ini");
+    session.copy("routes.ini", "third/routes.ini");
+    session.edit("routes.ini", "rate = 6000", "rate = 7000");
+    session.run("publish --log LOG --routes DIR/routes.ini --pools DIR/pools.ini --author ada");
+    session.edit("second/routes.ini", "rate = 6000", "rate = 1");
+    session
+        .run("publish --log LOG --routes DIR/second/routes.ini --pools DIR/pools.ini --author bo");
+    session.edit("third/routes.ini", "rate = 1000", "rate = 1500");
+    session
+        .run("publish --log LOG --routes DIR/third/routes.ini --pools DIR/pools.ini --author cy");
+    session.edit("routes.ini", "pool = yard-desk", "pool = yard-disk");
+    session.run("publish --log LOG --routes DIR/routes.ini --pools DIR/pools.ini --author ada");
+    insta::assert_snapshot!("edit_and_race", session.text);
+}
+
+#[test]
+fn a_publish_whose_answer_is_lost_is_in_force_once() {
+    let mut session = Session::new("eelgrasshill-lost");
+    copy_example(&session, "kjallaravakt");
+    let lose = FaultSet {
+        lose: 1,
+        ..FaultSet::default()
+    }
+    .with_only("POST /streams/config");
+    session.log.handle.faults().set(lose);
+    session.run("publish --log LOG --routes DIR/routes.ini --pools DIR/pools.ini");
+    let stream = "config".parse().unwrap();
+    assert_eq!(
+        session.log.handle.records(&stream).len(),
+        1,
+        "{}",
+        session.text
+    );
+    insta::assert_snapshot!("lost_answer", session.text);
+}
+
+#[test]
+fn keys_are_issued_once_and_withdrawn_for_good() {
+    let mut session = Session::new("eelgrasshill-key");
+    copy_example(&session, "kjallaravakt");
+    session.run("publish --log LOG --routes DIR/routes.ini --pools DIR/pools.ini");
+    let key = session.run("key issue --log LOG --organisation vettvangur --id field-1");
+    session.text = session.text.replace(key.trim(), "KEY");
+    session.run("key issue --log LOG --organisation nobody --id field-2");
+    session.run("key issue --log LOG --organisation heimili --id field-1");
+    session.run("key list --log LOG");
+    session.run("key withdraw --log LOG --id field-1");
+    session.run("key withdraw --log LOG --id field-1");
+    session.run("key issue --log LOG --organisation heimili --id field-1");
+    session.run("key list --log LOG");
+    assert!(key.starts_with("egh_field-1_"));
+    let stream = "config".parse().unwrap();
+    let records = serde_json::to_string(&session.log.handle.records(&stream)).unwrap();
+    assert!(
+        !records.contains(key.trim()),
+        "the log never holds a key's text"
+    );
+    insta::assert_snapshot!("keys", session.text);
+}
+
+#[test]
+fn status_and_explain_say_where_a_request_went() {
+    let system = actix::System::new();
+    let deployment = system
+        .block_on(Deployment::start(DeploymentSettings::new(
+            Example::Kjallaravakt,
+        )))
+        .unwrap();
+    let key = system.block_on(deployment.issue_key("vettvangur")).unwrap();
+    let url = format!("http://{}/v1/chat/completions", deployment.address(0));
+    let body = serde_json::json!({ "model": "sump-log", "messages": "x", "max_tokens": 5 });
+    let id = system.block_on(async {
+        let client = awc::Client::builder()
+            .timeout(std::time::Duration::from_mins(1))
+            .finish();
+        let call = client
+            .post(url)
+            .insert_header(("authorization", format!("Bearer {}", key.reveal())));
+        let response = call.send_json(&body).await.unwrap();
+        assert_eq!(response.status(), 200);
+        response
+            .headers()
+            .get("x-request-id")
+            .unwrap()
+            .to_str()
+            .unwrap()
+            .to_owned()
+    });
+    drop(system);
+    let host = deployment.hosts[0].shared().settings.admin.to_string();
+    let holds = |line: &str| line.contains("holds") && line.contains("sump-log");
+    let began = std::time::Instant::now();
+    // The status is as old as the last report.
+    let shown = loop {
+        let (status, shown) = command(&["status", "--host", &host]);
+        assert_eq!(status, 0);
+        if shown.lines().any(holds) || began.elapsed().as_secs() > 20 {
+            break shown;
+        }
+    };
+    assert!(
+        shown.starts_with("host sudvestur-a-1 in sudvestur-a is ready\n"),
+        "{shown}"
+    );
+    assert!(shown.lines().any(holds), "{shown}");
+    let (status, shown) = command(&["explain", "--host", &host, &id]);
+    assert_eq!(status, 0);
+    for word in [
+        "route vettvangur-assistant for vettvangur",
+        "admitted",
+        "started",
+        "finished",
+    ] {
+        assert!(shown.contains(word), "{word}: {shown}");
+    }
+    assert!(deployment.drain());
+}
--- a/crates/eelgrasshill_entry/src/lib.rs
+++ b/crates/eelgrasshill_entry/src/lib.rs
@@ -24,4 +24,4 @@
 pub use refusal::{ApiError, Code, RUN_HEADER, Run};
 pub use run::{EntryHost, StartError};
 pub use shared::{OpenRequest, Picture, Shared};
-pub use signal::wait_for_stop;
+pub use signal::{wait_for_stop, wait_for_stop_async};
--- a/crates/eelgrasshill_entry/src/main.rs
+++ b/crates/eelgrasshill_entry/src/main.rs
@@ -23,7 +23,10 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(
+        env_logger::Env::default().default_filter_or("info,actix_server=warn"),
+    )
+    .init();
     let arguments: Arguments = argh::from_env();
     let settings = match EntrySettings::read(&arguments.settings) {
         Ok(settings) => settings,
--- a/crates/eelgrasshill_entry/src/signal.rs
+++ b/crates/eelgrasshill_entry/src/signal.rs
@@ -4,18 +4,20 @@
 
 /// Blocks until SIGTERM or SIGINT comes.
 pub fn wait_for_stop() {
-    let system = actix::System::new();
-    system.block_on(async {
-        let (Ok(mut term), Ok(mut interrupt)) = (
-            signal(SignalKind::terminate()),
-            signal(SignalKind::interrupt()),
-        ) else {
-            log::error!("host: signals cannot be heard");
-            return;
-        };
-        tokio::select! {
-            _signal = term.recv() => {}
-            _signal = interrupt.recv() => {}
-        }
-    });
+    actix::System::new().block_on(wait_for_stop_async());
+}
+
+/// Waits until SIGTERM or SIGINT comes.
+pub async fn wait_for_stop_async() {
+    let (Ok(mut term), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        log::error!("host: signals cannot be heard");
+        return;
+    };
+    tokio::select! {
+        _signal = term.recv() => {}
+        _signal = interrupt.recv() => {}
+    }
 }
--- a/crates/eelgrasshill_entry/tests/support/mod.rs
+++ b/crates/eelgrasshill_entry/tests/support/mod.rs
@@ -1,7 +1,6 @@
 //! A small fleet on stand-ins: the log, the host list, engines, a plain service and hosts.
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
-#![expect(clippy::format_push_string, reason = "short texts, read at a glance")]
 #![expect(clippy::unwrap_used, reason = "a test stops at its first failure")]
 
 use std::net::SocketAddr;
