Prove placement under faults, and hold slots where engines return

A fake fleet (log with outages and lost answers, engines with their own account, candidates that crash, pause, are cut and drain, orders lost, late and repeated) runs against an oracle: overcommit, loads and adapters at once, rate, last copies, two valid holders, orders past their bound, and every model reachable after the faults.

--- a/crates/eelgrasshill_placement/src/account.rs
+++ b/crates/eelgrasshill_placement/src/account.rs
@@ -129,49 +129,38 @@
         (now.since(seen.made) <= spans.silence).then_some(&seen.report)
     }
 
-    /// Closes the orders that can take effect no more, and returns them.
+    /// Closes the orders that can take effect no more; returns whether there were any.
     pub fn close(
         &mut self,
         fencing: Fencing,
         fence: Offset,
         spans: &OrderSpans,
         now: Moment,
-    ) -> Vec<OrderId> {
+    ) -> bool {
+        let before = self.orders.len();
         let Some(seen) = &self.seen else {
             return self.close_silent(spans, now);
         };
-        let over = |open: &OpenOrder| is_over(open, seen, fencing, fence, spans);
-        let ids: Vec<_> = self
-            .orders
-            .values()
-            .filter(|o| over(o))
-            .map(|o| o.order.id)
-            .collect();
-        for id in &ids {
-            self.orders.remove(id);
-        }
-        if ids.is_empty() && now.since(seen.made) > spans.silence {
-            return self.close_silent(spans, now);
+        self.orders
+            .retain(|_id, open| !is_over(open, seen, fencing, fence, spans));
+        if now.since(seen.made) > spans.silence {
+            self.close_silent(spans, now);
         }
-        ids
+        self.orders.len() < before
     }
 
     /// Closes orders to an engine that is silent, once they are past the bound on lateness.
     ///
     /// The old report is dropped, so the engine counts as unknown until it reports again.
-    fn close_silent(&mut self, spans: &OrderSpans, now: Moment) -> Vec<OrderId> {
-        let late = |open: &OpenOrder| horizon(open, spans).is_some_and(|end| now >= end);
-        let ids: Vec<_> = self
-            .orders
-            .values()
-            .filter(|o| late(o))
-            .map(|o| o.order.id)
-            .collect();
-        for id in &ids {
-            self.orders.remove(id);
+    fn close_silent(&mut self, spans: &OrderSpans, now: Moment) -> bool {
+        let before = self.orders.len();
+        self.orders
+            .retain(|_id, open| horizon(open, spans).is_none_or(|end| now < end));
+        let closed = self.orders.len() < before;
+        if closed {
             self.seen = None;
         }
-        ids
+        closed
     }
 
     /// Returns the memory in MB that is or may come into use.
@@ -229,6 +218,56 @@
             })
     }
 
+    /// Returns the loads that run or are on their way, without those that came to nothing.
+    pub(crate) fn running(&self) -> usize {
+        let Some(seen) = &self.seen else {
+            return self.slots();
+        };
+        let running = seen
+            .report
+            .loading
+            .iter()
+            .map(|m| (&m.model, m.version.as_str()));
+        let mut keys: BTreeSet<_> = running.collect();
+        let coming = self
+            .orders
+            .values()
+            .filter(|open| !self.came_to_nothing(open));
+        keys.extend(coming.filter_map(|open| match &open.order.action {
+            Action::Load { model, version, .. } if !self.is_resident(model, version) => {
+                Some((model, version.as_str()))
+            }
+            _ => None,
+        }));
+        keys.len()
+    }
+
+    /// Returns the store's slots that an engine which is gone may come to use on its return.
+    ///
+    /// Loads that ran ended with its process. An order that was sent to that process doesn't
+    /// outlive it by more than the span for which orders are repeated.
+    pub(crate) fn slots_after_return(&self, spans: &OrderSpans, now: Moment) -> usize {
+        let loads = self
+            .orders
+            .values()
+            .filter(|open| open.order.action.is_load());
+        let waiting = loads.filter(|open| match open.stage {
+            Stage::Intended | Stage::Ready => true,
+            Stage::Sent { last, .. } => now.since(last) < spans.window,
+            Stage::Foreign { since } => now.since(since) < spans.window,
+            Stage::Answered { .. } => false,
+        });
+        waiting.count()
+    }
+
+    /// Removes orders that were never sent.
+    pub(crate) fn cancel_unsent(&mut self) -> bool {
+        let before = self.orders.len();
+        self.orders
+            .retain(|_id, open| !matches!(open.stage, Stage::Intended | Stage::Ready));
+        self.orders.len() < before
+    }
+
     /// Returns the number of adapters that are or may come in flight.
     #[must_use]
     pub fn adapters_flying(&self) -> usize {
--- a/crates/eelgrasshill_placement/src/adapters.rs
+++ b/crates/eelgrasshill_placement/src/adapters.rs
@@ -6,7 +6,7 @@
 use eelgrasshill_domain::{AdapterName, FastMap, ModelName, Moment};
 
 use crate::view::{EngineView, ZoneView};
-use crate::{Account, Action, Move};
+use crate::{Account, Action, EngineReport, Move};
 
 /// An adapter of a model.
 pub(crate) type AdapterKey = (ModelName, AdapterName);
@@ -85,18 +85,21 @@
         {
             return None;
         }
-        let pairs = engine.report.resident.iter().flat_map(|resident| {
-            resident
-                .adapters
-                .iter()
-                .map(|adapter| (resident.model.clone(), adapter.clone()))
-        });
-        let idle = pairs.filter(|key| !is_moving(engine.account, key));
+        let idle = engine.adapters.iter().cloned();
         let (model, adapter) = idle.min_by_key(|key| self.used.get(key).copied())?;
         Some(Action::UnloadAdapter { model, adapter })
     }
 }
 
+/// Returns the loaded adapters for which no order is open.
+pub(crate) fn idle_adapters(account: &Account, report: &EngineReport) -> Vec<AdapterKey> {
+    let pairs = report.resident.iter().flat_map(|resident| {
+        let adapters = resident.adapters.iter();
+        adapters.map(|adapter| (resident.model.clone(), adapter.clone()))
+    });
+    pairs.filter(|key| !is_moving(account, key)).collect()
+}
+
 fn holds(engine: &EngineView<'_>, key: &AdapterKey) -> bool {
     engine.report.has_adapter(&key.0, &key.1) || is_moving(engine.account, key)
 }
--- a/crates/eelgrasshill_placement/src/direct.rs
+++ b/crates/eelgrasshill_placement/src/direct.rs
@@ -1,10 +1,11 @@
 //! What the holder orders: sealing engines, planning, and sending what the log has taken in.
 
-use eelgrasshill_domain::{Fencing, HostName, Moment, Offset};
+use eelgrasshill_domain::{FastSet, Fencing, HostName, Moment, Offset};
 
 use crate::adapters::AdapterRound;
 use crate::holder::Holder;
 use crate::misses::MissEnd;
+use crate::planner::Slots;
 use crate::view::{Source, ZoneView};
 use crate::{Action, Effect, Intent, LeaseRecord, Move, Order, OrderId, Stage};
 
@@ -68,18 +69,37 @@
     }
 
     fn close_orders(&mut self, fence: Offset, now: Moment, effects: &mut Vec<Effect>) {
-        let closed = self
+        if self
             .ledger
-            .close(&self.tables, fence, &self.settings.orders, now);
-        if !closed.is_empty() {
+            .close(&self.tables, fence, &self.settings.orders, now)
+        {
             // Room or a slot may have come free.
             self.round_at = None;
         }
-        let known = self.lease.fold().open();
-        let orders: Vec<_> = closed
-            .into_iter()
-            .filter(|id| known.contains_key(id))
-            .collect();
+        let due = self
+            .round_at
+            .is_none_or(|at| now.since(at) >= self.settings.orders.round);
+        if due && !self.lease.fold().open().is_empty() {
+            self.resolve(fence, now, effects);
+        }
+    }
+
+    /// Tells successors which orders of the log can take effect no more.
+    fn resolve(&mut self, fence: Offset, now: Moment, effects: &mut Vec<Effect>) {
+        let open = self.ledger.open_ids();
+        let noted = self
+            .unread
+            .values()
+            .filter_map(|unread| match &unread.record {
+                LeaseRecord::Resolved { orders, .. } => Some(orders),
+                _ => None,
+            });
+        let noted: FastSet<_> = noted.flatten().collect();
+        let known = self.lease.fold().open().keys();
+        let orders = known
+            .filter(|id| !open.contains(*id) && !noted.contains(*id))
+            .copied();
+        let orders: Vec<_> = orders.collect();
         if !orders.is_empty() {
             self.append(LeaseRecord::Resolved { fence, orders }, now, effects);
         }
@@ -126,10 +146,16 @@
 
     fn choose(&mut self, fence: Offset, now: Moment) -> Vec<Move> {
         let settings = &self.settings;
-        let used = self.ledger.slots(&self.tables, &settings.zone);
-        let slots = usize::try_from(self.share.slots)
-            .unwrap_or(0)
-            .saturating_sub(used);
+        let spans = &settings.orders;
+        let share = usize::try_from(self.share.slots).unwrap_or(0);
+        let used = self.ledger.slots(&self.tables, &settings.zone, spans, now);
+        let running = self
+            .ledger
+            .running(&self.tables, &settings.zone, spans, now);
+        let slots = Slots {
+            new: share.saturating_sub(used),
+            repeated: share.saturating_sub(running),
+        };
         let flying = self.ledger.adapters_flying(&self.tables, &settings.zone);
         let adapters = usize::try_from(self.share.adapters)
             .unwrap_or(0)
@@ -206,7 +232,7 @@
     fn send_ready(&mut self, fence: Offset, now: Moment, effects: &mut Vec<Effect>) {
         let valid = self.lease.is_valid(now);
         let spans = self.settings.orders;
-        for (engine, account) in self.ledger.accounts_mut() {
+        for (engine, account) in self.ledger.present_mut() {
             let checked = self
                 .tables
                 .hosts
--- a/crates/eelgrasshill_placement/src/ledger.rs
+++ b/crates/eelgrasshill_placement/src/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use eelgrasshill_domain::{Fencing, Host, HostName, Moment, Offset, Tables, ZoneName};
+use eelgrasshill_domain::{FastSet, Fencing, Host, HostName, Moment, Offset, Tables, ZoneName};
 
 use crate::view::{Source, is_sealed};
 use crate::{Account, EngineReport, Intent, OrderId, OrderSpans};
@@ -31,6 +31,14 @@
         self.accounts.iter_mut()
     }
 
+    /// Returns the accounts of the engines that are not gone.
+    pub(crate) fn present_mut(&mut self) -> impl Iterator<Item = (&HostName, &mut Account)> {
+        let gone = &self.gone;
+        self.accounts
+            .iter_mut()
+            .filter(|(name, _account)| !gone.contains(*name))
+    }
+
     /// Takes in which engines leave and which are gone.
     pub fn set_members(&mut self, leaving: BTreeSet<HostName>, gone: BTreeSet<HostName>) {
         self.leaving = leaving;
@@ -106,47 +114,95 @@
 
     /// Returns the store's slots that the zone's engines use or may come to use.
     #[must_use]
-    pub fn slots(&self, tables: &Tables, zone: &ZoneName) -> usize {
-        self.sum(tables, zone, Account::slots)
+    pub fn slots(
+        &self,
+        tables: &Tables,
+        zone: &ZoneName,
+        spans: &OrderSpans,
+        now: Moment,
+    ) -> usize {
+        let returning = |account: &Account| account.slots_after_return(spans, now);
+        self.sum(tables, zone, returning, Account::slots)
+    }
+
+    /// Returns the loads that run or are on their way, without those that came to nothing.
+    pub(crate) fn running(
+        &self,
+        tables: &Tables,
+        zone: &ZoneName,
+        spans: &OrderSpans,
+        now: Moment,
+    ) -> usize {
+        let returning = |account: &Account| account.slots_after_return(spans, now);
+        self.sum(tables, zone, returning, Account::running)
     }
 
     /// Returns the adapters that are or may come in flight in the zone.
     #[must_use]
     pub fn adapters_flying(&self, tables: &Tables, zone: &ZoneName) -> usize {
-        self.sum(tables, zone, Account::adapters_flying)
+        self.sum(tables, zone, |_gone| 0, Account::adapters_flying)
     }
 
-    /// An engine that the host list calls gone runs no load any more.
-    fn sum(&self, tables: &Tables, zone: &ZoneName, count: impl Fn(&Account) -> usize) -> usize {
-        let counted = self.accounts.iter().filter(|(name, _account)| {
-            !self.gone.contains(*name)
-                && tables
-                    .hosts
-                    .get(*name)
-                    .is_none_or(|host| host.zone == *zone)
+    fn sum(
+        &self,
+        tables: &Tables,
+        zone: &ZoneName,
+        gone: impl Fn(&Account) -> usize,
+        present: impl Fn(&Account) -> usize,
+    ) -> usize {
+        let counts = self.in_zone(tables, zone).map(|(name, account)| {
+            if self.gone.contains(name) {
+                gone(account)
+            } else {
+                present(account)
+            }
         });
-        counted.map(|(_name, account)| count(account)).sum()
+        counts.sum()
+    }
+
+    fn in_zone<'a>(
+        &'a self,
+        tables: &'a Tables,
+        zone: &'a ZoneName,
+    ) -> impl Iterator<Item = (&'a HostName, &'a Account)> {
+        let is_here =
+            move |name: &HostName| tables.hosts.get(name).is_none_or(|host| host.zone == *zone);
+        self.accounts
+            .iter()
+            .filter(move |(name, _account)| is_here(name))
+    }
+
+    /// Returns the ids of all orders that may still take effect.
+    pub(crate) fn open_ids(&self) -> FastSet<OrderId> {
+        let orders = self
+            .accounts
+            .values()
+            .flat_map(|account| account.orders().keys());
+        orders.copied().collect()
     }
 
-    /// Closes the orders that can take effect no more, and returns them.
+    /// Closes the orders that can take effect no more; returns whether there were any.
     pub fn close(
         &mut self,
         tables: &Tables,
         fence: Offset,
         spans: &OrderSpans,
         now: Moment,
-    ) -> Vec<OrderId> {
-        let mut closed = Vec::new();
+    ) -> bool {
+        let mut closed = false;
         for (engine, account) in &mut self.accounts {
             if account.orders().is_empty() {
                 continue;
             }
+            if self.gone.contains(engine) {
+                closed |= account.cancel_unsent();
+            }
             // An engine that is not in the tables gets the stricter rule.
             let fencing = tables
                 .hosts
                 .get(engine)
                 .map_or(Fencing::Ignored, |host| host.fencing);
-            closed.extend(account.close(fencing, fence, spans, now));
+            closed |= account.close(fencing, fence, spans, now);
         }
         closed
     }
--- a/crates/eelgrasshill_placement/src/planner.rs
+++ b/crates/eelgrasshill_placement/src/planner.rs
@@ -9,7 +9,7 @@
 
 use eelgrasshill_domain::{HostName, Model, ModelName, Moment};
 
-use crate::view::{Standing, ZoneView};
+use crate::view::{EngineView, Standing, ZoneView};
 use crate::{Action, Demand, DemandSpans, Duty};
 
 /// How long room that was cleared for a model is kept for it.
@@ -24,6 +24,15 @@
     pub action: Action,
 }
 
+/// Loads that may be ordered in one round.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Slots {
+    /// Loads beside all that run or may come to run.
+    pub(crate) new: usize,
+    /// Loads that may come to run anyway and are ordered again.
+    pub(crate) repeated: usize,
+}
+
 /// Room that is being cleared.
 #[derive(Clone, Debug)]
 struct Promise {
@@ -57,13 +66,13 @@
         }
     }
 
-    /// Chooses the moves of one round; `slots` more loads may be ordered.
+    /// Chooses the moves of one round.
     pub(crate) fn round(
         &mut self,
         view: &mut ZoneView<'_>,
         demand: &Demand,
         misses: &BTreeSet<ModelName>,
-        slots: usize,
+        slots: Slots,
         now: Moment,
     ) -> Vec<Move> {
         self.promises.retain(|_engine, promise| now < promise.until);
@@ -71,11 +80,11 @@
             planner: self,
             view,
             demand,
-            slots,
+            slots: slots.new,
             now,
             moves: Vec::new(),
         };
-        round.repeat_loads();
+        round.repeat_loads(slots.repeated);
         round.serve_misses(misses);
         round.serve_duties();
         round.drop_leftovers();
@@ -99,11 +108,12 @@
     }
 
     /// Repeats loads that may arrive anyway, so that they end resident and free their slot.
-    fn repeat_loads(&mut self) {
+    fn repeat_loads(&mut self, mut slots: usize) {
         for at in 0..self.view.engines.len() {
             let account = self.view.engines[at].account;
             for open in account.orders().values() {
-                if account.came_to_nothing(open) && !account.is_repeated(open) {
+                if slots > 0 && account.came_to_nothing(open) && !account.is_repeated(open) {
+                    slots -= 1;
                     self.push(at, open.order.action.clone());
                 }
             }
@@ -218,6 +228,9 @@
             return false;
         }
         self.promise(at, name);
+        if victims.adapters {
+            self.unload_adapters(at);
+        }
         for index in victims.copies {
             self.unload(at, index);
         }
@@ -283,17 +296,15 @@
             .map(|index| (self.value(engine.copies[index].model), index))
             .collect();
         copies.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut victims = Victims::default();
-        let mut free = engine.free;
-        for (value, index) in copies {
-            if free >= memory {
-                break;
-            }
-            free += engine.copies[index].memory;
-            victims.cost += value;
-            victims.copies.push(index);
+        let alone = pick(engine, &copies, engine.free, memory);
+        if alone.is_some() || matches!(need, Need::Extra(_)) {
+            return alone;
         }
-        (free >= memory).then_some(victims)
+        // Adapters are loaded again within milliseconds, so they make way for a model.
+        let adapters = u64::try_from(engine.adapters.len()).unwrap_or(0) * self.view.adapter_memory;
+        let mut victims = pick(engine, &copies, engine.free + adapters, memory)?;
+        victims.adapters = true;
+        Some(victims)
     }
 
     /// Returns the demand that one copy carries.
@@ -367,6 +378,12 @@
         }
     }
 
+    fn unload_adapters(&mut self, at: usize) {
+        for (model, adapter) in std::mem::take(&mut self.view.engines[at].adapters) {
+            self.push(at, Action::UnloadAdapter { model, adapter });
+        }
+    }
+
     fn unload(&mut self, at: usize, index: usize) {
         let copy = &mut self.view.engines[at].copies[index];
         copy.moving = true;
@@ -396,4 +413,24 @@
 struct Victims {
     cost: f64,
     copies: Vec<usize>,
+    adapters: bool,
+}
+
+/// Picks copies of least value until there is room.
+fn pick(
+    engine: &EngineView<'_>,
+    copies: &[(f64, usize)],
+    mut free: u64,
+    memory: u64,
+) -> Option<Victims> {
+    let mut victims = Victims::default();
+    for (value, index) in copies {
+        if free >= memory {
+            break;
+        }
+        free += engine.copies[*index].memory;
+        victims.cost += value;
+        victims.copies.push(*index);
+    }
+    (free >= memory).then_some(victims)
 }
--- a/crates/eelgrasshill_placement/src/view.rs
+++ b/crates/eelgrasshill_placement/src/view.rs
@@ -6,6 +6,7 @@
     FastMap, Fencing, HostName, ModelName, Moment, Offset, PoolName, Tables, ZoneName,
 };
 
+use crate::adapters::{AdapterKey, idle_adapters};
 use crate::assign::weight;
 use crate::{Account, Action, Assignment, Duty, EngineReport, Ledger, OrderSpans};
 
@@ -38,6 +39,8 @@
     pub(crate) free: u64,
     pub(crate) copies: Vec<Copy<'a>>,
     pub(crate) account: &'a Account,
+    /// Adapters that may be unloaded.
+    pub(crate) adapters: Vec<AdapterKey>,
     pub(crate) report: &'a EngineReport,
 }
 
@@ -65,6 +68,8 @@
     pub(crate) zone: &'a ZoneName,
     pub(crate) tables: &'a Tables,
     pub(crate) assignment: &'a Assignment,
+    /// Memory of one adapter in MB.
+    pub(crate) adapter_memory: u64,
     pub(crate) engines: Vec<EngineView<'a>>,
     pub(crate) standing: FastMap<&'a ModelName, Standing>,
     elsewhere: FastMap<&'a ModelName, Rank>,
@@ -91,6 +96,7 @@
             zone: source.zone,
             tables: source.tables,
             assignment: source.assignment,
+            adapter_memory: source.adapter_memory,
             engines: Vec::new(),
             standing: FastMap::default(),
             elsewhere: FastMap::default(),
@@ -157,12 +163,14 @@
                 self.standing.entry(model).or_default().coming += 1;
             }
         }
+        let adapters = idle_adapters(account, report);
         self.engines.push(EngineView {
             name,
             pool,
             free,
             copies,
             account,
+            adapters,
             report,
         });
     }
--- /dev/null
+++ b/crates/eelgrasshill_placement/tests/proofs/faults.rs
@@ -0,0 +1,139 @@
+//! Random faults over fixed seeds, with every mechanism on and with each switched off.
+
+use crate::fleet::{Fleet, Layout, Off, Weather};
+use eelgrasshill_domain::Fencing;
+
+const STORM: Weather = Weather {
+    message: 0.04,
+    large: 0.02,
+    until: 150_000,
+    late: 45_000,
+    engines: true,
+};
+
+/// How long after the faults every model must be reachable again, in ms: a replaced version on an
+/// engine that ignores fencing numbers may wait out the bound on lateness three times.
+const RECOVERY_MS: u64 = 260_000;
+
+/// Layouts that differ in what engines check and in how much room there is.
+fn layouts() -> Vec<(&'static str, Layout)> {
+    vec![
+        ("mixed", Layout::small()),
+        ("tight", Layout::tight()),
+        ("checked", Layout::tight().with_fencing(Fencing::Checked)),
+        ("ignored", Layout::small().with_fencing(Fencing::Ignored)),
+    ]
+}
+
+fn storm(layout: &Layout, weather: Weather, off: Off, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(layout, layout.settings(), weather, off, seed);
+    fleet.run(weather.until);
+    if off == Off::Nothing {
+        fleet.run(weather.until + RECOVERY_MS);
+    }
+    fleet.check_rate();
+    fleet
+}
+
+/// Number of seeds of each layout; a longer run sets `EELGRASSHILL_SEEDS`.
+fn seeds() -> u64 {
+    std::env::var("EELGRASSHILL_SEEDS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(8)
+}
+
+#[test]
+fn holds_under_faults() {
+    for (name, layout) in layouts() {
+        for seed in 0..seeds() {
+            let fleet = storm(&layout, STORM, Off::Nothing, seed);
+            assert!(
+                fleet.violations.is_empty(),
+                "{name} seed {seed}: {:?}",
+                fleet.violations
+            );
+            assert!(
+                fleet.unreachable().is_empty(),
+                "{name} seed {seed}: {:?}",
+                fleet.unreachable()
+            );
+        }
+    }
+}
+
+/// One mechanism that is switched off.
+struct Case {
+    off: Off,
+    layout: Layout,
+    weather: Weather,
+    /// What the oracle must say on one of the seeds.
+    red: &'static str,
+}
+
+#[test]
+fn each_mechanism_is_needed() {
+    let late = Weather {
+        message: 0.2,
+        large: 0.04,
+        late: 59_000,
+        ..STORM
+    };
+    let ignored = Layout::small().with_fencing(Fencing::Ignored);
+    let checked = Layout::tight().with_fencing(Fencing::Checked);
+    let cases = [
+        Case {
+            off: Off::Fencing,
+            layout: checked,
+            weather: late,
+            red: "overcommit",
+        },
+        Case {
+            off: Off::Intents,
+            layout: Layout::small(),
+            weather: STORM,
+            red: "overcommit",
+        },
+        Case {
+            off: Off::UnloadReport,
+            layout: Layout::small(),
+            weather: STORM,
+            red: "overcommit",
+        },
+        Case {
+            off: Off::Shares,
+            layout: Layout::tight(),
+            weather: STORM,
+            red: "at once",
+        },
+        Case {
+            off: Off::Wait,
+            layout: ignored,
+            weather: late,
+            red: "two valid holders",
+        },
+    ];
+    for Case {
+        off,
+        layout,
+        weather,
+        red,
+    } in cases
+    {
+        let on = (0..seeds()).find(|seed| {
+            !storm(&layout, weather, Off::Nothing, *seed)
+                .violations
+                .is_empty()
+        });
+        assert_eq!(on, None, "{off:?} is on and the oracle is red");
+        let found = (0..30).find(|seed| {
+            let fleet = storm(&layout, weather, off, *seed);
+            fleet.violations.iter().any(|text| text.contains(red))
+        });
+        println!("{off:?} switched off: first red at seed {found:?}");
+        assert!(
+            found.is_some(),
+            "{off:?} is switched off and no seed is red"
+        );
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_placement/tests/proofs/matrix.rs
@@ -0,0 +1,99 @@
+//! The fault matrix: every fault at every step of the holder's protocol.
+
+use eelgrasshill_domain::Fencing;
+
+use crate::fleet::{Fault, Fleet, Layout, Off, Step, Weather};
+
+/// What a cell of the matrix is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cell {
+    Run,
+    Impossible(&'static str),
+}
+
+use Cell::{Impossible, Run};
+
+const FAULTS: [Fault; 10] = [
+    Fault::Lost,
+    Fault::Late,
+    Fault::Twice,
+    Fault::AnswerLost,
+    Fault::CrashBefore,
+    Fault::CrashAfter,
+    Fault::Pause,
+    Fault::LogOut,
+    Fault::Cut,
+    Fault::EngineCrash,
+];
+
+const NO_ANSWER: Cell =
+    Impossible("a report is itself the answer to a poll; losing it is the cell `Lost`");
+
+/// One row for each step, one cell for each of [`FAULTS`].
+const MATRIX: [(Step, [Cell; 10]); 7] = [
+    (Step::Claim, [Run; 10]),
+    (Step::Renew, [Run; 10]),
+    (Step::Intent, [Run; 10]),
+    (Step::Order, [Run; 10]),
+    (
+        Step::Report,
+        [Run, Run, Run, NO_ANSWER, Run, Run, Run, Run, Run, Run],
+    ),
+    (Step::Resolved, [Run; 10]),
+    (Step::Release, [Run; 10]),
+];
+
+/// When the fault may strike, in ms: the second half of the loads is still to come.
+const BUMP_MS: u64 = 25_000;
+const DRAIN_MS: u64 = 60_000;
+const END_MS: u64 = 330_000;
+
+fn run(step: Step, fault: Fault, layout: &Layout) -> Fleet {
+    let mut fleet = Fleet::new(layout, layout.settings(), Weather::CALM, Off::Nothing, 7);
+    if matches!(step, Step::Claim | Step::Intent | Step::Order) {
+        fleet.trigger = Some((step, fault));
+    }
+    fleet.run(BUMP_MS);
+    fleet.trigger = Some((step, fault));
+    for _ in 0..2 {
+        fleet.bump_version();
+        fleet.miss();
+        fleet.shift_demand();
+    }
+    fleet.run(DRAIN_MS);
+    fleet.drain_holder();
+    fleet.run(END_MS);
+    fleet.check_rate();
+    fleet
+}
+
+#[test]
+fn every_fault_at_every_step() {
+    let mut cells = 0;
+    for fencing in [Fencing::Checked, Fencing::Ignored] {
+        let layout = Layout::small().with_fencing(fencing);
+        for (step, row) in MATRIX {
+            for (fault, cell) in FAULTS.into_iter().zip(row) {
+                if let Impossible(reason) = cell {
+                    assert!(!reason.is_empty());
+                    continue;
+                }
+                let name = format!("{fault:?} at {step:?} with {fencing:?}");
+                let fleet = run(step, fault, &layout);
+                assert!(fleet.triggered, "{name}: the fault never struck");
+                assert!(
+                    fleet.violations.is_empty(),
+                    "{name}: {:?}",
+                    fleet.violations
+                );
+                assert!(
+                    fleet.unreachable().is_empty(),
+                    "{name}: {:?}",
+                    fleet.unreachable()
+                );
+                cells += 1;
+            }
+        }
+    }
+    println!("{cells} cells run");
+}
--- /dev/null
+++ b/crates/eelgrasshill_placement/tests/proofs/shares.rs
@@ -0,0 +1,213 @@
+//! Shares of the store, pacing, the assignment to zones and the lease by itself.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use eelgrasshill_domain::{AppendId, HostName, Moment, Offset, ZoneName};
+use eelgrasshill_placement::{Assignment, Budget, Duty, Entry, Lease, LeaseSpans, Pace};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::fleet::{Layout, index, named};
+
+fn zones(count: usize) -> Vec<ZoneName> {
+    (0..count).map(|at| named(&format!("zone-{at}"))).collect()
+}
+
+#[test]
+fn shares_add_up_to_the_budget() {
+    struct Case {
+        budget: Budget,
+        zones: usize,
+        slots: &'static [u32],
+    }
+    let lakeshore = Budget {
+        rate: 2.0,
+        slots: 8,
+        adapters: 60,
+    };
+    let kjallaravakt = Budget {
+        rate: 2.5,
+        slots: 3,
+        adapters: 25,
+    };
+    let scarce = Budget {
+        rate: 1.0,
+        slots: 2,
+        adapters: 1,
+    };
+    let cases = [
+        Case {
+            budget: lakeshore,
+            zones: 3,
+            slots: &[2, 3, 3],
+        },
+        Case {
+            budget: kjallaravakt,
+            zones: 3,
+            slots: &[1, 1, 1],
+        },
+        Case {
+            budget: scarce,
+            zones: 3,
+            slots: &[0, 1, 1],
+        },
+    ];
+    for case in cases {
+        let zones = zones(case.zones);
+        let shares: Vec<_> = zones
+            .iter()
+            .map(|zone| case.budget.share(zone, &zones))
+            .collect();
+        let mut slots: Vec<_> = shares.iter().map(|share| share.slots).collect();
+        slots.sort_unstable();
+        assert_eq!(slots, case.slots);
+        assert_eq!(
+            shares.iter().map(|share| share.adapters).sum::<u32>(),
+            case.budget.adapters
+        );
+        let rates = shares
+            .iter()
+            .filter_map(|share| share.interval)
+            .map(|span| 1.0 / span.as_secs_f64());
+        assert!((rates.sum::<f64>() - case.budget.rate).abs() < 1e-6);
+        assert!(
+            shares
+                .iter()
+                .all(|share| share.interval.is_some() == (share.slots > 0))
+        );
+    }
+}
+
+#[test]
+fn pace_keeps_to_the_rate() {
+    bolero::check!()
+        .with_iterations(200)
+        .with_type::<(u8, Vec<u8>)>()
+        .for_each(|(interval, steps)| {
+            let interval = Duration::from_millis(u64::from(*interval) + 1);
+            let mut pace = Pace::new(Some(interval), Moment(0));
+            let (mut now, mut taken) = (0, 0_u128);
+            for step in steps {
+                now += u64::from(*step);
+                taken += u128::from(pace.take(Moment(now)));
+                assert!(taken * interval.as_millis() <= u128::from(now));
+            }
+        });
+}
+
+#[test]
+fn assignment_covers_every_model() {
+    for (name, layout) in [("small", Layout::small()), ("tight", Layout::tight())] {
+        let tables = layout.tables();
+        let zones = layout.settings().zones;
+        let assignment = Assignment::new(&tables, &zones);
+        for model in tables.models.keys() {
+            let required = assignment
+                .zones(model)
+                .filter(|(_zone, duty)| *duty == Duty::Required);
+            assert!(required.count() >= 2, "{name}: {model}");
+        }
+        for zone in &zones {
+            let held = tables
+                .models
+                .iter()
+                .filter(|(model, _row)| assignment.duty(model, zone).is_some());
+            let memory = tables
+                .hosts
+                .values()
+                .filter(|host| host.zone == *zone)
+                .map(|host| host.memory);
+            assert!(
+                held.map(|(_model, row)| row.memory).sum::<u64>() <= memory.sum(),
+                "{name}: {zone}"
+            );
+        }
+        let mut reversed = zones.clone();
+        reversed.reverse();
+        let again = Assignment::new(&tables, &reversed);
+        let same = |model| assignment.zones(model).eq(again.zones(model));
+        assert!(
+            tables.models.keys().all(same),
+            "{name}: hangs on the order of zones"
+        );
+    }
+}
+
+/// Two candidates on clocks of their own; `spans` of each.
+fn two_holders(spans: [LeaseSpans; 2], steps: &[u16]) -> Option<u64> {
+    let names: Vec<_> = ["a", "b"].into_iter().map(named::<HostName>).collect();
+    let mut leases: Vec<_> = names
+        .iter()
+        .zip(spans)
+        .map(|(name, spans)| Lease::new(name.clone(), spans))
+        .collect();
+    let mut log: Vec<Entry> = Vec::new();
+    let mut flight: BTreeMap<(u64, usize), (AppendId, eelgrasshill_placement::LeaseRecord)> =
+        BTreeMap::new();
+    let mut now = 0;
+    for (seq, step) in steps.iter().enumerate() {
+        now += u64::from(step % 2048);
+        let at = usize::from(step >> 15);
+        // The second clock runs one percent fast and started elsewhere.
+        let clock = |at: usize| {
+            Moment(if at == 0 {
+                now
+            } else {
+                50_000 + now * 101 / 100
+            })
+        };
+        let landed: Vec<_> = flight
+            .extract_if(..=(now, usize::MAX), |_key, _append| true)
+            .collect();
+        for (_key, (id, record)) in landed {
+            log.push(Entry {
+                offset: Offset(log.len() as u64),
+                id,
+                record,
+            });
+        }
+        if step & 0x1800 != 0x1800 {
+            let from = index(leases[at].fold().next());
+            leases[at].read(&log[from.min(log.len())..], clock(at));
+        }
+        if let Some(record) = leases[at].due(&names, clock(at)) {
+            let id = named(&format!("{at}-{seq}"));
+            leases[at].note_sent(&id, &record, clock(at));
+            flight.insert((now + u64::from(step & 0x0fff), seq), (id, record));
+        }
+        if leases[0].is_valid(clock(0)) && leases[1].is_valid(clock(1)) {
+            return Some(now);
+        }
+    }
+    None
+}
+
+#[test]
+fn one_holder_at_a_time() {
+    let spans = LeaseSpans::default();
+    let hasty = LeaseSpans {
+        lease: Duration::from_secs(1),
+        margin: Duration::ZERO,
+        ..spans
+    };
+    let (mut held, mut broken) = (0, 0);
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let steps: Vec<u16> = (0..400).map(|_| rng.random()).collect();
+        assert_eq!(two_holders([spans; 2], &steps), None, "seed {seed}");
+        held += 1;
+        broken += u32::from(two_holders([spans, hasty], &steps).is_some());
+    }
+    assert_eq!(held, 200);
+    assert!(
+        broken > 0,
+        "no seed is red without waiting for the old lease"
+    );
+    bolero::check!()
+        .with_iterations(200)
+        .with_type::<Vec<u16>>()
+        .for_each(|steps| {
+            assert_eq!(two_holders([spans; 2], steps), None);
+        });
+}
--- /dev/null
+++ b/crates/eelgrasshill_placement/tests/proofs/successor.rs
@@ -0,0 +1,212 @@
+//! A successor and an order of its predecessor that is still on its way.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crate::fleet::engine::Engine;
+use crate::fleet::{Layout, index, named};
+use eelgrasshill_domain::{AppendId, Fencing, HostName, Moment, Offset};
+use eelgrasshill_placement::{
+    Action, Effect, Entry, Event, Holder, Intent, LeaseRecord, Order, OrderId, Outcome,
+};
+
+/// What a successor finds.
+struct Case {
+    name: &'static str,
+    fencing: Fencing,
+    /// Whether the predecessor's load is in the log.
+    intent: bool,
+    /// Whether seals are lost and reports pretend that the engine was sealed.
+    forged: bool,
+    /// Whether the late load arrives just before the successor's first load.
+    late: bool,
+    overcommits: u32,
+}
+
+const CASES: [Case; 5] = [
+    Case {
+        name: "sealed",
+        fencing: Fencing::Checked,
+        intent: false,
+        forged: false,
+        late: true,
+        overcommits: 0,
+    },
+    Case {
+        name: "not sealed",
+        fencing: Fencing::Checked,
+        intent: false,
+        forged: true,
+        late: true,
+        overcommits: 1,
+    },
+    Case {
+        name: "nothing late",
+        fencing: Fencing::Checked,
+        intent: false,
+        forged: true,
+        late: false,
+        overcommits: 0,
+    },
+    Case {
+        name: "reserved",
+        fencing: Fencing::Ignored,
+        intent: true,
+        forged: false,
+        late: true,
+        overcommits: 0,
+    },
+    Case {
+        name: "not reserved",
+        fencing: Fencing::Ignored,
+        intent: false,
+        forged: false,
+        late: true,
+        overcommits: 1,
+    },
+];
+
+fn entry(log: &[Entry], id: AppendId, record: LeaseRecord) -> Entry {
+    Entry {
+        offset: Offset(log.len() as u64),
+        id,
+        record,
+    }
+}
+
+/// Returns the predecessor's log and its load, which is still on its way.
+fn predecessor(case: &Case, engine: &HostName) -> (Vec<Entry>, Option<Order>) {
+    let id = OrderId {
+        fence: Offset(0),
+        seq: 1,
+    };
+    let model = named("former");
+    let action = Action::Load {
+        model,
+        version: "v1".to_owned(),
+        memory: 60,
+    };
+    let late = Some(Order {
+        id,
+        fence: Offset(0),
+        action,
+    })
+    .filter(|_| case.late);
+
+    let old = named("entry-0");
+    let mut log = vec![entry(
+        &[],
+        named("a"),
+        LeaseRecord::Claim {
+            host: old,
+            after: None,
+        },
+    )];
+    if case.intent {
+        let intents = late
+            .iter()
+            .map(|order| Intent {
+                engine: engine.clone(),
+                order: order.clone(),
+            })
+            .collect();
+        log.push(entry(
+            &log,
+            named("b"),
+            LeaseRecord::Intent {
+                fence: Offset(0),
+                intents,
+            },
+        ));
+    }
+    (log, late)
+}
+
+/// Runs a successor on one engine; the old load and the tables' model don't fit together.
+fn run(case: &Case) -> Engine {
+    let layout = Layout {
+        engines: vec![(0, 100, case.fencing)],
+        models: vec![60],
+        ..Layout::small()
+    };
+    let mut settings = layout.settings();
+    settings.zones.truncate(1);
+    let (tables, zone) = (layout.tables(), settings.zone.clone());
+    let name: HostName = named("engine-000");
+    let mut engine = Engine::new(name.clone(), zone, case.fencing, 100, 500);
+    let (mut log, mut late) = predecessor(case, &name);
+    let mut holder = Holder::new(settings);
+    let mut events = vec![Event::Tables(Arc::new(tables))];
+    for now in (0..40_000).step_by(100) {
+        engine.advance(now);
+        let mut report = engine.report(now);
+        if let Some(fence) = holder.fence().filter(|_| case.forged) {
+            report.fence = fence;
+        }
+        events.push(Event::Report {
+            report,
+            asked: Moment(now),
+        });
+        for event in std::mem::take(&mut events) {
+            for effect in holder.handle(event, Moment(now)) {
+                match effect {
+                    Effect::Append { id, record } => log.push(entry(&log, id, record)),
+                    Effect::Read(from) => {
+                        events.push(Event::LeaseRead(log[index(from)..].to_vec()));
+                    }
+                    Effect::Send { engine: to, order } => {
+                        if case.forged && order.action == Action::Seal {
+                            continue;
+                        }
+                        if order.action.is_load()
+                            && let Some(order) = late.take()
+                        {
+                            engine.take(&order, true, now);
+                        }
+                        let outcome = engine
+                            .take(&order, true, now)
+                            .outcome
+                            .unwrap_or(Outcome::Failed);
+                        events.push(Event::Answer {
+                            engine: to,
+                            order: order.id,
+                            outcome,
+                        });
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    assert!(
+        holder.fence().is_some(),
+        "{}: never became holder",
+        case.name
+    );
+    engine
+}
+
+#[test]
+fn a_late_load_of_the_predecessor_has_its_room() {
+    for case in &CASES {
+        assert_eq!(
+            run(case).overcommits > 0,
+            case.overcommits > 0,
+            "{}",
+            case.name
+        );
+    }
+}
+
+/// The predecessor's load ends resident, so that its slot of the store comes free.
+#[test]
+fn an_adopted_load_ends_resident() {
+    let case = &CASES[3];
+    let engine = run(case);
+    let held: BTreeSet<_> = engine
+        .resident
+        .keys()
+        .map(|(model, _version)| model.as_str())
+        .collect();
+    assert!(held.contains("former"), "{held:?}");
+}
