control: measure state, deltas and decisions at 20 to 400 members

Also: late news of an older process is shown not to revive it, CatchUp can be serialised, and a new claims fold may start at a later offset.

--- /dev/null
+++ b/crates/eelgrasshill_control/examples/cost.rs
@@ -0,0 +1,401 @@
+//! Measures what state, deltas and decisions cost at growing membership.
+//!
+//! `cargo run --release -p eelgrasshill_control --example cost` prints CSV.
+
+use std::{hint::black_box, time::Duration, time::Instant};
+
+use eelgrasshill_control::{
+    Access, Ask, Body, Call, CallDigest, CallKey, CallOutcome, CatchUp, Checkpoint, ClaimBounds,
+    ClaimWriter, ConfigEntry, ConfigFold, Delta, Listed, LogTime, Members, Process, Requester,
+    RequesterEffect, RunEnd, Stored, WriterEffect,
+};
+use eelgrasshill_domain::{
+    AppendId, Caller, Class, ConfigRecord, Edit, Fencing, Host, HostName, Incarnation, KeyGrant,
+    KeyId, KeyText, Model, ModelName, Moment, NameError, Offset, OnStale, OrgName, Organisation,
+    Pool, PoolKind, PoolName, Repeat, RequestId, Route, RouteName, Row, RowChange, RowKey,
+    StreamName, Target, Version, ZoneName,
+};
+
+const HOSTS: usize = 600;
+const MODELS: usize = 1900;
+const EDITS: u64 = 570;
+const POOLS: usize = 12;
+const ORGANISATIONS: usize = 50;
+const KEYS: usize = 200;
+const MODELS_OF_ROUTE: usize = 10;
+const ROUNDS: u32 = 20;
+const CLAIMS: u64 = 100_000;
+const BATCH: usize = 64;
+const RETENTION: Duration = Duration::from_hours(24);
+
+fn org(number: usize) -> Result<OrgName, NameError> {
+    OrgName::new(&format!("organisation-{}", number % ORGANISATIONS))
+}
+
+fn pool(number: usize) -> Result<PoolName, NameError> {
+    PoolName::new(&format!("pool-{}", number % POOLS))
+}
+
+fn model(number: usize) -> Result<ModelName, NameError> {
+    ModelName::new(&format!("model-{number}"))
+}
+
+fn model_row(number: usize, version: u64) -> Result<Row, NameError> {
+    Ok(Row::from(Model {
+        pool: pool(number / MODELS_OF_ROUTE)?,
+        memory: 14_000,
+        version: format!("2026-{version}"),
+        adapters: vec!["tone".parse()?, "terse".parse()?],
+    }))
+}
+
+fn route_row(number: usize) -> Result<Row, NameError> {
+    let first = number * MODELS_OF_ROUTE;
+    let models: Result<_, _> = (first..first + MODELS_OF_ROUTE).map(model).collect();
+    Ok(Row::from(Route {
+        caller: Caller::Organisation(org(number)?),
+        target: Target::Models(models?),
+        pool: pool(number)?,
+        class: Class::Interactive,
+        repeat: Repeat::Allowed,
+        on_stale: OnStale::Serve,
+    }))
+}
+
+fn host_row(number: usize) -> Result<Row, NameError> {
+    let address = std::net::Ipv4Addr::from(0x0a01_0000 + u32::try_from(number).unwrap_or(0));
+    Ok(Row::from(Host {
+        pool: pool(number)?,
+        zone: ZoneName::new(&format!("zone-{}", number % 3))?,
+        address: (address, 8000).into(),
+        memory: 80_000,
+        accelerators: 1,
+        fencing: Fencing::Checked,
+    }))
+}
+
+fn rows() -> Result<Vec<(RowKey, Row)>, NameError> {
+    let mut rows = Vec::new();
+    for number in 0..ORGANISATIONS {
+        let row = Organisation {
+            rate: 1000,
+            burst: 9000,
+            weight: 1,
+        };
+        rows.push((RowKey::Organisation(org(number)?), Row::from(row)));
+    }
+    for number in 0..POOLS {
+        let kind = PoolKind::Engines;
+        rows.push((RowKey::Pool(pool(number)?), Row::from(Pool { kind })));
+    }
+    for number in 0..HOSTS {
+        let name = HostName::new(&format!("upstream-{number}"))?;
+        rows.push((RowKey::Host(name), host_row(number)?));
+    }
+    for number in 0..MODELS {
+        rows.push((RowKey::Model(model(number)?), model_row(number, 0)?));
+    }
+    for number in 0..MODELS / MODELS_OF_ROUTE {
+        let name = RouteName::new(&format!("route-{number}"))?;
+        rows.push((RowKey::Route(name), route_row(number)?));
+    }
+    Ok(rows)
+}
+
+fn stored(offset: u64, record: ConfigRecord) -> Result<Stored<ConfigEntry>, NameError> {
+    Ok(Stored {
+        offset: Offset(offset),
+        at: LogTime(offset),
+        id: AppendId::new(&format!("operator-{offset}"))?,
+        record: record.into(),
+    })
+}
+
+fn edit(changes: Vec<RowChange>) -> ConfigRecord {
+    ConfigRecord::Edit(Edit {
+        author: "operator".to_owned(),
+        changes,
+    })
+}
+
+/// The first tables, as one edit, and the keys.
+fn loaded() -> Result<ConfigFold, NameError> {
+    let mut fold = ConfigFold::new();
+    let changes = rows()?
+        .into_iter()
+        .map(|(key, row)| RowChange {
+            key,
+            base: Version(0),
+            row: Some(row),
+        })
+        .collect();
+    fold.apply(&stored(1, edit(changes))?);
+    for number in 0..KEYS {
+        let id = KeyId::new(&format!("key-{number}"))?;
+        let digest = KeyText::issue(&id, &[7; 32]).digest();
+        let grant = KeyGrant {
+            digest,
+            organisation: org(number)?,
+        };
+        let offset = fold.last().next().0;
+        fold.apply(&stored(offset, ConfigRecord::IssueKey { id, grant })?);
+    }
+    Ok(fold)
+}
+
+/// Edits of one row each, which bring new versions of models into force.
+fn edits(fold: &ConfigFold) -> Result<Vec<Stored<ConfigEntry>>, NameError> {
+    let first = fold.last().next().0;
+    (first..first + EDITS)
+        .map(|offset| {
+            let number = usize::try_from(offset * 7).unwrap_or(0) % MODELS;
+            let key = RowKey::Model(model(number)?);
+            let base = fold.version(&key);
+            let row = Some(model_row(number, offset)?);
+            stored(offset, edit(vec![RowChange { key, base, row }]))
+        })
+        .collect()
+}
+
+/// Mean time of one round in ns.
+fn time<T>(rounds: u32, mut work: impl FnMut() -> T) -> u128 {
+    let start = Instant::now();
+    for _ in 0..rounds {
+        black_box(work());
+    }
+    start.elapsed().as_nanos() / u128::from(rounds)
+}
+
+/// Resident memory of the process in bytes, as the kernel counts it.
+fn resident() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|t| t.parse::<u64>().ok());
+    pages.unwrap_or(0) * 4096
+}
+
+fn state_bytes(json: &[u8]) -> Result<u64, serde_json::Error> {
+    let before = resident();
+    let mut folds = Vec::new();
+    for _ in 0..ROUNDS {
+        let checkpoint: Checkpoint = serde_json::from_slice(json)?;
+        let mut fold = ConfigFold::new();
+        fold.adopt(&checkpoint);
+        folds.push(fold);
+    }
+    let bytes = (resident() - before) / u64::from(ROUNDS);
+    // Freed memory would be used again and hide the growth of later rounds.
+    std::mem::forget(folds);
+    Ok(bytes)
+}
+
+fn print(members: usize, what: &str, value: impl std::fmt::Display, unit: &str) {
+    println!("{members},{what},{value},{unit}");
+}
+
+fn config(members: usize) -> Result<(), Box<dyn std::error::Error>> {
+    let start = loaded()?;
+    let edits = edits(&start)?;
+    let mut fold = start;
+    let begin = Instant::now();
+    for stored in &edits {
+        fold.apply(stored);
+    }
+    let each = begin.elapsed().as_nanos() / u128::from(EDITS);
+    print(members, "fold of one edit", each, "ns");
+    let checkpoint = fold.checkpoint();
+    let json = serde_json::to_vec(&checkpoint)?;
+    print(members, "snapshot", json.len(), "bytes");
+    print(members, "state in memory", state_bytes(&json)?, "bytes");
+    let CatchUp::Delta(delta) = fold.since(Offset(fold.last().0 - 1)) else {
+        return Err("one edit must be a delta".into());
+    };
+    print(
+        members,
+        "delta of one edit",
+        serde_json::to_vec(&delta)?.len(),
+        "bytes",
+    );
+    print(
+        members,
+        "make a snapshot",
+        time(ROUNDS, || fold.checkpoint()),
+        "ns",
+    );
+    print(members, "digest", time(ROUNDS, || fold.digest()), "ns");
+    print(
+        members,
+        "build the index",
+        time(ROUNDS, || Access::new(&fold)),
+        "ns",
+    );
+    let access = Access::new(&fold);
+    let key = KeyText::issue(&KeyId::new("key-3")?, &[7; 32]);
+    let ask = Ask::Model("model-33:tone");
+    let lookup = time(100_000, || access.resolve(Some(&key), ask, Duration::ZERO));
+    print(members, "lookup of key and route", lookup, "ns");
+    Ok(())
+}
+
+fn membership(count: usize) -> Result<(), Box<dyn std::error::Error>> {
+    let process = |number: usize| Process {
+        address: (
+            std::net::Ipv4Addr::from(0x0a00_0000 + u32::try_from(number).unwrap_or(0)),
+            7000,
+        )
+            .into(),
+        incarnation: Incarnation(1),
+    };
+    let zone = |number: usize| ZoneName::new(&format!("zone-{}", number % 3));
+    let lines: Result<Vec<_>, NameError> = (0..count)
+        .map(|number| {
+            Ok(Listed {
+                host: HostName::new(&format!("entry-{number}"))?,
+                zone: zone(number)?,
+                address: process(number).address,
+                leaving: false,
+            })
+        })
+        .collect();
+    let lines = lines?;
+    let mut members = Members::new(HostName::new("entry-0")?, zone(0)?, process(0));
+    members.list(&lines, Moment(0));
+    print(
+        count,
+        "plan whom to follow",
+        time(200, || members.plan(Moment(0))),
+        "ns",
+    );
+    print(
+        count,
+        "writers of a shard",
+        time(200, || members.writers(3, Moment(0))),
+        "ns",
+    );
+    let follows = members.plan(Moment(0)).follows.len();
+    print(count, "hosts followed by a reader", follows, "hosts");
+    Ok(())
+}
+
+/// Carries batches of claims from arrival to the recorded outcome.
+fn claims(members: usize) -> Result<(), Box<dyn std::error::Error>> {
+    let process = Process {
+        address: "10.0.0.1:7000".parse()?,
+        incarnation: Incarnation(1),
+    };
+    let mut bounds = ClaimBounds::new(RETENTION);
+    bounds.pace = Duration::ZERO;
+    bounds.batch = BATCH + 1;
+    let linger = bounds.linger;
+    let mut requester = Requester::new(HostName::new("entry-0")?, process, bounds.clone());
+    let mut writer = ClaimWriter::new(StreamName::new("claims-0")?, process, bounds);
+    let mut offset = 0;
+    let mut bytes = 0;
+    let mut appends = 0;
+    let before = resident();
+    let begin = Instant::now();
+    let rounds = CLAIMS / BATCH as u64;
+    for round in 0..rounds {
+        let mut now = Moment((round + 1) * 100);
+        let mut records = Vec::new();
+        for number in 0..BATCH {
+            let text = format!("{round}-{number}");
+            let call = Call {
+                request: RequestId::new(&text)?,
+                key: CallKey::new(None, &text),
+                organisation: None,
+                digest: CallDigest::new(&[text.as_bytes()]),
+            };
+            records.extend(requester.begin(call, now));
+        }
+        while !records.is_empty() {
+            for effect in std::mem::take(&mut records) {
+                if let RequesterEffect::Submit { record, .. } = effect {
+                    writer.submit(record, now);
+                }
+            }
+            now = now.after(linger);
+            let effects = carry(&mut writer, &mut offset, &mut bytes, now)?;
+            appends += 1;
+            for effect in effects {
+                match effect {
+                    WriterEffect::Decided(id, verdict) => {
+                        requester.decide(id, &verdict, |_process| false, now);
+                        let outcome = CallOutcome::Answered {
+                            status: 201,
+                            kind: "application/json".to_owned(),
+                            body: Body::new(b"{\"reservation\":\"12345678\"}"),
+                        };
+                        records.extend(requester.ran(id, RunEnd::Answered(outcome), now));
+                    }
+                    WriterEffect::Recorded(id) => requester.recorded(id),
+                    WriterEffect::Append { .. } | WriterEffect::Read { .. } => {}
+                }
+            }
+        }
+    }
+    let done = rounds * BATCH as u64;
+    print(
+        members,
+        "claim from call to outcome",
+        begin.elapsed().as_nanos() / u128::from(done),
+        "ns",
+    );
+    print(
+        members,
+        "claim and outcome in the log",
+        bytes / done,
+        "bytes",
+    );
+    print(
+        members,
+        "appends for 1000 claims",
+        appends * 1000 / done,
+        "appends",
+    );
+    print(members, "claims remembered", writer.fold().len(), "keys");
+    print(
+        members,
+        "claim in memory",
+        (resident() - before) / done,
+        "bytes",
+    );
+    std::mem::forget(writer);
+    Ok(())
+}
+
+/// Stands for the log: takes the writer's batch and gives it back in a page.
+fn carry(
+    writer: &mut ClaimWriter,
+    offset: &mut u64,
+    bytes: &mut u64,
+    now: Moment,
+) -> Result<Vec<WriterEffect>, Box<dyn std::error::Error>> {
+    let mut found = None;
+    for effect in writer.tick(now) {
+        if let WriterEffect::Append { id, batch, .. } = effect {
+            found = Some((id, batch));
+        }
+    }
+    let (id, batch) = found.ok_or("the writer must append")?;
+    *offset += 1;
+    *bytes += serde_json::to_vec(&*batch)?.len() as u64;
+    writer.answer(&id, Ok(Offset(*offset)), now);
+    let stored = Stored {
+        offset: Offset(*offset),
+        at: LogTime(now.0),
+        id,
+        record: (*batch).clone(),
+    };
+    let page = Delta::new(Offset(*offset), vec![stored]);
+    Ok(writer.page(Offset(1), LogTime(0), &page, true, now))
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!("members,what,value,unit");
+    for members in [20, 100, 200, 400] {
+        config(members)?;
+        membership(members)?;
+        claims(members)?;
+    }
+    Ok(())
+}
--- a/crates/eelgrasshill_control/src/claims/fold.rs
+++ b/crates/eelgrasshill_control/src/claims/fold.rs
@@ -124,7 +124,9 @@
     /// Folds in a page of the log, whose first kept offset is `first`.
     ///
     /// `oldest` is a time after which the log promises to keep every record. A
-    /// fold that missed expired records starts anew from what is left.
+    /// fold that missed expired records starts anew from what is left. To read
+    /// less of a long stream, a new fold may take any later offset for `first`,
+    /// with the time of the record before it as `oldest`.
     pub fn read(&mut self, first: Offset, oldest: LogTime, page: &Delta<ClaimBatch>) {
         if first > self.cursor() {
             self.restart(first, oldest, page);
--- a/crates/eelgrasshill_control/src/fold.rs
+++ b/crates/eelgrasshill_control/src/fold.rs
@@ -11,6 +11,7 @@
 use derive_more::{Display, Error};
 use eelgrasshill_domain::{
     AppendId, ConfigRecord, EditOutcome, FastMap, KeyGrant, KeyId, Offset, RowKey, Tables, Version,
+    record,
 };
 
 use crate::{
@@ -50,13 +51,14 @@
     Blocked(Gap),
 }
 
-/// What a peer at some offset needs to catch up.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CatchUp {
-    /// The records that follow.
-    Delta(Delta<ConfigEntry>),
-    /// The whole state, as the records are no longer kept.
-    Checkpoint(Box<Checkpoint>),
+record! {
+    /// What a peer at some offset needs to catch up.
+    pub enum CatchUp {
+        /// The records that follow.
+        Delta(Delta<ConfigEntry>),
+        /// The whole state, as the records are no longer kept.
+        Checkpoint(Box<Checkpoint>),
+    }
 }
 
 /// The configuration as one host knows it.
--- a/crates/eelgrasshill_control/tests/control/members.rs
+++ b/crates/eelgrasshill_control/tests/control/members.rs
@@ -217,6 +217,12 @@
             asked: 2,
             expect: false,
         },
+        Proof {
+            name: "late news does not revive",
+            heard: &[2, 1],
+            asked: 1,
+            expect: true,
+        },
         Proof {
             name: "silence",
             heard: &[1],
