Prove the entry host as a process that is killed, paused, cut off and drained

Seen red before, and mended here: - Fresh calls never filled the budget of retries, so that a host stopped retrying for good after 20 retries ('the budget for retries is spent'). - A resumed stream that had brought tokens was charged like a retry; four answers on a stalling engine spent the budget. Only barren attempts are charged now; their number per answer stays bounded. Ruled out: the stand-in's stall fault, which stops each attempt as it should.

--- a/crates/eelgrasshill_entry/src/answer.rs
+++ b/crates/eelgrasshill_entry/src/answer.rs
@@ -9,8 +9,8 @@
     CallError, Engine, GenerateRequest, Resume, StreamEvent as Event, Usage,
 };
 use eelgrasshill_route::{
-    Attempt, Call, ClassBounds, LeaveCause, Observation, PrefixHash, ResumeAt, Resumption, Sent,
-    StreamAction, StreamEvent, StreamFailure, Ticket, Work,
+    Attempt, Call, ClassBounds, LeaveCause, Observation, PrefixHash, ResumeAt, Resumption,
+    RetryBudget, Sent, StreamAction, StreamEvent, StreamFailure, Ticket, Work,
 };
 use futures_util::StreamExt;
 use tokio::sync::mpsc;
@@ -69,6 +69,8 @@
     trace: Trace,
     first: Option<Moment>,
     latest: Moment,
+    /// The token from which the present attempt goes on.
+    resumed: u64,
 }
 
 impl<E: Engine> Answer<E> {
@@ -106,6 +108,7 @@
             trace,
             first: None,
             latest,
+            resumed: 0,
         };
         match answer.admit().await {
             Ok(host) => Ok((answer, host)),
@@ -167,6 +170,7 @@
     /// Generates the answer; a dropped receiver cancels it.
     pub async fn run(mut self, host: HostName, parts: mpsc::Sender<Part>) {
         let call = Call::new(self.request.grant.route.repeat).send();
+        self.shared.with_retries(RetryBudget::note_fresh);
         let request = self.request.generate.id.clone();
         let now = BootClock.now();
         let mut stream = Resumption::new(
@@ -244,7 +248,10 @@
             "answer: {} is resumed from token {from}, {cause}",
             self.request.generate.id
         );
-        if let Err(error) = self.shared.with_retries(|budget| call.retry(budget, now)) {
+        // An attempt that brought tokens repeats none of them, so that only others are charged.
+        let is_barren = from == self.resumed;
+        self.resumed = from;
+        if is_barren && let Err(error) = self.shared.with_retries(|b| call.retry(b, now)) {
             return Err(ApiError::unknown(Code::UpstreamFailed, error));
         }
         let host = match at {
--- a/crates/eelgrasshill_entry/src/passing.rs
+++ b/crates/eelgrasshill_entry/src/passing.rs
@@ -5,7 +5,7 @@
 use eelgrasshill_control::Grant;
 use eelgrasshill_domain::{HostName, Moment};
 use eelgrasshill_platform::{CallError, Plain, PlainCall, PlainReply};
-use eelgrasshill_route::{Call, Observation, Ticket, Work};
+use eelgrasshill_route::{Call, Observation, RetryBudget, Ticket, Work};
 
 use crate::quota::Reservation;
 use crate::{ApiError, BootClock, Code, Place, Shared};
@@ -34,6 +34,7 @@
     /// Returns [`ApiError`], which says whether the call may have run.
     pub(crate) async fn run(&self, shared: &Arc<Shared>) -> Result<PlainReply, ApiError> {
         let mut reservation = self.admit(shared).await?;
+        shared.with_retries(RetryBudget::note_fresh);
         let mut avoid = Vec::new();
         loop {
             let (place, host) = self.place(shared, avoid.clone()).await?;
--- a/crates/eelgrasshill_entry/tests/support/mod.rs
+++ b/crates/eelgrasshill_entry/tests/support/mod.rs
@@ -3,6 +3,9 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 #![expect(clippy::unwrap_used, reason = "a test stops at its first failure")]
 
+pub mod caller;
+pub mod process;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -18,6 +21,7 @@
     Engine, EngineSettings, Hosts, HostsSettings, Log, LogSettings, ModelCopy, Plain,
     PlainSettings, Running, Standin,
 };
+use process::{Plan, Process};
 
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
@@ -28,6 +32,8 @@
     pub plain: Running<Plain>,
     pub hosts: Vec<EntryHost>,
     pub tables: Tables,
+    pub processes: Vec<Process>,
+    leaving: Vec<String>,
     appends: u64,
 }
 
@@ -97,6 +103,8 @@
             plain,
             hosts: Vec::new(),
             tables,
+            processes: Vec::new(),
+            leaving: Vec::new(),
             appends: 0,
         };
         let tables = fleet.tables.clone();
@@ -122,18 +130,61 @@
         self.hosts.push(EntryHost::start(settings, None).unwrap());
     }
 
+    /// Starts one process in each of the first `count` zones, beside no other host.
+    pub fn start_processes(count: usize) -> Self {
+        let mut fleet = Self::start(0);
+        for (number, zone) in ZONES.iter().take(count).enumerate() {
+            let name = format!("entry-{number}");
+            let plan = Plan::new(&name, zone, fleet.log.address, fleet.list.address);
+            fleet.processes.push(plan.start());
+        }
+        fleet.list_hosts();
+        for process in &fleet.processes {
+            process.wait_ready();
+        }
+        fleet
+    }
+
+    /// Marks an upstream as leaving in the platform's list.
+    pub fn leave(&mut self, upstream: &str) {
+        self.leaving.push(upstream.to_owned());
+        self.list_hosts();
+    }
+
     pub fn list_hosts(&self) {
-        let listed = self.hosts.iter().map(|host| {
+        let hosts = self.hosts.iter().map(|host| {
             let settings = &host.shared().settings;
-            ListedHost {
-                host: settings.name.clone(),
-                zone: settings.zone.clone(),
-                address: settings.peer,
+            (
+                settings.name.to_string(),
+                settings.zone.to_string(),
+                settings.peer,
+            )
+        });
+        let processes = self.processes.iter().map(|process| {
+            let plan = &process.plan;
+            (plan.name.clone(), plan.zone.clone(), plan.peer)
+        });
+        let entries = hosts
+            .chain(processes)
+            .map(|(name, zone, address)| ListedHost {
+                host: name.parse().unwrap(),
+                zone: zone.parse().unwrap(),
+                address,
                 role: HostRole::Entry,
                 state: HostState::Live,
-            }
+            });
+        let upstreams = self.tables.hosts.iter().map(|(name, row)| ListedHost {
+            host: name.clone(),
+            zone: row.zone.clone(),
+            address: row.address,
+            role: HostRole::Upstream,
+            state: if self.leaving.contains(&name.to_string()) {
+                HostState::Leaving
+            } else {
+                HostState::Live
+            },
         });
-        self.list.handle.set(listed.collect());
+        self.list.handle.set(entries.chain(upstreams).collect());
     }
 
     pub fn wait_ready(&self) {
@@ -194,9 +245,8 @@
             grant,
         });
         wait_for("the key is in force", || {
-            self.hosts
-                .iter()
-                .all(|h| h.shared().picture.load().access.is_key_valid(&id))
+            let known = |host: &EntryHost| host.shared().picture.load().access.is_key_valid(&id);
+            self.hosts.iter().all(known)
         });
         key
     }
--- /dev/null
+++ b/crates/eelgrasshill_entry/tests/support/process.rs
@@ -0,0 +1,162 @@
+//! Entry hosts as processes of their own, which a test can kill, stop and wake.
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use super::wait_for;
+
+/// The program under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_eelgrasshill-entry");
+
+/// The first port that tests use.
+const FIRST_PORT: u16 = 12_000;
+
+/// Ports that tests use.
+const PORTS: u16 = 16_000;
+
+/// Addresses and settings files given out so far.
+static TAKEN: AtomicU16 = AtomicU16::new(0);
+
+/// Where one process is reached and what it is told.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub name: String,
+    pub zone: String,
+    pub listen: SocketAddr,
+    pub peer: SocketAddr,
+    pub admin: SocketAddr,
+    pub log: SocketAddr,
+    pub hosts: SocketAddr,
+    pub peers: Vec<SocketAddr>,
+}
+
+/// A running entry host.
+#[derive(Debug)]
+pub struct Process {
+    pub plan: Plan,
+    child: Child,
+    settings: PathBuf,
+}
+
+/// Returns an address that no other test of this run is given and that can be bound.
+///
+/// The ports lie below those that the system hands out by itself.
+pub fn free_address() -> SocketAddr {
+    loop {
+        let number = TAKEN.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + number % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+impl Plan {
+    pub fn new(name: &str, zone: &str, log: SocketAddr, hosts: SocketAddr) -> Self {
+        Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            listen: free_address(),
+            peer: free_address(),
+            admin: free_address(),
+            log,
+            hosts,
+            peers: Vec::new(),
+        }
+    }
+
+    pub fn start(&self) -> Process {
+        let peers: Vec<String> = self.peers.iter().map(ToString::to_string).collect();
+        let text = format!(
+            "[host]\nname = {}\nzone = {}\nlisten = {}\npeer = {}\nadmin = {}\nthreads = 1\n\
+             [platform]\nlog = {}\nhosts = {}\n[peers]\naddresses = {}\n\
+             [bounds]\nleave-ms = 300\n[fleet]\nzones = zone-a, zone-b, zone-c\n",
+            self.name,
+            self.zone,
+            self.listen,
+            self.peer,
+            self.admin,
+            self.log,
+            self.hosts,
+            peers.join(", "),
+        );
+        let number = TAKEN.fetch_add(1, Ordering::Relaxed);
+        let file = format!("eelgrasshill-{}-{number}.ini", std::process::id());
+        let settings = std::env::temp_dir().join(file);
+        fs::write(&settings, text).unwrap();
+        let child = Command::new(PROGRAM)
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .env("RUST_LOG", "warn")
+            .spawn()
+            .unwrap();
+        Process {
+            plan: self.clone(),
+            child,
+            settings,
+        }
+    }
+}
+
+impl Process {
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.plan.listen)
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).unwrap();
+    }
+
+    /// Waits until the balancer may send requests.
+    pub fn wait_ready(&self) {
+        wait_for("the process is ready", || {
+            http_get(self.plan.listen, "/ready").is_some_and(|reply| reply.contains(" 200 "))
+        });
+    }
+
+    pub fn status(&self) -> String {
+        http_get(self.plan.admin, "/status").unwrap_or_default()
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        let _ended = self.child.kill();
+        self.child.wait().unwrap();
+    }
+
+    /// Waits for the process to end by itself.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ended = self.child.kill();
+        let _status = self.child.wait();
+        let _left = fs::remove_file(&self.settings);
+    }
+}
+
+/// Reads a whole reply, head included; none when nothing answers in time.
+pub fn http_get(address: SocketAddr, path: &str) -> Option<String> {
+    use std::io::{Read, Write};
+    let bound = std::time::Duration::from_secs(2);
+    let mut stream = std::net::TcpStream::connect_timeout(&address, bound).ok()?;
+    stream.set_read_timeout(Some(bound)).ok()?;
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n"
+    )
+    .ok()?;
+    let mut reply = String::new();
+    stream.read_to_string(&mut reply).ok()?;
+    Some(reply)
+}
