Tighten four tests that a broken mechanism passed

Cause: a run with mechanisms broken one at a time left four green: a stall noticed only in the middle of an answer, priority among waiting requests, faults limited to some calls, and a long poll that an outage must end. Ruled out: that the mechanisms are dead code; each is met by the new cases. Before: green when broken. Priority is now shown by endless batch requests that wait: an urgent one can only end if it overtook them, whatever the machine's speed.

--- a/crates/eelgrasshill_standin/tests/engine.rs
+++ b/crates/eelgrasshill_standin/tests/engine.rs
@@ -9,7 +9,6 @@
 use eelgrasshill_domain::{AdapterName, Class, Fencing};
 use eelgrasshill_platform::{CallError, Engine as _, Order, OrderAction, OrderAnswer};
 use eelgrasshill_standin::Standin as _;
-use futures_util::future::join_all;
 
 #[actix_web::test]
 async fn an_answer_is_whole_and_its_own() {
@@ -106,41 +105,58 @@
 }
 
 #[actix_web::test]
-async fn a_batch_is_bounded_and_urgent_goes_first() {
+async fn a_batch_and_its_queue_are_bounded() {
     let mut settings = common::settings();
     settings.slots = 2;
     settings.queue = 6;
     let engine = start(settings);
-    let calls: Vec<_> = (0..10)
-        .map(|number| {
-            let mut call = request(&format!("r-{number}"), &format!("q {number}"), 40);
-            call.class = [Class::Batch, Class::Urgent][number % 2];
-            call
-        })
-        .collect();
-    let address = engine.address;
-    let answers = calls.iter().map(|call| async move {
-        let answer = collect(address, call, BOUND).await;
-        (call, answer, std::time::Instant::now())
-    });
-    let mut urgent = Vec::new();
-    let mut batch = Vec::new();
-    let mut full = 0;
-    for (call, answer, ended) in join_all(answers).await {
-        match answer {
-            Ok(answer) => {
-                assert_eq!(answer.text(), text(call).prefix(40));
-                [&mut urgent, &mut batch][usize::from(call.class == Class::Batch)].push(ended);
-            }
-            Err(CallError::Status { status: 503, .. }) => full += 1,
+    let mut open = Vec::new();
+    for number in 0..20 {
+        let call = request(&format!("r-{number}"), "q", 1_000_000);
+        match engines().generate(engine.address, &call).await {
+            Ok(events) => open.push(events),
+            Err(CallError::Status { status: 503, .. }) => {}
             Err(error) => panic!("{error}"),
         }
     }
-    let counts = engine.handle.counts();
-    assert_eq!(counts.widest, 2);
-    assert_eq!(counts.finished + full, 10);
-    assert!(full >= 1, "the queue holds six, the batch two");
-    assert!(urgent.iter().max() < batch.iter().max(), "batch ends last");
+    assert!((6..=8).contains(&open.len()), "{} of 6 to 8", open.len());
+    common::until("two run", || engine.handle.counts().widest == 2).await;
+    let tokens = engine.handle.counts().tokens;
+    common::until("more tokens", || {
+        engine.handle.counts().tokens > tokens + 20
+    })
+    .await;
+    assert_eq!(engine.handle.counts().widest, 2);
+}
+
+#[actix_web::test]
+async fn an_urgent_request_overtakes_waiting_batch_requests() {
+    let mut settings = common::settings();
+    settings.slots = 1;
+    let engine = start(settings);
+    let accepted = |count| engine.handle.counts().accepted == count;
+    let endless = |id: &str, class| {
+        let mut call = request(id, id, 1_000_000);
+        call.class = class;
+        call
+    };
+    let first = endless("first", Class::Interactive);
+    let batch = [endless("b-1", Class::Batch), endless("b-2", Class::Batch)];
+    let adapter = engines();
+    let _first = adapter.generate(engine.address, &first).await.unwrap();
+    common::until("the first runs", || engine.handle.counts().tokens > 0).await;
+    let _one = adapter.generate(engine.address, &batch[0]).await.unwrap();
+    let _two = adapter.generate(engine.address, &batch[1]).await.unwrap();
+    let mut urgent = request("u-1", "urgent", 5);
+    urgent.class = Class::Urgent;
+    let answer = collect(engine.address, &urgent, BOUND);
+    let freeing = async {
+        common::until("all wait", || accepted(4)).await;
+        adapter.cancel(engine.address, &first.id).await.unwrap();
+    };
+    let both = futures_util::future::join(answer, freeing);
+    let (answer, ()) = tokio::time::timeout(BOUND, both).await.unwrap();
+    assert_eq!(answer.unwrap().text(), text(&urgent).prefix(5));
 }
 
 #[actix_web::test]
--- a/crates/eelgrasshill_standin/tests/faults.rs
+++ b/crates/eelgrasshill_standin/tests/faults.rs
@@ -58,6 +58,11 @@
     let base = FaultSet::default;
     let elsewhere = |mode| FaultSet::new(mode).with_only("GET /streams");
     let lose = FaultSet { lose: 1, ..base() };
+    let elsewhere_lost = FaultSet {
+        lose: 1,
+        lose_share: 1000,
+        ..elsewhere(Mode::Normal)
+    };
     let quiet = FaultSet {
         lose: 1,
         lose_silent: true,
@@ -82,7 +87,28 @@
         case("lost once", lose, End::Closed, 1, true),
         case("lost in silence", quiet, End::Silent, 1, true),
         case("a share lost", share, End::Closed, 1, false),
-        case("elsewhere", elsewhere(Mode::Silent), End::Done, 1, true),
+        case(
+            "silent elsewhere",
+            elsewhere(Mode::Silent),
+            End::Done,
+            1,
+            true,
+        ),
+        case(
+            "503 elsewhere",
+            elsewhere(Mode::Unavailable),
+            End::Done,
+            1,
+            true,
+        ),
+        case(
+            "frozen elsewhere",
+            elsewhere(Mode::Frozen),
+            End::Done,
+            1,
+            true,
+        ),
+        case("lost elsewhere", elsewhere_lost, End::Done, 1, true),
     ];
     for case in cases {
         let log = Log::new(LogSettings::default()).spawn_thread().unwrap();
--- a/crates/eelgrasshill_standin/tests/load.rs
+++ b/crates/eelgrasshill_standin/tests/load.rs
@@ -47,12 +47,14 @@
     if key != "cut" {
         events.push("data: [DONE]\n\n".to_owned());
     }
-    let pause = match key {
-        "slow" => Duration::from_millis(260),
-        "stalled" => Duration::from_millis(700),
-        _ => Duration::ZERO,
-    };
-    let stream = iter(events).then(move |event| async move {
+    let slow = key == "slow";
+    let stalled = key == "stalled";
+    let stream = iter(events.into_iter().enumerate()).then(move |(index, event)| async move {
+        let pause = match index {
+            1 if stalled => Duration::from_millis(700),
+            _ if slow => Duration::from_millis(260),
+            _ => Duration::ZERO,
+        };
         tokio::time::sleep(pause).await;
         Ok::<_, std::io::Error>(Bytes::from(event))
     });
--- a/crates/eelgrasshill_standin/tests/services.rs
+++ b/crates/eelgrasshill_standin/tests/services.rs
@@ -86,12 +86,11 @@
             }
         };
         let (page, ()) = futures_util::future::join(read, event).await;
+        let early = start.elapsed() < wait;
+        assert_eq!(early, !matches!(after, After::Nothing));
         match after {
             After::Append => assert_eq!(page.unwrap().records.len(), 1),
-            After::Nothing => {
-                assert_eq!(page.unwrap().end, Offset(1));
-                assert!(start.elapsed() >= wait);
-            }
+            After::Nothing => assert_eq!(page.unwrap().end, Offset(1)),
             After::Outage => {
                 let error = page.unwrap_err().0;
                 assert!(
