--- a/crates/eelgrasshill_route/src/dispatcher.rs
+++ b/crates/eelgrasshill_route/src/dispatcher.rs
@@ -104,6 +104,11 @@
         self.weights = weights;
     }
 
+    /// Sets how many entry hosts share the upstreams of this zone, this one included.
+    pub fn set_peers(&mut self, peers: u32) {
+        self.settings.peers = peers.max(1);
+    }
+
     /// Queues a ticket.
     ///
     /// # Errors
--- a/crates/eelgrasshill_route/src/fleet.rs
+++ b/crates/eelgrasshill_route/src/fleet.rs
@@ -20,6 +20,8 @@
 pub(crate) struct Allowance {
     /// Percent of the slots that may be taken, above 100 to queue on the upstream.
     pub(crate) fill: u32,
+    /// Entry hosts that share the upstreams, this one included.
+    pub(crate) peers: u32,
     /// Set for aged work, which goes ahead of other classes.
     pub(crate) aged: Option<AgedPace>,
 }
@@ -138,7 +140,9 @@
             return None;
         }
         let report = upstream.report.as_ref();
-        let load = ledger.map_or_else(|| Ledger::default().load(report), |l| l.load(report));
+        let load = ledger
+            .unwrap_or(&Ledger::default())
+            .load(report, allowance.peers);
         let slots = report.map_or(DEFAULT_SLOTS, |r| r.slots);
         let usable = u64::from(slots) * u64::from(allowance.fill) / 100;
         (u64::from(load) < usable.max(1)).then(|| Candidate {
--- a/crates/eelgrasshill_route/src/ledger.rs
+++ b/crates/eelgrasshill_route/src/ledger.rs
@@ -67,14 +67,21 @@
     }
 
     /// Returns the number of requests that the upstream holds by now.
-    pub(crate) fn load(&self, report: Option<&Report>) -> u32 {
+    ///
+    /// Other entry hosts start and end requests too, and none of it is in the report yet; each
+    /// of the `peers` is taken to have changed as much as this one.
+    pub(crate) fn load(&self, report: Option<&Report>, peers: u32) -> u32 {
         let Some(report) = report else {
             return self.own;
         };
-        let reported = report.running.saturating_add(report.waiting);
-        let corrected = reported
-            .saturating_add(self.own)
-            .saturating_sub(self.own_at(report.taken));
+        let before = self.own_at(report.taken);
+        let started = self.own.saturating_sub(before).saturating_mul(peers);
+        let ended = before.saturating_sub(self.own).saturating_mul(peers);
+        let corrected = report
+            .running
+            .saturating_add(report.waiting)
+            .saturating_add(started)
+            .saturating_sub(ended);
         corrected.max(self.own)
     }
 
--- a/crates/eelgrasshill_route/src/pool.rs
+++ b/crates/eelgrasshill_route/src/pool.rs
@@ -126,6 +126,7 @@
             let scan = &mut plain[class as usize];
             let allowance = Allowance {
                 fill: self.settings.fill.of(class),
+                peers: self.settings.peers,
                 aged: None,
             };
             self.start_one(queue.class_mut(class), scan, allowance, found)
@@ -145,6 +146,7 @@
     fn aged(&self) -> Allowance {
         Allowance {
             fill: self.settings.fill.aged,
+            peers: self.settings.peers,
             aged: Some(AgedPace {
                 gap: self.settings.aged_share.saturating_sub(1),
                 rest: self.settings.aged_rest,
--- a/crates/eelgrasshill_route/src/settings.rs
+++ b/crates/eelgrasshill_route/src/settings.rs
@@ -65,6 +65,8 @@
         pub fill: ClassFill,
         /// Percent of a host's slots left free by organisations over their share.
         pub share_reserve: u32,
+        /// Entry hosts that share the upstreams of a zone, this one included.
+        pub peers: u32,
         /// Time between two reports of the same missing model.
         pub miss_interval: Duration,
     }
@@ -175,7 +177,8 @@
             aged_share: 4,
             aged_rest: Duration::from_secs(1),
             fill: ClassFill::default(),
-            share_reserve: 15,
+            share_reserve: 45,
+            peers: 5,
             miss_interval: Duration::from_secs(1),
         }
     }
--- a/crates/eelgrasshill_route/src/usage.rs
+++ b/crates/eelgrasshill_route/src/usage.rs
@@ -13,8 +13,11 @@
 /// How long an organisation counts as being about after its last request.
 const ACTIVE_SPAN: Duration = Duration::from_secs(30);
 
-/// Demand over an organisation's share that still passes as chance, in percent.
-const DEMAND_SLACK: u64 = 200;
+/// Times its share that an organisation may ask for.
+const DEMAND_SLACK: u64 = 2;
+
+/// Standard deviations of its share that pass as chance.
+const CHANCE: u64 = 2;
 
 /// Running requests that any organisation may have without being over its share.
 const FREE_REQUESTS: u64 = 2;
@@ -71,11 +74,13 @@
         let over = self.uses.iter().filter(|(payer, used)| {
             let weight = shares.of(payer);
             let fair = self.total * weight;
-            let demand = used.running + waiting(payer) as u64;
+            let demand = (used.running + waiting(payer) as u64) * weights;
+            let excess = demand.saturating_sub(fair * DEMAND_SLACK);
+            // The share is `fair / weights` requests, and chance varies it by its square root.
             weight < weights
                 && used.running > FREE_REQUESTS
                 && used.running * weights > fair
-                && demand * weights * 100 > fair * DEMAND_SLACK
+                && excess * excess > CHANCE * CHANCE * fair * weights
         });
         over.map(|(payer, _used)| payer.clone()).collect()
     }
--- a/crates/eelgrasshill_route/tests/fairness.rs
+++ b/crates/eelgrasshill_route/tests/fairness.rs
@@ -40,6 +40,14 @@
     longest: Vec<u64>,
 }
 
+/// Settings of an entry host that has the engines for itself.
+fn alone() -> DispatchSettings {
+    DispatchSettings {
+        peers: 1,
+        ..DispatchSettings::default()
+    }
+}
+
 fn view() -> View {
     let zone = ZoneName::new("zone").unwrap();
     let upstreams = (0..ENGINES).map(|n| {
@@ -156,7 +164,7 @@
 
 #[test]
 fn batch_starts_within_its_bound() {
-    let settings = DispatchSettings::default();
+    let settings = alone();
     let bound = batch_bound(&settings);
     let off = DispatchSettings {
         aged_share: 0,
@@ -212,7 +220,7 @@
 fn burst_leaves_others_where_they_were() {
     // A slot frees every 42 ms on average; a few of these are all that a fair turn may cost.
     let few_turns = 3 * SERVICE_MS / u64::from(ENGINES * SLOTS);
-    let settings = DispatchSettings::default();
+    let settings = alone();
     let unreserved = DispatchSettings {
         share_reserve: 0,
         ..settings
