--- /dev/null
+++ b/crates/eelgrasshill_limit/examples/cost.rs
@@ -0,0 +1,156 @@
+//! Prints the bytes of state and the time per operation of ledger, home and borrower as CSV.
+
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::hint::black_box;
+use std::time::Instant;
+
+use eelgrasshill_domain::{HostName, Incarnation, Moment, Offset, OrgName, Version, ZoneName};
+use eelgrasshill_limit::{
+    Admission, Amount, BorrowRequest, Effect, Holder, Limit, LimitSettings, Limiter, Process,
+    RightsRecord, Share, Sound,
+};
+
+/// Numbers of hosts.
+const HOSTS: [usize; 4] = [20, 100, 200, 400];
+
+/// Numbers of organisations.
+const ORGS: [usize; 3] = [5, 20, 50];
+
+/// Operations that are timed together.
+const ROUNDS: u64 = 20_000;
+
+fn holder(number: usize) -> Result<Holder, Box<dyn Error>> {
+    Ok(Holder {
+        process: Process {
+            host: HostName::new(&format!("entry-{number}"))?,
+            incarnation: Incarnation(1),
+        },
+        zone: ZoneName::new(["sudvestur-a", "sudvestur-b", "sudvestur-c"][number % 3])?,
+        address: format!("10.0.{}.{}:7000", number / 250, number % 250).parse()?,
+    })
+}
+
+/// Returns the nanoseconds of one operation.
+fn time(mut operation: impl FnMut(u64)) -> u128 {
+    let start = Instant::now();
+    (0..ROUNDS).for_each(&mut operation);
+    start.elapsed().as_nanos() / u128::from(ROUNDS)
+}
+
+/// Folds what every host appends until shares are assigned and leases hold.
+fn settle(limiters: &mut [Limiter<Sound>], log: &mut Vec<RightsRecord>) {
+    for round in 0..4 {
+        let now = Moment(1_000 + round * 3_000);
+        let first = log.len();
+        for limiter in limiters.iter_mut() {
+            for effect in limiter.poll(now) {
+                if let Effect::Append(record) = effect {
+                    log.push(record);
+                }
+            }
+        }
+        for limiter in limiters.iter_mut() {
+            for (offset, record) in log.iter().enumerate().skip(first) {
+                limiter.read(Offset(offset as u64), record, now);
+            }
+        }
+    }
+}
+
+fn request(org: &OrgName, home: &Process, from: &Holder, number: u64) -> BorrowRequest {
+    // The hosts of this fleet number their own requests; these come from others.
+    let mut borrower = from.process.clone();
+    borrower.incarnation = Incarnation(2);
+    BorrowRequest {
+        organisation: org.clone(),
+        home: home.clone(),
+        borrower,
+        number,
+        accepted: number - 1,
+        least: Amount::ZERO,
+        most: Amount::from_tokens(1),
+        usage: Vec::new(),
+    }
+}
+
+fn measure(hosts: usize, count: usize) -> Result<(), Box<dyn Error>> {
+    let holders = (0..hosts).map(holder).collect::<Result<Vec<_>, _>>()?;
+    let names = (0..count)
+        .map(|number| OrgName::new(&format!("organisation-{number}")))
+        .collect::<Result<Vec<_>, _>>()?;
+    let share = Share {
+        rate: 100_000_000,
+        burst: Amount::from_tokens(1_000_000),
+    };
+    let version = Version(1);
+    let limits: BTreeMap<_, _> = names
+        .iter()
+        .map(|org| (org.clone(), Limit { version, share }))
+        .collect();
+    let mut limiters: Vec<_> = holders
+        .iter()
+        .map(|me| {
+            let mut limiter = Limiter::<Sound>::new(me.clone(), LimitSettings::default());
+            limiter.configure(version, limits.clone(), Moment(0));
+            limiter.set_members(holders.iter().cloned());
+            limiter
+        })
+        .collect();
+    let mut log = Vec::new();
+    settle(&mut limiters, &mut log);
+
+    let Some(account) = limiters[0].ledger().account(&names[0]) else {
+        return Ok(());
+    };
+    let home = account.stakes[0].holder.clone();
+    let lender = holders.iter().position(|h| *h == home).unwrap_or(0);
+    let ledger = serde_json::to_string(&limiters[0].ledger().snapshot())?.len();
+
+    let now = Moment(20_000);
+    let lend = time(|round| {
+        let from = &holders[usize::try_from(round).unwrap_or(0) % hosts];
+        let asked = request(&names[0], &home.process, from, round / hosts as u64 + 1);
+        black_box(limiters[lender].lend(&asked, Moment(now.0 + round / 100)));
+    });
+    let sessions = limiters[lender]
+        .home(&names[0])
+        .map_or(0, |home| size_of_val(home) + home.state_bytes());
+
+    let later = Moment(now.0 + 2_000);
+    let mut admitted = 0;
+    let admit = time(|round| {
+        let org = &names[usize::try_from(round).unwrap_or(0) % count];
+        let at = Moment(later.0 + round / 100);
+        if let Admission::Admitted(id) = limiters[lender].admit(org, 1, at) {
+            limiters[lender].settle(id, 1, at);
+            admitted += 1;
+        }
+        black_box(limiters[lender].poll(at));
+    });
+    let idle = time(|round| {
+        black_box(limiters[lender].poll(Moment(later.0 + 10_000 + round)));
+    });
+    let fold = time(|round| {
+        let record = &log[usize::try_from(round).unwrap_or(0) % log.len()];
+        let offset = Offset(log.len() as u64 + round);
+        black_box(limiters[0].read(offset, record, later));
+    });
+    println!(
+        "{hosts},{count},{},{ledger},{sessions},{lend},{admit},{idle},{fold},{admitted}",
+        log.len()
+    );
+    Ok(())
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    println!(
+        "hosts,organisations,records,ledger_json_bytes,home_bytes,lend_ns,admit_settle_poll_ns,poll_ns,read_ns,admitted"
+    );
+    for hosts in HOSTS {
+        for count in ORGS {
+            measure(hosts, count)?;
+        }
+    }
+    Ok(())
+}
--- a/crates/eelgrasshill_limit/src/home.rs
+++ b/crates/eelgrasshill_limit/src/home.rs
@@ -45,6 +45,12 @@
         &self.bucket
     }
 
+    /// Returns the bytes that the sessions of all borrowers take, names not counted.
+    #[must_use]
+    pub fn state_bytes(&self) -> usize {
+        self.sessions.capacity() * size_of::<(Process, Session)>()
+    }
+
     /// Puts another share in force at once.
     pub fn set_share(&mut self, now: Moment, share: Share) {
         self.bucket.set_share(now, share);
