control: let a peer's records fill a gap, and bound a batch in bytes

Cause: a host in a gap blocked every record, also those by which a peer would have filled it, so only a whole checkpoint could end the gap. A batch takes no more records after 256 KiB of bodies. Ruled out: dropping the gap check from `apply`, which is called without knowing what lies before the record.

--- a/crates/eelgrasshill_control/src/access.rs
+++ b/crates/eelgrasshill_control/src/access/mod.rs
@@ -3,18 +3,18 @@
 //! An [`Access`] is immutable: the control thread makes a new one when the fold
 //! changes, and traffic threads share it.
 
+mod refusal;
+
 use std::{sync::Arc, time::Duration};
 
-use derive_more::{Display, Error};
 use eelgrasshill_domain::{
-    AdapterName, Caller, FastMap, FastSet, KeyGrant, KeyId, KeyText, KeyTextError, ModelName,
-    Offset, OnStale, OrgName, Route, RouteName, Tables, Target,
+    AdapterName, Caller, FastMap, FastSet, KeyGrant, KeyId, KeyText, ModelName, Offset, OnStale,
+    OrgName, Route, RouteName, Tables, Target,
 };
 
-use crate::{
-    ConfigFold,
-    path::{PathError, decode_path},
-};
+use crate::{ConfigFold, path::decode_path};
+
+pub use refusal::{KeyError, Refusal};
 
 /// What a request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,55 +42,6 @@
     pub adapter: Option<AdapterName>,
 }
 
-/// Why a presented key does not count.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
-pub enum KeyError {
-    /// The route needs a key and none was presented.
-    #[display("a key is needed")]
-    Missing,
-    /// The text is not a key.
-    #[display("{_0}")]
-    Form(KeyTextError),
-    /// No such key was issued.
-    #[display("the key is not known")]
-    Unknown,
-    /// The key was withdrawn.
-    #[display("the key was withdrawn")]
-    Withdrawn,
-}
-
-/// Why a request is refused before it runs.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
-pub enum Refusal {
-    /// The request has no key that counts.
-    #[display("unauthorized: {_0}")]
-    Unauthorized(KeyError),
-    /// The key's organisation has no route to what was asked for.
-    #[display("forbidden: organisation `{organisation}` has no route to this")]
-    Forbidden {
-        /// The key's organisation.
-        #[error(not(source))]
-        organisation: OrgName,
-    },
-    /// No route reaches the model.
-    #[display("no route reaches this model")]
-    UnknownModel,
-    /// No route reaches the path.
-    #[display("no route reaches this path")]
-    UnknownPath,
-    /// The path could mean another one to an upstream.
-    #[display("{_0}")]
-    Path(PathError),
-    /// The tables are older than the route allows.
-    #[display("the tables are {} s old, and the route allows {} s", age.as_secs(), bound.as_secs())]
-    Stale {
-        /// Time since the tables were last known to be current.
-        age: Duration,
-        /// The most that the route allows.
-        bound: Duration,
-    },
-}
-
 #[derive(Clone, Debug)]
 struct Entry {
     name: RouteName,
--- a/crates/eelgrasshill_control/src/claims/record.rs
+++ b/crates/eelgrasshill_control/src/claims/record.rs
@@ -198,4 +198,19 @@
     pub fn is_claim(&self) -> bool {
         matches!(self, Self::Claim(_))
     }
+
+    /// Returns the length of a recorded body, which may dwarf the rest.
+    pub(crate) fn body_bytes(&self) -> usize {
+        match self {
+            Self::Outcome {
+                outcome:
+                    CallOutcome::Answered {
+                        body: Body::Text(text),
+                        ..
+                    },
+                ..
+            } => text.len(),
+            Self::Outcome { .. } | Self::Claim(_) | Self::Abort { .. } => 0,
+        }
+    }
 }
--- a/crates/eelgrasshill_control/src/claims/writer.rs
+++ b/crates/eelgrasshill_control/src/claims/writer/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! It says that a claim won only after it has read the claim back from the log.
 
+mod read;
+
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use eelgrasshill_domain::{AppendId, FastMap, FastSet, Moment, Offset, StreamName, digest_hex};
@@ -9,7 +11,10 @@
 use super::{
     CallKey, Claim, ClaimBatch, ClaimBounds, ClaimFold, ClaimId, ClaimRecord, Held, Verdict,
 };
-use crate::{Append, AppendError, AppendStep, Delta, LogTime, Process, append::ANSWER_BOUND};
+use crate::{Append, AppendError, AppendStep, Process, append::ANSWER_BOUND};
+
+/// Bytes of recorded bodies after which a batch takes no more records.
+const MAX_BATCH_BYTES: usize = 256 * 1024;
 
 /// Time between two reads of a writer that awaits nothing.
 const IDLE_POLL: Duration = Duration::from_secs(1);
@@ -237,8 +242,7 @@
         if self.flight.is_some() || !is_paced || !is_due {
             return;
         }
-        let count = self.queue.len().min(self.bounds.batch);
-        let records: Vec<_> = self.queue.drain(..count).collect();
+        let records = self.take_batch();
         self.since = (!self.queue.is_empty()).then_some(now);
         let Some(id) = self.next_id() else {
             return;
@@ -249,6 +253,20 @@
         });
     }
 
+    /// Takes the oldest records, within the bounds of one append.
+    fn take_batch(&mut self) -> Vec<ClaimRecord> {
+        let mut bytes = 0;
+        let mut records = Vec::new();
+        while records.len() < self.bounds.batch
+            && bytes < MAX_BATCH_BYTES
+            && let Some(record) = self.queue.pop_front()
+        {
+            bytes += record.body_bytes();
+            records.push(record);
+        }
+        records
+    }
+
     fn next_id(&mut self) -> Option<AppendId> {
         self.appends += 1;
         let address = digest_hex(self.process.address.to_string().as_bytes());
@@ -275,102 +293,6 @@
         }
         self.tick(now)
     }
-
-    /// Notes that a read failed.
-    pub fn read_failed(&mut self, now: Moment) {
-        self.reading = None;
-        self.read = now;
-    }
-
-    /// Takes in a page that reaches the log's end when `is_end` is set.
-    ///
-    /// `first` is the first offset that the log keeps, and `oldest` a time after
-    /// which it promises to keep every record.
-    pub fn page(
-        &mut self,
-        first: Offset,
-        oldest: LogTime,
-        page: &Delta<ClaimBatch>,
-        is_end: bool,
-        now: Moment,
-    ) -> Vec<WriterEffect> {
-        self.reading = None;
-        self.read = now;
-        self.at_end = is_end;
-        self.fold.read(first, oldest, page);
-        let mut effects = self.land(first, page, is_end, now);
-        let keys: FastSet<_> = page
-            .records
-            .iter()
-            .flat_map(|stored| stored.record.records.iter().map(ClaimRecord::key))
-            .collect();
-        for key in keys {
-            self.tell(key, &mut effects);
-        }
-        self.forget_watches(now);
-        effects.extend(self.tick(now));
-        effects
-    }
-
-    /// Ends the flight when its id was read back or expired after it landed.
-    fn land(
-        &mut self,
-        first: Offset,
-        page: &Delta<ClaimBatch>,
-        is_end: bool,
-        now: Moment,
-    ) -> Vec<WriterEffect> {
-        let Some(flight) = self.flight.as_mut() else {
-            return Vec::new();
-        };
-        let is_found = page.records.iter().any(|s| s.id == *flight.append.id());
-        if !is_found && !flight.append.is_expired(first) {
-            if is_end {
-                flight.append.not_found(now);
-            }
-            return Vec::new();
-        }
-        let batch = Arc::clone(&flight.batch);
-        self.flight = None;
-        self.refused = false;
-        let mut effects = Vec::new();
-        for record in &batch.records {
-            self.queued.remove(&(record.id(), record.is_claim()));
-            if !record.is_claim() {
-                effects.push(WriterEffect::Recorded(record.id()));
-            }
-        }
-        effects
-    }
-
-    /// Tells those who watch a key what has become known of it.
-    fn tell(&mut self, key: CallKey, effects: &mut Vec<WriterEffect>) {
-        let Some(mut watches) = self.watches.remove(&key) else {
-            return;
-        };
-        watches.retain_mut(|watch| {
-            let Some(verdict) = self.fold.verdict(&watch.claim) else {
-                return true;
-            };
-            let stays = is_running(&verdict);
-            if !(stays && watch.told) {
-                effects.push(WriterEffect::Decided(watch.claim.id, verdict));
-            }
-            watch.told = true;
-            stays
-        });
-        if !watches.is_empty() {
-            self.watches.insert(key, watches);
-        }
-    }
-
-    fn forget_watches(&mut self, now: Moment) {
-        let bound = self.bounds.wait * 2;
-        self.watches.retain(|_key, watches| {
-            watches.retain(|watch| now.since(watch.since) <= bound);
-            !watches.is_empty()
-        });
-    }
 }
 
 fn is_running(verdict: &Verdict) -> bool {
--- a/crates/eelgrasshill_control/src/fold.rs
+++ b/crates/eelgrasshill_control/src/fold/mod.rs
@@ -3,10 +3,10 @@
 //! Every host that has folded up to an offset holds the same state and has
 //! reached the same verdicts, whether it read all records or started from a checkpoint.
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
+mod due;
+mod exchange;
+
+use std::collections::{BTreeMap, VecDeque};
 
 use derive_more::{Display, Error};
 use eelgrasshill_domain::{
@@ -14,11 +14,7 @@
     record,
 };
 
-use crate::{
-    Checkpoint, ConfigEntry, Delta, Judged, LogTime, Saved, StateDigest, Stored, TAKEOVER,
-    checkpoint::{MAX_UNSAVED, oldest_needed},
-    judge::State,
-};
+use crate::{Checkpoint, ConfigEntry, Delta, Judged, LogTime, Saved, Stored, judge::State};
 
 /// Most verdicts that are remembered, a number that all hosts share.
 pub const MAX_RECENT: usize = 1024;
@@ -170,6 +166,9 @@
 
     /// Folds in consecutive records of the log or of a peer.
     ///
+    /// Whoever decodes the records leaves out those that cannot be decoded, as
+    /// every other host does.
+    ///
     /// # Errors
     ///
     /// Returns [`Gap`] when records before the delta are missing.
@@ -183,11 +182,21 @@
         let applied = delta
             .records
             .iter()
-            .map(|stored| (stored.id.clone(), self.apply(stored)))
+            .map(|stored| (stored.id.clone(), self.fold_in(stored)))
             .collect();
+        self.narrow_gap();
         Ok(applied)
     }
 
+    /// Ends or shortens a gap that a peer has filled.
+    fn narrow_gap(&mut self) {
+        let expected = self.last.next();
+        self.gap = self
+            .gap
+            .filter(|gap| gap.first > expected)
+            .map(|gap| Gap { expected, ..gap });
+    }
+
     /// Notes the first offset that the log keeps.
     pub fn observe(&mut self, first: Offset) {
         let expected = self.last.next();
@@ -206,12 +215,16 @@
     ///
     /// The caller vouches that no record lies between them.
     pub fn apply(&mut self, stored: &Stored<ConfigEntry>) -> Applied {
+        match self.gap {
+            Some(gap) if stored.offset > self.last => Applied::Blocked(gap),
+            Some(_) | None => self.fold_in(stored),
+        }
+    }
+
+    fn fold_in(&mut self, stored: &Stored<ConfigEntry>) -> Applied {
         if stored.offset <= self.last {
             return Applied::Old;
         }
-        if let Some(gap) = self.gap {
-            return Applied::Blocked(gap);
-        }
         self.last = stored.offset;
         self.keep_tail(stored);
         match &stored.record {
@@ -267,138 +280,4 @@
             self.tail_from = oldest.offset;
         }
     }
-
-    /// Returns the whole state, for the log and for peers.
-    #[must_use]
-    pub fn checkpoint(&self) -> Checkpoint {
-        Checkpoint {
-            through: self.last,
-            tables: self.state.tables.clone(),
-            versions: self
-                .state
-                .versions
-                .iter()
-                .map(|(key, version)| (key.clone(), *version))
-                .collect(),
-            keys: self.state.keys.clone(),
-            withdrawn: self.state.withdrawn.iter().cloned().collect(),
-            recent: self.recent.iter().cloned().collect(),
-            saved: self.saved.clone(),
-        }
-    }
-
-    /// Returns the state without append ids, as the domain's own record.
-    #[must_use]
-    pub fn snapshot(&self) -> ConfigRecord {
-        self.checkpoint().into()
-    }
-
-    /// Returns the digest of the state, equal on all hosts at this offset.
-    #[must_use]
-    pub fn digest(&self) -> StateDigest {
-        self.checkpoint().digest()
-    }
-
-    /// Takes over a peer's state when it is newer; returns whether it was.
-    pub fn adopt(&mut self, checkpoint: &Checkpoint) -> bool {
-        if checkpoint.through <= self.last {
-            return false;
-        }
-        self.replace(checkpoint);
-        true
-    }
-
-    /// Replaces a state whose digest differs from that of most peers at its offset.
-    ///
-    /// Returns false, and changes nothing, when the checkpoint is older.
-    pub fn repair(&mut self, checkpoint: &Checkpoint) -> bool {
-        if checkpoint.through < self.last {
-            return false;
-        }
-        self.replace(checkpoint);
-        true
-    }
-
-    fn replace(&mut self, checkpoint: &Checkpoint) {
-        self.last = checkpoint.through;
-        self.state = State {
-            tables: checkpoint.tables.clone(),
-            versions: checkpoint.versions.iter().cloned().collect(),
-            keys: checkpoint.keys.clone(),
-            withdrawn: checkpoint.withdrawn.iter().cloned().collect(),
-        };
-        self.recent = checkpoint.recent.iter().cloned().collect();
-        self.verdicts = checkpoint
-            .recent
-            .iter()
-            .map(|judged| (judged.id.clone(), judged.outcome.clone()))
-            .collect();
-        self.saved.clone_from(&checkpoint.saved);
-        self.tail.clear();
-        self.tail_from = self.last;
-        self.gap = self
-            .gap
-            .filter(|gap| gap.first > self.last.next())
-            .map(|gap| Gap {
-                expected: self.last.next(),
-                ..gap
-            });
-    }
-
-    /// Returns what a peer that has folded up to `offset` needs.
-    #[must_use]
-    pub fn since(&self, offset: Offset) -> CatchUp {
-        if offset < self.tail_from {
-            return CatchUp::Checkpoint(Box::new(self.checkpoint()));
-        }
-        let records = self
-            .tail
-            .iter()
-            .filter(|stored| stored.offset > offset)
-            .cloned()
-            .collect();
-        CatchUp::Delta(Delta::new(offset.next(), records))
-    }
-
-    /// Takes in what a peer sent; returns what each new record became.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Gap`] when the peer's records start too late.
-    pub fn catch_up(&mut self, sent: &CatchUp) -> Result<Vec<(AppendId, Applied)>, Gap> {
-        match sent {
-            CatchUp::Delta(delta) => self.extend(delta),
-            CatchUp::Checkpoint(checkpoint) => {
-                self.adopt(checkpoint);
-                Ok(Vec::new())
-            }
-        }
-    }
-
-    /// Returns whether the host of this rank should save a checkpoint now.
-    ///
-    /// The first rank saves when half of the log's retention has passed. Each
-    /// later rank waits [`TAKEOVER`] longer for those before it.
-    #[must_use]
-    pub fn is_checkpoint_due(&self, now: LogTime, rank: usize, retention: Duration) -> bool {
-        if self.gap.is_some() {
-            return false;
-        }
-        let Some(oldest) = oldest_needed(self.saved.as_ref(), self.recent.iter()) else {
-            return false;
-        };
-        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
-        let wait = TAKEOVER.saturating_mul(rank);
-        if now >= oldest.after(retention / 2).after(wait) {
-            return true;
-        }
-        self.crowded_at().is_some_and(|at| now >= at.after(wait))
-    }
-
-    /// Returns when the records after the newest checkpoint became too many.
-    fn crowded_at(&self) -> Option<LogTime> {
-        let through = self.saved.as_ref().map_or(Offset::default(), |s| s.through);
-        let start = self.recent.partition_point(|j| j.offset <= through);
-        self.recent.get(start + MAX_UNSAVED).map(|j| j.at)
-    }
 }
--- a/crates/eelgrasshill_control/tests/control/config.rs
+++ b/crates/eelgrasshill_control/tests/control/config.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use eelgrasshill_control::{ConfigFold, LogTime, TAKEOVER};
+use eelgrasshill_control::{Applied, ConfigFold, Delta, LogTime, TAKEOVER};
+use eelgrasshill_domain::Offset;
 use rand::RngExt;
 
 use crate::{
     config_world::{Broken, HOSTS, IN_FORCE, Violation, World, ZONES, stored_checkpoint},
-    make::{change, edit, folded, issue, org_key, org_row, withdraw},
+    make::{change, edit, folded, issue, org_key, org_row, stored, withdraw},
 };
 
 const SEEDS: u64 = 10;
@@ -163,7 +164,7 @@
     checkpoint.withdrawn.clear();
     assert!(wrong.adopt(&checkpoint));
     assert_eq!(wrong.last(), good.last());
-    assert_ne!(wrong.digest(), good.digest());
+    assert!(wrong.differs(&good.digest()));
     assert!(!wrong.adopt(&good.checkpoint()), "it is no newer");
     assert!(wrong.repair(&good.checkpoint()));
     assert_eq!(wrong.digest(), good.digest());
@@ -223,3 +224,31 @@
         assert!(red.is_some(), "{:?}", case.broken);
     }
 }
+
+/// A host that lost records to expiry goes on once a peer has them.
+#[test]
+fn a_gap_is_filled_by_a_peer() {
+    let records: Vec<_> = (1..=6)
+        .map(|offset| {
+            let row = org_row(offset);
+            stored(
+                offset,
+                &format!("a{offset}"),
+                edit(vec![change(org_key("a"), offset - 1, row)]),
+            )
+        })
+        .collect();
+    let page = |from: usize| Delta::new(Offset(from as u64 + 1), records[from..].to_vec());
+    let mut peer = ConfigFold::new();
+    peer.extend(&page(0)).unwrap();
+    let mut fold = ConfigFold::new();
+    fold.apply(&records[0]);
+    let gap = fold.read(Offset(5), &page(4)).unwrap_err();
+    assert_eq!((gap.expected, gap.first), (Offset(2), Offset(5)));
+    assert_eq!(fold.apply(&records[1]), Applied::Blocked(gap));
+    assert!(fold.cursor() > Offset(5), "it looks for a checkpoint");
+    assert!(fold.extend(&page(3)).is_err(), "there is still a hole");
+    fold.catch_up(&peer.since(fold.last())).unwrap();
+    assert_eq!(fold.gap(), None);
+    assert!(!fold.differs(&peer.digest()));
+}
