--- /dev/null
+++ b/crates/eelgrasshill_route/examples/cost.rs
@@ -0,0 +1,187 @@
+//! Prints the cost of the dispatcher's calls and its state for growing fleets as CSV.
+//!
+//! Run it with `cargo run --release -p eelgrasshill_route --example cost`.
+
+#![expect(clippy::expect_used, reason = "a failed measurement ends the run")]
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::hint::black_box;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+use eelgrasshill_domain::{Class, HostName, ModelName, Moment, OrgName, PoolName, ZoneName};
+use eelgrasshill_route::{
+    DispatchSettings, Dispatcher, PrefixHash, PrefixTwo, Report, Resident, Ticket, TicketId,
+    Upstream, View, Work,
+};
+
+/// Models that one upstream holds.
+const RESIDENTS: usize = 8;
+
+/// Requests that run while calls are timed.
+const RUNNING: u64 = 64;
+
+const ROUNDS: u64 = 20_000;
+
+/// Tickets that wait for full upstreams in the crowded case, over all organisations.
+const CROWD: u64 = 500;
+
+static HELD_BYTES: AtomicUsize = AtomicUsize::new(0);
+
+/// The system's allocator, with a count of the bytes held.
+struct Counting;
+
+// SAFETY: every call goes on to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        HELD_BYTES.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller keeps to the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        HELD_BYTES.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: the block came from `alloc` with the same layout.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+fn held() -> usize {
+    HELD_BYTES.load(Ordering::Relaxed)
+}
+
+fn pool() -> PoolName {
+    PoolName::new("pole-assist").expect("a pool name")
+}
+
+fn model(n: u64) -> ModelName {
+    ModelName::new(&format!("model-{n}")).expect("a model name")
+}
+
+fn view(upstreams: usize, models: u64, running: u32) -> View {
+    let zones = ["zone-a", "zone-b", "zone-c"].map(|z| ZoneName::new(z).expect("a zone name"));
+    let mut next = 0;
+    let upstreams = (0..upstreams).map(|n| {
+        let host = HostName::new(&format!("engine-{n}")).expect("a host name");
+        let report = Report {
+            running,
+            waiting: 0,
+            slots: 64,
+            taken: Moment(0),
+        };
+        let mut upstream = Upstream::new(host, pool(), zones[n % 3].clone()).with_report(report);
+        for _ in 0..RESIDENTS {
+            upstream = upstream.with_resident(Resident {
+                model: model(next % models),
+                version: "1".to_owned(),
+                adapters: Vec::new(),
+            });
+            next += 1;
+        }
+        upstream
+    });
+    View::new(&zones[0], upstreams.collect())
+}
+
+fn ticket(id: u64, models: u64) -> Ticket {
+    let org = OrgName::new(&format!("org-{}", id % 5)).expect("an organisation name");
+    let work = Work::new(model(id.wrapping_mul(7) % models));
+    let id = TicketId(id);
+    Ticket::new(id, Class::Interactive, pool(), work, 500, Moment(u64::MAX))
+        .with_organisation(org)
+        .with_prefix(PrefixHash(id.0 % 97))
+}
+
+/// The figures of one size of fleet.
+#[derive(Debug, Default)]
+struct Cost {
+    build_ns: u128,
+    offer_ns: u128,
+    poll_ns: u128,
+    finish_ns: u128,
+    crowded_ns: u128,
+    view_bytes: usize,
+    state_bytes: usize,
+    crowded_bytes: usize,
+}
+
+fn measure(upstreams: usize, models: u64) -> Cost {
+    let mut cost = Cost::default();
+    let before = held();
+    let began = Instant::now();
+    let free = view(upstreams, models, 0);
+    cost.build_ns = began.elapsed().as_nanos();
+    cost.view_bytes = held() - before;
+    let full = view(upstreams, models, 64);
+
+    let before = held();
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), PrefixTwo);
+    for id in 0..ROUNDS {
+        let now = Moment(id);
+        let ticket = ticket(id, models);
+        let began = Instant::now();
+        dispatcher.offer(ticket, now).expect("an empty queue");
+        let offered = Instant::now();
+        let decisions = black_box(dispatcher.poll(&free, now));
+        let polled = Instant::now();
+        drop(decisions);
+        if let Some(old) = id.checked_sub(RUNNING) {
+            let began = Instant::now();
+            dispatcher.finish(TicketId(old), now);
+            cost.finish_ns += began.elapsed().as_nanos();
+        }
+        cost.offer_ns += (offered - began).as_nanos();
+        cost.poll_ns += (polled - offered).as_nanos();
+    }
+    cost.offer_ns /= u128::from(ROUNDS);
+    cost.poll_ns /= u128::from(ROUNDS);
+    cost.finish_ns /= u128::from(ROUNDS - RUNNING);
+    cost.state_bytes = held() - before;
+
+    let mut crowded = Dispatcher::new(DispatchSettings::default(), PrefixTwo);
+    let before = held();
+    for id in 0..CROWD {
+        let now = Moment(id);
+        crowded
+            .offer(ticket(id, models), now)
+            .expect("room in the queue");
+    }
+    cost.crowded_bytes = held() - before;
+    let began = Instant::now();
+    let polls = 200;
+    for id in 0..polls {
+        black_box(crowded.poll(&full, Moment(CROWD + id)));
+    }
+    cost.crowded_ns = began.elapsed().as_nanos() / u128::from(polls);
+    cost
+}
+
+fn main() {
+    println!(
+        "upstreams,models,view_build_ns,offer_ns,poll_start_ns,finish_ns,poll_500_waiting_ns,\
+         view_bytes,state_bytes,state_500_waiting_bytes"
+    );
+    for upstreams in [15, 100, 300, 600] {
+        for models in [20, 120, 600, 1900] {
+            // A model that no upstream can hold has nothing to measure.
+            if models > (upstreams * RESIDENTS) as u64 {
+                continue;
+            }
+            let cost = measure(upstreams, models);
+            println!(
+                "{upstreams},{models},{},{},{},{},{},{},{},{}",
+                cost.build_ns,
+                cost.offer_ns,
+                cost.poll_ns,
+                cost.finish_ns,
+                cost.crowded_ns,
+                cost.view_bytes,
+                cost.state_bytes,
+                cost.crowded_bytes,
+            );
+        }
+    }
+}
--- a/crates/eelgrasshill_route/src/ledger.rs
+++ b/crates/eelgrasshill_route/src/ledger.rs
@@ -11,7 +11,7 @@
 use crate::Report;
 
 /// Most changes remembered for an upstream whose reports stay away.
-const MAX_CHANGES: usize = 4096;
+const MAX_CHANGES: usize = 256;
 
 #[derive(Clone, Copy, Debug)]
 struct Change {
