Split the account and the planner; count slots of engines called gone; add figures

An engine called gone counts its slots in full while its reports are fresh, and otherwise by the orders that may still reach it on its return. Reports and demand no longer start a planning pass each.

--- /dev/null
+++ b/crates/eelgrasshill_placement/examples/compare/lru.rs
@@ -0,0 +1,151 @@
+//! The baseline that loads what lacks copies and evicts what was used least recently.
+
+use std::collections::BTreeMap;
+
+use eelgrasshill_domain::{HostName, ModelName, Tables};
+use eelgrasshill_placement::{Action, Assignment};
+
+use crate::bench::{
+    Deployment, Figures, Load, RUN_MS, STEP_MS, Tally, bare, count, engines, interval,
+};
+use crate::engine::Engine;
+
+/// Tokens a second for which one copy counts as enough.
+const COPY_RATE: f64 = 1000.0;
+
+struct Lru {
+    tables: Tables,
+    engines: BTreeMap<HostName, Engine>,
+    /// When each copy was last needed.
+    used: BTreeMap<(HostName, ModelName), u64>,
+    seq: u64,
+}
+
+pub fn run(deployment: &Deployment) -> Figures {
+    let tables = deployment.tables();
+    let mut load = Load::new(&tables);
+    let mut lru = Lru {
+        engines: engines(&tables),
+        used: BTreeMap::new(),
+        seq: 0,
+        tables,
+    };
+    lru.start(deployment);
+    let spacing = u64::try_from(interval(deployment.budget).as_millis()).unwrap_or(u64::MAX);
+    let slots = usize::try_from(deployment.budget.slots).unwrap_or(1);
+    let (mut tally, mut next) = (Tally::default(), 0);
+    for now in (0..RUN_MS).step_by(usize::try_from(STEP_MS).unwrap_or(1)) {
+        load.advance(now);
+        for engine in lru.engines.values_mut() {
+            engine.advance(now);
+        }
+        let loading: usize = lru
+            .engines
+            .values()
+            .map(|engine| engine.loading.len())
+            .sum();
+        if now >= next && loading < slots && lru.step(&load.rates(), now) {
+            next = now + spacing;
+        }
+        if now >= RUN_MS / 10 && now.is_multiple_of(1000) {
+            tally.add(&lru.engines, &load.rates(), deployment.zones.len());
+        }
+    }
+    tally.figures(&lru.engines)
+}
+
+impl Lru {
+    /// Starts with each zone holding every model that the tables give it.
+    fn start(&mut self, deployment: &Deployment) {
+        let assignment = Assignment::new(&self.tables, &deployment.zones());
+        let models: Vec<_> = self.tables.models.keys().cloned().collect();
+        for model in &models {
+            for (zone, _duty) in assignment.zones(model) {
+                let row = &self.tables.models[model];
+                let room = self.engines.values().filter(|engine| {
+                    engine.zone == *zone && self.tables.hosts[&engine.name].pool == row.pool
+                });
+                let roomiest =
+                    room.max_by_key(|engine| engine.memory.saturating_sub(engine.used()));
+                if let Some(name) = roomiest.map(|engine| engine.name.clone()) {
+                    self.order(&name, Action::load(model, row), 0);
+                }
+            }
+        }
+    }
+
+    fn order(&mut self, name: &HostName, action: Action, now: u64) {
+        self.seq += 1;
+        let order = bare(action, self.seq);
+        if let Some(engine) = self.engines.get_mut(name) {
+            engine.take(&order, true, now);
+        }
+    }
+
+    /// Does one thing for the model that lacks most; returns whether a load started.
+    fn step(&mut self, rates: &BTreeMap<ModelName, f64>, now: u64) -> bool {
+        let mut lacking = Vec::new();
+        for (model, rate) in rates {
+            let holders: Vec<_> = self.engines.values().filter(|e| e.holds(model)).collect();
+            for engine in &holders {
+                self.used.insert((engine.name.clone(), model.clone()), now);
+            }
+            let coming = self
+                .engines
+                .values()
+                .filter(|e| e.loading.keys().any(|(m, _v)| m == model))
+                .count();
+            let lack = rate - count(holders.len() + coming) * COPY_RATE;
+            if lack > 0.0 {
+                lacking.push((lack, model));
+            } else if holders.len() > 3 {
+                // Copies beyond what the demand needs count as not used.
+                for engine in &holders[3..] {
+                    self.used.insert((engine.name.clone(), model.clone()), 0);
+                }
+            }
+        }
+        let Some((_lack, model)) = lacking.into_iter().max_by(|a, b| a.0.total_cmp(&b.0)) else {
+            return false;
+        };
+        self.place(&model.clone(), now)
+    }
+
+    fn place(&mut self, model: &ModelName, now: u64) -> bool {
+        let row = self.tables.models[model].clone();
+        let open = self.engines.values().filter(|engine| {
+            let here = engine
+                .loading
+                .keys()
+                .chain(engine.resident.keys())
+                .any(|(name, _v)| name == model);
+            self.tables.hosts[&engine.name].pool == row.pool && !here
+        });
+        let Some(name) = open
+            .max_by_key(|e| e.memory.saturating_sub(e.used()))
+            .map(|e| e.name.clone())
+        else {
+            return false;
+        };
+        let engine = &self.engines[&name];
+        if engine.used() + row.memory <= engine.memory {
+            self.order(&name, Action::load(model, &row), now);
+            return true;
+        }
+        if !engine.unloading.is_empty() {
+            return false;
+        }
+        let oldest = engine
+            .resident
+            .keys()
+            .map(|(model, _version)| model.clone());
+        let oldest =
+            oldest.filter(|other| self.engines.values().filter(|e| e.holds(other)).count() > 1);
+        let oldest =
+            oldest.min_by_key(|other| self.used.get(&(name.clone(), other.clone())).copied());
+        if let Some(model) = oldest {
+            self.order(&name, Action::Unload { model }, now);
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_placement/examples/compare/takeover.rs
@@ -0,0 +1,89 @@
+//! Time from a take-over to the successor's first sound placement: its first intents.
+//!
+//! A successor that heard reports before is set beside one that hears none until it is in
+//! charge; both ask every engine at that moment, and hear of demand once a second.
+
+use std::sync::Arc;
+
+use eelgrasshill_domain::{HostName, Moment, Offset};
+use eelgrasshill_placement::{Effect, Entry, Event, Holder, LeaseRecord, Settings};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::bench::{Deployment, engines, named, perform};
+
+/// Length of a step in ms: one way over the network.
+const STEP_MS: u64 = 2;
+/// How often reports are asked for, in ms.
+const POLL_MS: u64 = 500;
+/// Number of take-overs.
+const TERMS: u64 = 40;
+
+/// Returns the spans in ms, one for each seed.
+pub fn spans(warm: bool) -> Vec<u64> {
+    (0..TERMS).filter_map(|seed| span(warm, seed)).collect()
+}
+
+fn span(warm: bool, seed: u64) -> Option<u64> {
+    let deployment = Deployment::lakeshore();
+    let (tables, zones) = (deployment.tables(), deployment.zones());
+    let mut engines = engines(&tables);
+    let old: HostName = named("former");
+    let claim = LeaseRecord::Claim {
+        host: old,
+        after: None,
+    };
+    let mut log = vec![Entry {
+        offset: Offset(0),
+        id: named("a"),
+        record: claim,
+    }];
+    let mut holder = Holder::new(Settings::new(named("entry"), zones[0].clone(), zones));
+    let mut events = vec![Event::Tables(Arc::new(tables))];
+    let mut rng = StdRng::seed_from_u64(seed);
+    let (phase, mut poll) = (rng.random_range(0..POLL_MS / STEP_MS) * STEP_MS, 0);
+    let mut became = None;
+    let mut asked = Vec::new();
+    for now in (0..60_000).step_by(usize::try_from(STEP_MS).unwrap_or(1)) {
+        events.push(Event::Tick);
+        let hears = warm || became.is_some();
+        if now % POLL_MS == phase {
+            // Others ask too, so that engines answer from the same caches in both runs.
+            for engine in engines.values_mut() {
+                engine.report(now);
+            }
+        }
+        // Reports that were asked for a round trip ago arrive.
+        for at in asked.extract_if(.., |at| now >= *at + 2 * STEP_MS) {
+            for engine in engines.values_mut() {
+                events.push(Event::Report {
+                    report: engine.report(now - STEP_MS),
+                    asked: Moment(at),
+                });
+            }
+        }
+        if hears && now >= poll {
+            asked.push(now);
+            poll = now + POLL_MS;
+        }
+        for event in std::mem::take(&mut events) {
+            for effect in holder.handle(event, Moment(now)) {
+                match &effect {
+                    Effect::Became(_fence) => {
+                        became = Some(now);
+                        poll = now;
+                    }
+                    Effect::Append {
+                        record: LeaseRecord::Intent { .. },
+                        ..
+                    } => {
+                        return became.map(|at| now - at);
+                    }
+                    _ => {}
+                }
+                perform(effect, &mut engines, &mut log, &mut events, now);
+            }
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/eelgrasshill_placement/examples/cost.rs
@@ -0,0 +1,289 @@
+//! Prints what one holder costs, as CSV: bytes of state, and microseconds of work.
+//!
+//! Run with `cargo run --release -p eelgrasshill_placement --example cost`. A tenth of the
+//! models changes its demand tenfold before each round that is measured.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+use eelgrasshill_domain::{
+    Fencing, Host, HostName, Model, ModelName, Moment, Offset, Pool, PoolKind, Tables, ZoneName,
+};
+use eelgrasshill_placement::{
+    Action, Effect, EngineReport, Entry, Event, Holder, ModelDemand, Outcome, Resident, Settings,
+};
+
+/// Counts the bytes that are in use.
+struct Counting;
+
+static IN_USE: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call goes to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        IN_USE.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller's promise is passed on.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        IN_USE.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller's promise is passed on.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Memory of an engine in MB.
+const ENGINE_MB: u64 = 80_000;
+/// Rounds that are measured.
+const ROUNDS: u64 = 20;
+/// Seconds before the measured rounds.
+const WARM_UP_S: u64 = 120;
+
+fn named<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("the text is valid")
+}
+
+fn tables(engines: usize, models: usize, zones: &[ZoneName]) -> Tables {
+    let mut tables = Tables::default();
+    let pool: eelgrasshill_domain::PoolName = named("chat");
+    tables.pools.insert(
+        pool.clone(),
+        Pool {
+            kind: PoolKind::Engines,
+        },
+    );
+    for at in 0..engines {
+        let host = Host {
+            pool: pool.clone(),
+            zone: zones[at % zones.len()].clone(),
+            address: named("10.0.0.1:80"),
+            memory: ENGINE_MB,
+            accelerators: 1,
+            fencing: Fencing::Checked,
+        };
+        tables.hosts.insert(named(&format!("engine-{at:04}")), host);
+    }
+    // Two copies of every model take three fifths of the fleet's memory.
+    let memory = ENGINE_MB * engines as u64 * 3 / 5 / 2 / models as u64;
+    for at in 0..models {
+        let model = Model {
+            pool: pool.clone(),
+            memory,
+            version: "v1".to_owned(),
+            adapters: Vec::new(),
+        };
+        tables
+            .models
+            .insert(named(&format!("model-{at:04}")), model);
+    }
+    tables
+}
+
+/// The engines of all zones; loads end at once.
+struct Engines(BTreeMap<HostName, (Offset, BTreeMap<ModelName, u64>)>);
+
+impl Engines {
+    fn take(&mut self, engine: &HostName, fence: Offset, action: Action) {
+        let Some((seen, resident)) = self.0.get_mut(engine) else {
+            return;
+        };
+        *seen = (*seen).max(fence);
+        match action {
+            Action::Load { model, memory, .. } => {
+                resident.insert(model, memory);
+            }
+            Action::Unload { model } => {
+                resident.remove(&model);
+            }
+            Action::LoadAdapter { .. } | Action::UnloadAdapter { .. } | Action::Seal => {}
+        }
+    }
+
+    fn report(&self, engine: &HostName) -> Option<EngineReport> {
+        let (fence, resident) = self.0.get(engine)?;
+        let models = resident.keys().map(|model| Resident {
+            model: model.clone(),
+            version: "v1".to_owned(),
+            adapters: Vec::new(),
+            running: 1,
+            waiting: 0,
+        });
+        Some(EngineReport {
+            host: engine.clone(),
+            fence: *fence,
+            resident: models.collect(),
+            loading: Vec::new(),
+            unloading: Vec::new(),
+            used: resident.values().sum(),
+            total: ENGINE_MB,
+            slots: 8,
+            at: 0,
+        })
+    }
+}
+
+struct Run {
+    holder: Holder,
+    engines: Engines,
+    log: Vec<Entry>,
+    events: Vec<Event>,
+}
+
+impl Run {
+    fn new(engines: usize, models: usize) -> Self {
+        let zones: Vec<ZoneName> = ["a", "b", "c"].into_iter().map(named).collect();
+        let tables = tables(engines, models, &zones);
+        let mut settings = Settings::new(named("entry"), zones[0].clone(), zones.clone());
+        settings.budget.rate = 3000.0;
+        settings.budget.slots = 3000;
+        let mut holder = Holder::new(settings);
+        holder.handle(Event::Tables(Arc::new(tables.clone())), Moment(0));
+        let empty = tables
+            .hosts
+            .keys()
+            .map(|name| (name.clone(), (Offset(0), BTreeMap::new())));
+        let mut engines = Engines(empty.collect());
+        // The other zones hold what the assignment gives them.
+        for (model, row) in &tables.models {
+            for (zone, _duty) in holder.assignment().zones(model) {
+                let here = tables
+                    .hosts
+                    .iter()
+                    .filter(|(_name, host)| host.zone == *zone && *zone != zones[0]);
+                let roomiest =
+                    here.min_by_key(|(name, _host)| engines.0[*name].1.values().sum::<u64>());
+                if let Some((name, _host)) = roomiest {
+                    engines.take(name, Offset(0), Action::load(model, row));
+                }
+            }
+        }
+        Self {
+            holder,
+            engines,
+            log: Vec::new(),
+            events: Vec::new(),
+        }
+    }
+
+    /// Lets a second pass; returns the microseconds of its reports and of its round.
+    fn second(&mut self, now: u64, demands: Vec<ModelDemand>) -> (u128, u128) {
+        let names: Vec<_> = self.engines.0.keys().cloned().collect();
+        let reports: Vec<_> = names
+            .iter()
+            .filter_map(|name| self.engines.report(name))
+            .collect();
+        let start = Instant::now();
+        for report in reports {
+            let effects = self.holder.handle(
+                Event::Report {
+                    report,
+                    asked: Moment(now),
+                },
+                Moment(now + 1),
+            );
+            self.perform(effects);
+        }
+        let reported = start.elapsed().as_micros();
+        self.settle(now + 2);
+        let effects = self.holder.handle(Event::Demand(demands), Moment(now + 3));
+        self.perform(effects);
+        self.settle(now + 4);
+        let start = Instant::now();
+        let effects = self.holder.handle(Event::Tick, Moment(now + 999));
+        let round = start.elapsed().as_micros();
+        self.perform(effects);
+        self.settle(now + 999);
+        (reported, round)
+    }
+
+    fn settle(&mut self, now: u64) {
+        while !self.events.is_empty() {
+            for event in std::mem::take(&mut self.events) {
+                let effects = self.holder.handle(event, Moment(now));
+                self.perform(effects);
+            }
+        }
+    }
+
+    fn perform(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Append { id, record } => {
+                    let offset = Offset(self.log.len() as u64);
+                    self.log.push(Entry {
+                        offset,
+                        id: id.clone(),
+                        record,
+                    });
+                    self.events.push(Event::AppendDone(id, offset));
+                }
+                Effect::Read(from) => {
+                    let from = usize::try_from(from.0).unwrap_or(usize::MAX);
+                    self.events
+                        .push(Event::LeaseRead(self.log[from..].to_vec()));
+                }
+                Effect::Send { engine, order } => {
+                    self.engines.take(&engine, order.fence, order.action);
+                    let outcome = Outcome::Done;
+                    self.events.push(Event::Answer {
+                        engine,
+                        order: order.id,
+                        outcome,
+                    });
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn main() {
+    println!(
+        "engines,models,state_bytes,round_us_mean,round_us_max,reports_us_mean,core_share_percent"
+    );
+    for (engines, models) in [(15, 20), (100, 300), (300, 900), (600, 1900)] {
+        let before = IN_USE.load(Ordering::Relaxed);
+        let mut run = Run::new(engines, models);
+        for second in 1..WARM_UP_S {
+            run.second(second * 1000, demands(models, 0));
+        }
+        let (mut rounds, mut reports) = (Vec::new(), 0);
+        for round in 0..ROUNDS {
+            let (reported, planned) =
+                run.second((WARM_UP_S + round) * 1000, demands(models, round + 1));
+            rounds.push(planned);
+            reports += reported;
+        }
+        // What the fake engines and the log hold is not the holder's.
+        drop((run.engines, run.log, run.events));
+        let state = IN_USE.load(Ordering::Relaxed) - before;
+        let count = u128::from(ROUNDS);
+        let (mean, most) = (
+            rounds.iter().sum::<u128>() / count,
+            rounds.iter().max().copied().unwrap_or(0),
+        );
+        let reports = reports / count;
+        let share = f64::from(u32::try_from(mean + reports).unwrap_or(u32::MAX)) / 1e4;
+        println!("{engines},{models},{state},{mean},{most},{reports},{share:.2}");
+    }
+}
+
+/// Every tenth model, another one each round, asks for ten times as much.
+fn demands(models: usize, round: u64) -> Vec<ModelDemand> {
+    let demand = |at: usize| ModelDemand {
+        model: named(&format!("model-{at:04}")),
+        rate: if round > 0 && at as u64 % 10 == round % 10 {
+            3000.0
+        } else {
+            300.0
+        },
+    };
+    (0..models).map(demand).collect()
+}
--- a/crates/eelgrasshill_placement/src/account.rs
+++ b/crates/eelgrasshill_placement/src/account.rs
@@ -1,59 +1,14 @@
 //! One engine's account: its latest report and every order that may still take effect.
 //!
-//! The room of an order is taken from the moment it is planned. It is given back only when a
-//! report, generated after the order can no longer take effect, says what became of it:
-//!
-//! - an engine that checks fencing numbers: a report that shows the holder's own number proves
-//!   that no order of a predecessor can still arrive; an own order is over once it was answered
-//!   and a report was generated after that answer, since the engine ignores an id already done;
-//! - an engine that ignores them: an order may arrive, or arrive again, until the stated bound
-//!   on lateness has passed since its last send, and is over with the first report after that.
-//!   Until then no order of the opposite kind is made for the same model, so a late repeat of a
-//!   load can't follow its unload, nor a late unload a new load. A new load of the same model
-//!   and version shares the room and the store's slot of the old one.
+//! The room of an order is taken from the moment it is planned, and given back only when a
+//! report, generated after the order can no longer take effect, says what became of it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use eelgrasshill_domain::{Fencing, ModelName, Moment, Offset};
 
-use crate::{Action, EngineReport, Intent, Order, OrderId, OrderSpans};
-
-/// How far an order has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// Its intent is not yet known to be in the log.
-    Intended,
-    /// It may be sent.
-    Ready,
-    /// It was sent, and no answer has come.
-    Sent {
-        /// When it first left.
-        first: Moment,
-        /// When it last left.
-        last: Moment,
-    },
-    /// The engine answered that it took effect.
-    Answered {
-        /// When it last left.
-        last: Moment,
-        /// When the answer came.
-        at: Moment,
-    },
-    /// A predecessor may have sent it.
-    Foreign {
-        /// When this host took over.
-        since: Moment,
-    },
-}
-
-/// An order that may still take effect.
-#[derive(Clone, Debug)]
-pub struct OpenOrder {
-    /// The order.
-    pub order: Order,
-    /// How far it has come.
-    pub stage: Stage,
-}
+use crate::order::{horizon, is_over};
+use crate::{Action, EngineReport, Intent, OpenOrder, Order, OrderId, OrderSpans, Stage};
 
 /// The latest report of an engine and when it can have been generated at the earliest.
 #[derive(Clone, Debug)]
@@ -193,71 +148,35 @@
         seen.report.used + loads.values().sum::<u64>() + adapters.saturating_mul(adapter_memory)
     }
 
-    /// Returns the loads that use or may come to use one of the store's slots.
+    /// Returns the number of loads that use or may come to use one of the store's slots.
     #[must_use]
     pub fn slots(&self) -> usize {
-        let report = self.seen.as_ref().map(|seen| &seen.report);
-        let running = report
-            .into_iter()
-            .flat_map(|r| &r.loading)
-            .map(|m| (&m.model, m.version.as_str()));
-        let mut keys: BTreeSet<_> = running.collect();
-        keys.extend(self.unseen_loads());
-        keys.len()
-    }
-
-    /// Returns the open loads whose model is not resident.
-    pub(crate) fn unseen_loads(&self) -> impl Iterator<Item = (&ModelName, &str)> {
-        self.orders
-            .values()
-            .filter_map(|open| match &open.order.action {
-                Action::Load { model, version, .. } if !self.is_resident(model, version) => {
-                    Some((model, version.as_str()))
-                }
-                _ => None,
-            })
+        self.loads(|_open| true)
     }
 
     /// Returns the loads that run or are on their way, without those that came to nothing.
     pub(crate) fn running(&self) -> usize {
-        let Some(seen) = &self.seen else {
-            return self.slots();
-        };
-        let running = seen
-            .report
-            .loading
-            .iter()
-            .map(|m| (&m.model, m.version.as_str()));
-        let mut keys: BTreeSet<_> = running.collect();
-        let coming = self
-            .orders
-            .values()
-            .filter(|open| !self.came_to_nothing(open));
-        keys.extend(coming.filter_map(|open| match &open.order.action {
-            Action::Load { model, version, .. } if !self.is_resident(model, version) => {
-                Some((model, version.as_str()))
-            }
-            _ => None,
-        }));
-        keys.len()
+        self.loads(|open| !self.came_to_nothing(open))
     }
 
-    /// Returns the store's slots that an engine which is gone may come to use on its return.
+    /// Returns the slots of an engine that the host list calls gone.
     ///
-    /// Loads that ran ended with its process. An order that was sent to that process doesn't
-    /// outlive it by more than the span for which orders are repeated.
-    pub(crate) fn slots_after_return(&self, spans: &OrderSpans, now: Moment) -> usize {
-        let loads = self
-            .orders
-            .values()
-            .filter(|open| open.order.action.is_load());
-        let waiting = loads.filter(|open| match open.stage {
-            Stage::Intended | Stage::Ready => true,
-            Stage::Sent { last, .. } => now.since(last) < spans.window,
-            Stage::Foreign { since } => now.since(since) < spans.window,
-            Stage::Answered { .. } => false,
-        });
-        waiting.count()
+    /// The list lags, so the engine may be back, and an order may reach it on its return.
+    pub(crate) fn slots_if_gone(&self, spans: &OrderSpans, now: Moment) -> usize {
+        if self.fresh(now, spans).is_some() {
+            return self.slots();
+        }
+        let loads = self.orders.values().filter(|open| open.load().is_some());
+        loads.filter(|open| open.outlives(spans, now)).count()
+    }
+
+    fn loads(&self, counts: impl Fn(&OpenOrder) -> bool) -> usize {
+        let reports = self.seen.iter().flat_map(|seen| &seen.report.loading);
+        let mut keys: BTreeSet<_> = reports.map(|m| (&m.model, m.version.as_str())).collect();
+        let open = self.orders.values().filter(|open| counts(open));
+        let open = open.filter_map(OpenOrder::load);
+        keys.extend(open.filter(|(model, version)| !self.is_resident(model, version)));
+        keys.len()
     }
 
     /// Removes orders that were never sent.
@@ -328,28 +247,3 @@
         self.orders.values().any(unload)
     }
 }
-
-/// Returns the moment from which an order can't take effect for the first time any more.
-fn horizon(open: &OpenOrder, spans: &OrderSpans) -> Option<Moment> {
-    match open.stage {
-        Stage::Intended | Stage::Ready => None,
-        Stage::Sent { last, .. } | Stage::Answered { last, .. } => Some(last.after(spans.lateness)),
-        Stage::Foreign { since } => Some(since.after(spans.lateness)),
-    }
-}
-
-fn is_over(
-    open: &OpenOrder,
-    seen: &Seen,
-    fencing: Fencing,
-    fence: Offset,
-    spans: &OrderSpans,
-) -> bool {
-    let late = horizon(open, spans).is_some_and(|end| seen.made >= end);
-    match (fencing, open.stage) {
-        (_, Stage::Intended | Stage::Ready) => false,
-        (Fencing::Checked, Stage::Foreign { .. }) => late || seen.report.fence >= fence,
-        (Fencing::Checked, Stage::Answered { at, .. }) => late || seen.made >= at,
-        (Fencing::Checked, Stage::Sent { .. }) | (Fencing::Ignored, _) => late,
-    }
-}
--- a/crates/eelgrasshill_placement/src/holder.rs
+++ b/crates/eelgrasshill_placement/src/holder.rs
@@ -106,13 +106,30 @@
     /// Takes in an event and returns what is to be done about it.
     pub fn handle(&mut self, event: Event, now: Moment) -> Vec<Effect> {
         let mut effects = Vec::new();
+        let directs = self.calls_for_orders(&event);
         self.take(event, now, &mut effects);
         self.keep_lease(now, &mut effects);
-        self.direct(now, &mut effects);
+        if directs {
+            self.direct(now, &mut effects);
+        }
         self.read_on(now, &mut effects);
         effects
     }
 
+    /// Returns whether an event may change what is to be ordered before the next tick.
+    fn calls_for_orders(&self, event: &Event) -> bool {
+        match event {
+            // With hundreds of engines most reports change nothing that can't wait for a tick.
+            Event::Report { report, .. } => {
+                let account = self.ledger.account(&report.host);
+                self.round_at.is_none()
+                    || account.is_none_or(|account| !account.orders().is_empty())
+            }
+            Event::Demand(_) | Event::AppendDone(..) => false,
+            _ => true,
+        }
+    }
+
     fn take(&mut self, event: Event, now: Moment, effects: &mut Vec<Effect>) {
         match event {
             Event::LeaseRead(entries) => self.take_entries(&entries, now, effects),
--- a/crates/eelgrasshill_placement/src/ledger.rs
+++ b/crates/eelgrasshill_placement/src/ledger.rs
@@ -121,7 +121,7 @@
         spans: &OrderSpans,
         now: Moment,
     ) -> usize {
-        let returning = |account: &Account| account.slots_after_return(spans, now);
+        let returning = |account: &Account| account.slots_if_gone(spans, now);
         self.sum(tables, zone, returning, Account::slots)
     }
 
@@ -133,7 +133,7 @@
         spans: &OrderSpans,
         now: Moment,
     ) -> usize {
-        let returning = |account: &Account| account.slots_after_return(spans, now);
+        let returning = |account: &Account| account.slots_if_gone(spans, now);
         self.sum(tables, zone, returning, Account::running)
     }
 
