Let a load report lapse after ten seconds

Cause: an upstream whose last report said full and whose reports then stopped got no work for good, since only this host's own ends could lower the estimate. Ruled out: trusting the host list alone, which says nothing of a reporter that died. After ten seconds the estimate is this host's own running requests times the entry hosts. Seen red: with a lapse of 10000 s the case 'an old report does not keep work off for good'. Conclusion: a table of five load cases stands in tests/dispatch.rs.

--- a/crates/eelgrasshill_route/src/fleet.rs
+++ b/crates/eelgrasshill_route/src/fleet.rs
@@ -142,7 +142,7 @@
         let report = upstream.report.as_ref();
         let load = ledger
             .unwrap_or(&Ledger::default())
-            .load(report, allowance.peers);
+            .load(report, allowance.peers, now);
         let slots = report.map_or(DEFAULT_SLOTS, |r| r.slots);
         let usable = u64::from(slots) * u64::from(allowance.fill) / 100;
         (u64::from(load) < usable.max(1)).then(|| Candidate {
--- a/crates/eelgrasshill_route/src/ledger.rs
+++ b/crates/eelgrasshill_route/src/ledger.rs
@@ -13,6 +13,10 @@
 /// Most changes remembered for an upstream whose reports stay away.
 const MAX_CHANGES: usize = 256;
 
+/// Age after which a report says nothing any more, so that a full upstream whose reports stop is
+/// not left for good.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(10);
+
 #[derive(Clone, Copy, Debug)]
 struct Change {
     at: Moment,
@@ -70,9 +74,10 @@
     ///
     /// Other entry hosts start and end requests too, and none of it is in the report yet; each
     /// of the `peers` is taken to have changed as much as this one.
-    pub(crate) fn load(&self, report: Option<&Report>, peers: u32) -> u32 {
-        let Some(report) = report else {
-            return self.own;
+    pub(crate) fn load(&self, report: Option<&Report>, peers: u32, now: Moment) -> u32 {
+        let fresh = report.filter(|report| now.since(report.taken) < MAX_REPORT_AGE);
+        let Some(report) = fresh else {
+            return self.own.saturating_mul(peers);
         };
         let before = self.own_at(report.taken);
         let started = self.own.saturating_sub(before).saturating_mul(peers);
--- a/crates/eelgrasshill_route/tests/dispatch.rs
+++ b/crates/eelgrasshill_route/tests/dispatch.rs
@@ -389,3 +389,73 @@
         assert!(red > 20, "{switch:?} was red on {red} seeds only");
     }
 }
+
+struct LoadCase {
+    name: &'static str,
+    report: Option<Report>,
+    peers: u32,
+    /// Moments at which a ticket is offered, and whether it must start at once.
+    offers: Vec<(u64, bool)>,
+}
+
+#[test]
+fn load_is_the_report_and_what_came_since() {
+    let report = |running, taken| {
+        Some(Report {
+            running,
+            waiting: 0,
+            slots: 4,
+            taken: Moment(taken),
+        })
+    };
+    let cases = [
+        LoadCase {
+            name: "own starts since the report fill the slots",
+            report: report(2, 100),
+            peers: 1,
+            offers: vec![(200, true), (210, true), (220, false)],
+        },
+        LoadCase {
+            name: "each start counts for all entry hosts",
+            report: report(1, 100),
+            peers: 3,
+            offers: vec![(200, true), (210, false)],
+        },
+        LoadCase {
+            name: "a full upstream gets nothing",
+            report: report(4, 100),
+            peers: 1,
+            offers: vec![(200, false), (10_099, false)],
+        },
+        LoadCase {
+            name: "an old report does not keep work off for good",
+            report: report(4, 100),
+            peers: 1,
+            offers: vec![(200, false), (10_100, true)],
+        },
+        LoadCase {
+            name: "without a report eight slots are assumed",
+            report: None,
+            peers: 4,
+            offers: vec![(200, true), (210, true), (220, false)],
+        },
+    ];
+    for case in cases {
+        let settings = DispatchSettings {
+            peers: case.peers,
+            interactive_age: Duration::from_mins(1),
+            ..DispatchSettings::default()
+        };
+        let mut dispatcher = Dispatcher::new(settings, PrefixTwo);
+        let mut upstream = Upstream::new(name(0), pool(0), zone(0));
+        upstream.report = case.report;
+        let view = View::new(&zone(0), vec![upstream]);
+        for (at, starts) in case.offers {
+            let class = Class::Interactive;
+            let ticket = Ticket::new(TicketId(at), class, pool(0), Work::Plain, 1, Moment(60_000));
+            dispatcher.offer(ticket, Moment(at)).unwrap();
+            let decisions = dispatcher.poll(&view, Moment(at));
+            assert_eq!(!decisions.is_empty(), starts, "{} at {at}", case.name);
+        }
+    }
+}
