Save folded tables, keys and rights in the log before their records expire

Cause: nothing appended the checkpoints that the decision crates ask for, so that a host which started after the log's retention found no tables and no rights.

--- a/crates/eelgrasshill_entry/src/control/actor.rs
+++ b/crates/eelgrasshill_entry/src/control/actor.rs
@@ -11,7 +11,7 @@
     Access, ConfigEntry, ConfigFold, Delta, Listed, LogTime, Members, Process, Stored,
 };
 use eelgrasshill_domain::{FastMap, HostName, Incarnation, Moment, Offset, OrgName, RowKey};
-use eelgrasshill_limit::{Holder, Limit, RightsRecord, Share};
+use eelgrasshill_limit::{Holder, Limit, Share};
 use eelgrasshill_platform::{Engine, EngineReport, HostList, HostRole, HostState, Log, Page};
 use eelgrasshill_route::{Presence, Report, Resident, Upstream, View};
 use serde_json::json;
@@ -20,6 +20,7 @@
 use crate::control::claims::Claims;
 use crate::control::messages::{Cursor, Followed, HostsRead, PageRead, Reported};
 use crate::control::place::Placing;
+use crate::control::retain::{LogClock, RightsReader};
 use crate::shared::Picture;
 use crate::{BootClock, Shared};
 
@@ -64,7 +65,8 @@
     pub(crate) leaving: BTreeSet<HostName>,
     pub(crate) placing: Placing,
     pub(crate) claims: Claims,
-    rights: Offset,
+    pub(crate) rights: RightsReader,
+    pub(crate) clock: LogClock,
     planned: Moment,
     stale: bool,
 }
@@ -96,7 +98,8 @@
             placing: Placing::new(&shared),
             claims: Claims::new(&shared, process),
             leaving: BTreeSet::new(),
-            rights: Offset::default(),
+            rights: RightsReader::default(),
+            clock: LogClock::default(),
             planned: Moment::default(),
             stale: true,
             shared,
@@ -150,6 +153,7 @@
     }
 
     fn fold_config(&mut self, ctx: &mut Context<Self>, page: &Page, now: Moment) {
+        self.clock.note(page, now);
         let before = self.fold.last();
         let records = page.records.iter().filter_map(|record| {
             let entry: ConfigEntry = serde_json::from_value(record.body.clone())
@@ -200,28 +204,6 @@
         }
     }
 
-    fn fold_rights(&mut self, page: &Page, now: Moment) {
-        for record in &page.records {
-            self.rights = record.offset;
-            match serde_json::from_value::<RightsRecord>(record.body.clone()) {
-                Ok(body) => {
-                    let offset = record.offset;
-                    let outcome = self
-                        .shared
-                        .quota
-                        .with(now, |limiter| limiter.read(offset, &body, now));
-                    log::debug!("rights: {}: {outcome:?}", record.id);
-                }
-                Err(error) => {
-                    log::warn!(
-                        "rights: the record at {} is skipped: {error}",
-                        record.offset
-                    );
-                }
-            }
-        }
-    }
-
     /// Notes an engine's report unless a newer one is known.
     pub(crate) fn note_report(
         &mut self,
@@ -290,6 +272,7 @@
     fn plan(&mut self, context: &mut Context<Self>, now: Moment) {
         let plan = self.members.plan(now);
         self.reads = plan.reads;
+        self.retain(context, now);
         self.follow(context, &plan.follows);
         self.poll_engines(context, now);
         let live: BTreeSet<_> = self.members.live(now).map(|(host, _member)| host).collect();
@@ -427,7 +410,7 @@
     fn handle(&mut self, Cursor(stream): Cursor, _ctx: &mut Self::Context) -> Self::Result {
         match stream {
             Followed::Config => self.reads.then(|| self.fold.cursor()),
-            Followed::Rights => Some(self.rights.next()),
+            Followed::Rights => Some(self.rights.last.next()),
         }
     }
 }
--- a/crates/eelgrasshill_entry/src/control/mod.rs
+++ b/crates/eelgrasshill_entry/src/control/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod messages;
 mod peer;
 mod place;
+mod retain;
 mod survey;
 
 pub(crate) use actor::{Control, Outside};
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/control/retain.rs
@@ -0,0 +1,211 @@
+//! Keeps what must last in the log: folded state is appended again before its records expire.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::{ActorFutureExt, Context, WrapFuture};
+use eelgrasshill_control::{ConfigEntry, LogTime};
+use eelgrasshill_domain::{AppendId, Moment, Offset, StreamName};
+use eelgrasshill_limit::{Ledger, RightsRecord};
+use eelgrasshill_platform::{Engine, HostList, Log, NewRecord, Page};
+use serde_json::Value;
+
+use crate::control::Control;
+use crate::control::messages::Followed;
+
+/// Records of rights after which a snapshot is due, whatever their age.
+const MAX_UNSAVED: u64 = 4096;
+
+/// Shortest time between two attempts to save a state.
+const PAUSE: Duration = Duration::from_secs(10);
+
+/// How much longer each next host in order waits for those before it.
+const TAKEOVER: Duration = Duration::from_secs(30);
+
+/// The log's clock, as its records show it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LogClock {
+    seen: Option<(u64, Moment)>,
+}
+
+impl LogClock {
+    /// Notes when the log took its newest records.
+    pub(crate) fn note(&mut self, page: &Page, now: Moment) {
+        let Some(last) = page.records.last() else {
+            return;
+        };
+        if self.now(now).is_none_or(|time| time.0 < last.time) {
+            self.seen = Some((last.time, now));
+        }
+    }
+
+    /// Returns a time that the log's clock has reached; none before the first record.
+    pub(crate) fn now(&self, now: Moment) -> Option<LogTime> {
+        let (time, seen) = self.seen?;
+        Some(LogTime(time).after(now.since(seen)))
+    }
+}
+
+/// How far the stream of rights is folded, and when it was last saved.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RightsReader {
+    /// The last offset that was read.
+    pub(crate) last: Offset,
+    /// Whether records were missed, so that a snapshot is looked for.
+    searching: bool,
+    saved: Offset,
+    /// When the log took the oldest record that no snapshot covers.
+    oldest: Option<LogTime>,
+    tried: Moment,
+}
+
+impl RightsReader {
+    fn is_due(&self, now: LogTime, rank: usize, retention: Duration) -> bool {
+        if self.searching {
+            return false;
+        }
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        let wait = TAKEOVER.saturating_mul(rank);
+        let old = self
+            .oldest
+            .is_some_and(|at| now >= at.after(retention / 2).after(wait));
+        let unsaved = self.last.0.saturating_sub(self.saved.0);
+        old || unsaved > MAX_UNSAVED * (u64::from(rank) + 1)
+    }
+}
+
+impl<L, H, E> Control<L, H, E>
+where
+    L: Log + 'static,
+    H: HostList + 'static,
+    E: Engine + 'static,
+{
+    /// Folds a page of the stream of rights, or searches it for a snapshot.
+    pub(crate) fn fold_rights(&mut self, page: &Page, now: Moment) {
+        self.clock.note(page, now);
+        if page.first > self.rights.last.next() && !self.rights.searching {
+            log::warn!("rights: offsets up to {} expired unread", page.first);
+            self.rights.searching = true;
+        }
+        for stored in &page.records {
+            let record = match serde_json::from_value::<RightsRecord>(stored.body.clone()) {
+                Ok(record) => record,
+                Err(error) => {
+                    log::warn!(
+                        "rights: the record at {} is skipped: {error}",
+                        stored.offset
+                    );
+                    continue;
+                }
+            };
+            let at = LogTime(stored.time);
+            if self.rights.searching {
+                if self.restore(record, page.first, now) {
+                    // The records after the snapshot's state come next.
+                    return;
+                }
+                self.rights.last = stored.offset;
+                continue;
+            }
+            self.fold_right(stored.offset, at, &record, now);
+        }
+    }
+
+    fn fold_right(&mut self, offset: Offset, at: LogTime, record: &RightsRecord, now: Moment) {
+        self.rights.last = offset;
+        if let RightsRecord::Snapshot { through, .. } = record {
+            self.rights.saved = *through;
+            self.rights.oldest = Some(at);
+        }
+        self.rights.oldest.get_or_insert(at);
+        let outcome = self
+            .shared
+            .quota
+            .with(now, |limiter| limiter.read(offset, record, now));
+        log::debug!("rights: the record at {offset}: {outcome:?}");
+    }
+
+    fn restore(&mut self, record: RightsRecord, first: Offset, now: Moment) -> bool {
+        let RightsRecord::Snapshot { through, .. } = &record else {
+            return false;
+        };
+        let through = *through;
+        if through.next() < first {
+            return false;
+        }
+        let Some(ledger) = Ledger::restore(record) else {
+            return false;
+        };
+        self.shared.quota.with(now, |limiter| {
+            *limiter = limiter.clone().with_ledger(ledger, now);
+        });
+        log::info!("rights: restored from a snapshot through {through}");
+        self.rights = RightsReader {
+            last: through,
+            saved: through,
+            ..RightsReader::default()
+        };
+        true
+    }
+
+    /// Appends folded states whose records are about to expire.
+    pub(crate) fn retain(&mut self, ctx: &mut Context<Self>, now: Moment) {
+        let Some(time) = self.clock.now(now) else {
+            return;
+        };
+        let retention = self.shared.settings.retention;
+        let is_paused = now.since(self.rights.tried) < PAUSE;
+        if !self.reads || is_paused || self.shared.is_leaving() {
+            return;
+        }
+        let rank = self.members.rank("checkpoint", now);
+        if self.fold.is_checkpoint_due(time, rank, retention) {
+            self.rights.tried = now;
+            let checkpoint = self.fold.checkpoint();
+            let id = checkpoint.append_id(self.members.host());
+            let body = serde_json::to_value(ConfigEntry::Checkpoint(Box::new(checkpoint)));
+            self.save(ctx, Followed::Config, id, body.ok());
+        }
+        let rank = self.members.rank("rights-snapshot", now);
+        if self.rights.is_due(time, rank, retention) {
+            self.rights.tried = now;
+            let host = self.members.host();
+            let id = AppendId::new(&format!("rights-snapshot-{host}-{}", self.rights.last)).ok();
+            let snapshot = self
+                .shared
+                .quota
+                .with(now, |limiter| limiter.ledger().snapshot());
+            let body = snapshot.and_then(|record| serde_json::to_value(record).ok());
+            self.save(ctx, Followed::Rights, id, body);
+        }
+    }
+
+    fn save(
+        &mut self,
+        ctx: &mut Context<Self>,
+        stream: Followed,
+        id: Option<AppendId>,
+        body: Option<Value>,
+    ) {
+        let (Some(id), Some(body)) = (id, body) else {
+            log::error!("{stream}: the state has no valid form");
+            return;
+        };
+        let Ok(name) = StreamName::new(&stream.to_string()) else {
+            return;
+        };
+        log::info!("{stream}: the folded state is saved as {id}");
+        let outside = Rc::clone(&self.outside);
+        let append = async move {
+            // A lost answer is no harm: the saved state is read back or saved again later.
+            if let Err(error) = outside
+                .log
+                .append(&name, vec![NewRecord { id, body }])
+                .await
+            {
+                log::warn!("{stream}: {error}");
+            }
+        };
+        actix::AsyncContext::spawn(ctx, append.into_actor(self).map(|(), _control, _ctx| ()));
+    }
+}
--- a/crates/eelgrasshill_entry/tests/support/mod.rs
+++ b/crates/eelgrasshill_entry/tests/support/mod.rs
@@ -118,6 +118,11 @@
     }
 
     pub fn add_host(&mut self, zone: &str) {
+        self.add_host_with(zone, |_settings| ());
+    }
+
+    /// Starts a host whose settings a test changes first.
+    pub fn add_host_with(&mut self, zone: &str, change: impl FnOnce(&mut EntrySettings)) {
         let number = self.hosts.len();
         let text = format!(
             "[host]\nname = entry-{number}\nzone = {zone}\nlisten = 127.0.0.1:0\n\
@@ -126,7 +131,8 @@
              [fleet]\nzones = zone-a, zone-b, zone-c\n",
             self.log.address, self.list.address,
         );
-        let settings = EntrySettings::parse("entry.ini", &text).unwrap();
+        let mut settings = EntrySettings::parse("entry.ini", &text).unwrap();
+        change(&mut settings);
         self.hosts.push(EntryHost::start(settings, None).unwrap());
     }
 
