--- /dev/null
+++ b/crates/eelgrasshill_control/tests/control/claims_world/effects.rs
@@ -0,0 +1,111 @@
+//! Carries out what requesters and writers ask of their hosts.
+
+use std::sync::Arc;
+
+use eelgrasshill_control::{
+    ClaimBatch, ClaimId, ClaimRecord, LogTime, RequesterEffect, WriterEffect,
+};
+use eelgrasshill_domain::AppendId;
+use rand::RngExt;
+
+use super::{Broken, HOSTS, Msg, World, process};
+use crate::log::Fate;
+
+impl World {
+    pub(super) fn asked(&mut self, host: usize, effects: Vec<RequesterEffect>) {
+        let incarnation = self.nodes[host].members.process().incarnation;
+        for effect in effects {
+            match effect {
+                RequesterEffect::Submit { record, .. }
+                    if self.broken == Broken::Abort
+                        && matches!(record, ClaimRecord::Abort { .. }) =>
+                {
+                    self.push(0, host, Some(incarnation), Msg::Recorded(record.id()));
+                }
+                RequesterEffect::Submit { attempt, record } => {
+                    self.adopt_request(&record);
+                    let to = (host + attempt) % 3;
+                    self.send(host, to, None, Msg::Submit(record));
+                }
+                RequesterEffect::Run { claim, request } => {
+                    let delay = self.rng.random_range(1..60);
+                    self.push(delay, host, Some(incarnation), Msg::Send(claim, request));
+                }
+                RequesterEffect::Answer { request, answer } => self.answered(request, answer),
+            }
+        }
+    }
+
+    /// A call that is claimed anew keeps its request; there is one open call a key and host.
+    fn adopt_request(&mut self, record: &ClaimRecord) {
+        if self.known.contains_key(&record.id()) {
+            return;
+        }
+        let id = record.id();
+        let open = self
+            .known
+            .iter()
+            .rev()
+            .find(|(other, (key, request))| {
+                other.process == id.process
+                    && *key == record.key()
+                    && self.answers[request].is_none()
+                    && !self.ran.contains(request)
+            })
+            .map(|(_, known)| known.clone());
+        self.known.insert(id, open.unwrap());
+    }
+
+    pub(super) fn written(&mut self, host: usize, effects: Vec<WriterEffect>) {
+        let incarnation = self.nodes[host].members.process().incarnation;
+        for effect in effects {
+            match effect {
+                WriterEffect::Append { id, batch, .. } => self.append(host, &id, &batch),
+                WriterEffect::Read { from, .. } => {
+                    let is_lost = self.is_faulty && self.rng.random_bool(0.05);
+                    let oldest = self.now.saturating_sub(self.retention.as_millis() as u64);
+                    let is_cut = self.nodes[host].cut > self.now;
+                    let page = self
+                        .log
+                        .read(from, 8)
+                        .filter(|_| !is_lost && !is_cut)
+                        .map(|(first, page, is_end)| (first, LogTime(oldest), page, is_end));
+                    let delay = self.rng.random_range(1..20);
+                    self.push(delay, host, Some(incarnation), Msg::Page(page));
+                }
+                WriterEffect::Decided(id, verdict) => {
+                    self.reply(host, id, Msg::Decided(id, verdict));
+                }
+                WriterEffect::Recorded(id) => self.reply(host, id, Msg::Recorded(id)),
+            }
+        }
+    }
+
+    fn append(&mut self, host: usize, id: &AppendId, batch: &Arc<ClaimBatch>) {
+        let incarnation = self.nodes[host].members.process().incarnation;
+        let fate = match self.rng.random_range(0..100) {
+            _ if self.nodes[host].cut > self.now => Fate::NeverArrived,
+            _ if !self.is_faulty => Fate::Kept,
+            0..8 => Fate::AnswerLost,
+            8..14 => Fate::NeverArrived,
+            14..22 => Fate::Late(self.rng.random_range(0..8000)),
+            22..28 => Fate::Twice(self.rng.random_range(0..8000)),
+            _ => Fate::Kept,
+        };
+        let answer = self.log.append(id, (**batch).clone(), fate, self.now);
+        let delay = self.rng.random_range(1..30);
+        self.push(
+            delay,
+            host,
+            Some(incarnation),
+            Msg::Appended(id.clone(), answer),
+        );
+    }
+
+    fn reply(&mut self, host: usize, id: ClaimId, msg: Msg) {
+        let to = (0..HOSTS)
+            .find(|to| process(*to, 1).address == id.process.address)
+            .unwrap();
+        self.send(host, to, Some(id.process.incarnation), msg);
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_control/tests/control/claims_world/mod.rs
@@ -0,0 +1,377 @@
+//! Several hosts that claim calls over one model log, with an oracle beside them.
+
+mod effects;
+mod faults;
+mod oracle;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use eelgrasshill_control::{
+    Answer, AppendError, Body, Call, CallDigest, CallKey, CallOutcome, ClaimBatch, ClaimBounds,
+    ClaimId, ClaimRecord, ClaimWriter, Delta, Heartbeat, LogTime, Members, Process, Requester,
+    RequesterEffect, RunEnd, Verdict, WriterEffect,
+};
+use eelgrasshill_domain::{AppendId, HostName, Incarnation, Moment, Offset, RequestId};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::log::ModelLog;
+
+pub(crate) const HOSTS: usize = 4;
+const TICK: u64 = 20;
+
+pub(crate) use oracle::Violation;
+
+/// A mechanism that is switched off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Broken {
+    Nothing,
+    ReadBack,
+    Abort,
+    GiveUp,
+    LastCheck,
+    Retention,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    Claim,
+    Append,
+    ReadBack,
+    Decide,
+    Run,
+    Record,
+    Repeat,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    Crash,
+    Pause,
+    Lost,
+    Late,
+    Repeated,
+    Outage,
+    Expiry,
+    Cut,
+}
+
+#[derive(Clone, Debug)]
+enum Msg {
+    Begin(Call),
+    Submit(ClaimRecord),
+    Decided(ClaimId, Verdict),
+    Recorded(ClaimId),
+    Appended(AppendId, Result<Offset, AppendError>),
+    Page(Option<(Offset, LogTime, Delta<ClaimBatch>, bool)>),
+    Send(ClaimId, RequestId),
+    Ran(ClaimId, RunEnd),
+    Hello(Heartbeat),
+}
+
+#[derive(Clone, Debug)]
+struct Envelope {
+    to: usize,
+    /// The process for which the message is meant; none for whoever runs there.
+    only: Option<Incarnation>,
+    msg: Msg,
+}
+
+struct Node {
+    members: Members,
+    requester: Requester,
+    writer: ClaimWriter,
+    is_up: bool,
+    paused: u64,
+    cut: u64,
+}
+
+pub(crate) struct World {
+    pub(crate) rng: StdRng,
+    pub(crate) now: u64,
+    pub(crate) log: ModelLog<ClaimBatch>,
+    pub(crate) violations: Vec<Violation>,
+    pub(crate) answers: BTreeMap<RequestId, Option<Answer>>,
+    pub(crate) runs: BTreeMap<CallKey, Vec<(u64, ClaimId)>>,
+    pub(crate) is_faulty: bool,
+    pub(crate) planned: Option<(Step, Fault)>,
+    pub(crate) is_met: bool,
+    retention: Duration,
+    broken: Broken,
+    nodes: Vec<Node>,
+    queue: BTreeMap<(u64, u64), Envelope>,
+    seq: u64,
+    lost: BTreeSet<RequestId>,
+    ran: BTreeSet<RequestId>,
+    known: BTreeMap<ClaimId, (CallKey, RequestId)>,
+    results: BTreeMap<CallKey, Vec<CallOutcome>>,
+    keys: BTreeMap<RequestId, CallKey>,
+    bodies: BTreeMap<CallKey, BTreeSet<u8>>,
+}
+
+fn process(host: usize, incarnation: u64) -> Process {
+    Process {
+        address: format!("10.0.0.{host}:7000").parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn host_name(host: usize) -> HostName {
+    HostName::new(&format!("entry-{host}")).unwrap()
+}
+
+fn outcome_of(id: ClaimId) -> CallOutcome {
+    CallOutcome::Answered {
+        status: 201,
+        kind: "text/plain".to_owned(),
+        body: Body::new(format!("{id:?}").as_bytes()),
+    }
+}
+
+pub(crate) fn key(number: usize) -> CallKey {
+    CallKey::new(None, &format!("key-{number}"))
+}
+
+impl Node {
+    fn new(host: usize, incarnation: u64, bounds: &ClaimBounds) -> Self {
+        let process = process(host, incarnation);
+        let name = host_name(host);
+        Self {
+            members: Members::new(name.clone(), "zone-a".parse().unwrap(), process),
+            requester: Requester::new(name, process, bounds.clone()),
+            writer: ClaimWriter::new("claims-0".parse().unwrap(), process, bounds.clone()),
+            is_up: true,
+            paused: 0,
+            cut: 0,
+        }
+    }
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, retention: Duration, broken: Broken) -> Self {
+        let bounds = Self::bounds(retention);
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            now: 0,
+            log: ModelLog::new(),
+            violations: Vec::new(),
+            answers: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            is_faulty: false,
+            planned: None,
+            is_met: false,
+            retention,
+            broken,
+            nodes: (0..HOSTS).map(|host| Node::new(host, 1, &bounds)).collect(),
+            queue: BTreeMap::new(),
+            seq: 0,
+            lost: BTreeSet::new(),
+            ran: BTreeSet::new(),
+            known: BTreeMap::new(),
+            results: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            bodies: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn bounds(retention: Duration) -> ClaimBounds {
+        let mut bounds = ClaimBounds::new(retention);
+        bounds.pace = Duration::from_millis(20);
+        bounds
+    }
+
+    fn push(&mut self, delay: u64, to: usize, only: Option<Incarnation>, msg: Msg) {
+        self.seq += 1;
+        let envelope = Envelope { to, only, msg };
+        self.queue.insert((self.now + delay, self.seq), envelope);
+    }
+
+    /// Sends between hosts, over links that lose, delay and repeat.
+    fn send(&mut self, from: usize, to: usize, only: Option<Incarnation>, msg: Msg) {
+        let is_cut = self.nodes[from].cut > self.now || self.nodes[to].cut > self.now;
+        if from != to && (is_cut || (self.is_faulty && self.rng.random_bool(0.1))) {
+            return;
+        }
+        let mut delay = self.rng.random_range(1..5);
+        if self.is_faulty && self.rng.random_bool(0.05) {
+            delay += self.rng.random_range(0..4000);
+        }
+        if self.is_faulty && self.rng.random_bool(0.05) {
+            let again = delay + self.rng.random_range(0..6000);
+            self.push(again, to, only, msg.clone());
+        }
+        self.push(delay, to, only, msg);
+    }
+
+    pub(crate) fn begin(&mut self, host: usize, request: &str, key: CallKey, body: u8) {
+        let request = RequestId::new(request).unwrap();
+        self.answers.insert(request.clone(), None);
+        self.keys.insert(request.clone(), key);
+        self.bodies.entry(key).or_default().insert(body);
+        let digest = CallDigest::new(&[&[body]]);
+        let call = Call {
+            request,
+            key,
+            organisation: None,
+            digest,
+        };
+        self.push(0, host, None, Msg::Begin(call));
+    }
+
+    pub(crate) fn has_run(&self, request: &str) -> bool {
+        self.ran.iter().any(|ran| ran.as_str() == request)
+    }
+
+    pub(crate) fn run_until(&mut self, end: u64) {
+        while self.now < end {
+            self.now += TICK;
+            let kept = match self.broken {
+                Broken::Retention => self.retention / 8,
+                _ => self.retention,
+            };
+            self.log.tick(self.now, kept);
+            while let Some(envelope) = self.next_due() {
+                self.deliver(envelope);
+            }
+            for host in 0..HOSTS {
+                self.tick(host);
+            }
+        }
+    }
+
+    fn next_due(&mut self) -> Option<Envelope> {
+        let (&(at, seq), _) = self.queue.first_key_value()?;
+        (at <= self.now).then(|| self.queue.remove(&(at, seq)).unwrap())
+    }
+
+    fn tick(&mut self, host: usize) {
+        let now = Moment(self.now);
+        let node = &mut self.nodes[host];
+        if !node.is_up || node.paused > self.now {
+            return;
+        }
+        let asked = node.requester.tick(now);
+        let written = node.writer.tick(now);
+        self.asked(host, asked);
+        self.written(host, written);
+    }
+
+    fn deliver(&mut self, envelope: Envelope) {
+        let host = envelope.to;
+        let node = &self.nodes[host];
+        let incarnation = node.members.process().incarnation;
+        if envelope.only.is_some_and(|only| only != incarnation) || !node.is_up {
+            if let Msg::Begin(call) = envelope.msg {
+                self.lost.insert(call.request);
+            }
+            return;
+        }
+        if node.paused > self.now {
+            let delay = node.paused - self.now;
+            self.push(delay, host, envelope.only, envelope.msg);
+            return;
+        }
+        if let Some(fault) = self.fault_at(host, &envelope.msg) {
+            self.inject(host, fault, envelope);
+            return;
+        }
+        self.handle(host, envelope.msg);
+    }
+
+    fn handle(&mut self, host: usize, msg: Msg) {
+        let now = Moment(self.now);
+        let node = &mut self.nodes[host];
+        match msg {
+            Msg::Begin(call) => {
+                let effects = node.requester.begin(call.clone(), now);
+                self.note_claim(&effects, &call);
+                self.asked(host, effects);
+            }
+            Msg::Submit(record) => {
+                let effects = node.writer.submit(record.clone(), now);
+                let is_queued = !effects
+                    .iter()
+                    .any(|e| matches!(e, WriterEffect::Decided(..)));
+                if self.broken == Broken::ReadBack && record.is_claim() && is_queued {
+                    self.written(host, vec![WriterEffect::Decided(record.id(), Verdict::Won)]);
+                }
+                self.written(host, effects);
+            }
+            Msg::Decided(id, verdict) => {
+                let members = &node.members;
+                let stopped = |process| members.is_stopped(process);
+                let effects = node.requester.decide(id, &verdict, stopped, now);
+                if self.broken == Broken::GiveUp && verdict == Verdict::Won {
+                    self.run_again(host, id);
+                }
+                self.asked(host, effects);
+            }
+            Msg::Recorded(id) => node.requester.recorded(id),
+            Msg::Appended(id, answer) => {
+                let effects = node.writer.answer(&id, answer, now);
+                self.written(host, effects);
+            }
+            Msg::Page(Some((first, oldest, page, is_end))) => {
+                let effects = node.writer.page(first, oldest, &page, is_end, now);
+                self.written(host, effects);
+            }
+            Msg::Page(None) => node.writer.read_failed(now),
+            Msg::Send(id, request) => self.first_byte(host, id, &request),
+            Msg::Ran(id, end) => {
+                let effects = node.requester.ran(id, end, now);
+                self.asked(host, effects);
+            }
+            Msg::Hello(beat) => {
+                if let Some(stopped) = node.members.hear(&beat, now) {
+                    let effects = node.requester.stopped(stopped, now);
+                    self.asked(host, effects);
+                }
+            }
+        }
+    }
+
+    fn note_claim(&mut self, effects: &[RequesterEffect], call: &Call) {
+        for effect in effects {
+            if let RequesterEffect::Submit { record, .. } = effect {
+                self.known
+                    .insert(record.id(), (call.key, call.request.clone()));
+            }
+        }
+    }
+
+    fn run_again(&mut self, host: usize, id: ClaimId) {
+        let Some((_key, request)) = self.known.get(&id).cloned() else {
+            return;
+        };
+        if self
+            .answers
+            .get(&request)
+            .is_some_and(|a| matches!(a, Some(Answer::NotRun(_))))
+        {
+            self.upstream(host, id, &request, RunEnd::Lost);
+        }
+    }
+
+    fn first_byte(&mut self, host: usize, id: ClaimId, request: &RequestId) {
+        let may_send = self.nodes[host].requester.may_send(id, Moment(self.now));
+        let is_unreached = self.is_faulty && self.rng.random_bool(0.1);
+        let end = if is_unreached || (!may_send && self.broken != Broken::LastCheck) {
+            RunEnd::NotSent
+        } else if self.is_faulty && self.rng.random_bool(0.15) {
+            RunEnd::Lost
+        } else {
+            RunEnd::Answered(outcome_of(id))
+        };
+        self.upstream(host, id, request, end);
+    }
+
+    fn upstream(&mut self, host: usize, id: ClaimId, request: &RequestId, end: RunEnd) {
+        if end != RunEnd::NotSent {
+            self.count_run(id, request);
+        }
+        let delay = self.rng.random_range(5..1500);
+        self.push(delay, host, Some(id.process.incarnation), Msg::Ran(id, end));
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_control/tests/control/claims_world/oracle.rs
@@ -0,0 +1,121 @@
+//! What must hold of claimed calls, checked from outside the hosts.
+
+use std::collections::BTreeSet;
+
+use eelgrasshill_control::{Answer, CallDigest, CallKey, Claim, ClaimFold, ClaimId, Held, Verdict};
+use eelgrasshill_domain::RequestId;
+
+use super::{World, host_name, outcome_of, process};
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Violation {
+    SecondRun(CallKey),
+    FalseNotRun(RequestId),
+    WrongAnswer(RequestId),
+    Unanswered(RequestId),
+    Stuck(CallKey),
+    Unsettled(usize),
+    Parted(CallKey),
+}
+
+impl World {
+    /// The oracle's view of a call that reaches an upstream.
+    pub(super) fn count_run(&mut self, id: ClaimId, request: &RequestId) {
+        let bounds = Self::bounds(self.retention);
+        let known = (bounds.keep.as_millis() - (bounds.claim + bounds.start).as_millis()) as u64;
+        let (key, _request) = self.known[&id].clone();
+        let runs = self.runs.entry(key).or_default();
+        if runs.iter().any(|(at, _)| *at + known > self.now) {
+            self.violations.push(Violation::SecondRun(key));
+        }
+        runs.push((self.now, id));
+        self.results.entry(key).or_default().push(outcome_of(id));
+        self.ran.insert(request.clone());
+        if matches!(self.answers.get(request), Some(Some(Answer::NotRun(_)))) {
+            self.violations
+                .push(Violation::FalseNotRun(request.clone()));
+        }
+    }
+
+    pub(super) fn answered(&mut self, request: RequestId, answer: Answer) {
+        let is_wrong = match &answer {
+            Answer::NotRun(_) => {
+                if self.ran.contains(&request) {
+                    self.violations
+                        .push(Violation::FalseNotRun(request.clone()));
+                }
+                false
+            }
+            Answer::Recorded(outcome) => !self
+                .results
+                .values()
+                .flatten()
+                .any(|result| *result == **outcome),
+            Answer::Conflict => self.bodies[&self.keys[&request]].len() < 2,
+            Answer::Unknown | Answer::Expired => false,
+        };
+        if is_wrong {
+            self.violations
+                .push(Violation::WrongAnswer(request.clone()));
+        }
+        self.answers.insert(request, Some(answer));
+    }
+
+    /// Folds the whole log, and checks what must hold once all faults are over.
+    pub(crate) fn check_end(&mut self) {
+        let mut fold = ClaimFold::new(Self::bounds(self.retention));
+        for stored in &self.log.all {
+            fold.apply(stored);
+        }
+        for (host, node) in self.nodes.iter().enumerate() {
+            if node.is_up && !(node.requester.is_idle() && node.writer.is_idle()) {
+                self.violations.push(Violation::Unsettled(host));
+            }
+        }
+        for (request, answer) in &self.answers {
+            let is_open = answer.is_none() && !self.ran.contains(request);
+            if is_open && !self.lost.contains(request) {
+                self.violations.push(Violation::Unanswered(request.clone()));
+            }
+        }
+        let keys: BTreeSet<_> = self.known.values().map(|(key, _)| *key).collect();
+        for key in keys {
+            self.check_key(&fold, key);
+        }
+    }
+
+    fn check_key(&mut self, fold: &ClaimFold, key: CallKey) {
+        let probe = Claim {
+            id: ClaimId {
+                process: process(99, 1),
+                seq: 1,
+            },
+            key,
+            organisation: None,
+            request: CallDigest::new(&[&[0]]),
+            host: host_name(99),
+        };
+        let verdict = fold.verdict(&probe);
+        if let Some(Verdict::Lost {
+            winner,
+            held: Held::Running,
+            ..
+        }) = &verdict
+        {
+            let is_alive = self
+                .nodes
+                .iter()
+                .any(|node| node.is_up && node.members.process() == winner.process);
+            if is_alive {
+                self.violations.push(Violation::Stuck(key));
+            }
+        }
+        let writers = self.nodes.iter().take(3).filter(|node| node.is_up);
+        let is_parted = writers
+            .filter(|node| node.writer.fold().cursor() == fold.cursor())
+            .any(|node| node.writer.fold().verdict(&probe) != verdict);
+        if is_parted && self.log.first == 1 {
+            self.violations.push(Violation::Parted(key));
+        }
+    }
+}
--- a/crates/eelgrasshill_control/tests/control/config_world.rs
+++ b/crates/eelgrasshill_control/tests/control/config_world/mod.rs
@@ -1,21 +1,21 @@
 //! Hosts of three zones that fold one model log, and operators who race.
 
+mod operators;
+mod oracle;
+mod weaken;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use eelgrasshill_control::{
-    CatchUp, Checkpoint, ConfigEntry, ConfigFold, Delta, Heartbeat, Listed, LogTime, Members,
-    Process, Publish, PublishStep, StateDigest, Stored,
+    CatchUp, Checkpoint, ConfigEntry, ConfigFold, Heartbeat, Listed, LogTime, Members, Process,
+    Publish, StateDigest, Stored,
 };
 use eelgrasshill_domain::{
-    AppendId, ConfigRecord, EditOutcome, HostName, Incarnation, Moment, Offset, PoolKind, Row,
-    Target, ZoneName,
+    AppendId, ConfigRecord, HostName, Incarnation, Moment, Offset, ZoneName,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use crate::{
-    log::{Fate, ModelLog},
-    make::{change, edit, issue, org_key, org_row, pool_key, pool_row, route, route_key, withdraw},
-};
+use crate::log::{Fate, ModelLog};
 
 pub(crate) const ZONES: usize = 3;
 pub(crate) const HOSTS: usize = 15;
@@ -23,6 +23,10 @@
 pub(crate) const RETENTION: u64 = 120_000;
 const TICK: u64 = 250;
 
+use weaken::skip_gap;
+
+pub(crate) use oracle::Violation;
+
 /// A mechanism that is switched off on every host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Broken {
@@ -36,18 +40,6 @@
     Follow,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Violation {
-    /// Two hosts differ at one offset.
-    Parted(usize, Offset),
-    /// A host went back.
-    Reverted(usize),
-    /// A host that can be reached lacks a record that is old enough.
-    Behind(usize, u64),
-    /// An operator was told another verdict than the one in force.
-    FalseVerdict(AppendId),
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Step {
     Publish,
@@ -249,16 +241,6 @@
         }
     }
 
-    /// Folds what landed into the oracle's own state.
-    fn note_landed(&mut self) {
-        while self.reference.last() < self.log.last() {
-            let stored = &self.log.all[self.reference.last().0 as usize];
-            self.reference.apply(stored);
-            self.digests.push(self.reference.digest());
-            self.states.push(self.reference.clone());
-        }
-    }
-
     fn tick(&mut self, host: usize) {
         let now = Moment(self.now);
         let node = &mut self.nodes[host];
@@ -299,61 +281,6 @@
         }
     }
 
-    /// Applies a planned fault to a page or a delta; none is lost or late.
-    fn meet(
-        &mut self,
-        step: Step,
-        host: usize,
-        page: Delta<ConfigEntry>,
-    ) -> Option<Delta<ConfigEntry>> {
-        if page.records.is_empty() {
-            return Some(page);
-        }
-        match self.fates.remove(&step) {
-            Some(Fate::AnswerLost | Fate::NeverArrived) => None,
-            Some(Fate::Late(by)) => {
-                let own = self.nodes[host]
-                    .members
-                    .heartbeat(Offset(0), false, Moment(self.now));
-                let late = Msg::Reply(own, Some(Box::new(CatchUp::Delta(page))));
-                self.seq += 1;
-                self.queue
-                    .insert((self.now + by, self.seq), (host, host, late));
-                None
-            }
-            Some(Fate::Twice(_)) => {
-                let mut records = page.records.clone();
-                records.extend(page.records);
-                Some(Delta::new(page.from, records))
-            }
-            Some(Fate::Kept) | None => Some(page),
-        }
-    }
-
-    /// Changes records as a host without a mechanism would take them.
-    fn weaken(&self, host: usize, mut page: Delta<ConfigEntry>) -> Delta<ConfigEntry> {
-        let mut fold = self.nodes[host].fold.clone();
-        for stored in &mut page.records {
-            match (&self.broken, &mut stored.record) {
-                (Broken::Dedupe, _) => {
-                    let id = format!("{}-{}", stored.id, stored.offset);
-                    stored.id = AppendId::new(&id).unwrap();
-                }
-                (Broken::Versions, ConfigEntry::Record(ConfigRecord::Edit(edit))) => {
-                    for change in &mut edit.changes {
-                        change.base = fold.version(&change.key);
-                    }
-                }
-                (Broken::Recent, ConfigEntry::Checkpoint(checkpoint)) => checkpoint.recent.clear(),
-                _ => {}
-            }
-            if self.broken == Broken::Versions {
-                fold.apply(stored);
-            }
-        }
-        page
-    }
-
     fn save(&mut self, host: usize) {
         let retention = Duration::from_millis(RETENTION);
         let node = &self.nodes[host];
@@ -432,189 +359,12 @@
         let _gap = self.nodes[host].fold.catch_up(&sent);
     }
 
-    fn check(&mut self, host: usize) {
-        self.check_state(host);
-        self.check_lag(host);
-    }
-
-    fn check_state(&mut self, host: usize) {
-        let node = &mut self.nodes[host];
-        let last = node.fold.last();
-        if last < node.reached {
-            self.violations.push(Violation::Reverted(host));
-        }
-        if last == node.reached {
-            return;
-        }
-        node.reached = last;
-        let reference = &self.states[last.0 as usize];
-        let is_same = node.fold.tables() == reference.tables()
-            && node.fold.keys() == reference.keys()
-            && node.fold.withdrawn().eq(reference.withdrawn());
-        let is_whole = match self.broken {
-            Broken::Nothing => node.fold.digest() == self.digests[last.0 as usize],
-            _ => true,
-        };
-        if !(is_same && is_whole) {
-            self.violations.push(Violation::Parted(host, last));
-        }
-    }
-
-    /// Checks that news of some age is in force on a host that can be reached.
-    fn check_lag(&mut self, host: usize) {
-        let has_link = (0..ZONES).any(|other| {
-            let is_linked = other == zone_of(host)
-                || (self.zone_cut[zone_of(host)] <= self.now && self.zone_cut[other] <= self.now);
-            let has_reader = (0..HOSTS).any(|peer| {
-                zone_of(peer) == other && self.nodes[peer].good_since + IN_FORCE <= self.now
-            });
-            is_linked && self.log_cut[other] <= self.now && (other == zone_of(host) || has_reader)
-        });
-        if !self.is_awake(host) || self.log.is_out || !has_link {
-            self.nodes[host].good_since = self.now;
-            return;
-        }
-        if self.nodes[host].good_since + IN_FORCE > self.now {
-            return;
-        }
-        if let Some(next) = self.log.all.get(self.nodes[host].fold.last().0 as usize) {
-            self.worst = self.worst.max(self.now - next.at.0);
-        }
-        let old = LogTime(self.now - IN_FORCE);
-        let due = self.log.all.partition_point(|stored| stored.at <= old) as u64;
-        if self.nodes[host].fold.last().0 < due {
-            self.violations.push(Violation::Behind(host, self.now));
-        }
-    }
-
-    /// Lets an operator edit from what some host shows.
-    pub(crate) fn operate(&mut self) {
-        let host = self.rng.random_range(0..HOSTS);
-        let fold = self.nodes[host].fold.clone();
-        let record = self.random_record(&fold);
-        self.seq += 1;
-        let id = AppendId::new(&format!("operator-{}", self.seq)).unwrap();
-        let publish = Publish::new(id.clone(), record.clone(), Moment(self.now));
-        self.operators.push(Operator {
-            fold,
-            publish,
-            record,
-            tries: vec![id],
-        });
-    }
-
-    fn random_record(&mut self, fold: &ConfigFold) -> ConfigRecord {
-        let number = self.rng.random_range(0..4);
-        let org = format!("org-{number}");
-        let pool = format!("pool-{number}");
-        let rate = self.rng.random_range(1..1000);
-        let plain = route(Some(&org), Target::Path(format!("/{rate}")), &pool);
-        let is_removed = self.rng.random_bool(0.3);
-        let (key, row) = match self.rng.random_range(0..7) {
-            0 | 1 => (org_key(&org), org_row(rate)),
-            2 | 3 => (pool_key(&pool), pool_row(PoolKind::Plain)),
-            4 | 5 => (route_key(&format!("route-{number}")), Row::from(plain)),
-            _ if is_removed => return withdraw(&format!("key-{}", rate % 8)),
-            _ => return issue(&format!("key-{}", rate % 8), &org),
-        };
-        let base = fold.version(&key).0;
-        edit(vec![change(key, base, (!is_removed).then_some(row))])
-    }
-
-    fn step_operators(&mut self) {
-        for mut operator in std::mem::take(&mut self.operators) {
-            if !self.step_operator(&mut operator) {
-                self.operators.push(operator);
-            }
-        }
-    }
-
-    fn step_operator(&mut self, operator: &mut Operator) -> bool {
-        let now = Moment(self.now);
-        match operator.publish.step(&operator.fold, now) {
-            PublishStep::Append(id, record) => {
-                let fate = self
-                    .fates
-                    .remove(&Step::Publish)
-                    .unwrap_or_else(|| self.fate());
-                let answer = self.log.append(&id, record.into(), fate, self.now);
-                self.note_landed();
-                operator.publish.answer(answer, now);
-                if self.broken == Broken::Look && answer.is_err() {
-                    let text = format!("{}-try-{}", operator.tries[0], operator.tries.len());
-                    let id = AppendId::new(&text).unwrap();
-                    operator.tries.push(id.clone());
-                    operator.publish = Publish::new(id, operator.record.clone(), now);
-                }
-                false
-            }
-            PublishStep::Read(from) => {
-                if let Some((first, page, is_end)) = self.log.read(from, 20) {
-                    let is_read = operator.fold.read(first, &page).is_ok();
-                    if is_end && is_read {
-                        operator.publish.reached_end(now);
-                    }
-                }
-                false
-            }
-            PublishStep::Wait => false,
-            PublishStep::Done(outcome) => {
-                self.check_verdict(operator, &outcome);
-                true
-            }
-        }
-    }
-
-    /// Checks the verdict that an operator was told against the one in force.
-    fn check_verdict(&mut self, operator: &Operator, outcome: &EditOutcome) {
-        self.verdicts += 1;
-        let is_accepted = |outcome: &EditOutcome| matches!(outcome, EditOutcome::Accepted(_));
-        let in_force = operator
-            .tries
-            .iter()
-            .filter_map(|id| self.reference.outcome(id))
-            .any(is_accepted);
-        if in_force != is_accepted(outcome) {
-            let id = operator.tries[0].clone();
-            self.violations.push(Violation::FalseVerdict(id));
-        }
-    }
-
-    /// Checks that every host that is up holds the newest record.
-    pub(crate) fn check_end(&mut self) {
-        for host in 0..HOSTS {
-            if self.nodes[host].is_up && self.nodes[host].fold.last() < self.log.last() {
-                self.violations.push(Violation::Behind(host, self.now));
-            }
-        }
-    }
-
     /// Counts the checkpoints that ever stood in the log.
     pub(crate) fn checkpoints(&self) -> usize {
         let is_checkpoint =
             |stored: &&Stored<ConfigEntry>| matches!(stored.record, ConfigEntry::Checkpoint(_));
         self.log.all.iter().filter(is_checkpoint).count()
     }
-
-    /// Stops the operators' commands, wherever they are.
-    pub(crate) fn crash_operators(&mut self) {
-        self.operators.clear();
-    }
-
-    pub(crate) fn pending_operators(&self) -> usize {
-        self.operators.len()
-    }
-}
-
-/// Goes on folding although records are missing.
-fn skip_gap(fold: &mut ConfigFold, first: Offset) {
-    if first > fold.last().next() {
-        let through = Offset(first.0 - 1);
-        fold.adopt(&Checkpoint {
-            through,
-            ..fold.checkpoint()
-        });
-    }
 }
 
 /// Makes a log record of a checkpoint, for tests that start from one.
--- /dev/null
+++ b/crates/eelgrasshill_control/tests/control/config_world/operators.rs
@@ -0,0 +1,99 @@
+//! Operators who edit from what a host shows, while others do too.
+
+use eelgrasshill_control::{Publish, PublishStep};
+use eelgrasshill_domain::{AppendId, ConfigRecord, Moment, PoolKind, Row, Target};
+use rand::RngExt;
+
+use super::{Broken, ConfigFold, HOSTS, Operator, Step, World};
+use crate::make::{
+    change, edit, issue, org_key, org_row, pool_key, pool_row, route, route_key, withdraw,
+};
+
+impl World {
+    /// Lets an operator edit from what some host shows.
+    pub(crate) fn operate(&mut self) {
+        let host = self.rng.random_range(0..HOSTS);
+        let fold = self.nodes[host].fold.clone();
+        let record = self.random_record(&fold);
+        self.seq += 1;
+        let id = AppendId::new(&format!("operator-{}", self.seq)).unwrap();
+        let publish = Publish::new(id.clone(), record.clone(), Moment(self.now));
+        self.operators.push(Operator {
+            fold,
+            publish,
+            record,
+            tries: vec![id],
+        });
+    }
+
+    fn random_record(&mut self, fold: &ConfigFold) -> ConfigRecord {
+        let number = self.rng.random_range(0..4);
+        let org = format!("org-{number}");
+        let pool = format!("pool-{number}");
+        let rate = self.rng.random_range(1..1000);
+        let plain = route(Some(&org), Target::Path(format!("/{rate}")), &pool);
+        let is_removed = self.rng.random_bool(0.3);
+        let (key, row) = match self.rng.random_range(0..7) {
+            0 | 1 => (org_key(&org), org_row(rate)),
+            2 | 3 => (pool_key(&pool), pool_row(PoolKind::Plain)),
+            4 | 5 => (route_key(&format!("route-{number}")), Row::from(plain)),
+            _ if is_removed => return withdraw(&format!("key-{}", rate % 8)),
+            _ => return issue(&format!("key-{}", rate % 8), &org),
+        };
+        let base = fold.version(&key).0;
+        edit(vec![change(key, base, (!is_removed).then_some(row))])
+    }
+
+    pub(super) fn step_operators(&mut self) {
+        for mut operator in std::mem::take(&mut self.operators) {
+            if !self.step_operator(&mut operator) {
+                self.operators.push(operator);
+            }
+        }
+    }
+
+    fn step_operator(&mut self, operator: &mut Operator) -> bool {
+        let now = Moment(self.now);
+        match operator.publish.step(&operator.fold, now) {
+            PublishStep::Append(id, record) => {
+                let fate = self
+                    .fates
+                    .remove(&Step::Publish)
+                    .unwrap_or_else(|| self.fate());
+                let answer = self.log.append(&id, record.into(), fate, self.now);
+                self.note_landed();
+                operator.publish.answer(answer, now);
+                if self.broken == Broken::Look && answer.is_err() {
+                    let text = format!("{}-try-{}", operator.tries[0], operator.tries.len());
+                    let id = AppendId::new(&text).unwrap();
+                    operator.tries.push(id.clone());
+                    operator.publish = Publish::new(id, operator.record.clone(), now);
+                }
+                false
+            }
+            PublishStep::Read(from) => {
+                if let Some((first, page, is_end)) = self.log.read(from, 20) {
+                    let is_read = operator.fold.read(first, &page).is_ok();
+                    if is_end && is_read {
+                        operator.publish.reached_end(now);
+                    }
+                }
+                false
+            }
+            PublishStep::Wait => false,
+            PublishStep::Done(outcome) => {
+                self.check_verdict(operator, &outcome);
+                true
+            }
+        }
+    }
+
+    /// Stops the operators' commands, wherever they are.
+    pub(crate) fn crash_operators(&mut self) {
+        self.operators.clear();
+    }
+
+    pub(crate) fn pending_operators(&self) -> usize {
+        self.operators.len()
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_control/tests/control/config_world/oracle.rs
@@ -0,0 +1,109 @@
+//! What must hold of the configuration, checked against a fold over all records.
+
+use eelgrasshill_control::LogTime;
+use eelgrasshill_domain::{AppendId, EditOutcome, Offset};
+
+use super::{Broken, HOSTS, IN_FORCE, Operator, World, ZONES, zone_of};
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Violation {
+    /// Two hosts differ at one offset.
+    Parted(usize, Offset),
+    /// A host went back.
+    Reverted(usize),
+    /// A host that can be reached lacks a record that is old enough.
+    Behind(usize, u64),
+    /// An operator was told another verdict than the one in force.
+    FalseVerdict(AppendId),
+}
+
+impl World {
+    /// Folds what landed into the oracle's own state.
+    pub(super) fn note_landed(&mut self) {
+        while self.reference.last() < self.log.last() {
+            let stored = &self.log.all[self.reference.last().0 as usize];
+            self.reference.apply(stored);
+            self.digests.push(self.reference.digest());
+            self.states.push(self.reference.clone());
+        }
+    }
+
+    pub(super) fn check(&mut self, host: usize) {
+        self.check_state(host);
+        self.check_lag(host);
+    }
+
+    fn check_state(&mut self, host: usize) {
+        let node = &mut self.nodes[host];
+        let last = node.fold.last();
+        if last < node.reached {
+            self.violations.push(Violation::Reverted(host));
+        }
+        if last == node.reached {
+            return;
+        }
+        node.reached = last;
+        let reference = &self.states[last.0 as usize];
+        let is_same = node.fold.tables() == reference.tables()
+            && node.fold.keys() == reference.keys()
+            && node.fold.withdrawn().eq(reference.withdrawn());
+        let is_whole = match self.broken {
+            Broken::Nothing => node.fold.digest() == self.digests[last.0 as usize],
+            _ => true,
+        };
+        if !(is_same && is_whole) {
+            self.violations.push(Violation::Parted(host, last));
+        }
+    }
+
+    /// Checks that news of some age is in force on a host that can be reached.
+    fn check_lag(&mut self, host: usize) {
+        let has_link = (0..ZONES).any(|other| {
+            let is_linked = other == zone_of(host)
+                || (self.zone_cut[zone_of(host)] <= self.now && self.zone_cut[other] <= self.now);
+            let has_reader = (0..HOSTS).any(|peer| {
+                zone_of(peer) == other && self.nodes[peer].good_since + IN_FORCE <= self.now
+            });
+            is_linked && self.log_cut[other] <= self.now && (other == zone_of(host) || has_reader)
+        });
+        if !self.is_awake(host) || self.log.is_out || !has_link {
+            self.nodes[host].good_since = self.now;
+            return;
+        }
+        if self.nodes[host].good_since + IN_FORCE > self.now {
+            return;
+        }
+        if let Some(next) = self.log.all.get(self.nodes[host].fold.last().0 as usize) {
+            self.worst = self.worst.max(self.now - next.at.0);
+        }
+        let old = LogTime(self.now - IN_FORCE);
+        let due = self.log.all.partition_point(|stored| stored.at <= old) as u64;
+        if self.nodes[host].fold.last().0 < due {
+            self.violations.push(Violation::Behind(host, self.now));
+        }
+    }
+
+    /// Checks the verdict that an operator was told against the one in force.
+    pub(super) fn check_verdict(&mut self, operator: &Operator, outcome: &EditOutcome) {
+        self.verdicts += 1;
+        let is_accepted = |outcome: &EditOutcome| matches!(outcome, EditOutcome::Accepted(_));
+        let in_force = operator
+            .tries
+            .iter()
+            .filter_map(|id| self.reference.outcome(id))
+            .any(is_accepted);
+        if in_force != is_accepted(outcome) {
+            let id = operator.tries[0].clone();
+            self.violations.push(Violation::FalseVerdict(id));
+        }
+    }
+
+    /// Checks that every host that is up holds the newest record.
+    pub(crate) fn check_end(&mut self) {
+        for host in 0..HOSTS {
+            if self.nodes[host].is_up && self.nodes[host].fold.last() < self.log.last() {
+                self.violations.push(Violation::Behind(host, self.now));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_control/tests/control/config_world/weaken.rs
@@ -0,0 +1,75 @@
+//! Planned faults of one step, and hosts that lack a mechanism.
+
+use eelgrasshill_control::{CatchUp, Checkpoint, ConfigEntry, ConfigFold, Delta};
+use eelgrasshill_domain::{AppendId, ConfigRecord, Moment, Offset};
+
+use super::{Broken, Msg, Step, World};
+use crate::log::Fate;
+
+impl World {
+    /// Applies a planned fault to a page or a delta; none is lost or late.
+    pub(super) fn meet(
+        &mut self,
+        step: Step,
+        host: usize,
+        page: Delta<ConfigEntry>,
+    ) -> Option<Delta<ConfigEntry>> {
+        if page.records.is_empty() {
+            return Some(page);
+        }
+        match self.fates.remove(&step) {
+            Some(Fate::AnswerLost | Fate::NeverArrived) => None,
+            Some(Fate::Late(by)) => {
+                let own = self.nodes[host]
+                    .members
+                    .heartbeat(Offset(0), false, Moment(self.now));
+                let late = Msg::Reply(own, Some(Box::new(CatchUp::Delta(page))));
+                self.seq += 1;
+                self.queue
+                    .insert((self.now + by, self.seq), (host, host, late));
+                None
+            }
+            Some(Fate::Twice(_)) => {
+                let mut records = page.records.clone();
+                records.extend(page.records);
+                Some(Delta::new(page.from, records))
+            }
+            Some(Fate::Kept) | None => Some(page),
+        }
+    }
+
+    /// Changes records as a host without a mechanism would take them.
+    pub(super) fn weaken(&self, host: usize, mut page: Delta<ConfigEntry>) -> Delta<ConfigEntry> {
+        let mut fold = self.nodes[host].fold.clone();
+        for stored in &mut page.records {
+            match (&self.broken, &mut stored.record) {
+                (Broken::Dedupe, _) => {
+                    let id = format!("{}-{}", stored.id, stored.offset);
+                    stored.id = AppendId::new(&id).unwrap();
+                }
+                (Broken::Versions, ConfigEntry::Record(ConfigRecord::Edit(edit))) => {
+                    for change in &mut edit.changes {
+                        change.base = fold.version(&change.key);
+                    }
+                }
+                (Broken::Recent, ConfigEntry::Checkpoint(checkpoint)) => checkpoint.recent.clear(),
+                _ => {}
+            }
+            if self.broken == Broken::Versions {
+                fold.apply(stored);
+            }
+        }
+        page
+    }
+}
+
+/// Goes on folding although records are missing.
+pub(super) fn skip_gap(fold: &mut ConfigFold, first: Offset) {
+    if first > fold.last().next() {
+        let through = Offset(first.0 - 1);
+        fold.adopt(&Checkpoint {
+            through,
+            ..fold.checkpoint()
+        });
+    }
+}
