Pass engines' loads on as numbered changes

Cause: each exchange carried a mark for every engine and each reply the whole reports, at 600 engines about 15 KB a request by the size of a mark, which is a node's whole budget for a second. A cursor of two numbers now stands for all marks, loads go alone where nothing else changed, and other zones' engines every 5 s. Ruled out: fewer readers, which leaves the request as large.

--- a/crates/eelgrasshill_entry/src/control/actor.rs
+++ b/crates/eelgrasshill_entry/src/control/actor.rs
@@ -12,12 +12,14 @@
 };
 use eelgrasshill_domain::{FastMap, HostName, Incarnation, Moment, Offset, OrgName, RowKey};
 use eelgrasshill_limit::{Holder, Limit, Share};
+use eelgrasshill_peer::generated as wire;
 use eelgrasshill_platform::{Engine, EngineReport, HostList, HostRole, HostState, Log, Page};
 use eelgrasshill_route::{Presence, Report, Resident, Upstream, View};
 use serde_json::json;
 use tokio::sync::Notify;
 
 use crate::control::claims::Claims;
+use crate::control::engines::{Engines, Known};
 use crate::control::messages::{Cursor, Followed, HostsRead, PageRead, Reported};
 use crate::control::place::Placing;
 use crate::control::retain::{LogClock, RightsReader};
@@ -30,9 +32,6 @@
 /// How often the plan of who follows whom is made.
 const PLAN: Duration = Duration::from_millis(500);
 
-/// Age after which an engine's report may be replaced by one of any sequence.
-const REPORT_LIFE: Duration = Duration::from_secs(5);
-
 /// The outside systems, as the control thread meets them.
 #[derive(Clone, Debug)]
 pub(crate) struct Outside<L, H, E> {
@@ -41,14 +40,6 @@
     pub(crate) engine: E,
 }
 
-/// The newest report of an engine.
-#[derive(Clone, Debug)]
-pub(crate) struct Known {
-    pub(crate) report: EngineReport,
-    pub(crate) taken: Moment,
-    pub(crate) heard: Moment,
-}
-
 /// The control state of one host.
 #[derive(Debug)]
 pub(crate) struct Control<L, H, E> {
@@ -56,7 +47,7 @@
     pub(crate) outside: Rc<Outside<L, H, E>>,
     pub(crate) fold: ConfigFold,
     pub(crate) members: Members,
-    pub(crate) known: BTreeMap<HostName, Known>,
+    pub(crate) engines: Engines,
     pub(crate) reads: bool,
     pub(crate) follows: BTreeMap<HostName, actix::SpawnHandle>,
     pub(crate) news: Arc<Notify>,
@@ -89,7 +80,7 @@
             outside: Rc::new(outside),
             fold: ConfigFold::new(),
             members,
-            known: BTreeMap::new(),
+            engines: Engines::new(shared.settings.zone.clone()),
             reads: true,
             follows: BTreeMap::new(),
             news,
@@ -204,31 +195,40 @@
         }
     }
 
-    /// Notes an engine's report unless a newer one is known.
+    /// Notes an engine's own report unless a newer one is known.
     pub(crate) fn note_report(
         &mut self,
         ctx: &mut Context<Self>,
-        report: EngineReport,
+        report: &EngineReport,
         asked: Moment,
         now: Moment,
     ) {
-        let taken = Moment(asked.0.saturating_sub(report.age));
-        let newer = self.known.get(&report.host).is_none_or(|known| {
-            report.sequence > known.report.sequence || now.since(known.heard) > REPORT_LIFE
-        });
-        if newer {
-            self.place_report(ctx, &report, asked, now);
-            let known = Known {
-                taken,
-                heard: now,
-                report,
-            };
-            self.known.insert(known.report.host.clone(), known);
+        let zone = self
+            .fold
+            .tables()
+            .hosts
+            .get(&report.host)
+            .map(|row| &row.zone);
+        if self.engines.note(report, zone, asked, now) {
+            self.place_report(ctx, report, asked, now);
             self.stale = true;
             self.news.notify_waiters();
         }
     }
 
+    /// Notes what a peer passed on of an engine.
+    pub(crate) fn note_news(
+        &mut self,
+        ctx: &mut Context<Self>,
+        news: &wire::EngineNews,
+        asked: Moment,
+        now: Moment,
+    ) {
+        if let Some(report) = self.engines.whole_report(news) {
+            self.note_report(ctx, &report, asked, now);
+        }
+    }
+
     /// Rebuilds what the traffic threads know of the upstreams.
     fn rebuild_view(&mut self) {
         self.stale = false;
@@ -242,7 +242,7 @@
                 if self.leaving.contains(name) {
                     upstream = upstream.with_presence(Presence::Leaving);
                 }
-                if let Some(known) = self.known.get(name) {
+                if let Some(known) = self.engines.get(name) {
                     upstream = with_report(upstream, known);
                 }
                 upstream
@@ -332,8 +332,8 @@
             .map(|(host, member)| json!({ "host": host, "zone": member.zone, "offset": member.offset }))
             .collect();
         let engines: Vec<_> = self
-            .known
-            .values()
+            .engines
+            .iter()
             .map(|known| {
                 json!({
                     "report": known.report,
@@ -473,7 +473,7 @@
     type Result = ();
 
     fn handle(&mut self, msg: Reported, ctx: &mut Self::Context) {
-        self.note_report(ctx, msg.report, msg.asked, BootClock.now());
+        self.note_report(ctx, &msg.report, msg.asked, BootClock.now());
     }
 }
 
--- /dev/null
+++ b/crates/eelgrasshill_entry/src/control/engines.rs
@@ -0,0 +1,187 @@
+//! What a host knows of the engines, and what of it a peer has not seen yet.
+//!
+//! Loads change all the time and what an engine holds seldom, so that only the
+//! load is passed on again and again. Each change has a number, by which a
+//! peer says in a few bytes how much it has seen. Engines of other zones than
+//! the peer's are passed on more seldom, since they only take what overflows.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use eelgrasshill_domain::{HostName, Moment, ZoneName};
+use eelgrasshill_peer::generated as wire;
+use eelgrasshill_platform::EngineReport;
+
+/// Age after which an engine's report may be replaced by one of any sequence.
+const LIFE: Duration = Duration::from_secs(5);
+
+/// Shortest time between two loads of an engine that go to other zones.
+const FAR: Duration = Duration::from_secs(5);
+
+/// The newest report of an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Known {
+    pub(crate) report: EngineReport,
+    pub(crate) taken: Moment,
+    pub(crate) heard: Moment,
+    zone: Option<ZoneName>,
+    near: u64,
+    far: u64,
+    far_at: Moment,
+    held: u64,
+}
+
+impl Known {
+    /// Returns the number of answers that run and of requests that wait.
+    pub(crate) fn load(&self) -> (u32, u32) {
+        load(&self.report)
+    }
+}
+
+fn load(report: &EngineReport) -> (u32, u32) {
+    let running = report.resident.iter().map(|line| line.running).sum();
+    let waiting = report.resident.iter().map(|line| line.waiting).sum();
+    (running, waiting)
+}
+
+/// Returns the report without what changes all the time.
+fn holding(report: &EngineReport) -> EngineReport {
+    let mut report = EngineReport {
+        sequence: 0,
+        age: 0,
+        ..report.clone()
+    };
+    for line in &mut report.resident {
+        line.running = 0;
+        line.waiting = 0;
+    }
+    report
+}
+
+/// The newest report of each engine, with numbered changes.
+#[derive(Clone, Debug)]
+pub(crate) struct Engines {
+    zone: ZoneName,
+    known: BTreeMap<HostName, Known>,
+    change: u64,
+}
+
+impl Engines {
+    /// Makes the state of a host that has heard nothing yet.
+    pub(crate) fn new(zone: ZoneName) -> Self {
+        Self {
+            zone,
+            known: BTreeMap::new(),
+            change: 0,
+        }
+    }
+
+    /// Returns the number of the last change.
+    pub(crate) fn change(&self) -> u64 {
+        self.change
+    }
+
+    /// Returns what is known of an engine.
+    pub(crate) fn get(&self, host: &HostName) -> Option<&Known> {
+        self.known.get(host)
+    }
+
+    /// Returns what is known of all engines, in order of their names.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Known> {
+        self.known.values()
+    }
+
+    /// Takes a report that was asked for at a moment; returns whether it is news.
+    pub(crate) fn note(
+        &mut self,
+        report: &EngineReport,
+        zone: Option<&ZoneName>,
+        asked: Moment,
+        now: Moment,
+    ) -> bool {
+        let before = self.known.get(&report.host);
+        let is_newer = before.is_none_or(|known| {
+            report.sequence > known.report.sequence || now.since(known.heard) > LIFE
+        });
+        if !is_newer {
+            return false;
+        }
+        self.change += 1;
+        let is_same = before.is_some_and(|known| holding(&known.report) == holding(report));
+        let held = before
+            .filter(|_known| is_same)
+            .map_or(self.change, |known| known.held);
+        let kept = before.filter(|known| is_same && now.since(known.far_at) < FAR);
+        let (far, far_at) = kept.map_or((self.change, now), |known| (known.far, known.far_at));
+        let known = Known {
+            report: report.clone(),
+            taken: Moment(asked.0.saturating_sub(report.age)),
+            heard: now,
+            zone: zone.cloned(),
+            near: self.change,
+            far,
+            far_at,
+            held,
+        };
+        self.known.insert(report.host.clone(), known);
+        true
+    }
+
+    /// Returns what a peer of a zone has not seen since a change.
+    pub(crate) fn news(
+        &self,
+        since: u64,
+        zone: Option<&ZoneName>,
+        now: Moment,
+    ) -> Vec<wire::EngineNews> {
+        let zone = zone.unwrap_or(&self.zone);
+        self.known
+            .values()
+            .filter(|known| {
+                let is_near = known.zone.as_ref() == Some(zone);
+                let change = if is_near { known.near } else { known.far };
+                change > since
+            })
+            .map(|known| {
+                let (running, waiting) = known.load();
+                let age = u64::try_from(now.since(known.taken).as_millis()).unwrap_or(u64::MAX);
+                let report = if known.held > since {
+                    serde_json::to_vec(&EngineReport {
+                        age,
+                        ..known.report.clone()
+                    })
+                } else {
+                    Ok(Vec::new())
+                };
+                wire::EngineNews {
+                    host: known.report.host.to_string(),
+                    sequence: known.report.sequence,
+                    age,
+                    running,
+                    waiting,
+                    report: report.unwrap_or_default(),
+                }
+            })
+            .collect()
+    }
+
+    /// Returns the whole report that a peer's news stands for, if what it lacks is known.
+    pub(crate) fn whole_report(&self, news: &wire::EngineNews) -> Option<EngineReport> {
+        if !news.report.is_empty() {
+            return serde_json::from_slice(&news.report)
+                .inspect_err(|error| log::warn!("report: a peer's news: {error}"))
+                .ok();
+        }
+        let host = HostName::new(&news.host).ok()?;
+        let known = self.known.get(&host)?;
+        let mut report = holding(&known.report);
+        report.sequence = news.sequence;
+        report.age = news.age;
+        // The sums are all that a peer passes on, and all that the choice of an engine needs.
+        if let Some(line) = report.resident.first_mut() {
+            line.running = news.running;
+            line.waiting = news.waiting;
+        }
+        Some(report)
+    }
+}
--- a/crates/eelgrasshill_entry/src/control/exchange.rs
+++ b/crates/eelgrasshill_entry/src/control/exchange.rs
@@ -5,10 +5,10 @@
 
 use actix::{ActorFutureExt, Addr, AsyncContext, Context, Handler, WrapFuture};
 use eelgrasshill_control::{CatchUp, Heartbeat};
-use eelgrasshill_domain::{FastMap, HostName, Moment, Offset};
+use eelgrasshill_domain::{HostName, Moment, Offset};
 use eelgrasshill_peer::PeerClient;
 use eelgrasshill_peer::generated as wire;
-use eelgrasshill_platform::{Engine, EngineReport, HostList, Log};
+use eelgrasshill_platform::{Engine, HostList, Log};
 use tonic::transport::{Channel, Endpoint};
 
 use crate::BootClock;
@@ -22,7 +22,7 @@
 const ANSWER: Duration = Duration::from_secs(1);
 
 /// Shortest time between two exchanges with a peer.
-const PACE: Duration = Duration::from_millis(250);
+const PACE: Duration = Duration::from_millis(500);
 
 /// Largest message of a peer, in bytes.
 pub(crate) const MESSAGE: usize = 64 << 20;
@@ -94,28 +94,6 @@
         self.note_process(beat);
     }
 
-    fn newer_reports(&self, marks: &[wire::ReportMark], now: Moment) -> Vec<Vec<u8>> {
-        let marks: FastMap<&str, u64> = marks
-            .iter()
-            .map(|mark| (mark.host.as_str(), mark.sequence))
-            .collect();
-        self.known
-            .values()
-            .filter(|known| {
-                let seen = marks.get(known.report.host.as_str());
-                seen.is_none_or(|sequence| known.report.sequence > *sequence)
-            })
-            .filter_map(|known| {
-                let age = u64::try_from(now.since(known.taken).as_millis()).ok()?;
-                let report = EngineReport {
-                    age,
-                    ..known.report.clone()
-                };
-                serde_json::to_vec(&report).ok()
-            })
-            .collect()
-    }
-
     fn catch_up(&mut self, ctx: &mut Context<Self>, reply: &wire::ExchangeReply, now: Moment) {
         let sent = if !reply.checkpoint.is_empty() {
             serde_json::from_slice(&reply.checkpoint).map(|c| CatchUp::Checkpoint(Box::new(c)))
@@ -148,6 +126,7 @@
     E: Engine + 'static,
 {
     let mut kept = None;
+    let mut cursor = None;
     loop {
         if let Some(host) = &host
             && !addr.send(IsFollowed(host.clone())).await.unwrap_or(false)
@@ -156,7 +135,7 @@
         }
         let began = tokio::time::Instant::now();
         let asked = BootClock.now();
-        let Ok(Asked(request)) = addr.send(Ask(WAIT)).await else {
+        let Ok(Asked(request)) = addr.send(Ask { wait: WAIT, cursor }).await else {
             return;
         };
         let bootstrapped =
@@ -172,10 +151,9 @@
         match client.exchange(request).await {
             Ok(reply) => {
                 kept = Some(open);
-                addr.do_send(Heard {
-                    reply: reply.into_inner(),
-                    asked,
-                });
+                let reply = reply.into_inner();
+                cursor = reply.cursor;
+                addr.do_send(Heard { reply, asked });
             }
             Err(error) => log::debug!("peer: {address}: {}", error.code()),
         }
@@ -197,9 +175,19 @@
         if let Some(beat) = &msg.beat {
             self.hear(ctx, beat, now);
         }
+        let zone = msg.beat.as_ref().map(|beat| beat.zone.clone());
+        // A cursor of an earlier process at this address counts other changes.
+        let cursor = msg
+            .cursor
+            .filter(|c| c.incarnation == self.shared.incarnation.0);
+        let since = cursor.map_or(0, |cursor| cursor.change);
         let mut reply = wire::ExchangeReply {
             heartbeat: Some((&self.heartbeat(now)).into()),
-            reports: self.newer_reports(&msg.reports, now),
+            engines: self.engines.news(since, zone.as_ref(), now),
+            cursor: Some(wire::Cursor {
+                incarnation: self.shared.incarnation.0,
+                change: self.engines.change(),
+            }),
             ..wire::ExchangeReply::default()
         };
         if seen < self.fold.last() {
@@ -213,7 +201,7 @@
                 log::warn!("config: cannot be written for a peer: {error}");
             }
         }
-        let news = !reply.reports.is_empty() || seen < self.fold.last();
+        let news = !reply.engines.is_empty() || seen < self.fold.last();
         Exchanged { reply, news }
     }
 }
@@ -226,20 +214,12 @@
 {
     type Result = Asked;
 
-    fn handle(&mut self, Ask(wait): Ask, _ctx: &mut Self::Context) -> Asked {
+    fn handle(&mut self, Ask { wait, cursor }: Ask, _ctx: &mut Self::Context) -> Asked {
         let now = BootClock.now();
-        let reports = self
-            .known
-            .values()
-            .map(|known| wire::ReportMark {
-                host: known.report.host.to_string(),
-                sequence: known.report.sequence,
-            })
-            .collect();
         Asked(wire::ExchangeRequest {
             heartbeat: Some((&self.heartbeat(now)).into()),
             wait: u64::try_from(wait.as_millis()).unwrap_or_default(),
-            reports,
+            cursor,
         })
     }
 }
@@ -255,11 +235,8 @@
     fn handle(&mut self, Heard { reply, asked }: Heard, ctx: &mut Self::Context) {
         let now = BootClock.now();
         self.catch_up(ctx, &reply, now);
-        for report in &reply.reports {
-            match serde_json::from_slice(report) {
-                Ok(report) => self.note_report(ctx, report, asked, now),
-                Err(error) => log::warn!("report: a peer sent what cannot be read: {error}"),
-            }
+        for news in &reply.engines {
+            self.note_news(ctx, news, asked, now);
         }
         match reply.heartbeat.map(Heartbeat::try_from) {
             Some(Ok(beat)) => self.hear(ctx, &beat, now),
--- a/crates/eelgrasshill_entry/src/control/messages.rs
+++ b/crates/eelgrasshill_entry/src/control/messages.rs
@@ -56,7 +56,7 @@
 #[rtype(result = "Exchanged")]
 pub(crate) struct Exchange {
     pub(crate) beat: Option<Heartbeat>,
-    pub(crate) reports: Vec<wire::ReportMark>,
+    pub(crate) cursor: Option<wire::Cursor>,
 }
 
 /// The reply to an exchange, and whether it holds any news.
@@ -69,7 +69,10 @@
 /// Asks for the request of an exchange with a peer.
 #[derive(Debug, Message)]
 #[rtype(result = "Asked")]
-pub(crate) struct Ask(pub(crate) Duration);
+pub(crate) struct Ask {
+    pub(crate) wait: Duration,
+    pub(crate) cursor: Option<wire::Cursor>,
+}
 
 /// The request of an exchange.
 #[derive(Debug, actix::MessageResponse)]
--- a/crates/eelgrasshill_entry/src/control/mod.rs
+++ b/crates/eelgrasshill_entry/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod actor;
 mod claims;
+mod engines;
 mod exchange;
 mod follow;
 mod lend;
--- a/crates/eelgrasshill_entry/src/control/peer.rs
+++ b/crates/eelgrasshill_entry/src/control/peer.rs
@@ -73,7 +73,7 @@
         let beat = beat.map_err(|error| Status::invalid_argument(error.to_string()))?;
         let exchange = Exchange {
             beat,
-            reports: request.reports.clone(),
+            cursor: request.cursor,
         };
         self.addr
             .send(exchange)
--- a/crates/eelgrasshill_entry/src/control/survey.rs
+++ b/crates/eelgrasshill_entry/src/control/survey.rs
@@ -81,7 +81,7 @@
         if polled.is_some_and(|polled| now.since(*polled) < REPORTS) {
             return false;
         }
-        let known = self.known.get(host);
+        let known = self.engines.get(host);
         let is_old = known.is_none_or(|known| now.since(known.heard) > OLD);
         if is_old && polled.is_none_or(|polled| now.since(*polled) >= OLD) {
             return true;
--- a/crates/eelgrasshill_entry/tests/process.rs
+++ b/crates/eelgrasshill_entry/tests/process.rs
@@ -1,7 +1,5 @@
 //! Entry hosts as real processes that are killed, stopped, woken, cut off and drained.
 
-#![expect(clippy::unwrap_used, reason = "a test stops at its first failure")]
-
 mod support;
 
 use std::time::{Duration, Instant};
@@ -291,15 +289,16 @@
     assert!(got > burst, "{got} tokens: the rate accrues under faults");
 }
 
+struct Case {
+    name: &'static str,
+    fault: FaultSet,
+}
+
 #[actix_web::test]
 async fn engines_that_die_stall_or_cross_answers_harm_no_caller() {
     let mut fleet = Fleet::start_processes(1);
     let key = fleet.issue_key("crew-1", "crew");
     wait_served(&fleet, key.reveal()).await;
-    struct Case {
-        name: &'static str,
-        fault: FaultSet,
-    }
     let base = FaultSet::default();
     let cases = [
         Case {
