--- a/crates/eelgrasshill/src/demo/deployment.rs
+++ b/crates/eelgrasshill/src/demo/deployment.rs
@@ -5,7 +5,7 @@
 
 use eelgrasshill_domain::{
     ConfigRecord, Edit, Host, HostName, KeyId, KeyText, OrgName, PoolKind, RowChange, Tables,
-    Version,
+    Version, ZoneName,
 };
 use eelgrasshill_entry::EntryHost;
 use eelgrasshill_platform::{HostRole, HostState, ListedHost};
@@ -212,10 +212,10 @@
     /// Waits until every model is resident in each zone, or the time has passed.
     ///
     /// Returns the models that are not.
-    pub async fn wait_resident(&self, bound: Duration) -> Vec<String> {
+    pub async fn wait_resident(&self, zones: &[ZoneName], bound: Duration) -> Vec<String> {
         let began = Instant::now();
         loop {
-            let missing = self.missing();
+            let missing = self.missing(zones);
             if missing.is_empty() || began.elapsed() > bound {
                 return missing;
             }
@@ -223,25 +223,18 @@
         }
     }
 
-    fn missing(&self) -> Vec<String> {
+    fn missing(&self, zones: &[ZoneName]) -> Vec<String> {
         let reports: Vec<_> = self
             .engines
             .iter()
             .map(|engine| engine.handle.report())
             .collect();
         let mut missing = Vec::new();
-        let mut zones: Vec<_> = self
-            .hosts
-            .iter()
-            .map(|h| &h.shared().settings.zone)
-            .collect();
-        zones.sort();
-        zones.dedup();
         for model in self.tables.models.keys() {
-            for zone in &zones {
+            for zone in zones {
                 let is_held = reports.iter().any(|report| {
                     let row = self.tables.hosts.get(&report.host);
-                    row.is_some_and(|row| row.zone == **zone)
+                    row.is_some_and(|row| row.zone == *zone)
                         && report
                             .resident
                             .iter()
--- a/crates/eelgrasshill_peer/src/convert.rs
+++ b/crates/eelgrasshill_peer/src/convert.rs
@@ -111,6 +111,7 @@
             accepted: request.accepted,
             least: request.least.0,
             most: request.most.0,
+            queue: false,
             usage: request.usage.iter().map(Into::into).collect(),
         }
     }
@@ -144,6 +145,7 @@
             granted: reply.granted.0,
             until: reply.until.0,
             level: reply.level.0,
+            retry: 0,
             answered: true,
         }
     }
