Give scarce tokens in turns; return parts that cannot be completed

Cause: at twice the demand borrowers asked again each millisecond and small requests overtook others.

Large costs under sustained excess demand stay a known weakness.

--- a/crates/eelgrasshill_limit/examples/cost.rs
+++ b/crates/eelgrasshill_limit/examples/cost.rs
@@ -70,6 +70,7 @@
         accepted: number - 1,
         least: Amount::ZERO,
         most: Amount::from_tokens(1),
+        queue: false,
         usage: Vec::new(),
     }
 }
--- a/crates/eelgrasshill_limit/src/borrower.rs
+++ b/crates/eelgrasshill_limit/src/borrower.rs
@@ -8,7 +8,7 @@
 
 use eelgrasshill_domain::{FastMap, Moment, OrgName, ZoneName};
 
-use crate::link::Link;
+use crate::link::{Link, Wish};
 use crate::loan::{Loan, LoanId, Part};
 use crate::{
     Account, Amount, BorrowReply, BorrowRequest, LimitSettings, LoanUsage, Process, ReservationId,
@@ -187,12 +187,15 @@
         let Some(asked) = link.accept(reply, now) else {
             return false;
         };
+        if asked.part_refused {
+            self.return_parts(now);
+        }
         if reply.amount.is_zero() {
             return false;
         }
         self.last_loan += 1;
         let deadline = if S::DEADLINE {
-            asked.after(settings.loan)
+            asked.at.after(settings.loan)
         } else {
             now.after(settings.loan)
         };
@@ -202,6 +205,28 @@
         now < deadline
     }
 
+    /// Gives the parts that were gathered back at once, so that others can use them.
+    fn return_parts(&mut self, now: Moment) {
+        let links = &mut self.links;
+        for loan in &mut self.loans {
+            let unspent = std::mem::take(&mut loan.left);
+            let link = links
+                .iter_mut()
+                .find(|link| link.holder.process == loan.home);
+            let Some(link) = link.filter(|_link| !unspent.is_zero()) else {
+                continue;
+            };
+            let usage = LoanUsage {
+                granted: loan.granted,
+                until: loan.until,
+                spent: Amount::ZERO,
+                unspent,
+                refund: Amount::ZERO,
+            };
+            link.add_report(usage, now);
+        }
+    }
+
     /// Asks homes for what is wanted beyond the tokens at hand and on the way.
     pub(crate) fn request(
         &mut self,
@@ -221,7 +246,12 @@
         }
         if let Some(link) = self.single(need, now) {
             let most = need + self.ahead(now, settings);
-            self.ask(link, need, most, now, settings, out);
+            let wish = Wish {
+                least: need,
+                most,
+                queue: true,
+            };
+            self.ask(link, wish, now, settings, out);
             return Supply::Asked;
         }
         self.gather(need, now, settings, out)
@@ -249,7 +279,8 @@
         }
         if total < need {
             let rate = self.links.iter().map(Link::rate).sum();
-            return Supply::Scarce((need - total).time_at(rate));
+            let turn = self.links.iter().filter_map(|link| link.wait(now)).min();
+            return Supply::Scarce(turn.unwrap_or_else(|| (need - total).time_at(rate)));
         }
         let mut open = need;
         for index in idle {
@@ -258,7 +289,13 @@
                 continue;
             }
             open -= part;
-            self.ask(index, part, part, now, settings, out);
+            // A turn for a part is of no use while the other parts are missing.
+            let wish = Wish {
+                least: part,
+                most: part,
+                queue: false,
+            };
+            self.ask(index, wish, now, settings, out);
         }
         Supply::Asked
     }
@@ -266,15 +303,14 @@
     fn ask(
         &mut self,
         index: usize,
-        least: Amount,
-        most: Amount,
+        wish: Wish,
         now: Moment,
         settings: &LimitSettings,
         out: &mut Vec<BorrowRequest>,
     ) {
         self.collect_reports(index, now, settings);
         let link = &mut self.links[index];
-        out.push(link.ask(&self.organisation, &self.me, (least, most), now));
+        out.push(link.ask(&self.organisation, &self.me, wish, now));
     }
 
     /// Moves the reports of one home's loans to its link and drops ended loans.
@@ -304,7 +340,7 @@
                 out.push(request);
             }
             if self.links[index].is_due(now) {
-                self.ask(index, Amount::ZERO, Amount::ZERO, now, settings, out);
+                self.ask(index, Wish::default(), now, settings, out);
             }
         }
         // Ended loans stay only while there is something to report and a home to report to.
--- a/crates/eelgrasshill_limit/src/home.rs
+++ b/crates/eelgrasshill_limit/src/home.rs
@@ -5,8 +5,11 @@
 //! for each borrower. A request that comes after its session was dropped may be granted again:
 //! that costs tokens and never creates any, since usage is taken only up to what the session lent.
 
+use std::time::Duration;
+
 use eelgrasshill_domain::{FastMap, Moment};
 
+use crate::turns::Turns;
 use crate::{
     Amount, BorrowReply, BorrowRequest, Bucket, LimitSettings, LoanUsage, Process, Safeguards,
     Share, Sound,
@@ -26,6 +29,7 @@
     bucket: Bucket<S>,
     sessions: FastMap<Process, Session>,
     swept: Moment,
+    turns: Turns,
 }
 
 impl<S: Safeguards> Home<S> {
@@ -36,6 +40,7 @@
             bucket,
             sessions: FastMap::default(),
             swept: Moment::default(),
+            turns: Turns::default(),
         }
     }
 
@@ -118,25 +123,56 @@
         settings: &LimitSettings,
     ) -> BorrowReply {
         let until = now.after(settings.hold());
-        let amount = if open {
-            self.bucket.lend(request.least, request.most, until)
+        let granted = if open {
+            self.take_turn(request, now, until, settings)
         } else {
-            Amount::ZERO
+            Err(settings.loan)
         };
+        let level = self.bucket.level() - self.turns.kept();
         BorrowReply {
             organisation: request.organisation.clone(),
             home: request.home.clone(),
             borrower: request.borrower.clone(),
             number: request.number,
-            amount,
+            amount: granted.unwrap_or_default(),
             granted: now,
             until,
-            level: if open {
-                self.bucket.level()
-            } else {
-                Amount::ZERO
-            },
+            level: if open { level } else { Amount::ZERO },
+            retry: granted.err().unwrap_or_default(),
+        }
+    }
+
+    /// Lends what is asked, or keeps a turn and returns the time until it likely comes.
+    fn take_turn(
+        &mut self,
+        request: &BorrowRequest,
+        now: Moment,
+        until: Moment,
+        settings: &LimitSettings,
+    ) -> Result<Amount, Duration> {
+        if request.most.is_zero() {
+            return Ok(Amount::ZERO);
+        }
+        self.turns.expire(now);
+        let needed = self.turns.ahead_of(&request.borrower) + request.least;
+        let level = self.bucket.level();
+        if level < needed {
+            let share = self.bucket.share();
+            let wait = (needed - level).time_at(share.rate);
+            if wait > settings.turn || !request.queue {
+                // A turn that comes too late would be kept for a request that is gone.
+                self.turns.remove(&request.borrower);
+                return Err(wait.min(settings.turn * 2));
+            }
+            let times = (wait, settings.turn / 2);
+            self.turns
+                .keep(&request.borrower, request.least, now, times);
+            return Err(wait);
         }
+        self.turns.remove(&request.borrower);
+        let most = request.most.min(level - self.turns.kept());
+        let most = most.max(request.least);
+        Ok(self.bucket.lend(request.least, most, until))
     }
 
     fn settle(&mut self, usage: &LoanUsage, credit: &mut Amount) {
--- a/crates/eelgrasshill_limit/src/lib.rs
+++ b/crates/eelgrasshill_limit/src/lib.rs
@@ -93,6 +93,7 @@
 mod rights;
 mod safeguards;
 mod settings;
+mod turns;
 
 pub use admission::{Admission, Effect, Refusal, ReservationId};
 pub use amount::{Amount, Share};
--- a/crates/eelgrasshill_limit/src/limiter.rs
+++ b/crates/eelgrasshill_limit/src/limiter.rs
@@ -200,6 +200,12 @@
         });
     }
 
+    /// Returns whether this host may lend what it holds.
+    #[must_use]
+    pub const fn is_lending(&self, now: Moment) -> bool {
+        !self.rights.draining && now.0 < self.ends().0
+    }
+
     /// Returns when this host's right to accrue and to lend ends.
     const fn ends(&self) -> Moment {
         if S::LEASE_STOP {
@@ -384,7 +390,7 @@
             return None;
         }
         let share = self.own_share(&request.organisation, now);
-        let open = !self.rights.draining && now < self.ends();
+        let open = self.is_lending(now);
         let home = self.homes.get_mut(&request.organisation)?;
         if home.bucket().share() != share {
             home.set_share(now, share);
--- a/crates/eelgrasshill_limit/src/link.rs
+++ b/crates/eelgrasshill_limit/src/link.rs
@@ -17,6 +17,23 @@
     sent: Moment,
 }
 
+/// What to ask of a home besides reporting to it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Wish {
+    pub least: Amount,
+    pub most: Amount,
+    pub queue: bool,
+}
+
+/// An answered request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Asked {
+    /// When it was first sent.
+    pub at: Moment,
+    /// Whether it asked for a part of what was needed and got nothing.
+    pub part_refused: bool,
+}
+
 /// One borrower's dealings with one home.
 #[derive(Clone, Debug)]
 pub(crate) struct Link {
@@ -27,6 +44,8 @@
     accepted: u64,
     level: Amount,
     seen: Moment,
+    /// When the home will likely lend, and how much, after it refused.
+    turn: Option<(Moment, Amount)>,
     reports: Vec<LoanUsage>,
     due: Option<Moment>,
     shunned: Moment,
@@ -43,6 +62,7 @@
             accepted: 0,
             level: share.burst,
             seen: now,
+            turn: None,
             reports: Vec::new(),
             due: None,
             shunned: Moment::default(),
@@ -75,7 +95,18 @@
     pub(crate) fn likely_level(&self, now: Moment) -> Amount {
         let millis = now.0.saturating_sub(self.seen.0);
         let level = self.level + Amount::accrued(self.share.rate, millis);
-        level.min(self.share.burst)
+        let level = level.min(self.share.burst);
+        match self.turn {
+            Some((at, _kept)) if now < at => Amount::ZERO,
+            Some((_at, kept)) => level.max(kept),
+            None => level,
+        }
+    }
+
+    /// Returns the time until the home will likely lend, if it refused.
+    pub(crate) fn wait(&self, now: Moment) -> Option<Duration> {
+        let (at, _kept) = self.turn?;
+        (at > now).then(|| at.since(now))
     }
 
     pub(crate) fn add_report(&mut self, usage: LoanUsage, due: Moment) {
@@ -97,7 +128,7 @@
         &mut self,
         organisation: &OrgName,
         borrower: &Process,
-        (least, most): (Amount, Amount),
+        wish: Wish,
         now: Moment,
     ) -> BorrowRequest {
         self.number += 1;
@@ -108,8 +139,9 @@
             borrower: borrower.clone(),
             number: self.number,
             accepted: self.accepted,
-            least,
-            most,
+            least: wish.least,
+            most: wish.most,
+            queue: wish.queue,
             usage: std::mem::take(&mut self.reports),
         };
         self.pending = Some(Pending {
@@ -145,13 +177,23 @@
         self.shunned = now.after(self.penalty);
     }
 
-    /// Takes the reply to the open request and returns when that was asked; none for any other.
-    pub(crate) fn accept(&mut self, reply: &BorrowReply, now: Moment) -> Option<Moment> {
+    /// Takes the reply to the open request and returns what that was; none for any other.
+    pub(crate) fn accept(&mut self, reply: &BorrowReply, now: Moment) -> Option<Asked> {
         let pending = self.pending.as_ref()?;
         if pending.request.number != reply.number {
             return None;
         }
-        let asked = pending.asked;
+        let wished = !pending.request.most.is_zero();
+        let asked = Asked {
+            at: pending.asked,
+            part_refused: reply.amount.is_zero() && wished && !pending.request.queue,
+        };
+        let refused = reply.amount.is_zero() && pending.request.queue;
+        if refused {
+            self.turn = Some((now.after(reply.retry), pending.request.least));
+        } else if !reply.amount.is_zero() {
+            self.turn = None;
+        }
         self.pending = None;
         self.accepted = reply.number;
         self.level = reply.level;
--- a/crates/eelgrasshill_limit/src/message.rs
+++ b/crates/eelgrasshill_limit/src/message.rs
@@ -1,5 +1,7 @@
 //! Messages between a borrower and a home, as plain data.
 
+use std::time::Duration;
+
 use eelgrasshill_domain::{HostName, Incarnation, Moment, OrgName, record};
 
 use crate::Amount;
@@ -44,6 +46,8 @@
         pub least: Amount,
         /// Most tokens to lend.
         pub most: Amount,
+        /// Whether the home should keep a turn for the borrower when it has too little now.
+        pub queue: bool,
         /// What became of earlier loans.
         pub usage: Vec<LoanUsage>,
     }
@@ -64,7 +68,9 @@
         pub granted: Moment,
         /// When the home's hold ends, by the home's clock.
         pub until: Moment,
-        /// The tokens that the home could still lend.
+        /// The tokens that the home could still lend to others.
         pub level: Amount,
+        /// After a refusal, when the borrower's turn will likely come.
+        pub retry: Duration,
     }
 }
--- a/crates/eelgrasshill_limit/src/settings.rs
+++ b/crates/eelgrasshill_limit/src/settings.rs
@@ -20,6 +20,8 @@
         pub retry: Duration,
         /// How long a borrower waits for a reply before it asks other homes as well.
         pub hedge: Duration,
+        /// The longest wait for which a home keeps a borrower's turn.
+        pub turn: Duration,
         /// How long spent tokens go unreported when no other request carries the report.
         pub report: Duration,
         /// The span of recent demand that a loan covers ahead.
@@ -49,6 +51,7 @@
             loan: Duration::from_secs(1),
             retry: Duration::from_millis(200),
             hedge: Duration::from_millis(20),
+            turn: Duration::from_millis(100),
             report: Duration::from_millis(100),
             ahead: Duration::from_millis(100),
             lease: Duration::from_mins(30),
