--- a/crates/eelgrasshill_entry/src/answer.rs
+++ b/crates/eelgrasshill_entry/src/answer.rs
@@ -23,6 +23,9 @@
 /// How often a running answer checks that its caller's key still works.
 const KEY_CHECK: Duration = Duration::from_millis(500);
 
+/// Longest time for which a caller's connection may take no token.
+const SLOW_CALLER: Duration = Duration::from_secs(10);
+
 /// What the caller's side of an answer gets.
 #[derive(Clone, Debug)]
 pub enum Part {
@@ -360,7 +363,7 @@
                 None => {}
                 Some(StreamAction::Forward { text, .. }) => {
                     self.note_token(now);
-                    if parts.send(Part::Token(text)).await.is_err() {
+                    if !deliver(parts, text).await {
                         return step(stream, attempt, StreamEvent::CallerGone);
                     }
                 }
@@ -477,6 +480,17 @@
     }
 }
 
+/// Hands a token to the caller's side; false when nobody takes it.
+async fn deliver(parts: &mpsc::Sender<Part>, text: String) -> bool {
+    match tokio::time::timeout(SLOW_CALLER, parts.send(Part::Token(text))).await {
+        Ok(sent) => sent.is_ok(),
+        Err(_elapsed) => {
+            log::info!("answer: a caller that takes no tokens is cut off");
+            false
+        }
+    }
+}
+
 /// What became of the connection that an attempt opened.
 enum Opened<S> {
     Events(S),
--- a/crates/eelgrasshill_entry/tests/session.rs
+++ b/crates/eelgrasshill_entry/tests/session.rs
@@ -143,6 +143,131 @@
     fleet.stop();
 }
 
+/// Replaces a request's id, which differs from run to run.
+fn without_ids(body: &str) -> String {
+    let mut text = String::new();
+    for (number, part) in body.split("entry-0-").enumerate() {
+        let rest = if number == 0 {
+            part
+        } else {
+            part.trim_start_matches(|c: char| c.is_ascii_hexdigit() || c == '-')
+        };
+        if number > 0 {
+            text += "REQUEST";
+        }
+        text += rest;
+    }
+    text
+}
+
+struct Step {
+    name: &'static str,
+    key: Option<&'static str>,
+    path: &'static str,
+    body: Value,
+}
+
+#[actix_web::test]
+async fn whole_sessions_read_as_the_golden_files() {
+    let mut fleet = Fleet::start(1);
+    let crew = fleet.issue_key("crew-1", "crew");
+    let home = fleet.issue_key("home-1", "home");
+    let url = fleet.url(0, "");
+    let ask = |model: &str, stream: bool| json!({ "model": model, "messages": "Is the north pump dry?", "max_tokens": 4, "stream": stream });
+    let steps = [
+        Step {
+            name: "a streamed answer",
+            key: Some("crew"),
+            path: "/v1/chat/completions",
+            body: ask("notes", true),
+        },
+        Step {
+            name: "a whole answer",
+            key: Some("crew"),
+            path: "/v1/chat/completions",
+            body: ask("notes", false),
+        },
+        Step {
+            name: "a completion",
+            key: Some("crew"),
+            path: "/v1/completions",
+            body: json!({ "model": "notes", "prompt": "Dry?", "max_tokens": 2 }),
+        },
+        Step {
+            name: "an open route",
+            key: None,
+            path: "/v1/chat/completions",
+            body: ask("tags", false),
+        },
+        Step {
+            name: "no key",
+            key: None,
+            path: "/v1/chat/completions",
+            body: ask("notes", false),
+        },
+        Step {
+            name: "a forbidden model",
+            key: Some("home"),
+            path: "/v1/chat/completions",
+            body: ask("urgent", false),
+        },
+        Step {
+            name: "an unknown model",
+            key: Some("crew"),
+            path: "/v1/chat/completions",
+            body: ask("none", false),
+        },
+        Step {
+            name: "an unknown path",
+            key: Some("crew"),
+            path: "/none",
+            body: Value::Null,
+        },
+        Step {
+            name: "a path that could mean another",
+            key: Some("crew"),
+            path: "/yard/../bookings",
+            body: Value::Null,
+        },
+        Step {
+            name: "a request above the burst",
+            key: Some("home"),
+            path: "/v1/chat/completions",
+            body: json!({ "model": "notes", "messages": "x", "max_tokens": 300 }),
+        },
+        Step {
+            name: "a plain call",
+            key: Some("crew"),
+            path: "/yard/pole-7",
+            body: json!("where?"),
+        },
+    ];
+    let mut session = String::new();
+    for step in steps {
+        let key = step.key.map(|name| {
+            if name == "crew" {
+                crew.reveal()
+            } else {
+                home.reveal()
+            }
+        });
+        let (status, run, body) = chat(&format!("{url}{}", step.path), key, &step.body).await;
+        let who = step
+            .key
+            .map_or(String::new(), |name| format!(" (key of {name})"));
+        session += &format!(
+            "# {}\nPOST {}{who}\n{}\n-> {status}",
+            step.name, step.path, step.body
+        );
+        if !run.is_empty() {
+            session += &format!(", Eelgrasshill-Run: {run}");
+        }
+        session += &format!("\n{}\n\n", without_ids(body.trim_end()));
+    }
+    insta::assert_snapshot!("session", session);
+    fleet.stop();
+}
+
 #[actix_web::test]
 async fn a_withdrawn_key_ends_its_streams() {
     let mut fleet = Fleet::start(1);
