--- a/crates/eelgrasshill_peer/src/convert.rs
+++ b/crates/eelgrasshill_peer/src/convert.rs
@@ -111,7 +111,7 @@
             accepted: request.accepted,
             least: request.least.0,
             most: request.most.0,
-            queue: false,
+            queue: request.queue,
             usage: request.usage.iter().map(Into::into).collect(),
         }
     }
@@ -129,6 +129,7 @@
             accepted: request.accepted,
             least: Amount(request.least),
             most: Amount(request.most),
+            queue: request.queue,
             usage: request.usage.into_iter().map(Into::into).collect(),
         })
     }
@@ -145,7 +146,7 @@
             granted: reply.granted.0,
             until: reply.until.0,
             level: reply.level.0,
-            retry: 0,
+            retry: u64::try_from(reply.retry.as_millis()).unwrap_or(u64::MAX),
             answered: true,
         }
     }
@@ -167,6 +168,7 @@
             granted: Moment(reply.granted),
             until: Moment(reply.until),
             level: Amount(reply.level),
+            retry: std::time::Duration::from_millis(reply.retry),
         })
     }
 }
