--- a/crates/eelgrasshill_route/src/pool.rs
+++ b/crates/eelgrasshill_route/src/pool.rs
@@ -6,12 +6,13 @@
 
 use std::time::Duration;
 
-use eelgrasshill_domain::{Class, FastMap, FastSet, HostName, Moment, OrgName};
+use eelgrasshill_domain::{Class, FastMap, HostName, Moment, OrgName};
 
 use crate::fleet::{AgedPace, Allowance, Fleet, Search};
 use crate::miss::Misses;
 use crate::policy::Candidate;
-use crate::queue::{ClassQueue, Entry, Head, Payer, Scan, Shares, turn};
+use crate::queue::{ClassQueue, Entry, Floods, Head, Payer, Scan, Shares, turn};
+use crate::usage::Flood;
 use crate::{ChoicePolicy, DispatchSettings, Order, View};
 
 /// Weight of the newest start in the mean time between starts, in percent.
@@ -117,7 +118,7 @@
         let Scans { aged, plain, found } = scans;
         for class in self.overdue(queue, aged) {
             let scan = &mut aged[class as usize];
-            let pick = self.start_one(queue.class_mut(class), scan, self.aged(), found);
+            let pick = self.start_one(queue, class, scan, self.aged(), found);
             if pick.is_some() {
                 return pick;
             }
@@ -129,15 +130,15 @@
                 peers: self.settings.peers,
                 aged: None,
             };
-            self.start_one(queue.class_mut(class), scan, allowance, found)
+            self.start_one(queue, class, scan, allowance, found)
         })
     }
 
-    /// Returns the organisations that must leave some slots free.
-    fn over(&self, queue: &ClassQueue) -> FastSet<Payer> {
+    /// Returns the organisations that ask for far more than their share.
+    fn floods(&self, queue: &ClassQueue) -> Floods {
         match self.settings.order {
-            Order::FirstCome => FastSet::default(),
-            Order::FairShare => queue.over(Shares {
+            Order::FirstCome => Floods::default(),
+            Order::FairShare => queue.floods(Shares {
                 weights: self.weights,
             }),
         }
@@ -165,7 +166,7 @@
                 continue;
             };
             let queue = queue.class(class);
-            let heads = heads_of(queue, &scans[class as usize], &self.over(queue), true);
+            let heads = aged_heads(queue, &scans[class as usize], &self.floods(queue), false);
             let Some(oldest) = heads.iter().map(|head| head.offered).min() else {
                 continue;
             };
@@ -180,19 +181,26 @@
 
     fn start_one(
         &mut self,
-        queue: &mut ClassQueue,
+        queue: &mut PoolQueue,
+        class: Class,
         scan: &mut Scan,
         allowance: Allowance,
         found: &mut Vec<Candidate>,
     ) -> Option<(Entry, HostName)> {
+        let newest = self.settings.newest_first && class != Class::Batch;
+        let queue = queue.class_mut(class);
         let shares = Shares {
             weights: self.weights,
         };
-        let over = self.over(queue);
+        let floods = self.floods(queue);
         loop {
-            let heads = heads_of(queue, scan, &over, allowance.aged.is_some());
+            let heads = if allowance.aged.is_some() {
+                aged_heads(queue, scan, &floods, newest)
+            } else {
+                queue.heads(scan, &floods, newest)
+            };
             let head = turn(&heads, self.settings.order)?;
-            let is_over = over.contains(&head.payer);
+            let is_over = floods.get(&head.payer) == Some(&Flood::Over);
             let reserve = if is_over {
                 self.settings.share_reserve
             } else {
@@ -236,11 +244,11 @@
     }
 }
 
-/// Returns the next ticket of each organisation.
+/// Returns the next ticket of each organisation that may age.
 ///
-/// One that is over its share has itself to blame for its wait, so it does not age.
-fn heads_of(queue: &ClassQueue, scan: &Scan, over: &FastSet<Payer>, aged: bool) -> Vec<Head> {
-    let mut heads = queue.heads(scan, over);
-    heads.retain(|head| !aged || !over.contains(&head.payer));
+/// One that is over its share has itself to blame for its wait.
+fn aged_heads(queue: &ClassQueue, scan: &Scan, floods: &Floods, newest: bool) -> Vec<Head> {
+    let mut heads = queue.heads(scan, floods, newest);
+    heads.retain(|head| floods.get(&head.payer) != Some(&Flood::Over));
     heads
 }
--- a/crates/eelgrasshill_route/src/queue.rs
+++ b/crates/eelgrasshill_route/src/queue.rs
@@ -12,7 +12,7 @@
 use eelgrasshill_domain::{FastMap, FastSet, Moment, OrgName};
 
 use crate::settings::Order;
-use crate::usage::Usage;
+use crate::usage::{Flood, Usage};
 use crate::{Ticket, Work};
 
 /// Parts of a token in which tags are counted, so that weights divide them evenly.
@@ -21,6 +21,9 @@
 /// Who pays, none on open routes.
 pub(crate) type Payer = Option<OrgName>;
 
+/// Organisations that ask for far more than their share.
+pub(crate) type Floods = FastMap<Payer, Flood>;
+
 /// A ticket that waits.
 #[derive(Clone, Debug)]
 pub(crate) struct Entry {
@@ -48,6 +51,8 @@
     /// Found without room by organisations over their share.
     blocked_over: FastSet<Work>,
     passed: FastMap<Payer, u64>,
+    /// Where the look from the newest ticket goes on.
+    passed_back: FastMap<Payer, u64>,
 }
 
 /// The next ticket of one organisation.
@@ -57,6 +62,7 @@
     pub(crate) seq: u64,
     pub(crate) offered: Moment,
     start: u64,
+    newest: bool,
 }
 
 /// The weights of organisations.
@@ -84,7 +90,11 @@
         if ticket.avoid.is_empty() {
             blocked.insert(ticket.work.clone());
         }
-        self.passed.insert(head.payer.clone(), head.seq + 1);
+        if head.newest {
+            self.passed_back.insert(head.payer.clone(), head.seq);
+        } else {
+            self.passed.insert(head.payer.clone(), head.seq + 1);
+        }
     }
 }
 
@@ -125,9 +135,9 @@
         Some(entry)
     }
 
-    /// Returns the organisations that are over their share of the class.
-    pub(crate) fn over(&self, shares: Shares<'_>) -> FastSet<Payer> {
-        self.usage.over(shares, |payer| self.count_of(payer))
+    /// Returns the organisations that ask for far more than their share of the class.
+    pub(crate) fn floods(&self, shares: Shares<'_>) -> Floods {
+        self.usage.floods(shares, |payer| self.count_of(payer))
     }
 
     /// Returns when the longest waiting ticket was offered.
@@ -136,19 +146,29 @@
         firsts.map(|(_seq, entry)| entry.offered).min()
     }
 
-    /// Returns the first ticket of each organisation that the scan has not passed.
-    pub(crate) fn heads(&self, scan: &Scan, over: &FastSet<Payer>) -> Vec<Head> {
+    /// Returns the next ticket of each organisation that the scan has not passed.
+    ///
+    /// With `newest` a flooding organisation's newest ticket is its next: its old ones have lost
+    /// their time already, and served in order all of them would.
+    pub(crate) fn heads(&self, scan: &Scan, floods: &Floods, newest: bool) -> Vec<Head> {
         let heads = self.lines.iter().filter_map(|(payer, line)| {
-            let is_over = over.contains(payer);
-            let from = scan.passed.get(payer).copied().unwrap_or_default();
-            let (seq, entry) = line
-                .range(from..)
-                .find(|(_seq, entry)| !scan.blocks(&entry.ticket.work, is_over))?;
+            let flood = floods.get(payer);
+            let is_over = flood == Some(&Flood::Over);
+            let is_free = |entry: &(&u64, &Entry)| !scan.blocks(&entry.1.ticket.work, is_over);
+            let newest = newest && flood.is_some();
+            let (seq, entry) = if newest {
+                let until = scan.passed_back.get(payer).copied().unwrap_or(u64::MAX);
+                line.range(..until).rev().find(is_free)?
+            } else {
+                let from = scan.passed.get(payer).copied().unwrap_or_default();
+                line.range(from..).find(is_free)?
+            };
             Some(Head {
                 payer: payer.clone(),
                 seq: *seq,
                 offered: entry.offered,
                 start: self.start_tag(payer),
+                newest,
             })
         });
         heads.collect()
--- a/crates/eelgrasshill_route/src/settings.rs
+++ b/crates/eelgrasshill_route/src/settings.rs
@@ -65,6 +65,8 @@
         pub fill: ClassFill,
         /// Percent of a host's slots left free by organisations over their share.
         pub share_reserve: u32,
+        /// Whether a flooding organisation's newest request goes first, except in batch work.
+        pub newest_first: bool,
         /// Entry hosts that share the upstreams of a zone, this one included.
         pub peers: u32,
         /// Time between two reports of the same missing model.
@@ -178,6 +180,7 @@
             aged_rest: Duration::from_secs(1),
             fill: ClassFill::default(),
             share_reserve: 45,
+            newest_first: true,
             peers: 5,
             miss_interval: Duration::from_secs(1),
         }
--- a/crates/eelgrasshill_route/src/usage.rs
+++ b/crates/eelgrasshill_route/src/usage.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastMap, FastSet, Moment};
+use eelgrasshill_domain::{FastMap, Moment};
 
 use crate::queue::{Payer, Shares};
 
@@ -28,6 +28,15 @@
     offered: Moment,
 }
 
+/// What an organisation runs that asks for far more than its share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Flood {
+    /// It runs no more than its share.
+    Within,
+    /// It runs more than its share.
+    Over,
+}
+
 /// What each organisation runs in one pool, through this host.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Usage {
@@ -62,26 +71,32 @@
         }
     }
 
-    /// Returns the organisations that run more than their share and ask for far more.
+    /// Returns the organisations that ask for far more than their share.
     ///
     /// Waiting requests count too, since by running ones alone chance looks like a burst.
-    pub(crate) fn over(
+    pub(crate) fn floods(
         &self,
         shares: Shares<'_>,
         waiting: impl Fn(&Payer) -> usize,
-    ) -> FastSet<Payer> {
+    ) -> FastMap<Payer, Flood> {
+        // While next to nothing runs, every demand would be far more than its share of it.
+        if self.total <= FREE_REQUESTS {
+            return FastMap::default();
+        }
         let weights: u64 = self.uses.keys().map(|payer| shares.of(payer)).sum();
-        let over = self.uses.iter().filter(|(payer, used)| {
+        let floods = self.uses.iter().filter_map(|(payer, used)| {
             let weight = shares.of(payer);
             let fair = self.total * weight;
             let demand = (used.running + waiting(payer) as u64) * weights;
             let excess = demand.saturating_sub(fair * DEMAND_SLACK);
             // The share is `fair / weights` requests, and chance varies it by its square root.
-            weight < weights
-                && used.running > FREE_REQUESTS
-                && used.running * weights > fair
-                && excess * excess > CHANCE * CHANCE * fair * weights
+            if weight == weights || excess * excess <= CHANCE * CHANCE * fair * weights {
+                return None;
+            }
+            let over = used.running > FREE_REQUESTS && used.running * weights > fair;
+            let flood = if over { Flood::Over } else { Flood::Within };
+            Some((payer.clone(), flood))
         });
-        over.map(|(payer, _used)| payer.clone()).collect()
+        floods.collect()
     }
 }
--- a/crates/eelgrasshill_route/tests/fairness.rs
+++ b/crates/eelgrasshill_route/tests/fairness.rs
@@ -251,3 +251,28 @@
     }
     assert_eq!(red, SEEDS, "fair turns without a reserve were not red");
 }
+
+#[test]
+fn newest_first_saves_part_of_a_flood() {
+    let settings = alone();
+    let off = DispatchSettings {
+        newest_first: false,
+        ..settings
+    };
+    let prompt = |settings: DispatchSettings, class: Class| {
+        let mut flows = shares(8.0);
+        for flow in &mut flows {
+            flow.class = class;
+        }
+        let waits = run(1, settings, &flows);
+        waits.started[0].iter().filter(|w| **w <= 350).count()
+    };
+    let (new, old) = (
+        prompt(settings, Class::Interactive),
+        prompt(off, Class::Interactive),
+    );
+    println!("starts within 350 ms: newest first {new}, oldest first {old}");
+    assert!(new > 10 * old.max(1), "{new} against {old}");
+    // Batch work keeps its order, so that each piece of it gets its turn.
+    assert_eq!(prompt(settings, Class::Batch), prompt(off, Class::Batch));
+}
