--- a/crates/eelgrasshill_limit/src/limiter.rs
+++ b/crates/eelgrasshill_limit/src/limiter.rs
@@ -60,6 +60,8 @@
     }
 
     /// Starts from a ledger that was restored from a snapshot.
+    ///
+    /// The leases in it are watched from `now` on, the host's present moment.
     #[must_use]
     pub fn with_ledger(mut self, ledger: Ledger, now: Moment) -> Self {
         self.ledger = ledger;
@@ -280,7 +282,8 @@
     /// Decides whether a request of `cost` tokens may run now.
     ///
     /// Requests of one organisation that wait are the caller's to queue; after
-    /// [`Admission::Wait`] poll at once, so that the homes are asked.
+    /// [`Admission::Wait`] poll at once, so that the homes are asked. Each reservation takes
+    /// memory until it is settled, whatever became of its request.
     pub fn admit(&mut self, organisation: &OrgName, cost: u64, now: Moment) -> Admission {
         let Some(limit) = self.limits.get(organisation) else {
             return Admission::Refused(Refusal::Unknown {
--- a/crates/eelgrasshill_limit/src/link.rs
+++ b/crates/eelgrasshill_limit/src/link.rs
@@ -17,6 +17,9 @@
     sent: Moment,
 }
 
+/// Most unsent reports; older ones are dropped, which costs their tokens.
+const MAX_REPORTS: usize = 128;
+
 /// What to ask of a home besides reporting to it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Wish {
@@ -110,6 +113,9 @@
     }
 
     pub(crate) fn add_report(&mut self, usage: LoanUsage, due: Moment) {
+        if self.reports.len() >= MAX_REPORTS {
+            self.reports.remove(0);
+        }
         self.reports.push(usage);
         self.mark_due(due);
     }
--- a/crates/eelgrasshill_limit/tests/fleet/world.rs
+++ b/crates/eelgrasshill_limit/tests/fleet/world.rs
@@ -301,12 +301,20 @@
         self.slots[slot].incarnation += 1;
         let me = self.holder(slot);
         let drift = self.faults.drift;
+        let mut limiter = Limiter::new(me, self.settings);
+        let mut read = 0;
+        let base = self.rng.random_range(0..1_000_000);
+        // Some hosts start from a snapshot in place of the whole log.
+        if !self.log.is_empty() && self.chance(500) {
+            limiter = limiter.with_ledger(self.restored(), Moment(base));
+            read = self.log.len();
+        }
         self.slots[slot].node = Some(Node {
-            limiter: Limiter::new(me, self.settings),
+            limiter,
             born: self.now,
-            base: self.rng.random_range(0..1_000_000),
+            base,
             drift: self.rng.random_range(-drift..=drift),
-            read: 0,
+            read,
             edits: 0,
             heard: 0,
             open: Vec::new(),
@@ -315,6 +323,12 @@
         });
     }
 
+    /// Returns the ledger as restored from its snapshot's text.
+    fn restored(&self) -> Ledger {
+        let text = serde_json::to_string(&self.truth.snapshot().unwrap()).unwrap();
+        Ledger::restore(serde_json::from_str(&text).unwrap()).unwrap()
+    }
+
     fn chance(&mut self, mille: u32) -> bool {
         self.rng.random_range(0..1000) < mille
     }
@@ -814,6 +828,7 @@
             .filter_map(|s| s.node.as_ref())
             .filter(|n| n.read == self.log.len());
         whole.into_iter().all(|n| *n.limiter.ledger() == self.truth)
+            && self.restored() == self.truth
     }
 }
 
--- /dev/null
+++ b/crates/eelgrasshill_limit/tests/ledger.rs
@@ -0,0 +1,208 @@
+//! The verdict on each record, by tables of records that follow each other.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by a panic")]
+
+use eelgrasshill_domain::{HostName, Incarnation, Offset, OrgName, Version, ZoneName};
+use eelgrasshill_limit::RightsRejection::{
+    NoAccount, NotHeld, OldIncarnation, OldLimit, OverLimit, Renewed, Revision,
+};
+use eelgrasshill_limit::{
+    Amount, Holder, Ledger, Limit, RightsOutcome, RightsRecord, RightsRejection, Share, Stake,
+};
+
+fn org() -> OrgName {
+    OrgName::new("lakeshore").unwrap()
+}
+
+fn holder(host: u8, incarnation: u64) -> Holder {
+    Holder {
+        process: eelgrasshill_limit::Process {
+            host: HostName::new(&format!("entry-{host}")).unwrap(),
+            incarnation: Incarnation(incarnation),
+        },
+        zone: ZoneName::new("erie-yard").unwrap(),
+        address: format!("10.0.0.{host}:7000").parse().unwrap(),
+    }
+}
+
+fn share(units: u64) -> Share {
+    Share {
+        rate: units * 1_000,
+        burst: Amount(units * 1_000),
+    }
+}
+
+fn stake(host: u8, incarnation: u64, units: u64) -> Stake {
+    Stake {
+        holder: holder(host, incarnation),
+        share: share(units),
+    }
+}
+
+fn limit(version: u64, units: u64) -> RightsRecord {
+    RightsRecord::Limit {
+        organisation: org(),
+        limit: Limit {
+            version: Version(version),
+            share: share(units),
+        },
+    }
+}
+
+fn assign(revision: u64, stakes: &[Stake]) -> RightsRecord {
+    RightsRecord::Assign {
+        organisation: org(),
+        revision: Offset(revision),
+        stakes: stakes.to_vec(),
+    }
+}
+
+fn renew(host: u8, through: u64) -> RightsRecord {
+    RightsRecord::Renew {
+        process: holder(host, 1).process,
+        nonce: 1,
+        through: Version(through),
+    }
+}
+
+fn give(revision: u64, giver: u8, stake: Stake) -> RightsRecord {
+    RightsRecord::Give {
+        organisation: org(),
+        revision: Offset(revision),
+        giver: holder(giver, 1).process,
+        stake,
+    }
+}
+
+fn release(host: u8) -> RightsRecord {
+    RightsRecord::Release {
+        process: holder(host, 1).process,
+    }
+}
+
+fn takeover(host: u8, incarnation: u64) -> RightsRecord {
+    RightsRecord::Takeover {
+        holder: holder(host, incarnation),
+        nonce: 1,
+        through: Version(1),
+    }
+}
+
+fn reclaim(host: u8, renewed: Option<u64>) -> RightsRecord {
+    RightsRecord::Reclaim {
+        process: holder(host, 1).process,
+        renewed: renewed.map(Offset),
+    }
+}
+
+/// Records at offsets 0, 1, 2 and so on, each with its verdict, and the units held at the end.
+struct Case {
+    name: &'static str,
+    records: Vec<(RightsRecord, Option<RightsRejection>)>,
+    held: Vec<(u8, u64, u64)>,
+}
+
+fn cases() -> Vec<Case> {
+    let both = || assign(0, &[stake(1, 1, 6), stake(2, 1, 4)]);
+    let revision = |offset| Revision {
+        current: Offset(offset),
+    };
+    vec![
+        Case {
+            name: "an assignment never goes beyond the limit",
+            records: vec![
+                (assign(0, &[stake(1, 1, 1)]), Some(NoAccount)),
+                (limit(1, 10), None),
+                (assign(1, &[stake(1, 1, 11)]), Some(OverLimit)),
+                (assign(1, &[stake(1, 1, 6)]), None),
+                (assign(1, &[stake(2, 1, 4)]), Some(revision(3))),
+                (assign(3, &[stake(2, 1, 5)]), Some(OverLimit)),
+            ],
+            held: vec![(1, 1, 6)],
+        },
+        Case {
+            name: "limits change by version, and fall once all have them in force",
+            records: vec![
+                (limit(1, 10), None),
+                (both(), None),
+                (limit(1, 20), Some(OldLimit)),
+                (limit(2, 5), None),
+                (renew(1, 2), None),
+                (give(3, 1, stake(2, 1, 1)), Some(OverLimit)),
+                (renew(2, 2), None),
+            ],
+            held: vec![(1, 1, 3), (2, 1, 2)],
+        },
+        Case {
+            name: "a repeated give gives once",
+            records: vec![
+                (limit(1, 10), None),
+                (both(), None),
+                (give(1, 1, stake(2, 1, 7)), Some(NotHeld)),
+                (give(1, 1, stake(2, 1, 2)), None),
+                (give(1, 1, stake(2, 1, 2)), Some(revision(3))),
+            ],
+            held: vec![(1, 1, 4), (2, 1, 6)],
+        },
+        Case {
+            name: "only a newer incarnation at the address takes over",
+            records: vec![
+                (limit(1, 10), None),
+                (both(), None),
+                (takeover(3, 2), Some(NotHeld)),
+                (takeover(1, 2), None),
+                (takeover(1, 2), Some(NotHeld)),
+                (renew(1, 1), Some(NotHeld)),
+                (assign(3, &[stake(1, 1, 0)]), Some(OldIncarnation)),
+            ],
+            held: vec![(1, 2, 6), (2, 1, 4)],
+        },
+        Case {
+            name: "a reclaim names the last renewal",
+            records: vec![
+                (limit(1, 10), None),
+                (both(), None),
+                (renew(1, 1), None),
+                (reclaim(1, None), Some(Renewed)),
+                (renew(1, 1), None),
+                (reclaim(1, Some(2)), Some(Renewed)),
+                (reclaim(1, Some(4)), None),
+                (renew(1, 1), Some(NotHeld)),
+                (reclaim(2, None), None),
+                (release(2), Some(NotHeld)),
+            ],
+            held: vec![],
+        },
+        Case {
+            name: "a release frees everything once",
+            records: vec![
+                (limit(1, 10), None),
+                (both(), None),
+                (release(1), None),
+                (release(1), Some(NotHeld)),
+                (assign(2, &[stake(2, 1, 6)]), None),
+            ],
+            held: vec![(2, 1, 10)],
+        },
+    ]
+}
+
+#[test]
+fn each_record_has_one_verdict() {
+    for case in cases() {
+        let mut ledger = Ledger::default();
+        for (offset, (record, rejection)) in case.records.iter().enumerate() {
+            let outcome = ledger.apply(Offset(offset as u64), record);
+            let expected = rejection.map_or(RightsOutcome::Accepted, RightsOutcome::Rejected);
+            assert_eq!(outcome, expected, "{}: record {offset}", case.name);
+            let again = ledger.apply(Offset(offset as u64), record);
+            let old = RightsOutcome::Rejected(RightsRejection::OldOffset);
+            assert_eq!(again, old, "{}: record {offset} again", case.name);
+        }
+        let account = ledger.account(&org()).unwrap();
+        let expected: Vec<Stake> = case.held.iter().map(|&(h, i, u)| stake(h, i, u)).collect();
+        assert_eq!(account.stakes, expected, "{}", case.name);
+        let restored = ledger.snapshot().and_then(Ledger::restore);
+        assert_eq!(restored.as_ref(), Some(&ledger), "{}", case.name);
+    }
+}
