Count a plain call whose answer was lost as unknown, not as refused

Cause: awc calls a connection that closed before an answer a failed connect; the load tool read that as a call that was never sent. So a call that ran and lost its answer counted as an untrue refusal of the system under test. Ruled out: the stand-in, whose count of runs was right.

--- a/crates/eelgrasshill_standin/src/load/client.rs
+++ b/crates/eelgrasshill_standin/src/load/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, Connector};
 use eelgrasshill_domain::{AdapterName, ModelName, RequestId};
 use eelgrasshill_platform::{
@@ -236,9 +237,11 @@
     }
 }
 
-pub(super) fn transport(error: &awc::error::SendRequestError) -> &'static str {
+pub(super) fn transport(error: &SendRequestError) -> &'static str {
     match error {
-        awc::error::SendRequestError::Connect(_) => "connect",
+        // The client calls a connection that ended before an answer "disconnected".
+        SendRequestError::Connect(ConnectError::Disconnected) => "cut",
+        SendRequestError::Connect(_) => "connect",
         _ => "cut",
     }
 }
--- a/crates/eelgrasshill_standin/tests/faults.rs
+++ b/crates/eelgrasshill_standin/tests/faults.rs
@@ -31,9 +31,7 @@
         Ok(_offsets) => End::Done,
         Err(AppendError::Unknown(CallError::Status { status: 503, .. })) => End::Refused,
         Err(AppendError::Unknown(CallError::Timeout { .. })) => End::Silent,
-        Err(AppendError::Unknown(CallError::Lost { .. }) | AppendError::NotWritten(_)) => {
-            End::Closed
-        }
+        Err(AppendError::Unknown(CallError::Lost { .. })) => End::Closed,
         Err(error) => panic!("{error}"),
     }
 }
@@ -314,7 +312,7 @@
     });
     let order = common::order("a", 3, common::load("tags", 30));
     let lost = engines().order(engine.address, &order).await;
-    assert!(lost.is_err(), "{lost:?}");
+    assert!(matches!(lost, Err(CallError::Lost { .. })), "{lost:?}");
     let again = engines().order(engine.address, &order).await;
     assert_eq!(again, Ok(OrderAnswer::Taken));
     let old = common::order("b", 2, OrderAction::Seal);
--- a/crates/eelgrasshill_standin/tests/load.rs
+++ b/crates/eelgrasshill_standin/tests/load.rs
@@ -299,6 +299,29 @@
     }
 }
 
+#[actix_web::test]
+async fn a_plain_call_whose_answer_is_lost_has_an_unknown_outcome() {
+    for (tries, twice) in [(1, 0), (2, 6)] {
+        let service = Plain::new(PlainSettings::default()).spawn_thread().unwrap();
+        service.handle.faults().set(FaultSet {
+            lose_share: 1000,
+            ..FaultSet::default()
+        });
+        let callers = vec![Caller::new("kjallaravakt", "k")];
+        let mut load = small(vec![service.address], callers);
+        load.count = 6;
+        load.plain = Some(PlainLoad {
+            path: "/callout".to_owned(),
+            share: 1.0,
+            tries,
+            check: vec![service.address],
+        });
+        let plain = run(load).await.plain.unwrap();
+        assert_eq!((plain.unknown, plain.refused, plain.untrue), (6, 0, 0));
+        assert_eq!(plain.twice, twice, "this service doesn't drop repeats");
+    }
+}
+
 #[test]
 fn arrivals_follow_the_seed_the_rate_and_the_bursts() {
     let seconds = Duration::from_secs;
