control: leave no key blocked by claims that land after their verdict

Three ways in: -: a writer decided a claim that was still in its own append, which then landed and won; it now decides after the read. -: a repeated message appended a claim that had been refused; a writer now repeats its verdict. -: a refusal that came twice was taken for the next writer's; each try now has a claim of its own. Unanswered outcomes and aborts are sent more rarely each time, up to 8 times the first pause, so that a long outage costs few messages. Ruled out: an abort for every closed claim; each repeat of a finished call would cost an append.

--- a/crates/eelgrasshill_control/src/claims/requester/decide.rs
+++ b/crates/eelgrasshill_control/src/claims/requester/decide.rs
@@ -5,7 +5,7 @@
 use eelgrasshill_domain::Moment;
 
 use super::{Answer, NotRun, Pending, Requester, RequesterEffect, Stage};
-use crate::{CallOutcome, ClaimId, ClaimRecord, Held, Process, Verdict};
+use crate::{CallKey, CallOutcome, ClaimId, ClaimRecord, Held, Process, Verdict};
 
 impl Requester {
     /// Takes in what a writer read in the log; `is_stopped` knows proven ends.
@@ -83,18 +83,30 @@
             Stage::Waiting(_) => now.after(self.bounds.claim),
             Stage::Claiming | Stage::Running => open.until,
         };
-        vec![self.claim(open.call, until, now)]
+        vec![self.claim(open.call, 0, until, now)]
     }
 
     /// Tries each writer of the own zone once, and then says that the log is out.
+    ///
+    /// Every try has a claim of its own, so that a refusal that comes twice is
+    /// not taken for that of the next writer. Once a try went unanswered only
+    /// time ends the call, since that claim may still win.
     fn refused(&mut self, id: ClaimId, now: Moment) -> Vec<RequesterEffect> {
         let Some(open) = self.open.get(&id) else {
             return Vec::new();
         };
-        if open.attempt + 1 < crate::WRITERS {
-            return self.resend(id, now).into_iter().collect();
+        if open.in_doubt {
+            return Vec::new();
+        }
+        let attempt = open.attempt + 1;
+        if attempt >= crate::WRITERS {
+            return self.give_up(id, now);
         }
-        self.give_up(id, now)
+        let Some(open) = self.open.remove(&id) else {
+            return Vec::new();
+        };
+        self.keep_closed(id, open.call.key);
+        vec![self.claim(open.call, attempt, open.until, now)]
     }
 
     pub(super) fn resend(&mut self, id: ClaimId, now: Moment) -> Option<RequesterEffect> {
@@ -137,16 +149,20 @@
         if open.in_doubt {
             effects.push(self.keep(ClaimRecord::Abort { id, key }, open.attempt, now));
         } else {
-            self.closed.push_back((id, key));
-            if self.closed.len() > self.bounds.calls {
-                self.closed.pop_front();
-            }
+            self.keep_closed(id, key);
         }
         let request = open.call.request;
         effects.push(RequesterEffect::Answer { request, answer });
         effects
     }
 
+    fn keep_closed(&mut self, id: ClaimId, key: CallKey) {
+        self.closed.push_back((id, key));
+        if self.closed.len() > self.bounds.calls {
+            self.closed.pop_front();
+        }
+    }
+
     pub(super) fn keep(
         &mut self,
         record: ClaimRecord,
--- a/crates/eelgrasshill_control/src/claims/requester/mod.rs
+++ b/crates/eelgrasshill_control/src/claims/requester/mod.rs
@@ -159,10 +159,10 @@
             return vec![refuse(call.request, NotRun::Busy)];
         }
         let until = now.after(self.bounds.claim);
-        vec![self.claim(call, until, now)]
+        vec![self.claim(call, 0, until, now)]
     }
 
-    fn claim(&mut self, call: Call, until: Moment, now: Moment) -> RequesterEffect {
+    fn claim(&mut self, call: Call, attempt: usize, until: Moment, now: Moment) -> RequesterEffect {
         self.seq += 1;
         let id = ClaimId {
             process: self.process,
@@ -174,11 +174,11 @@
             stage: Stage::Claiming,
             until,
             sent: now,
-            attempt: 0,
+            attempt,
             in_doubt: false,
         };
         self.open.insert(id, open);
-        RequesterEffect::Submit { attempt: 0, record }
+        RequesterEffect::Submit { attempt, record }
     }
 
     fn record(&self, id: ClaimId, call: &Call) -> ClaimRecord {
--- a/crates/eelgrasshill_control/src/claims/requester/resend.rs
+++ b/crates/eelgrasshill_control/src/claims/requester/resend.rs
@@ -1,10 +1,15 @@
 //! What time brings: calls that took too long and records without an answer.
 
+use std::time::Duration;
+
 use eelgrasshill_domain::Moment;
 
 use super::{Requester, RequesterEffect, Stage};
 use crate::ClaimId;
 
+/// How much rarer than at first an unanswered record is sent in the end.
+const MAX_FACTOR: u32 = 8;
+
 impl Requester {
     /// Gives up what took too long and sends unanswered records again.
     pub fn tick(&mut self, now: Moment) -> Vec<RequesterEffect> {
@@ -41,7 +46,7 @@
         let mut due: Vec<_> = self
             .pending
             .values_mut()
-            .filter(|pending| now.since(pending.sent) >= resend)
+            .filter(|pending| now.since(pending.sent) >= pause(resend, pending.attempt))
             .map(|pending| {
                 pending.sent = now;
                 pending.attempt += 1;
@@ -58,3 +63,9 @@
         due
     }
 }
+
+/// Waits longer after each attempt, so that a long outage costs few messages.
+fn pause(resend: Duration, attempt: usize) -> Duration {
+    let factor = u32::try_from(attempt + 1).unwrap_or(MAX_FACTOR);
+    resend * factor.min(MAX_FACTOR)
+}
--- a/crates/eelgrasshill_control/src/claims/writer/mod.rs
+++ b/crates/eelgrasshill_control/src/claims/writer/mod.rs
@@ -72,6 +72,8 @@
     since: Option<Moment>,
     flight: Option<Flight>,
     watches: FastMap<CallKey, Vec<Watch>>,
+    decided: FastMap<ClaimId, Verdict>,
+    decided_order: VecDeque<ClaimId>,
     sent: Option<Moment>,
     appends: u64,
     reading: Option<Moment>,
@@ -94,6 +96,8 @@
             since: None,
             flight: None,
             watches: FastMap::default(),
+            decided: FastMap::default(),
+            decided_order: VecDeque::new(),
             sent: None,
             appends: 0,
             reading: None,
@@ -135,20 +139,51 @@
     }
 
     fn submit_claim(&mut self, claim: &Claim, now: Moment) -> Option<WriterEffect> {
+        if self.is_queued(claim.id) {
+            self.watch(claim, false, now);
+            return None;
+        }
+        if let Some(verdict) = self.decided.get(&claim.id) {
+            return Some(WriterEffect::Decided(claim.id, verdict.clone()));
+        }
         if let Some(verdict) = self.fold.verdict(claim) {
             if is_running(&verdict) {
                 self.watch(claim, true, now);
+            } else if verdict != Verdict::Won {
+                self.keep_decided(claim.id, &verdict);
             }
             return Some(WriterEffect::Decided(claim.id, verdict));
         }
-        let is_queued = self.queued.contains(&(claim.id, true));
-        if !is_queued && (self.is_out() || self.queue.len() >= self.bounds.queue) {
+        if self.is_out() || self.queue.len() >= self.bounds.queue {
+            self.keep_decided(claim.id, &Verdict::Refused);
             return Some(WriterEffect::Decided(claim.id, Verdict::Refused));
         }
         self.watch(claim, false, now);
         None
     }
 
+    /// Returns whether a claim is yet to be read back from this writer's append.
+    ///
+    /// It is not decided before: the claim that holds now may be aborted, and
+    /// then this one would win with nobody told.
+    fn is_queued(&self, id: ClaimId) -> bool {
+        self.queued.contains(&(id, true))
+    }
+
+    /// Keeps a final verdict on a claim that was not appended.
+    ///
+    /// The claim's process counts on it, so a repeated message must not append
+    /// the claim after all.
+    fn keep_decided(&mut self, id: ClaimId, verdict: &Verdict) {
+        self.decided.insert(id, verdict.clone());
+        self.decided_order.push_back(id);
+        if self.decided_order.len() > self.bounds.queue
+            && let Some(oldest) = self.decided_order.pop_front()
+        {
+            self.decided.remove(&oldest);
+        }
+    }
+
     fn watch(&mut self, claim: &Claim, told: bool, now: Moment) {
         let watches = self.watches.entry(claim.key).or_default();
         watches.retain(|watch| watch.claim.id != claim.id);
--- a/crates/eelgrasshill_control/src/claims/writer/read.rs
+++ b/crates/eelgrasshill_control/src/claims/writer/read.rs
@@ -81,6 +81,9 @@
             return;
         };
         watches.retain_mut(|watch| {
+            if self.is_queued(watch.claim.id) {
+                return true;
+            }
             let Some(verdict) = self.fold.verdict(&watch.claim) else {
                 return true;
             };
--- a/crates/eelgrasshill_control/tests/control/claims.rs
+++ b/crates/eelgrasshill_control/tests/control/claims.rs
@@ -12,6 +12,14 @@
 use crate::claims_world::{Broken, HOSTS, Violation, World, key};
 
 const SEEDS: u64 = 200;
+/// Seeds that showed a rare fault, or show it when a mechanism is switched off.
+const ONCE_RED: [u64; 4] = [
+    2573,
+    1_415_261_244_684_153_109,
+    10_592_576_205_381_536_090,
+    6_145_758_856_438_871_589,
+];
+
 const KEYS: usize = 10;
 
 /// Random calls and faults for `span` ms, then quiet, then a repeat of every key.
@@ -74,7 +82,7 @@
 #[test]
 fn a_call_runs_at_most_once() {
     let mut answers = [0; 6];
-    for seed in 0..SEEDS {
+    for seed in (0..SEEDS).chain(ONCE_RED) {
         let world = run(seed, 400, 20_000, Broken::Nothing);
         assert_eq!(world.violations, [], "seed {seed}");
         for answer in world.answers.values() {
