Use hosts that failed a request or are suspected when no other is open

Cause: a resumed answer that had failed on every engine avoided them all and waited out its bound, and a host list that suspects all upstreams stopped all work, though it lags. Ruled out: avoiding the last host only, which may go back to one that fails at once. Such hosts now come in only while no other takes requests; leaving ones never. A host that reports no slots gets nothing (it got one request). Conclusion: reachable as long as one holder answers.

--- a/crates/eelgrasshill_route/src/fleet.rs
+++ b/crates/eelgrasshill_route/src/fleet.rs
@@ -63,6 +63,9 @@
 
 impl Fleet {
     /// Collects the candidates for a ticket, own zone first.
+    ///
+    /// Upstreams that the ticket avoids or the host list suspects come in only when no other
+    /// takes requests, since they may work again and a model must stay reachable.
     pub(crate) fn search(
         &self,
         view: &View,
@@ -75,23 +78,37 @@
         let Some(holders) = view.holders(&ticket.pool, &ticket.work) else {
             return Search::Missing;
         };
-        let mut held = false;
-        for group in [&holders.own, &holders.other] {
-            for position in group {
-                let Some(upstream) = view.upstreams().get(*position) else {
-                    continue;
-                };
-                if upstream.presence == Presence::Leaving || !upstream.holds(&ticket.work) {
-                    continue;
+        let mut result = Search::Missing;
+        for shunned in [false, true] {
+            let mut open = false;
+            for group in [&holders.own, &holders.other] {
+                for (position, upstream) in view.at(group) {
+                    if upstream.presence == Presence::Leaving || !upstream.holds(&ticket.work) {
+                        continue;
+                    }
+                    result = Search::Full;
+                    if is_shunned(upstream, ticket) != shunned || !self.is_open(upstream, now) {
+                        continue;
+                    }
+                    open = true;
+                    found.extend(self.candidate(view, position, upstream, ticket, allowance, now));
+                }
+                if !found.is_empty() {
+                    return Search::Found;
                 }
-                held = true;
-                found.extend(self.candidate(view, *position, upstream, ticket, allowance, now));
             }
-            if !found.is_empty() {
-                return Search::Found;
+            if open {
+                return Search::Full;
             }
         }
-        if held { Search::Full } else { Search::Missing }
+        result
+    }
+
+    fn is_open(&self, upstream: &Upstream, now: Moment) -> bool {
+        match self.health.standing(&upstream.host, now) {
+            Standing::Open | Standing::Trial => true,
+            Standing::Suspected | Standing::Leaving => false,
+        }
     }
 
     pub(crate) fn start(&mut self, upstream: &Upstream, ticket: TicketId, aged: bool, now: Moment) {
@@ -126,13 +143,6 @@
         allowance: Allowance,
         now: Moment,
     ) -> Option<Candidate> {
-        if upstream.presence == Presence::Suspected || ticket.avoid.contains(&upstream.host) {
-            return None;
-        }
-        match self.health.standing(&upstream.host, now) {
-            Standing::Open | Standing::Trial => {}
-            Standing::Suspected | Standing::Leaving => return None,
-        }
         let ledger = self.ledgers.get(&upstream.host);
         if let (Some(ledger), Some(pace)) = (ledger, allowance.aged)
             && !ledger.has_rested(pace.gap, pace.rest, now)
@@ -145,7 +155,8 @@
             .load(report, allowance.peers, now);
         let slots = report.map_or(DEFAULT_SLOTS, |r| r.slots);
         let usable = u64::from(slots) * u64::from(allowance.fill) / 100;
-        (u64::from(load) < usable.max(1)).then(|| Candidate {
+        let usable = usable.max(u64::from(slots.min(1)));
+        (u64::from(load) < usable).then(|| Candidate {
             position,
             load,
             slots,
@@ -154,3 +165,7 @@
         })
     }
 }
+
+fn is_shunned(upstream: &Upstream, ticket: &Ticket) -> bool {
+    upstream.presence == Presence::Suspected || ticket.avoid.contains(&upstream.host)
+}
--- a/crates/eelgrasshill_route/src/resumption.rs
+++ b/crates/eelgrasshill_route/src/resumption.rs
@@ -114,7 +114,7 @@
     Same(HostName),
     /// On another one, which gets the prompt and [`Resumption::tokens`].
     Other {
-        /// Upstreams that must not get it.
+        /// Upstreams that failed it before.
         avoid: Vec<HostName>,
     },
 }
--- a/crates/eelgrasshill_route/src/ticket.rs
+++ b/crates/eelgrasshill_route/src/ticket.rs
@@ -48,7 +48,7 @@
         pub prefix: PrefixHash,
         /// When the caller stops waiting for a start.
         pub deadline: Moment,
-        /// Hosts that must not get it, since they failed it before.
+        /// Hosts that failed it before, which get it only when no other takes it.
         pub avoid: Vec<HostName>,
     }
 }
@@ -103,7 +103,7 @@
         self
     }
 
-    /// Sets the hosts that must not get it.
+    /// Sets the hosts that failed it before.
     #[must_use]
     pub fn with_avoid(mut self, avoid: Vec<HostName>) -> Self {
         self.avoid = avoid;
--- a/crates/eelgrasshill_route/src/view.rs
+++ b/crates/eelgrasshill_route/src/view.rs
@@ -57,7 +57,7 @@
         Live,
         /// It was told to leave and gets no new work.
         Leaving,
-        /// Its members suspect it to be dead.
+        /// It is suspected to be dead and gets work only when no other takes it.
         Suspected,
     }
 }
@@ -180,6 +180,17 @@
         &self.upstreams
     }
 
+    /// Returns the upstreams at some positions.
+    pub(crate) fn at<'a>(
+        &'a self,
+        positions: &'a [usize],
+    ) -> impl Iterator<Item = (usize, &'a Upstream)> {
+        let upstreams = &self.upstreams;
+        positions
+            .iter()
+            .filter_map(move |position| Some((*position, upstreams.get(*position)?)))
+    }
+
     pub(crate) fn holders(&self, pool: &PoolName, work: &Work) -> Option<&Holders> {
         let index = self.pools.get(pool)?;
         match work {
