--- a/crates/eelgrasshill_limit/tests/fleet/main.rs
+++ b/crates/eelgrasshill_limit/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test fails by a panic")]
 
+mod faults;
 mod matrix;
 mod restart;
 mod windows;
--- a/crates/eelgrasshill_limit/tests/fleet/matrix.rs
+++ b/crates/eelgrasshill_limit/tests/fleet/matrix.rs
@@ -1,6 +1,7 @@
 //! The fault matrix: every fault at every step of every protocol, run or named impossible.
 
-use crate::world::{Act, CALM, Faults, Kind, Point, Strike, World};
+use crate::faults::{Act, CALM, Faults, Kind, Point, Strike};
+use crate::world::World;
 use eelgrasshill_limit::Sound;
 
 /// Length of one run in ms: the script, a fault of two leases, and the time to recover.
--- a/crates/eelgrasshill_limit/tests/fleet/windows.rs
+++ b/crates/eelgrasshill_limit/tests/fleet/windows.rs
@@ -1,6 +1,7 @@
 //! Every window of every random schedule stays within `rate * t + burst`, over all hosts.
 
-use crate::world::{CALM, Faults, STORM, World};
+use crate::faults::{CALM, Faults, STORM};
+use crate::world::World;
 use eelgrasshill_limit::{Safeguards, Sound};
 
 /// Length of one run in ms.
--- a/crates/eelgrasshill_limit/tests/fleet/world.rs
+++ b/crates/eelgrasshill_limit/tests/fleet/world.rs
@@ -1,5 +1,8 @@
 //! A fleet of limiters with a log and a network that fail by a seed, and an oracle of windows.
 
+mod oracle;
+mod strikes;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -8,84 +11,11 @@
     Admission, Amount, BorrowReply, BorrowRequest, Effect, Holder, Ledger, Limit, LimitSettings,
     Limiter, Process, Refusal, ReservationId, RightsRecord, Safeguards, Share,
 };
+use oracle::Violation;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-/// How often each kind of fault begins, in thousandths per step over the fleet.
-#[derive(Clone, Copy, Debug, Default)]
-#[expect(clippy::struct_excessive_bools, reason = "each is a fault of its own")]
-pub struct Faults {
-    pub crash: u32,
-    pub pause: u32,
-    pub cut: u32,
-    pub outage: u32,
-    pub edit: u32,
-    pub drain: u32,
-    /// Of each message, in thousandths.
-    pub lose: u32,
-    pub repeat: u32,
-    pub late: u32,
-    /// The longest delay of a late message in ms.
-    pub slow: u64,
-    /// Of each admission, in thousandths, how often less than its cost is used.
-    pub refund: u32,
-    /// Whether demand is always more than the rate.
-    pub flood: bool,
-    /// Whether bursts are small beside rates, so that little excess shows.
-    pub tight: bool,
-    /// Whether every cost fits into one home's part of the burst.
-    pub small: bool,
-    /// Whether a crashed host is back within 0.1 s.
-    pub quick: bool,
-    /// How often a host does not look at the log, in thousandths.
-    pub lag: u32,
-    /// Lease of rights in ms.
-    pub lease: u64,
-    /// Fewest zones.
-    pub zones: usize,
-    /// Largest difference of a clock's rate from the true one, in thousandths.
-    pub drift: i64,
-    /// Whether hosts that are paused or cut leave the platform's list.
-    pub delist: bool,
-}
-
-pub const CALM: Faults = Faults {
-    crash: 0,
-    pause: 0,
-    cut: 0,
-    outage: 0,
-    edit: 0,
-    drain: 0,
-    lose: 0,
-    repeat: 0,
-    late: 0,
-    slow: 4_000,
-    refund: 0,
-    flood: false,
-    tight: false,
-    small: false,
-    quick: false,
-    lag: 200,
-    lease: 12_000,
-    zones: 1,
-    drift: 0,
-    delist: false,
-};
-
-pub const STORM: Faults = Faults {
-    crash: 6,
-    pause: 8,
-    cut: 4,
-    outage: 3,
-    edit: 5,
-    drain: 2,
-    lose: 60,
-    repeat: 100,
-    late: 100,
-    refund: 600,
-    delist: true,
-    ..CALM
-};
+use crate::faults::{Act, Faults, Kind, Point, Strike};
 
 /// Short times, so that every lease lapses often within a run.
 pub fn settings(lease: u64) -> LimitSettings {
@@ -125,53 +55,6 @@
     back: u64,
 }
 
-/// A message or record of one protocol.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
-    Borrow,
-    Report,
-    Reply,
-    Limit,
-    Assign,
-    Renew,
-    Give,
-    Release,
-    Takeover,
-    Reclaim,
-}
-
-/// Where on its way a message is when a fault strikes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Point {
-    Sent,
-    /// Taken by the receiver, or landed in the log and read by nobody yet.
-    Taken,
-}
-
-/// One fault.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Strike {
-    Lose,
-    Repeat,
-    Delay,
-    CrashSender,
-    CrashReceiver,
-    PauseSender,
-    PauseReceiver,
-    CutSender,
-    LogOut,
-    Edit,
-}
-
-/// What happens to hosts at a time, so that every protocol runs.
-#[derive(Clone, Copy, Debug)]
-pub enum Act {
-    /// The host's process ends and a new one starts there after a while.
-    Restart(usize, u64),
-    Drain(usize),
-    Edit(u64),
-}
-
 #[derive(Clone, Copy)]
 enum Phase {
     Idle,
@@ -185,16 +68,6 @@
     Append(RightsRecord),
 }
 
-/// One window in which too many tokens were admitted.
-#[derive(Debug)]
-#[expect(dead_code, reason = "read by the failure message only")]
-pub struct Violation {
-    pub seed: u64,
-    pub from: u64,
-    pub to: u64,
-    pub excess: u64,
-}
-
 /// The fleet, the log, the network and the account of every token spent.
 pub struct World<S> {
     pub rng: StdRng,
@@ -514,71 +387,6 @@
         }
     }
 
-    /// Returns the fault that strikes a message here, once.
-    fn strikes(&mut self, packet: &Packet, point: Point) -> Option<Strike> {
-        let (struck, at, strike) = self.strike?;
-        // The first seconds are left alone, so that all hosts hold shares.
-        if struck != kind(packet) || at != point || (self.now < 5_000 && self.skip > 0) {
-            return None;
-        }
-        self.strike = None;
-        Some(strike)
-    }
-
-    fn apply(&mut self, strike: Strike, from: Option<usize>, to: Option<usize>) {
-        let pause = self.now + 2 * self.faults.lease;
-        match strike {
-            Strike::CrashSender | Strike::CrashReceiver => {
-                let slot = if strike == Strike::CrashSender {
-                    from
-                } else {
-                    to
-                };
-                let slot = &mut self.slots[slot.unwrap()];
-                slot.node = None;
-                slot.wakes = 0;
-                slot.back = self.now + 300;
-            }
-            Strike::PauseSender => self.slots[from.unwrap()].wakes = pause,
-            Strike::PauseReceiver => self.slots[to.unwrap()].wakes = pause,
-            Strike::CutSender => {
-                let zone = self.slots[from.unwrap()].zone;
-                self.cut[zone] = pause;
-            }
-            Strike::LogOut => self.out = pause,
-            Strike::Edit => {
-                let last = self.edits.last().unwrap().1;
-                self.edits.push((self.now, last.part(2)));
-            }
-            Strike::Lose | Strike::Repeat | Strike::Delay => {}
-        }
-    }
-
-    fn act(&mut self) {
-        while self
-            .script
-            .first()
-            .is_some_and(|(at, _act)| *at <= self.now)
-        {
-            let (_at, act) = self.script.remove(0);
-            match act {
-                Act::Restart(slot, span) => {
-                    self.slots[slot].node = None;
-                    self.slots[slot].back = self.now + span;
-                }
-                Act::Drain(slot) => {
-                    let node = self.slots[slot].node.as_mut().unwrap();
-                    node.limiter.drain();
-                    node.leaving = true;
-                }
-                Act::Edit(parts) => {
-                    let last = self.edits[0].1;
-                    self.edits.push((self.now, last.part(parts)));
-                }
-            }
-        }
-    }
-
     fn deliver(&mut self, packet: Packet) {
         let strike = self.strikes(&packet, Point::Taken);
         let (from, to) = self.ends(&packet);
@@ -720,123 +528,6 @@
             Admission::Refused(_refusal) => node.first = self.rng.random_bool(0.9).then_some(cost),
         }
     }
-
-    /// Notes what may be in use now: the limits of late, or what those hold who have not heard.
-    fn note_allowed(&mut self) {
-        let lag = 1_000 + 1_000 + 2_000 + 1_100 + 1_000;
-        let current = self.edits.len() as u64;
-        let mut allowed = Share::default();
-        for (index, (_at, share)) in self.edits.iter().enumerate() {
-            let ended = self.edits.get(index + 1).map_or(u64::MAX, |(at, _)| *at);
-            if ended.saturating_add(lag) > self.now {
-                allowed = max(allowed, *share);
-            }
-        }
-        let mut silent = Share::default();
-        if let Some(account) = self.truth.account(&self.org) {
-            for stake in &account.stakes {
-                let process = &stake.holder.process;
-                let slot = self.slots.iter().find(|s| s.host == process.host).unwrap();
-                let node = slot
-                    .node
-                    .as_ref()
-                    .filter(|_n| slot.incarnation == process.incarnation.0);
-                // Loans of before the edit may still be spent for a moment.
-                let heard = |n: &Node<S>| n.edits as u64 == current && n.heard + 1_100 < self.now;
-                if !node.is_some_and(heard) {
-                    silent = silent.plus(stake.share);
-                }
-            }
-        }
-        self.allowed.push((self.now, max(allowed, silent)));
-    }
-
-    /// Checks every window that starts and ends with an admission.
-    fn check(&self) -> Option<Violation> {
-        let drift = u64::try_from(self.faults.drift).unwrap();
-        let mut worst = None;
-        let mut most = 0;
-        // For each spend: tokens so far, what accrued so far, and the burst in force then.
-        let (mut accrued, mut last, mut index) = (0u64, 0, 0);
-        let mut marks = Vec::with_capacity(self.spends.len());
-        for (at, used) in &self.spends {
-            let mut burst = 0;
-            while let Some((until, share)) = self.allowed.get(index) {
-                let to = (*until).min(*at);
-                accrued += share.rate * (to - last);
-                last = to;
-                burst = burst.max(share.burst.0);
-                if until >= at {
-                    break;
-                }
-                index += 1;
-            }
-            marks.push((*at, used * 1_000_000, accrued, burst));
-        }
-        for (first, (from, _used, before, _burst)) in marks.iter().enumerate() {
-            let (mut sum, mut burst) = (0, 0);
-            for (to, used, accrued, now_burst) in &marks[first..] {
-                sum += used;
-                burst = burst.max(*now_burst);
-                let grown = accrued - before;
-                let slack = if drift == 0 {
-                    0
-                } else {
-                    grown * drift / 1000 + 4_000_000
-                };
-                let bound = burst + grown + slack;
-                if sum > bound && sum - bound > most {
-                    most = sum - bound;
-                    worst = Some(Violation {
-                        seed: self.seed,
-                        from: *from,
-                        to: *to,
-                        excess: most,
-                    });
-                }
-            }
-        }
-        worst
-    }
-
-    /// Returns the rate of all homes that may lend now over the limit's, in thousandths.
-    pub fn lent_mille(&self) -> u64 {
-        let up = (0..self.slots.len()).filter(|&slot| self.is_up(slot));
-        let rates = up.map(|slot| {
-            let limiter = &self.slots[slot].node.as_ref().unwrap().limiter;
-            let home = limiter.home(&self.org);
-            let open = limiter.is_lending(self.local(slot));
-            home.filter(|_home| open)
-                .map_or(0, |home| home.bucket().share().rate)
-        });
-        rates.sum::<u64>() * 1_000 / self.edits.last().unwrap().1.rate
-    }
-
-    /// Returns tokens admitted since a time over the last rate, in thousandths.
-    pub fn use_since(&self, from: u64) -> u64 {
-        let spends = self.spends.iter().filter(|(at, _used)| *at >= from);
-        let sum: u64 = spends.map(|(_at, used)| used).sum();
-        let rate = self.edits.last().unwrap().1.rate;
-        sum * 1_000_000_000 / (rate * (self.now - from)).max(1)
-    }
-
-    /// Returns whether every live host that read the whole log folded it to the same state.
-    pub fn agrees(&self) -> bool {
-        let whole = self
-            .slots
-            .iter()
-            .filter_map(|s| s.node.as_ref())
-            .filter(|n| n.read == self.log.len());
-        whole.into_iter().all(|n| *n.limiter.ledger() == self.truth)
-            && self.restored() == self.truth
-    }
-}
-
-fn max(a: Share, b: Share) -> Share {
-    Share {
-        rate: a.rate.max(b.rate),
-        burst: a.burst.max(b.burst),
-    }
 }
 
 fn random_share(rng: &mut StdRng, tight: bool) -> Share {
@@ -850,20 +541,3 @@
         burst: Amount::from_tokens([100, 300, 1_000][rng.random_range(0..3)]),
     }
 }
-
-fn kind(packet: &Packet) -> Kind {
-    match packet {
-        Packet::Request(_, request) if request.most.is_zero() => Kind::Report,
-        Packet::Request(..) => Kind::Borrow,
-        Packet::Reply(..) => Kind::Reply,
-        Packet::Append(record) => match record {
-            RightsRecord::Limit { .. } => Kind::Limit,
-            RightsRecord::Assign { .. } | RightsRecord::Snapshot { .. } => Kind::Assign,
-            RightsRecord::Renew { .. } => Kind::Renew,
-            RightsRecord::Give { .. } => Kind::Give,
-            RightsRecord::Release { .. } => Kind::Release,
-            RightsRecord::Takeover { .. } => Kind::Takeover,
-            RightsRecord::Reclaim { .. } => Kind::Reclaim,
-        },
-    }
-}
--- /dev/null
+++ b/crates/eelgrasshill_limit/tests/fleet/world/oracle.rs
@@ -0,0 +1,134 @@
+//! What may be admitted, and whether it was kept to.
+
+use eelgrasshill_limit::{Safeguards, Share};
+
+use super::{Node, World};
+
+/// One window in which too many tokens were admitted.
+#[derive(Debug)]
+#[expect(dead_code, reason = "read by the failure message only")]
+pub struct Violation {
+    pub seed: u64,
+    pub from: u64,
+    pub to: u64,
+    pub excess: u64,
+}
+
+impl<S: Safeguards> World<S> {
+    /// Notes what may be in use now: the limits of late, or what those hold who have not heard.
+    pub(super) fn note_allowed(&mut self) {
+        let lag = 1_000 + 1_000 + 2_000 + 1_100 + 1_000;
+        let current = self.edits.len() as u64;
+        let mut allowed = Share::default();
+        for (index, (_at, share)) in self.edits.iter().enumerate() {
+            let ended = self.edits.get(index + 1).map_or(u64::MAX, |(at, _)| *at);
+            if ended.saturating_add(lag) > self.now {
+                allowed = max(allowed, *share);
+            }
+        }
+        let mut silent = Share::default();
+        if let Some(account) = self.truth.account(&self.org) {
+            for stake in &account.stakes {
+                let process = &stake.holder.process;
+                let slot = self.slots.iter().find(|s| s.host == process.host).unwrap();
+                let node = slot
+                    .node
+                    .as_ref()
+                    .filter(|_n| slot.incarnation == process.incarnation.0);
+                // Loans of before the edit may still be spent for a moment.
+                let heard = |n: &Node<S>| n.edits as u64 == current && n.heard + 1_100 < self.now;
+                if !node.is_some_and(heard) {
+                    silent = silent.plus(stake.share);
+                }
+            }
+        }
+        self.allowed.push((self.now, max(allowed, silent)));
+    }
+
+    /// Checks every window that starts and ends with an admission.
+    pub(super) fn check(&self) -> Option<Violation> {
+        let drift = u64::try_from(self.faults.drift).unwrap();
+        let mut worst = None;
+        let mut most = 0;
+        // For each spend: tokens so far, what accrued so far, and the burst in force then.
+        let (mut accrued, mut last, mut index) = (0u64, 0, 0);
+        let mut marks = Vec::with_capacity(self.spends.len());
+        for (at, used) in &self.spends {
+            let mut burst = 0;
+            while let Some((until, share)) = self.allowed.get(index) {
+                let to = (*until).min(*at);
+                accrued += share.rate * (to - last);
+                last = to;
+                burst = burst.max(share.burst.0);
+                if until >= at {
+                    break;
+                }
+                index += 1;
+            }
+            marks.push((*at, used * 1_000_000, accrued, burst));
+        }
+        for (first, (from, _used, before, _burst)) in marks.iter().enumerate() {
+            let (mut sum, mut burst) = (0, 0);
+            for (to, used, accrued, now_burst) in &marks[first..] {
+                sum += used;
+                burst = burst.max(*now_burst);
+                let grown = accrued - before;
+                let slack = if drift == 0 {
+                    0
+                } else {
+                    grown * drift / 1000 + 4_000_000
+                };
+                let bound = burst + grown + slack;
+                if sum > bound && sum - bound > most {
+                    most = sum - bound;
+                    worst = Some(Violation {
+                        seed: self.seed,
+                        from: *from,
+                        to: *to,
+                        excess: most,
+                    });
+                }
+            }
+        }
+        worst
+    }
+
+    /// Returns the rate of all homes that may lend now over the limit's, in thousandths.
+    pub fn lent_mille(&self) -> u64 {
+        let up = (0..self.slots.len()).filter(|&slot| self.is_up(slot));
+        let rates = up.map(|slot| {
+            let limiter = &self.slots[slot].node.as_ref().unwrap().limiter;
+            let home = limiter.home(&self.org);
+            let open = limiter.is_lending(self.local(slot));
+            home.filter(|_home| open)
+                .map_or(0, |home| home.bucket().share().rate)
+        });
+        rates.sum::<u64>() * 1_000 / self.edits.last().unwrap().1.rate
+    }
+
+    /// Returns tokens admitted since a time over the last rate, in thousandths.
+    pub fn use_since(&self, from: u64) -> u64 {
+        let spends = self.spends.iter().filter(|(at, _used)| *at >= from);
+        let sum: u64 = spends.map(|(_at, used)| used).sum();
+        let rate = self.edits.last().unwrap().1.rate;
+        sum * 1_000_000_000 / (rate * (self.now - from)).max(1)
+    }
+
+    /// Returns whether every live host that read the whole log folded it to the same state.
+    pub fn agrees(&self) -> bool {
+        let whole = self
+            .slots
+            .iter()
+            .filter_map(|s| s.node.as_ref())
+            .filter(|n| n.read == self.log.len());
+        whole.into_iter().all(|n| *n.limiter.ledger() == self.truth)
+            && self.restored() == self.truth
+    }
+}
+
+fn max(a: Share, b: Share) -> Share {
+    Share {
+        rate: a.rate.max(b.rate),
+        burst: a.burst.max(b.burst),
+    }
+}
