--- a/crates/eelgrasshill_standin/src/load/report.rs
+++ b/crates/eelgrasshill_standin/src/load/report.rs
@@ -181,7 +181,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:<18}{:>9}{:>9}{:>9}{:>8}{:>9}{:>7}{:>6}{:>8}  {:>22}  {:>22}  {:>24}",
+            "{:<32}{:>9}{:>9}{:>9}{:>8}{:>9}{:>7}{:>6}{:>8}  {:>22}  {:>22}  {:>24}",
             "organisation/class",
             "requests",
             "complete",
@@ -230,7 +230,7 @@
     let times = |q: &Quantiles| format!("{:.1}/{:.1}/{:.1}", q.median, q.p95, q.p99);
     writeln!(
         f,
-        "{:<18}{:>9}{:>9}{:>9}{:>8}{:>9}{:>7}{:>6}{:>8}  {:>22}  {:>22}  {:>24}",
+        "{:<32}{:>9}{:>9}{:>9}{:>8}{:>9}{:>7}{:>6}{:>8}  {:>22}  {:>22}  {:>24}",
         format!("{}{class}", row.organisation),
         row.requests,
         row.completed,
