Start long-aged work on full upstreams

Ruled out: no limit for all aged work, which would let each of five hosts add one request a second to an engine that serves four. After twice its age a class starts on full upstreams, one request in aged_rest on each over all peers.

--- a/crates/eelgrasshill_route/src/pool.rs
+++ b/crates/eelgrasshill_route/src/pool.rs
@@ -18,6 +18,9 @@
 /// Weight of the newest start in the mean time between starts, in percent.
 const PACE_WEIGHT: u32 = 10;
 
+/// Wait in thousandths of its age after which aged work starts on full upstreams.
+const FORCED_WAIT: u128 = 2_000;
+
 const CLASSES: [Class; 3] = [Class::Urgent, Class::Interactive, Class::Batch];
 
 /// The waiting tickets of one pool.
@@ -116,9 +119,10 @@
 
     fn next(&mut self, queue: &mut PoolQueue, scans: &mut Scans) -> Option<(Entry, HostName)> {
         let Scans { aged, plain, found } = scans;
-        for class in self.overdue(queue, aged) {
+        for (waited, class) in self.overdue(queue, aged) {
             let scan = &mut aged[class as usize];
-            let pick = self.start_one(queue, class, scan, self.aged(), found);
+            let allowance = self.aged(waited);
+            let pick = self.start_one(queue, class, scan, allowance, found);
             if pick.is_some() {
                 return pick;
             }
@@ -144,19 +148,35 @@
         }
     }
 
-    fn aged(&self) -> Allowance {
+    /// Returns what aged work may use after a wait in thousandths of its age.
+    fn aged(&self, waited: u128) -> Allowance {
+        let settings = self.settings;
+        let peers = settings.peers;
+        if waited < FORCED_WAIT {
+            let gap = settings.aged_share.saturating_sub(1);
+            let rest = settings.aged_rest;
+            return Allowance {
+                fill: settings.fill.aged,
+                peers,
+                aged: Some(AgedPace { gap, rest }),
+            };
+        }
+        // Other entry hosts keep the upstreams full, so room never shows here. All hosts together
+        // then queue one such request on an upstream in each rest.
         Allowance {
-            fill: self.settings.fill.aged,
-            peers: self.settings.peers,
+            fill: u32::MAX,
+            peers,
             aged: Some(AgedPace {
-                gap: self.settings.aged_share.saturating_sub(1),
-                rest: self.settings.aged_rest,
+                gap: u32::MAX,
+                rest: settings.aged_rest * peers,
             }),
         }
     }
 
     /// Returns the classes whose oldest startable ticket has aged, the most overdue first.
-    fn overdue(&self, queue: &PoolQueue, scans: &[Scan; 3]) -> Vec<Class> {
+    ///
+    /// Each comes with that ticket's wait in thousandths of the class's age.
+    fn overdue(&self, queue: &PoolQueue, scans: &[Scan; 3]) -> Vec<(u128, Class)> {
         if self.settings.aged_share == 0 {
             return Vec::new();
         }
@@ -176,7 +196,7 @@
             }
         }
         classes.sort_by(|a, b| b.cmp(a));
-        classes.into_iter().map(|(_ratio, class)| class).collect()
+        classes
     }
 
     fn start_one(
--- a/crates/eelgrasshill_route/src/settings.rs
+++ b/crates/eelgrasshill_route/src/settings.rs
@@ -56,6 +56,9 @@
         /// Wait after which interactive work goes ahead of urgent work.
         pub interactive_age: Duration,
         /// Wait after which batch work goes ahead of other classes.
+        ///
+        /// After twice as long it also starts on full upstreams, one request in each
+        /// `aged_rest` on each of them over all `peers`.
         pub batch_age: Duration,
         /// Of so many starts on a host, one may be aged work; zero turns ageing off.
         pub aged_share: u32,
