--- a/crates/eelgrasshill_route/src/lib.rs
+++ b/crates/eelgrasshill_route/src/lib.rs
@@ -85,6 +85,7 @@
 mod refusal;
 mod resumption;
 mod settings;
+mod stream;
 mod ticket;
 mod usage;
 mod view;
@@ -97,10 +98,10 @@
 pub use miss::Miss;
 pub use policy::{Candidate, ChoicePolicy, LeastLoaded, PrefixTwo, Random};
 pub use refusal::{Refusal, RefusalCause};
-pub use resumption::{
-    Attempt, LeaveCause, ResumeAt, ResumeSettings, Resumption, StreamAction, StreamEvent,
-    StreamFailure,
-};
+pub use resumption::Resumption;
 pub use settings::{Bounds, ClassBounds, ClassFill, DispatchSettings, Order};
+pub use stream::{
+    Attempt, LeaveCause, ResumeAt, ResumeSettings, StreamAction, StreamEvent, StreamFailure,
+};
 pub use ticket::{PrefixHash, Ticket, TicketId, Work};
 pub use view::{Presence, Report, Resident, Upstream, View};
