--- a/crates/eelgrasshill_entry/src/control/actor.rs
+++ b/crates/eelgrasshill_entry/src/control/actor.rs
@@ -275,6 +275,10 @@
         self.retain(context, now);
         self.follow(context, &plan.follows);
         self.poll_engines(context, now);
+        let peers = self.members.in_zone(self.members.zone(), now).count();
+        self.shared
+            .dispatch
+            .set_peers(u32::try_from(peers).unwrap_or(u32::MAX));
         let live: BTreeSet<_> = self.members.live(now).map(|(host, _member)| host).collect();
         let mut holders: Vec<_> = self
             .processes
--- a/crates/eelgrasshill_entry/src/dispatch.rs
+++ b/crates/eelgrasshill_entry/src/dispatch.rs
@@ -73,6 +73,11 @@
         lock(&self.inner).dispatcher.set_weights(weights);
     }
 
+    /// Sets the number of entry hosts that share the zone's upstreams.
+    pub fn set_peers(&self, peers: u32) {
+        lock(&self.inner).dispatcher.set_peers(peers);
+    }
+
     /// Queues a request.
     ///
     /// # Errors
