Check in the matrix that lending homes never hold more than the limit

Each step now also compares the rate of all homes that may lend with what is allowed.

Ruled out: the lease stop as an expected failure here; the script restarts the hosts that would show it, so the cell passes.

--- a/crates/eelgrasshill_limit/tests/fleet/matrix.rs
+++ b/crates/eelgrasshill_limit/tests/fleet/matrix.rs
@@ -2,7 +2,7 @@
 
 use crate::faults::{Act, CALM, Faults, Kind, Point, Strike};
 use crate::world::World;
-use eelgrasshill_limit::Sound;
+use eelgrasshill_limit::{Safeguards, Sound};
 
 /// Length of one run in ms: the script, a fault of two leases, and the time to recover.
 const RUN: u64 = 56_000;
@@ -60,7 +60,7 @@
     }
 }
 
-fn run(kind: Kind, point: Point, strike: Strike) -> Result<(), String> {
+fn run<S: Safeguards>(kind: Kind, point: Point, strike: Strike) -> Result<(), String> {
     let faults = Faults {
         zones: 3,
         flood: true,
@@ -70,7 +70,7 @@
         lease: 6_000,
         ..CALM
     };
-    let mut world = World::<Sound>::new(4, faults);
+    let mut world = World::<S>::new(4, faults);
     world.script = vec![
         (6_000, Act::Restart(0, 200)),
         (7_000, Act::Edit(2)),
@@ -86,6 +86,9 @@
     if let Some(violation) = violation {
         return Err(format!("{violation:?}"));
     }
+    if let Some((at, rate)) = world.overdrawn {
+        return Err(format!("homes may lend at a rate of {rate} at {at}"));
+    }
     if world.strike.is_some() {
         return Err("the fault never struck".to_owned());
     }
@@ -124,7 +127,7 @@
         }
     }
     let check = |&(kind, point, strike): &(Kind, Point, Strike)| {
-        let error = run(kind, point, strike).err()?;
+        let error = run::<Sound>(kind, point, strike).err()?;
         Some(format!("{kind:?} {point:?} {strike:?}: {error}"))
     };
     let failed: Vec<String> = std::thread::scope(|scope| {
@@ -140,3 +143,36 @@
     println!("{} cells ran", cells.len());
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
+
+#[derive(Clone, Copy, Debug, Default)]
+struct NoLeaseWait;
+
+impl Safeguards for NoLeaseWait {
+    const LEASE_WAIT: bool = false;
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct NoHold;
+
+impl Safeguards for NoHold {
+    const HOLD: bool = false;
+}
+
+#[test]
+fn cells_fail_without_a_mechanism() {
+    type Run = fn(Kind, Point, Strike) -> Result<(), String>;
+    let cells: [(&str, Run, Kind, Strike); 2] = [
+        ("hold", run::<NoHold>, Kind::Borrow, Strike::Lose),
+        (
+            "lease wait",
+            run::<NoLeaseWait>,
+            Kind::Give,
+            Strike::CutSender,
+        ),
+    ];
+    for (name, run, kind, strike) in cells {
+        let outcome = run(kind, Point::Sent, strike);
+        println!("without {name}: {outcome:?}");
+        assert!(outcome.is_err(), "no failure without {name}");
+    }
+}
--- a/crates/eelgrasshill_limit/tests/fleet/world.rs
+++ b/crates/eelgrasshill_limit/tests/fleet/world.rs
@@ -95,6 +95,8 @@
     pub strike: Option<(Kind, Point, Strike)>,
     /// Messages of the struck kind that pass before the struck one.
     pub skip: u32,
+    /// When homes first held more rate than is allowed, and how much.
+    pub overdrawn: Option<(u64, u64)>,
 }
 
 impl<S: Safeguards> World<S> {
@@ -143,6 +145,7 @@
             script: Vec::new(),
             strike: None,
             skip: 0,
+            overdrawn: None,
         };
         for slot in 0..world.slots.len() {
             world.start(slot);
--- a/crates/eelgrasshill_limit/tests/fleet/world/oracle.rs
+++ b/crates/eelgrasshill_limit/tests/fleet/world/oracle.rs
@@ -42,7 +42,12 @@
                 }
             }
         }
-        self.allowed.push((self.now, max(allowed, silent)));
+        let allowed = max(allowed, silent);
+        self.allowed.push((self.now, allowed));
+        let rate = self.lent_rate();
+        if self.overdrawn.is_none() && rate > allowed.rate {
+            self.overdrawn = Some((self.now, rate));
+        }
     }
 
     /// Checks every window that starts and ends with an admission.
@@ -95,6 +100,11 @@
 
     /// Returns the rate of all homes that may lend now over the limit's, in thousandths.
     pub fn lent_mille(&self) -> u64 {
+        self.lent_rate() * 1_000 / self.edits.last().unwrap().1.rate
+    }
+
+    /// Returns the rate of all homes that may lend now.
+    fn lent_rate(&self) -> u64 {
         let up = (0..self.slots.len()).filter(|&slot| self.is_up(slot));
         let rates = up.map(|slot| {
             let limiter = &self.slots[slot].node.as_ref().unwrap().limiter;
@@ -103,7 +113,7 @@
             home.filter(|_home| open)
                 .map_or(0, |home| home.bucket().share().rate)
         });
-        rates.sum::<u64>() * 1_000 / self.edits.last().unwrap().1.rate
+        rates.sum()
     }
 
     /// Returns tokens admitted since a time over the last rate, in thousandths.
