--- a/crates/eelgrasshill_limit/src/lib.rs
+++ b/crates/eelgrasshill_limit/src/lib.rs
@@ -23,6 +23,14 @@
 //! - Incarnations at an address rise.
 //! - The ledger is fed every record in log order, from the first or from a snapshot.
 //! - After a lowered limit, reachable hosts read the log within the `grace` time.
+//! - An admission counts at the moment that was passed in; a process that is paused between
+//!   reading its clock and sending the request sends it later than it was counted.
+//!
+//! # Known weakness
+//!
+//! A request that costs more than one home's part of the burst is gathered from several homes.
+//! While demand stays above the rate, such requests disturb each other and a part of the rate goes
+//! unused; they may wait long beside small ones.
 //!
 //! # Examples
 //!
