Never take an answer that was cut off for a whole one

Whole small answers now check their promised length. Plain calls go over hyper, which knows both cases, on a connection of their own: whatever fails before it stands is certainly not sent. Streams of engines need no check, since only their last chunk ends them. Ruled out: asking upstreams for HTTP/1.0, whose answers end with the connection.

--- a/crates/eelgrasshill_entry/src/http/plain.rs
+++ b/crates/eelgrasshill_entry/src/http/plain.rs
@@ -117,7 +117,7 @@
         body,
         repeat: grant.route.repeat == Repeat::Allowed,
     };
-    let plain = HttpPlain::new(client.clone());
+    let plain = HttpPlain::new(client.settings());
     Ok(Passing {
         plain,
         grant,
--- a/crates/eelgrasshill_platform/src/client.rs
+++ b/crates/eelgrasshill_platform/src/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use awc::http::header::CONTENT_LENGTH;
 use awc::{Client, ClientResponse, Connector};
 use bytes::{Bytes, BytesMut};
 use derive_more::Debug;
@@ -174,12 +175,15 @@
 /// Reads a whole body of at most `limit` bytes.
 pub(crate) async fn read_body<S>(
     address: SocketAddr,
-    mut body: S,
+    mut body: ClientResponse<S>,
     limit: usize,
 ) -> Result<Bytes, CallError>
 where
     S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
 {
+    let promised = body.headers().get(CONTENT_LENGTH);
+    let promised: Option<usize> = promised.and_then(|value| value.to_str().ok()?.parse().ok());
+    let promised = promised.unwrap_or_default();
     let mut whole = BytesMut::new();
     while let Some(part) = body.next().await {
         let part = part.map_err(|error| CallError::Lost {
@@ -194,6 +198,13 @@
         }
         whole.extend_from_slice(&part);
     }
+    // The client takes a body that was cut off for a whole one.
+    if whole.len() < promised {
+        return Err(CallError::Lost {
+            address: address.to_string(),
+            cause: format!("{} of {promised} bytes came", whole.len()),
+        });
+    }
     Ok(whole.freeze())
 }
 
--- a/crates/eelgrasshill_platform/src/plain.rs
+++ b/crates/eelgrasshill_platform/src/plain.rs
@@ -6,9 +6,13 @@
 use awc::http::Method;
 use bytes::Bytes;
 use eelgrasshill_domain::RequestId;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
-use crate::client::read_body;
-use crate::{CallError, HttpClient};
+use crate::{CallError, HttpClientSettings};
 
 /// The header that carries the request's id to an upstream.
 const REQUEST_ID: &str = "x-request-id";
@@ -62,40 +66,56 @@
     ) -> Result<PlainReply, CallError>;
 }
 
-/// Plain services over HTTP.
+/// Plain services over HTTP, each call on a connection of its own.
+///
+/// The client is `hyper`: `awc` takes an answer that was cut off for a whole
+/// one and names a connection that ended without an answer a connect error.
+/// With a connection for each call, whatever fails before it stands is
+/// certainly not sent, and none can have gone silent while idle.
 #[derive(Clone, Debug)]
 pub struct HttpPlain {
-    client: HttpClient,
+    connect: Duration,
+    body: usize,
 }
 
 impl HttpPlain {
-    /// Makes an adapter.
+    /// Makes an adapter with the client's bounds on connections and bodies.
     #[must_use]
-    pub fn new(client: HttpClient) -> Self {
-        Self { client }
+    pub fn new(settings: &HttpClientSettings) -> Self {
+        Self {
+            connect: settings.connect,
+            body: settings.body,
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<TcpStream, CallError> {
+        let not_sent = |cause: String| CallError::NotSent {
+            address: address.to_string(),
+            cause,
+        };
+        match tokio::time::timeout(self.connect, TcpStream::connect(address)).await {
+            Ok(connected) => connected.map_err(|error| not_sent(error.to_string())),
+            Err(elapsed) => Err(not_sent(elapsed.to_string())),
+        }
     }
 
     async fn exchange(
         &self,
+        stream: TcpStream,
         address: SocketAddr,
-        call: &PlainCall,
-        bound: Duration,
+        request: Request<Full<Bytes>>,
     ) -> Result<PlainReply, CallError> {
-        let client = if call.repeat {
-            self.client.pooled()
-        } else {
-            self.client.single()
+        let lost = |error: &dyn std::error::Error| CallError::Lost {
+            address: address.to_string(),
+            cause: error.to_string(),
         };
-        let url = format!("http://{address}{}", call.path);
-        let mut request = client.request(call.method.clone(), url);
-        for (name, value) in &call.headers {
-            request = request.insert_header((name.as_str(), value.as_str()));
-        }
-        request = request.insert_header((REQUEST_ID, call.id.as_str()));
-        let response = request
-            .send_body(call.body.clone())
+        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = handshake.map_err(|error| lost(&error))?;
+        let connection = AbortOnDrop(tokio::task::spawn(connection));
+        let response = sender
+            .send_request(request)
             .await
-            .map_err(|error| CallError::from_send(&address.to_string(), bound, &error))?;
+            .map_err(|error| lost(&error))?;
         let header = |name: &str| {
             let value = response.headers().get(name)?;
             value.to_str().ok().map(str::to_owned)
@@ -103,7 +123,11 @@
         let content = header("content-type");
         let id = header(REQUEST_ID);
         let status = response.status().as_u16();
-        let body = read_body(address, response, self.client.settings().body).await?;
+        let body = Limited::new(response.into_body(), self.body)
+            .collect()
+            .await;
+        let body = body.map_err(|error| lost(error.as_ref()))?.to_bytes();
+        drop(connection);
         Ok(PlainReply {
             status,
             content,
@@ -113,6 +137,33 @@
     }
 }
 
+/// Ends a connection's task when the call that uses it ends.
+#[derive(Debug)]
+struct AbortOnDrop<T>(JoinHandle<T>);
+
+impl<T> Drop for AbortOnDrop<T> {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn request_of(address: SocketAddr, call: &PlainCall) -> Result<Request<Full<Bytes>>, CallError> {
+    let mut request = Request::builder()
+        .method(call.method.as_str())
+        .uri(&call.path)
+        .header("host", address.to_string())
+        .header(REQUEST_ID, call.id.as_str());
+    for (name, value) in &call.headers {
+        request = request.header(name, value);
+    }
+    request
+        .body(Full::new(call.body.clone()))
+        .map_err(|error| CallError::NotSent {
+            address: address.to_string(),
+            cause: error.to_string(),
+        })
+}
+
 impl Plain for HttpPlain {
     async fn call(
         &self,
@@ -120,7 +171,9 @@
         call: &PlainCall,
         bound: Duration,
     ) -> Result<PlainReply, CallError> {
-        let exchange = self.exchange(address, call, bound);
+        let request = request_of(address, call)?;
+        let stream = self.connect(address).await?;
+        let exchange = self.exchange(stream, address, request);
         let timeout = |_elapsed| CallError::Timeout {
             address: address.to_string(),
             bound,
--- /dev/null
+++ b/crates/eelgrasshill_platform/tests/cut.rs
@@ -0,0 +1,80 @@
+//! An answer that was lost or cut is never taken for a call that was not sent, or for a whole one.
+
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::time::Duration;
+
+use awc::http::Method;
+use eelgrasshill_domain::{Offset, RequestId, StreamName};
+use eelgrasshill_platform::{
+    CallError, HttpClient, HttpClientSettings, HttpLog, HttpPlain, Log as _, Plain as _, PlainCall,
+    ReadError,
+};
+
+#[actix_web::test]
+async fn a_cut_answer_counts_as_lost() {
+    let cases = [
+        ("no byte", ""),
+        ("part of the head", "HTTP/1.1 200 OK\r\ncontent-le"),
+        (
+            "part of a body of known length",
+            "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{\"a\":1}",
+        ),
+        (
+            "chunks without an end",
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n7\r\n{\"a\":1}\r\n",
+        ),
+    ];
+    for (name, answer) in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = std::thread::spawn(move || {
+            let (mut stream, _from) = listener.accept().unwrap();
+            let read = stream.read(&mut [0; 4096]).unwrap();
+            assert!(read > 0, "the request arrived, so that it may have run");
+            stream.write_all(answer.as_bytes()).unwrap();
+        });
+        let call = PlainCall {
+            id: RequestId::new("r-1").unwrap(),
+            method: Method::POST,
+            path: "/reserve".to_owned(),
+            headers: Vec::new(),
+            body: bytes::Bytes::new(),
+            repeat: false,
+        };
+        let bound = Duration::from_secs(20);
+        let settings = HttpClientSettings {
+            answer: bound,
+            ..HttpClientSettings::default()
+        };
+        let reply = HttpPlain::new(&settings).call(address, &call, bound).await;
+        assert!(
+            matches!(reply, Err(CallError::Lost { .. })),
+            "{name}: {reply:?}"
+        );
+        server.join().unwrap();
+    }
+}
+
+#[actix_web::test]
+async fn a_page_of_the_log_that_was_cut_off_is_not_a_page() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _from) = listener.accept().unwrap();
+        let read = stream.read(&mut [0; 4096]).unwrap();
+        assert!(read > 0);
+        // The part that comes is a whole JSON document by itself.
+        let part =
+            "HTTP/1.1 200 OK\r\ncontent-length: 90\r\n\r\n{\"first\":1,\"end\":1,\"records\":[]}";
+        stream.write_all(part.as_bytes()).unwrap();
+    });
+    let log = HttpLog::new(HttpClient::new(HttpClientSettings::default()), address);
+    let stream = StreamName::new("config").unwrap();
+    let page = log.read(&stream, Offset(1), 10, Duration::ZERO).await;
+    assert!(
+        matches!(page, Err(ReadError(CallError::Lost { .. }))),
+        "{page:?}"
+    );
+    server.join().unwrap();
+}
--- a/crates/eelgrasshill_standin/tests/services.rs
+++ b/crates/eelgrasshill_standin/tests/services.rs
@@ -258,7 +258,7 @@
 #[actix_web::test]
 async fn a_plain_service_counts_runs_and_remembers_what_it_saw() {
     let running = Plain::new(PlainSettings::default()).start().unwrap();
-    let plain = HttpPlain::new(client(BOUND));
+    let plain = HttpPlain::new(client(BOUND).settings());
     let calls = [
         (call("r-1", "/reserve?yard=3", Some("k-1")), 1),
         (call("r-2", "/reserve", Some("k-1")), 2),
@@ -289,7 +289,7 @@
 #[actix_web::test]
 async fn crossed_answers_are_swapped_between_two_calls() {
     let running = Plain::new(PlainSettings::default()).start().unwrap();
-    let plain = HttpPlain::new(client(BOUND));
+    let plain = HttpPlain::new(client(BOUND).settings());
     running.handle.faults().set(FaultSet {
         cross: 2,
         ..FaultSet::default()
