--- a/crates/eelgrasshill_entry/src/control/actor.rs
+++ b/crates/eelgrasshill_entry/src/control/actor.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix::{Actor, AsyncContext, Context, Handler};
 use eelgrasshill_control::{
@@ -33,6 +33,18 @@
 /// How often the plan of who follows whom is made.
 const PLAN: Duration = Duration::from_millis(500);
 
+/// How often the lease and the orders are looked after.
+const PLACE: Duration = Duration::from_millis(100);
+
+/// How many times as long as it took to make a view the next one waits.
+///
+/// With many engines reports come all the time; this keeps views at half a
+/// percent of a core, whatever their size.
+const VIEW_REST: u32 = 200;
+
+/// How many times as long as it took to show the status the next one waits.
+const STATUS_REST: u32 = 500;
+
 /// The outside systems, as the control thread meets them.
 #[derive(Clone, Debug)]
 pub(crate) struct Outside<L, H, E> {
@@ -60,6 +72,9 @@
     pub(crate) rights: RightsReader,
     pub(crate) clock: LogClock,
     planned: Moment,
+    placed: Moment,
+    view_due: Moment,
+    status_due: Moment,
     stale: bool,
 }
 
@@ -93,6 +108,9 @@
             rights: RightsReader::default(),
             clock: LogClock::default(),
             planned: Moment::default(),
+            placed: Moment::default(),
+            view_due: Moment::default(),
+            status_due: Moment::default(),
             stale: true,
             shared,
         }
@@ -260,14 +278,19 @@
 
     fn tick(&mut self, context: &mut Context<Self>) {
         let now = BootClock.now();
-        if self.stale {
+        if self.stale && now >= self.view_due {
+            let began = Instant::now();
             self.rebuild_view(now);
+            self.view_due = now.after(began.elapsed() * VIEW_REST);
         }
         self.shared.dispatch.pump(now);
         if self.shared.quota.next_wake() <= now {
             self.shared.quota.with(now, |_limiter| ());
         }
-        self.tick_placement(context, now);
+        if now.since(self.placed) >= PLACE {
+            self.placed = now;
+            self.tick_placement(context, now);
+        }
         self.tick_claims(context, now);
         if now.since(self.planned) >= PLAN {
             self.planned = now;
@@ -298,7 +321,11 @@
         self.shared
             .quota
             .with(now, |limiter| limiter.set_members(holders));
-        self.show_status(now);
+        if now >= self.status_due {
+            let began = Instant::now();
+            self.show_status(now);
+            self.status_due = now.after(began.elapsed() * STATUS_REST);
+        }
     }
 
     fn own_holder(&self) -> Holder {
--- a/crates/eelgrasshill_entry/src/control/claims.rs
+++ b/crates/eelgrasshill_entry/src/control/claims.rs
@@ -7,7 +7,7 @@
 use actix::{ActorFutureExt, Addr, AsyncContext, Context, Handler, WrapFuture};
 use eelgrasshill_control::{
     Answer, AppendError, Call, ClaimBatch, ClaimBounds, ClaimId, ClaimRecord, ClaimWriter, Delta,
-    LogTime, Process, Requester, RequesterEffect, RunEnd, Stored, Verdict, WriterEffect,
+    LogTime, Process, Requester, RequesterEffect, RunEnd, Stored, Verdict, WRITERS, WriterEffect,
 };
 use eelgrasshill_domain::{AppendId, FastMap, Moment, Offset, RequestId, StreamName};
 use eelgrasshill_peer::PeerClient;
@@ -28,9 +28,6 @@
 /// Appends a second that the claims of the whole fleet may take.
 const APPENDS: u32 = 160;
 
-/// Writers of all shards together that the pace reckons with.
-const WRITERS: u32 = 24;
-
 /// Longest wait of a requester for a writer's reply.
 const REPLY: Duration = Duration::from_millis(650);
 
@@ -78,8 +75,12 @@
 
 impl Claims {
     pub(crate) fn new(shared: &Shared, process: Process) -> Self {
-        let bounds = ClaimBounds::new(shared.settings.retention).with_rate(APPENDS, WRITERS);
-        let requester = Requester::new(shared.settings.name.clone(), process, bounds.clone());
+        let settings = &shared.settings;
+        let zones = u32::try_from(settings.fleet.zones.len()).unwrap_or(u32::MAX);
+        let writers = u32::try_from(WRITERS).unwrap_or(u32::MAX);
+        let all = SHARDS.saturating_mul(writers).saturating_mul(zones);
+        let bounds = ClaimBounds::new(settings.retention).with_rate(APPENDS, all);
+        let requester = Requester::new(settings.name.clone(), process, bounds.clone());
         Self {
             requester,
             bounds,
--- a/crates/eelgrasshill_entry/tests/process.rs
+++ b/crates/eelgrasshill_entry/tests/process.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 use actix_web::rt::spawn;
@@ -13,6 +14,7 @@
 use serde_json::json;
 use support::Fleet;
 use support::caller::{Reply, book, call, chat};
+use support::process::http_get;
 use tokio::time::sleep;
 
 /// The longest time until a change is in force, by the stated target.
@@ -382,3 +384,92 @@
     }
     assert_eq!(fleet.engines[0].handle.counts().accepted, after_notice);
 }
+
+#[actix_web::test]
+async fn operators_read_what_callers_met() {
+    let mut fleet = Fleet::start_processes(1);
+    let key = fleet.issue_key("crew-1", "crew");
+    wait_served(&fleet, key.reveal()).await;
+    let url = fleet.processes[0].url("");
+    let reply = chat(&url, Some(key.reveal()), "notes", "count me", 5).await;
+    assert!(reply.is_whole(), "{reply:?}");
+    let refused = chat(&url, None, "notes", "count me", 5).await;
+    assert_eq!(refused.status, 401);
+    let metrics = http_get(fleet.processes[0].plan.admin, "/metrics").unwrap();
+    for name in [
+        "queue_wait",
+        "first_token",
+        "between_tokens",
+        "whole_answer",
+    ] {
+        let line = format!(
+            "eelgrasshill_{name}_seconds_count{{organisation=\"crew\",class=\"interactive\"}}"
+        );
+        assert!(metrics.contains(&line), "{line}: {metrics}");
+    }
+    assert!(
+        metrics.contains("eelgrasshill_refusals_total{code=\"unauthorized\""),
+        "{metrics}"
+    );
+    assert!(!metrics.contains(key.reveal()), "no key in the metrics");
+    let models = http_get(fleet.processes[0].plan.listen, "/v1/models").unwrap();
+    assert!(
+        models.contains("\"tags\"") && !models.contains("\"notes\""),
+        "open models only: {models}"
+    );
+}
+
+#[actix_web::test]
+async fn slow_and_malformed_callers_are_cut_off_and_harm_nobody() {
+    let mut fleet = Fleet::start_processes(1);
+    let key = fleet.issue_key("crew-1", "crew");
+    wait_served(&fleet, key.reveal()).await;
+    let address = fleet.processes[0].plan.listen;
+    let starts = [
+        (
+            "half a head",
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n",
+        ),
+        (
+            "half a body",
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 900\r\n\r\n{",
+        ),
+        ("no request", "\u{1}\u{2}\u{3} nonsense\r\n\r\n"),
+        (
+            "two lengths",
+            "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n{}",
+        ),
+    ];
+    let slow = starts.map(|(name, start)| {
+        std::thread::spawn(move || {
+            let mut stream = std::net::TcpStream::connect(address).unwrap();
+            stream
+                .set_read_timeout(Some(Duration::from_secs(20)))
+                .unwrap();
+            stream.write_all(start.as_bytes()).unwrap();
+            let mut reply = String::new();
+            let read = stream.read_to_string(&mut reply);
+            (name, read.is_ok(), reply)
+        })
+    });
+    let url = fleet.processes[0].url("");
+    for number in 0..10 {
+        let reply = chat(
+            &url,
+            Some(key.reveal()),
+            "notes",
+            &format!("beside {number}"),
+            5,
+        )
+        .await;
+        assert!(reply.is_whole(), "{reply:?}");
+    }
+    for caller in slow {
+        let (name, is_closed, reply) = caller.join().unwrap();
+        assert!(is_closed, "{name}: still open after 20 s");
+        assert!(
+            reply.starts_with("HTTP/1.1 4"),
+            "{name}: a reason is given: {reply}"
+        );
+    }
+}
