--- a/crates/eelgrasshill_entry/tests/session.rs
+++ b/crates/eelgrasshill_entry/tests/session.rs
@@ -4,7 +4,8 @@
 
 mod support;
 
-use eelgrasshill_standin::AnswerText;
+use eelgrasshill_domain::KeyText;
+use eelgrasshill_standin::{AnswerText, FaultSet, Mode, Standin};
 use serde_json::{Value, json};
 use support::{Fleet, wait_for};
 
@@ -14,6 +15,9 @@
     if let Some(key) = key {
         request = request.insert_header(("authorization", format!("Bearer {key}")));
     }
+    if let Some((_host, booking)) = url.split_once("/bookings/") {
+        request = request.insert_header(("idempotency-key", booking));
+    }
     let mut response = request.send_json(body).await.unwrap();
     let header = |name: &str| {
         let value = response.headers().get(name);
@@ -143,6 +147,9 @@
     fleet.stop();
 }
 
+/// Longest body of a request that the golden file shows.
+const SHOWN_BYTES: usize = 1000;
+
 /// Replaces a request's id, which differs from run to run.
 fn without_ids(body: &str) -> String {
     let mut text = String::new();
@@ -167,6 +174,32 @@
     body: Value,
 }
 
+impl Step {
+    /// Sends the request and returns it with its answer, as the golden file shows them.
+    async fn run(&self, url: &str, crew: &KeyText, home: &KeyText) -> String {
+        let key = self
+            .key
+            .map(|name| if name == "crew" { crew } else { home });
+        let key = key.map(KeyText::reveal);
+        let (status, run, body) = chat(&format!("{url}{}", self.path), key, &self.body).await;
+        let who = self
+            .key
+            .map_or(String::new(), |name| format!(" (key of {name})"));
+        let mut sent = self.body.to_string();
+        if sent.len() > SHOWN_BYTES {
+            sent = format!("({} bytes)", sent.len());
+        }
+        let mut text = format!(
+            "# {}\nPOST {}{who}\n{sent}\n-> {status}",
+            self.name, self.path
+        );
+        if !run.is_empty() {
+            text += &format!(", Eelgrasshill-Run: {run}");
+        }
+        text + &format!("\n{}\n\n", without_ids(body.trim_end()))
+    }
+}
+
 #[actix_web::test]
 async fn whole_sessions_read_as_the_golden_files() {
     let mut fleet = Fleet::start(1);
@@ -241,29 +274,51 @@
             path: "/yard/pole-7",
             body: json!("where?"),
         },
+        Step {
+            name: "a body that is too large",
+            key: Some("crew"),
+            path: "/v1/chat/completions",
+            body: json!("x".repeat(2 << 20)),
+        },
+        Step {
+            name: "a booking, with its number as idempotency key",
+            key: Some("crew"),
+            path: "/bookings/7",
+            body: json!("pole 7"),
+        },
+        Step {
+            name: "the booking again",
+            key: Some("crew"),
+            path: "/bookings/7",
+            body: json!("pole 7"),
+        },
+        Step {
+            name: "another booking under the same key",
+            key: Some("crew"),
+            path: "/bookings/7",
+            body: json!("pole 9"),
+        },
     ];
     let mut session = String::new();
     for step in steps {
-        let key = step.key.map(|name| {
-            if name == "crew" {
-                crew.reveal()
-            } else {
-                home.reveal()
-            }
-        });
-        let (status, run, body) = chat(&format!("{url}{}", step.path), key, &step.body).await;
-        let who = step
-            .key
-            .map_or(String::new(), |name| format!(" (key of {name})"));
-        session += &format!(
-            "# {}\nPOST {}{who}\n{}\n-> {status}",
-            step.name, step.path, step.body
-        );
-        if !run.is_empty() {
-            session += &format!(", Eelgrasshill-Run: {run}");
-        }
-        session += &format!("\n{}\n\n", without_ids(body.trim_end()));
+        session += &step.run(&url, &crew, &home).await;
     }
+    // Without the log a call that may run only once is refused, and truly not run.
+    fleet
+        .log
+        .handle
+        .faults()
+        .set(FaultSet::new(Mode::Unavailable));
+    let outage = Step {
+        name: "a booking while the log is out",
+        key: Some("crew"),
+        path: "/bookings/8",
+        body: json!("pole 8"),
+    };
+    session += &outage.run(&url, &crew, &home).await;
+    fleet.log.handle.faults().clear();
+    assert_eq!(fleet.plain.handle.runs().of_key("7"), 1);
+    assert_eq!(fleet.plain.handle.runs().of_key("8"), 0);
     insta::assert_snapshot!("session", session);
     fleet.stop();
 }
