Rename the crate of outside ports, so that platform names one thing

The traits and HTTP adapters of the project's own protocols are now eelgrasshill_ports; no code changed.

--- a/crates/eelgrasshill/examples/measure.rs
+++ b/crates/eelgrasshill/examples/measure.rs
@@ -15,7 +15,7 @@
 use argh::FromArgs;
 use eelgrasshill::{Deployment, DeploymentSettings, Example, LogSession};
 use eelgrasshill_domain::{Class, ConfigRecord, Edit, Organisation, RowChange, RowKey};
-use eelgrasshill_platform::{HostRole, HostState, ListedHost};
+use eelgrasshill_ports::{HostRole, HostState, ListedHost};
 use eelgrasshill_standin::{
     Burst, Caller, LoadReport, LoadSettings, ModelShare, Subject, run_load,
 };
--- a/crates/eelgrasshill/src/demo/deployment.rs
+++ b/crates/eelgrasshill/src/demo/deployment.rs
@@ -8,7 +8,7 @@
     Version, ZoneName,
 };
 use eelgrasshill_entry::EntryHost;
-use eelgrasshill_platform::{HostRole, HostState, ListedHost};
+use eelgrasshill_ports::{HostRole, HostState, ListedHost};
 use eelgrasshill_standin::{
     Engine, EngineSettings, Hosts, HostsSettings, Log, LogSettings, Plain, PlainSettings, Running,
     Standin, Store, StoreSettings,
--- a/crates/eelgrasshill/src/error.rs
+++ b/crates/eelgrasshill/src/error.rs
@@ -5,7 +5,7 @@
 use derive_more::{Display, Error, From};
 use eelgrasshill_domain::{NameError, Rejection};
 use eelgrasshill_entry::StartError;
-use eelgrasshill_platform::{AppendError, CallError, ReadError};
+use eelgrasshill_ports::{AppendError, CallError, ReadError};
 use eelgrasshill_settings::Problems;
 
 /// Why a command failed.
--- a/crates/eelgrasshill/src/log_session.rs
+++ b/crates/eelgrasshill/src/log_session.rs
@@ -9,7 +9,7 @@
 use eelgrasshill_domain::{
     AppendId, ConfigRecord, EditOutcome, Moment, Offset, StreamName, Version,
 };
-use eelgrasshill_platform::{
+use eelgrasshill_ports::{
     AppendError, HttpClient, HttpClientSettings, HttpLog, Log, NewRecord, Page,
 };
 
--- a/crates/eelgrasshill/src/show.rs
+++ b/crates/eelgrasshill/src/show.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::{RequestId, Version};
-use eelgrasshill_platform::{HttpClient, HttpClientSettings};
+use eelgrasshill_ports::{HttpClient, HttpClientSettings};
 use eelgrasshill_settings::{render_pools, render_routes};
 use serde_json::Value;
 
--- a/crates/eelgrasshill_entry/src/answer/attempt.rs
+++ b/crates/eelgrasshill_entry/src/answer/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::{HostName, Moment, OnStale, RequestId};
-use eelgrasshill_platform::{CallError, Engine, Resume, StreamEvent as Event, Usage};
+use eelgrasshill_ports::{CallError, Engine, Resume, StreamEvent as Event, Usage};
 use eelgrasshill_route::{
     Attempt, LeaveCause, Observation, ResumeAt, Resumption, StreamAction, StreamEvent,
     StreamFailure,
--- a/crates/eelgrasshill_entry/src/answer/mod.rs
+++ b/crates/eelgrasshill_entry/src/answer/mod.rs
@@ -6,7 +6,7 @@
 
 use eelgrasshill_control::Grant;
 use eelgrasshill_domain::{HostName, ModelName, Moment};
-use eelgrasshill_platform::{Engine, GenerateRequest, Usage};
+use eelgrasshill_ports::{Engine, GenerateRequest, Usage};
 use eelgrasshill_route::{
     Call, ClassBounds, LeaveCause, PrefixHash, ResumeAt, Resumption, RetryBudget, Sent, Ticket,
     Work,
--- a/crates/eelgrasshill_entry/src/control/actor.rs
+++ b/crates/eelgrasshill_entry/src/control/actor.rs
@@ -13,7 +13,7 @@
 use eelgrasshill_domain::{FastMap, HostName, Incarnation, Moment, Offset, OrgName, RowKey};
 use eelgrasshill_limit::{Holder, Limit, Share};
 use eelgrasshill_peer::generated as wire;
-use eelgrasshill_platform::{EngineReport, HostRole, HostState, Page};
+use eelgrasshill_ports::{EngineReport, HostRole, HostState, Page};
 use tokio::sync::Notify;
 
 use crate::control::Outside;
--- a/crates/eelgrasshill_entry/src/control/convert.rs
+++ b/crates/eelgrasshill_entry/src/control/convert.rs
@@ -2,7 +2,7 @@
 
 use eelgrasshill_domain::{AppendId, Offset};
 use eelgrasshill_placement::{Action, EngineReport, Entry, Moving, Order, Resident};
-use eelgrasshill_platform as platform;
+use eelgrasshill_ports as platform;
 
 /// Reads a record of a lease stream; one that cannot be read is left out.
 pub(crate) fn entry(record: platform::StoredRecord) -> Option<Entry> {
--- a/crates/eelgrasshill_entry/src/control/engines.rs
+++ b/crates/eelgrasshill_entry/src/control/engines.rs
@@ -10,7 +10,7 @@
 
 use eelgrasshill_domain::{HostName, Moment, ZoneName};
 use eelgrasshill_peer::generated as wire;
-use eelgrasshill_platform::EngineReport;
+use eelgrasshill_ports::EngineReport;
 
 /// Age after which an engine's report may be replaced by one of any sequence.
 const LIFE: Duration = Duration::from_secs(5);
--- a/crates/eelgrasshill_entry/src/control/follow.rs
+++ b/crates/eelgrasshill_entry/src/control/follow.rs
@@ -4,7 +4,7 @@
 
 use actix::Addr;
 use eelgrasshill_domain::StreamName;
-use eelgrasshill_platform::Log;
+use eelgrasshill_ports::Log;
 
 use crate::control::messages::{Cursor, Followed, PageRead};
 use crate::control::{Control, Outside};
--- a/crates/eelgrasshill_entry/src/control/lend.rs
+++ b/crates/eelgrasshill_entry/src/control/lend.rs
@@ -7,7 +7,7 @@
 use eelgrasshill_domain::{AppendId, FastMap, StreamName};
 use eelgrasshill_limit::{BorrowReply, BorrowRequest, Effect, RightsRecord};
 use eelgrasshill_peer::PeerClient;
-use eelgrasshill_platform::{Log, NewRecord};
+use eelgrasshill_ports::{Log, NewRecord};
 use tokio::sync::mpsc;
 use tonic::transport::Channel;
 
--- a/crates/eelgrasshill_entry/src/control/messages.rs
+++ b/crates/eelgrasshill_entry/src/control/messages.rs
@@ -9,7 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::ClaimCommand;
-use eelgrasshill_platform::{EngineReport, ListedHost, Page};
+use eelgrasshill_ports::{EngineReport, ListedHost, Page};
 
 scalar! {
     /// A stream of the log that every host folds.
--- a/crates/eelgrasshill_entry/src/control/outside.rs
+++ b/crates/eelgrasshill_entry/src/control/outside.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Debug;
 
-use eelgrasshill_platform::{Engine, HostList, HttpEngine, HttpHostList, HttpLog, Log};
+use eelgrasshill_ports::{Engine, HostList, HttpEngine, HttpHostList, HttpLog, Log};
 
 /// The log, the host list and the engines.
 pub(crate) trait Outside: Debug + 'static {
--- a/crates/eelgrasshill_entry/src/control/place.rs
+++ b/crates/eelgrasshill_entry/src/control/place.rs
@@ -15,7 +15,7 @@
 use eelgrasshill_placement::{
     Budget, Effect, Event, Holder, ModelDemand, Order, Outcome, Settings,
 };
-use eelgrasshill_platform::{self as platform, Engine, Log, NewRecord, OrderAnswer};
+use eelgrasshill_ports::{self as platform, Engine, Log, NewRecord, OrderAnswer};
 use eelgrasshill_route::Work;
 use eelgrasshill_settings::EntrySettings;
 
--- a/crates/eelgrasshill_entry/src/http/chat.rs
+++ b/crates/eelgrasshill_entry/src/http/chat.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use eelgrasshill_control::Ask;
 use eelgrasshill_domain::{ModelName, RequestId};
-use eelgrasshill_platform::{GenerateRequest, HttpClient, HttpEngine, Usage};
+use eelgrasshill_ports::{GenerateRequest, HttpClient, HttpEngine, Usage};
 use eelgrasshill_route::PrefixHash;
 use futures_util::StreamExt;
 use serde::Deserialize;
--- a/crates/eelgrasshill_entry/src/http/plain.rs
+++ b/crates/eelgrasshill_entry/src/http/plain.rs
@@ -7,7 +7,7 @@
 use actix_web::{HttpRequest, HttpResponse};
 use eelgrasshill_control::{Ask, CallDigest, CallKey};
 use eelgrasshill_domain::{Moment, Repeat};
-use eelgrasshill_platform::{HttpClient, HttpPlain, PlainCall, PlainReply};
+use eelgrasshill_ports::{HttpClient, HttpPlain, PlainCall, PlainReply};
 
 use crate::http::body::read_body;
 use crate::http::presented::{presented_key, refuse_key_in};
--- a/crates/eelgrasshill_entry/src/http/server.rs
+++ b/crates/eelgrasshill_entry/src/http/server.rs
@@ -7,7 +7,7 @@
 use actix_web::dev::Server;
 use actix_web::web::{self, Data};
 use actix_web::{App, HttpServer};
-use eelgrasshill_platform::{HttpClient, HttpClientSettings};
+use eelgrasshill_ports::{HttpClient, HttpClientSettings};
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::Shared;
--- a/crates/eelgrasshill_entry/src/once.rs
+++ b/crates/eelgrasshill_entry/src/once.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use eelgrasshill_control::{Answer, Body, Call, CallOutcome, ClaimId, NotRun, RunEnd};
-use eelgrasshill_platform::{CallError, Plain, PlainReply};
+use eelgrasshill_ports::{CallError, Plain, PlainReply};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::passing::{Passing, refusal};
--- a/crates/eelgrasshill_entry/src/passing.rs
+++ b/crates/eelgrasshill_entry/src/passing.rs
@@ -4,7 +4,7 @@
 
 use eelgrasshill_control::Grant;
 use eelgrasshill_domain::{HostName, Moment};
-use eelgrasshill_platform::{CallError, Plain, PlainCall, PlainReply};
+use eelgrasshill_ports::{CallError, Plain, PlainCall, PlainReply};
 use eelgrasshill_route::{Call, Observation, RetryBudget, Ticket, Work};
 
 use crate::quota::Reservation;
--- a/crates/eelgrasshill_entry/src/run.rs
+++ b/crates/eelgrasshill_entry/src/run.rs
@@ -13,7 +13,7 @@
 use derive_more::{Display, Error, From};
 use eelgrasshill_domain::Incarnation;
 use eelgrasshill_limit::{Effect, Holder, LimitSettings, Limiter, Process};
-use eelgrasshill_platform::{HttpClient, HttpClientSettings, HttpEngine, HttpHostList, HttpLog};
+use eelgrasshill_ports::{HttpClient, HttpClientSettings, HttpEngine, HttpHostList, HttpLog};
 use eelgrasshill_route::{DispatchSettings, Drain, DrainEvent, DrainSettings, DrainState, View};
 use eelgrasshill_settings::EntrySettings;
 use metrics_exporter_prometheus::PrometheusHandle;
--- a/crates/eelgrasshill_entry/tests/retain.rs
+++ b/crates/eelgrasshill_entry/tests/retain.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::{AppendId, Offset, StreamName};
-use eelgrasshill_platform::NewRecord;
+use eelgrasshill_ports::NewRecord;
 use support::caller::call;
 use support::{Fleet, wait_for};
 
--- a/crates/eelgrasshill_entry/tests/support/mod.rs
+++ b/crates/eelgrasshill_entry/tests/support/mod.rs
@@ -15,7 +15,7 @@
     StreamName, Tables, Version,
 };
 use eelgrasshill_entry::EntryHost;
-use eelgrasshill_platform::{HostRole, HostState, ListedHost, NewRecord};
+use eelgrasshill_ports::{HostRole, HostState, ListedHost, NewRecord};
 use eelgrasshill_settings::{EntrySettings, read_tables};
 use eelgrasshill_standin::{
     Engine, EngineSettings, Hosts, HostsSettings, Log, LogSettings, ModelCopy, Plain,
--- a/crates/eelgrasshill_platform/tests/cut.rs
+++ b/crates/eelgrasshill_ports/tests/cut.rs
@@ -6,7 +6,7 @@
 
 use awc::http::Method;
 use eelgrasshill_domain::{Offset, RequestId, StreamName};
-use eelgrasshill_platform::{
+use eelgrasshill_ports::{
     CallError, HttpClient, HttpClientSettings, HttpLog, HttpPlain, Log as _, Plain as _, PlainCall,
     ReadError,
 };
--- a/crates/eelgrasshill_standin/src/cli/flag.rs
+++ b/crates/eelgrasshill_standin/src/cli/flag.rs
@@ -4,7 +4,7 @@
 
 use derive_more::{Display, Error, From};
 use eelgrasshill_domain::{AdapterName, Class, Fencing, HostName, ModelName, NameError, ZoneName};
-use eelgrasshill_platform::{HostRole, HostState, ListedHost};
+use eelgrasshill_ports::{HostRole, HostState, ListedHost};
 
 use crate::engine::ModelCopy;
 use crate::load::{Burst, Caller, ModelShare, Subject};
--- a/crates/eelgrasshill_standin/src/engine/batch.rs
+++ b/crates/eelgrasshill_standin/src/engine/batch.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use eelgrasshill_domain::{Class, RequestId};
-use eelgrasshill_platform::{GenerateChunk, Usage};
+use eelgrasshill_ports::{GenerateChunk, Usage};
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::settings::{EngineCounts, EngineSettings};
--- a/crates/eelgrasshill_standin/src/engine/cache.rs
+++ b/crates/eelgrasshill_standin/src/engine/cache.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use eelgrasshill_domain::{AdapterName, FastMap};
-use eelgrasshill_platform::GenerateRequest;
+use eelgrasshill_ports::GenerateRequest;
 
 use crate::text::{Fnv, prompt_tokens};
 
--- a/crates/eelgrasshill_standin/src/engine/feed.rs
+++ b/crates/eelgrasshill_standin/src/engine/feed.rs
@@ -6,7 +6,7 @@
 use actix_web::web::Bytes;
 use derive_more::{Display, Error};
 use eelgrasshill_domain::RequestId;
-use eelgrasshill_platform::GenerateChunk;
+use eelgrasshill_ports::GenerateChunk;
 use futures_util::Stream;
 use futures_util::stream::unfold;
 use tokio::sync::mpsc::UnboundedReceiver;
--- a/crates/eelgrasshill_standin/src/engine/http.rs
+++ b/crates/eelgrasshill_standin/src/engine/http.rs
@@ -5,7 +5,7 @@
 use actix_web::web::{self, Bytes, Json, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
 use eelgrasshill_domain::RequestId;
-use eelgrasshill_platform::{EngineReport, GenerateRequest, Order, OrderAnswer};
+use eelgrasshill_ports::{EngineReport, GenerateRequest, Order, OrderAnswer};
 
 use super::feed::Feed;
 use super::{Engine, EngineCounts, Miss};
--- a/crates/eelgrasshill_standin/src/engine/memory.rs
+++ b/crates/eelgrasshill_standin/src/engine/memory.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use eelgrasshill_domain::{AdapterName, AppendId, Fencing, ModelName};
-use eelgrasshill_platform::{Loading, Order, OrderAction, OrderAnswer};
+use eelgrasshill_ports::{Loading, Order, OrderAction, OrderAnswer};
 
 use super::settings::{EngineCounts, ModelCopy};
 
--- a/crates/eelgrasshill_standin/src/engine/mod.rs
+++ b/crates/eelgrasshill_standin/src/engine/mod.rs
@@ -14,7 +14,7 @@
 
 use actix_web::web::ServiceConfig;
 use eelgrasshill_domain::{AdapterName, RequestId};
-use eelgrasshill_platform::{
+use eelgrasshill_ports::{
     EngineReport, GenerateChunk, GenerateRequest, Order, OrderAnswer, Resident, Usage,
 };
 use tokio::sync::Notify;
--- a/crates/eelgrasshill_standin/src/hosts.rs
+++ b/crates/eelgrasshill_standin/src/hosts.rs
@@ -6,7 +6,7 @@
 
 use actix_web::HttpResponse;
 use actix_web::web::{self, Json, ServiceConfig};
-use eelgrasshill_platform::ListedHost;
+use eelgrasshill_ports::ListedHost;
 
 use crate::fault::Faults;
 use crate::server::Standin;
--- a/crates/eelgrasshill_standin/src/load/client.rs
+++ b/crates/eelgrasshill_standin/src/load/client.rs
@@ -6,7 +6,7 @@
 use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, Connector};
 use eelgrasshill_domain::{AdapterName, ModelName, RequestId};
-use eelgrasshill_platform::{
+use eelgrasshill_ports::{
     CallError, Engine as _, GenerateRequest, HttpClient, HttpClientSettings, HttpEngine,
     StreamEvent,
 };
--- a/crates/eelgrasshill_standin/src/log.rs
+++ b/crates/eelgrasshill_standin/src/log.rs
@@ -8,7 +8,7 @@
 use actix_web::web::{self, Json, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
 use eelgrasshill_domain::{FastMap, Offset, StreamName, record};
-use eelgrasshill_platform::{AppendBody, AppendReply, NewRecord, Page, ReadQuery, StoredRecord};
+use eelgrasshill_ports::{AppendBody, AppendReply, NewRecord, Page, ReadQuery, StoredRecord};
 use tokio::sync::Notify;
 
 use crate::fault::Faults;
--- a/crates/eelgrasshill_standin/tests/common/mod.rs
+++ b/crates/eelgrasshill_standin/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use eelgrasshill_domain::{
     AdapterName, AppendId, Class, HostName, ModelName, RequestId, StreamName,
 };
-use eelgrasshill_platform::{
+use eelgrasshill_ports::{
     CallError, Engine as _, GenerateChunk, GenerateRequest, HttpClient, HttpClientSettings,
     HttpEngine, NewRecord, Order, OrderAction, OrderAnswer, Resume, StreamEvent, Usage,
 };
--- a/crates/eelgrasshill_standin/tests/engine.rs
+++ b/crates/eelgrasshill_standin/tests/engine.rs
@@ -7,7 +7,7 @@
 
 use common::{BOUND, collect, copy, engines, give, load, order, request, resume, start, text};
 use eelgrasshill_domain::{AdapterName, Class, Fencing};
-use eelgrasshill_platform::{CallError, Engine as _, Order, OrderAction, OrderAnswer};
+use eelgrasshill_ports::{CallError, Engine as _, Order, OrderAction, OrderAnswer};
 use eelgrasshill_standin::Standin as _;
 
 #[actix_web::test]
--- a/crates/eelgrasshill_standin/tests/faults.rs
+++ b/crates/eelgrasshill_standin/tests/faults.rs
@@ -8,7 +8,7 @@
 
 use common::{BOUND, client, collect, engines, record, request, start, stream, text, until};
 use eelgrasshill_domain::{Fencing, Offset};
-use eelgrasshill_platform::{
+use eelgrasshill_ports::{
     AppendError, CallError, Engine as _, HttpLog, Log as _, OrderAction, OrderAnswer,
 };
 use eelgrasshill_standin::{FaultSet, Faults, Log, LogSettings, Mode, Running, Standin};
--- a/crates/eelgrasshill_standin/tests/relay.rs
+++ b/crates/eelgrasshill_standin/tests/relay.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::{BOUND, client, collect, record, request, start, stream, text, until};
-use eelgrasshill_platform::{AppendError, HttpLog, Log as _};
+use eelgrasshill_ports::{AppendError, HttpLog, Log as _};
 use eelgrasshill_standin::{
     Log, LogSettings, Relay, RelayMode, RelaySet, RelaySettings, Running, Standin as _,
 };
--- a/crates/eelgrasshill_standin/tests/services.rs
+++ b/crates/eelgrasshill_standin/tests/services.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use common::{BOUND, client, record, stream};
 use eelgrasshill_domain::{HostName, Offset, RequestId, ZoneName};
-use eelgrasshill_platform::{
+use eelgrasshill_ports::{
     AppendError, CallError, HostList as _, HostRole, HostState, HttpHostList, HttpLog, HttpPlain,
     ListedHost, Log as _, Plain as _, PlainCall,
 };
--- a/crates/eelgrasshill_standin/tests/store.rs
+++ b/crates/eelgrasshill_standin/tests/store.rs
@@ -8,7 +8,7 @@
 
 use common::{give, load, order, start, until};
 use eelgrasshill_domain::{AdapterName, HostName};
-use eelgrasshill_platform::{OrderAction, OrderAnswer};
+use eelgrasshill_ports::{OrderAction, OrderAnswer};
 use eelgrasshill_standin::{
     EngineSettings, FaultSet, Mode, Running, Standin as _, Store, StoreSettings,
 };
