--- a/crates/eelgrasshill_domain/src/digest.rs
+++ b/crates/eelgrasshill_domain/src/digest.rs
@@ -22,6 +22,12 @@
     }
 }
 
+impl std::hash::Hash for KeyDigest {
+    fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
 /// A text that is not a digest in hexadecimal.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 #[display("a key digest is 64 hexadecimal digits")]
--- a/crates/eelgrasshill_entry/src/answer/attempt.rs
+++ b/crates/eelgrasshill_entry/src/answer/attempt.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 
 use crate::answer::{Answer, Part};
-use crate::lock::lock;
+use eelgrasshill_ports::lock;
 use crate::{ApiError, BootClock, Code};
 
 /// How often a running answer checks that its caller's key still works.
--- a/crates/eelgrasshill_entry/src/control/place.rs
+++ b/crates/eelgrasshill_entry/src/control/place.rs
@@ -24,7 +24,7 @@
 use crate::control::exchange::channel;
 use crate::control::messages::{Demanded, Happened};
 use crate::control::{Control, Outside};
-use crate::lock::lock;
+use eelgrasshill_ports::lock;
 use crate::{BootClock, Shared};
 
 /// How often demand is told to the candidates.
--- a/crates/eelgrasshill_entry/src/control/view.rs
+++ b/crates/eelgrasshill_entry/src/control/view.rs
@@ -7,7 +7,7 @@
 
 use crate::control::engines::Known;
 use crate::control::{Control, Outside};
-use crate::lock::lock;
+use eelgrasshill_ports::lock;
 
 impl<O: Outside> Control<O> {
     /// Rebuilds what the traffic threads know of the upstreams.
--- a/crates/eelgrasshill_entry/src/dispatch.rs
+++ b/crates/eelgrasshill_entry/src/dispatch.rs
@@ -14,7 +14,7 @@
 };
 use tokio::sync::oneshot;
 
-use crate::lock::lock;
+use eelgrasshill_ports::lock;
 
 /// Advice to a caller whose place was lost in a restart of the queue.
 const LOST_RETRY: Duration = Duration::from_secs(1);
--- a/crates/eelgrasshill_entry/src/journal.rs
+++ b/crates/eelgrasshill_entry/src/journal.rs
@@ -5,7 +5,7 @@
 
 use eelgrasshill_domain::{Class, HostName, OrgName, RequestId, RouteName, record};
 
-use crate::lock::lock;
+use eelgrasshill_ports::lock;
 
 /// Requests that are remembered.
 const REMEMBERED: usize = 4096;
--- a/crates/eelgrasshill_entry/src/lib.rs
+++ b/crates/eelgrasshill_entry/src/lib.rs
@@ -1,12 +1,10 @@
 //! The entry host: traffic threads, one control thread, metrics and drain.
 
 mod answer;
-mod clock;
 mod control;
 mod dispatch;
 mod http;
 mod journal;
-mod lock;
 mod measure;
 mod once;
 mod passing;
@@ -16,7 +14,7 @@
 mod shared;
 mod signal;
 
-pub use clock::BootClock;
+pub use eelgrasshill_ports::BootClock;
 pub use control::{ClaimCommand, ClaimTurn};
 pub use dispatch::{Dispatch, Place};
 pub use journal::{Journal, Step, StepEvent, Trace};
--- a/crates/eelgrasshill_entry/src/quota.rs
+++ b/crates/eelgrasshill_entry/src/quota.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::BootClock;
-use crate::lock::lock;
+use eelgrasshill_ports::lock;
 
 /// Most effects that wait for the control thread.
 const OUTBOX: usize = 4096;
--- a/crates/eelgrasshill_entry/src/shared.rs
+++ b/crates/eelgrasshill_entry/src/shared.rs
@@ -14,7 +14,7 @@
 use eelgrasshill_settings::EntrySettings;
 use tokio::sync::mpsc;
 
-use crate::lock::lock;
+use eelgrasshill_ports::lock;
 use crate::{BootClock, ClaimCommand, Dispatch, Journal, Quota};
 
 /// An immutable picture of the tables, replaced by the control thread.
--- /dev/null
+++ b/crates/eelgrasshill_gateway/src/follow.rs
@@ -0,0 +1,123 @@
+//! Follows the store's keyed topics.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrasshill_domain::Moment;
+use eelgrasshill_ports::BootClock;
+
+use crate::state::Shared;
+use crate::telemetry;
+use crate::wire::{Store, StoreError, Topic, TopicPage, Wire, page_moment};
+
+/// Pause after a failed read: short beside all bounds, long beside an answer's four milliseconds.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// How a topic is followed.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// How long a read waits for a record.
+    pub wait: Duration,
+    /// Pause between two reads.
+    pub pause: Duration,
+}
+
+/// Follows a keyed topic until the host stops.
+pub async fn follow<W: Wire, S: Store>(shared: Arc<Shared<W>>, store: S, topic: Topic, pace: Pace) {
+    let mut follower = Follower {
+        shared,
+        store,
+        topic,
+        pace,
+        lost: false,
+    };
+    let mut whole = true;
+    while !follower.shared.is_stopped() {
+        let done = if whole {
+            follower.read_whole().await
+        } else {
+            follower.read_on().await
+        };
+        match done {
+            Ok(()) => {
+                whole = false;
+                follower.note_regained();
+                tokio::time::sleep(pace.pause).await;
+            }
+            Err(StoreError::Expired) => {
+                log::info!("store: topic={topic} records expired, reading the newest");
+                whole = true;
+            }
+            Err(error) => {
+                follower.note_lost(&error);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+struct Follower<W: Wire, S: Store> {
+    shared: Arc<Shared<W>>,
+    store: S,
+    topic: Topic,
+    pace: Pace,
+    lost: bool,
+}
+
+impl<W: Wire, S: Store> Follower<W, S> {
+    async fn read_whole(&mut self) -> Result<(), StoreError> {
+        let asked = BootClock.now();
+        let page = self.store.newest(self.topic).await?;
+        telemetry::store_call(self.topic, "newest");
+        let now = BootClock.now();
+        let mut desk = self.shared.desk();
+        let Some(keyed) = desk.topic(self.topic) else {
+            return Ok(());
+        };
+        let news = keyed.replace(page.records, page.end, asked);
+        desk.apply(self.topic, &news, now);
+        Ok(())
+    }
+
+    async fn read_on(&mut self) -> Result<(), StoreError> {
+        let from = self.end();
+        let asked = BootClock.now();
+        let page = self.store.read(self.topic, from, self.pace.wait).await?;
+        telemetry::store_call(self.topic, "read");
+        let now = BootClock.now();
+        let fresh = page_moment(&page, asked, self.pace.wait, now);
+        self.take(page, fresh, now);
+        Ok(())
+    }
+
+    fn take(&self, page: TopicPage, fresh: Moment, now: Moment) {
+        let mut desk = self.shared.desk();
+        if let Some(keyed) = desk.topic(self.topic) {
+            let news = keyed.extend(page.records, page.end, Some(fresh));
+            desk.apply(self.topic, &news, now);
+        }
+        desk.tidy(now);
+    }
+
+    fn end(&self) -> eelgrasshill_domain::Offset {
+        let mut desk = self.shared.desk();
+        desk.topic(self.topic).map(|keyed| keyed.end()).unwrap_or_default()
+    }
+
+    fn note_lost(&mut self, error: &StoreError) {
+        let now = BootClock.now();
+        self.shared.desk().trouble = Some(now);
+        telemetry::store_call(self.topic, "failed");
+        if !self.lost {
+            log::warn!("store: topic={} lost: {error}", self.topic);
+            self.lost = true;
+        }
+    }
+
+    fn note_regained(&mut self) {
+        if self.lost {
+            log::info!("store: topic={} regained", self.topic);
+            self.lost = false;
+        }
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_gateway/src/job.rs
@@ -0,0 +1,282 @@
+//! One request on its way: where it was sent, and what may still be done for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::http::header::HeaderMap as CallerMap;
+use bytes::Bytes;
+use eelgrasshill_domain::{Moment, PoolName};
+use eelgrasshill_ports::{BootClock, CallError, Exchange, HttpPool};
+use eelgrasshill_relay::{Candidate, Organisation, Outcome, Route, Upstream, Wanted};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, Response};
+
+use crate::refusal::{Cause, Refusal};
+use crate::state::{LoadGuard, Shared, Tried};
+use crate::wire::{Ask, CallerHeaders, Reply, Sending, Wire};
+
+/// Longest wait for a connection: several round trips, and less than the repeat of a lost packet.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// Longest time that an idle connection is used again: short, since a connection can go silent.
+const REUSE: Duration = Duration::from_secs(3);
+
+/// Share of the objective by which a request must be begun, in percent.
+const BEGIN_PERCENT: u32 = 80;
+
+/// Shortest advice to come back: a news round of the hosts.
+const RETRY_LEAST: Duration = Duration::from_millis(500);
+
+/// Shortest time in which an upstream's run is worth beginning.
+const LEAST_LEFT: Duration = Duration::from_millis(15);
+
+/// What a request was and how it is treated.
+#[derive(Debug)]
+pub struct Job<W: Wire> {
+    /// The host's state.
+    pub shared: Arc<Shared<W>>,
+    /// This thread's connections.
+    pub pool: HttpPool,
+    /// What the caller declared.
+    pub ask: Ask,
+    /// The route.
+    pub route: Arc<Route>,
+    /// The pool of the route that was drawn.
+    pub target: PoolName,
+    /// The organisation, if a key was needed.
+    pub organisation: Option<Arc<Organisation>>,
+    /// The method.
+    pub method: hyper::Method,
+    /// The path and query as they came.
+    pub path: hyper::Uri,
+    /// The caller's headers.
+    pub headers: CallerMap,
+    /// The body.
+    pub body: Bytes,
+    /// When the request arrived.
+    pub arrived: Moment,
+    /// When the caller must have a final answer.
+    pub until: Moment,
+    /// Upstreams that it was sent to, or that could not be reached.
+    pub tried: Tried,
+    /// Upstreams that it was sent to.
+    pub sends: u32,
+    /// Whether it may have run.
+    pub may_have_run: bool,
+}
+
+/// An answer's head, with all that must be kept while its body is read.
+#[derive(Debug)]
+pub struct Run<W: Wire> {
+    /// The upstream.
+    pub upstream: Arc<Upstream>,
+    /// The answer.
+    pub response: Response<Incoming>,
+    /// What its head says.
+    pub reply: Reply,
+    /// The connection.
+    pub exchange: Exchange,
+    /// Counts the request on the upstream.
+    pub guard: LoadGuard<W>,
+}
+
+/// Why a send brought no answer that can be passed on.
+#[derive(Debug)]
+pub enum SendFailure {
+    /// Nothing reached the upstream.
+    Unsent,
+    /// The upstream says that it did not run the request.
+    NotRun,
+    /// The request may have run.
+    Lost(CallError),
+    /// The upstream failed it, and a repeat was taken from the budget.
+    Failed,
+}
+
+impl<W: Wire> Job<W> {
+    /// Returns the time that is left.
+    pub fn left(&self) -> Duration {
+        self.until.since(BootClock.now())
+    }
+
+    /// Returns the rank: the organisation's goes before the route's.
+    pub fn rank(&self) -> u8 {
+        let own = self.organisation.as_ref().and_then(|row| row.rank);
+        own.unwrap_or(self.route.rank)
+    }
+
+    /// Returns whether the request may be sent once more, taking it from the budget.
+    pub fn may_repeat(&mut self) -> bool {
+        let is_safe = !self.may_have_run || self.route.repeat.is_repeatable();
+        is_safe
+            && self.sends < self.route.attempts.max(1)
+            && self.left() > LEAST_LEFT
+            && self.shared.desk().retries.take(&self.target, BootClock.now())
+    }
+
+    /// Chooses the upstream for the next send.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal where none can begin the request in time.
+    pub fn choose(&self) -> Result<Candidate, Refusal> {
+        let now = BootClock.now();
+        let desk = self.shared.desk();
+        if self.organisation.is_some() && !self.shared.allows_keys(&desk, now) {
+            return Err(Refusal::new(Cause::KeysStale).with_retry(RETRY_LEAST));
+        }
+        let wanted = Wanted {
+            pool: &self.target,
+            model: self.ask.model.as_ref(),
+            adapter: self.ask.adapter.as_ref(),
+            tried: &self.tried,
+        };
+        let Some(found) = desk.choose(&wanted, now) else {
+            return Err(Refusal::new(Cause::NotHeld).with_retry(RETRY_LEAST));
+        };
+        let begin = self.route.objective * BEGIN_PERCENT / 100;
+        if found.wait > begin {
+            let after = (found.wait - begin).max(RETRY_LEAST);
+            return Err(Refusal::new(Cause::Overloaded).with_retry(after));
+        }
+        Ok(found)
+    }
+
+    /// Sends the request, or what is left of a stream after `last`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is known of the request where no answer came that belongs to it.
+    pub async fn send(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        last: Option<u64>,
+        bound: Duration,
+    ) -> Result<Run<W>, SendFailure> {
+        let mut guard = LoadGuard::new(&self.shared, &upstream.id, self.ask.prompt);
+        let reuse = self.route.repeat.is_repeatable();
+        let opened = if reuse {
+            self.pool.take(upstream.address, CONNECT).await
+        } else {
+            Exchange::open(upstream.address, CONNECT).await
+        };
+        let mut exchange = match opened {
+            Ok(exchange) => exchange,
+            Err(error) => {
+                guard.set_outcome(Outcome::Unreachable);
+                self.tried.insert(upstream.id.clone());
+                log::info!("request: id={} upstream={} unsent: {error}", self.ask.id, upstream.id);
+                return Err(SendFailure::Unsent);
+            }
+        };
+        let request = self.outgoing(upstream, last);
+        self.tried.insert(upstream.id.clone());
+        self.sends += 1;
+        let answer = tokio::time::timeout(bound, exchange.send(request)).await;
+        match answer {
+            Ok(Ok(response)) => self.read_head(upstream, response, exchange, guard),
+            Ok(Err(CallError::NotSent { .. })) => {
+                self.tried.remove(&upstream.id);
+                self.sends -= 1;
+                Err(SendFailure::Unsent)
+            }
+            Ok(Err(error)) => {
+                guard.set_outcome(Outcome::Failed);
+                self.may_have_run = true;
+                Err(SendFailure::Lost(error))
+            }
+            Err(_elapsed) => {
+                guard.set_outcome(Outcome::Unreachable);
+                self.may_have_run = true;
+                Err(SendFailure::Lost(CallError::Timeout {
+                    address: upstream.address.to_string(),
+                    bound,
+                }))
+            }
+        }
+    }
+
+    fn read_head(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        response: Response<Incoming>,
+        exchange: Exchange,
+        mut guard: LoadGuard<W>,
+    ) -> Result<Run<W>, SendFailure> {
+        let reply = W::reply(response.status().as_u16(), response.headers());
+        if reply.not_run || reply.misdirected {
+            guard.set_outcome(Outcome::Full);
+            return Err(SendFailure::NotRun);
+        }
+        if reply.id.as_deref() != Some(self.ask.id.as_str()) {
+            // An answer to another request: what becomes of this one cannot be known.
+            guard.set_outcome(Outcome::Failed);
+            self.may_have_run = true;
+            return Err(SendFailure::Lost(CallError::Malformed {
+                address: upstream.address.to_string(),
+                cause: format!("the answer is for request {:?}", reply.id),
+            }));
+        }
+        self.may_have_run = true;
+        Ok(Run {
+            upstream: Arc::clone(upstream),
+            response,
+            reply,
+            exchange,
+            guard,
+        })
+    }
+
+    fn outgoing(&self, upstream: &Upstream, last: Option<u64>) -> Request<Full<Bytes>> {
+        let sending = Sending {
+            upstream: &upstream.id,
+            organisation: self.organisation.as_ref().map(|row| &row.name),
+            left: self.left(),
+            rank: self.rank(),
+            last,
+        };
+        let headers = W::outgoing(CallerHeaders(&self.headers), &sending);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.path.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Keeps the connection of an answer that was read whole, where that may be used again.
+    pub fn keep(&self, exchange: Exchange, reply: &Reply) {
+        if let Some(idle) = reply.idle {
+            // The upstream's own bound must not end it under the next request.
+            let span = idle.saturating_sub(Duration::from_secs(1)).min(REUSE);
+            if !span.is_zero() {
+                self.pool.keep(exchange, span);
+            }
+        }
+    }
+
+    /// Returns the final refusal of a request for which nothing more is done.
+    pub fn give_up(&self, timed_out: bool) -> Refusal {
+        if !self.may_have_run {
+            return Refusal::new(Cause::RefusedUpstream).with_retry(RETRY_LEAST);
+        }
+        Refusal::new(if timed_out { Cause::Timeout } else { Cause::Lost })
+    }
+}
+
+/// Returns the headers of an upstream's answer that belong to the answer, not to its connection.
+pub fn passed_headers(headers: &HeaderMap) -> impl Iterator<Item = (&str, &[u8])> {
+    const CONNECTION: [&str; 7] = [
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+        "te",
+        "trailer",
+        "upgrade",
+    ];
+    headers
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.as_bytes()))
+        .filter(|(name, _value)| !CONNECTION.contains(name))
+}
--- /dev/null
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -0,0 +1,22 @@
+//! The gateway: an entry host that relays requests as they came.
+//!
+//! Decisions are in `eelgrasshill_relay`; an adapter gives the translations ([`Wire`]) and the
+//! store ([`Store`]).
+
+mod follow;
+mod job;
+mod refusal;
+mod relay;
+mod run;
+mod server;
+mod state;
+mod stream;
+mod telemetry;
+mod wire;
+
+pub use run::{StartError, run};
+pub use telemetry::start_log;
+pub use wire::{
+    Ask, AskError, CallerHeaders, DecodeError, EngineOrder, EngineReport, OrderReply, Reply,
+    Sending, SmallCall, Store, StoreAddress, StoreError, Topic, TopicPage, Wire,
+};
--- /dev/null
+++ b/crates/eelgrasshill_gateway/src/server.rs
@@ -0,0 +1,83 @@
+//! The listeners of one host: for callers, for the balancer and for operators.
+
+use std::io;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use actix_web::dev::Server;
+use actix_web::web::{self, Data};
+use actix_web::{App, HttpResponse, HttpServer};
+use eelgrasshill_ports::HttpPool;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::relay::relay;
+use crate::state::Shared;
+use crate::wire::Wire;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 512;
+
+/// Listens for callers on a thread of its own.
+pub(crate) fn serve_callers<W: Wire>(
+    shared: &Arc<Shared<W>>,
+    listener: TcpListener,
+) -> io::Result<Server> {
+    let data = Data::from(Arc::clone(shared));
+    let settings = &shared.settings;
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(Data::new(HttpPool::new()))
+            .default_service(web::to(relay::<W>))
+    })
+    .workers(1)
+    .backlog(BACKLOG)
+    .max_connections(settings.connections)
+    .client_request_timeout(settings.arrival)
+    .keep_alive(settings.idle)
+    // A caller that closed its connection no longer waits for an answer.
+    .h1_allow_half_closed(false)
+    .shutdown_timeout(settings.grace.as_secs())
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    Ok(server)
+}
+
+/// Listens for the balancer and for operators.
+pub(crate) fn serve_admin<W: Wire>(
+    shared: &Arc<Shared<W>>,
+    listeners: [TcpListener; 2],
+    metrics: Option<PrometheusHandle>,
+) -> io::Result<Server> {
+    let data = Data::from(Arc::clone(shared));
+    let metrics = Data::new(metrics);
+    let mut server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(metrics.clone())
+            .route("/ready", web::get().to(ready::<W>))
+            .route("/metrics", web::get().to(render))
+    })
+    .workers(1)
+    .disable_signals();
+    for listener in listeners {
+        server = server.listen(listener)?;
+    }
+    Ok(server.run())
+}
+
+async fn ready<W: Wire>(shared: Data<Shared<W>>) -> HttpResponse {
+    if shared.is_ready() {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("not ready\n")
+    }
+}
+
+async fn render(metrics: Data<Option<PrometheusHandle>>) -> HttpResponse {
+    match metrics.get_ref() {
+        Some(handle) => HttpResponse::Ok().body(handle.render()),
+        None => HttpResponse::NotFound().body("no recorder is installed\n"),
+    }
+}
--- a/crates/eelgrasshill_ports/src/plain.rs
+++ b/crates/eelgrasshill_ports/src/plain.rs
@@ -6,13 +6,10 @@
 use awc::http::Method;
 use bytes::Bytes;
 use eelgrasshill_domain::RequestId;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::Request;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 
-use crate::{CallError, HttpClientSettings};
+use crate::{CallError, Exchange, HttpClientSettings, read_whole};
 
 /// The header that carries the request's id to an upstream.
 const REQUEST_ID: &str = "x-request-id";
@@ -68,8 +65,6 @@
 
 /// Plain services over HTTP, each call on a connection of its own.
 ///
-/// The client is `hyper`: `awc` takes an answer that was cut off for a whole
-/// one and names a connection that ended without an answer a connect error.
 /// With a connection for each call, whatever fails before it stands is
 /// certainly not sent, and none can have gone silent while idle.
 #[derive(Clone, Debug)]
@@ -88,34 +83,13 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<TcpStream, CallError> {
-        let not_sent = |cause: String| CallError::NotSent {
-            address: address.to_string(),
-            cause,
-        };
-        match tokio::time::timeout(self.connect, TcpStream::connect(address)).await {
-            Ok(connected) => connected.map_err(|error| not_sent(error.to_string())),
-            Err(elapsed) => Err(not_sent(elapsed.to_string())),
-        }
-    }
-
     async fn exchange(
         &self,
-        stream: TcpStream,
+        mut exchange: Exchange,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<PlainReply, CallError> {
-        let lost = |error: &dyn std::error::Error| CallError::Lost {
-            address: address.to_string(),
-            cause: error.to_string(),
-        };
-        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-        let (mut sender, connection) = handshake.map_err(|error| lost(&error))?;
-        let connection = AbortOnDrop(tokio::task::spawn(connection));
-        let response = sender
-            .send_request(request)
-            .await
-            .map_err(|error| lost(&error))?;
+        let response = exchange.send(request).await?;
         let header = |name: &str| {
             let value = response.headers().get(name)?;
             value.to_str().ok().map(str::to_owned)
@@ -123,11 +97,7 @@
         let content = header("content-type");
         let id = header(REQUEST_ID);
         let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), self.body)
-            .collect()
-            .await;
-        let body = body.map_err(|error| lost(error.as_ref()))?.to_bytes();
-        drop(connection);
+        let body = read_whole(address, response.into_body(), self.body).await?;
         Ok(PlainReply {
             status,
             content,
@@ -137,16 +107,6 @@
     }
 }
 
-/// Ends a connection's task when the call that uses it ends.
-#[derive(Debug)]
-struct AbortOnDrop<T>(JoinHandle<T>);
-
-impl<T> Drop for AbortOnDrop<T> {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 fn request_of(address: SocketAddr, call: &PlainCall) -> Result<Request<Full<Bytes>>, CallError> {
     let mut request = Request::builder()
         .method(call.method.as_str())
@@ -172,8 +132,8 @@
         bound: Duration,
     ) -> Result<PlainReply, CallError> {
         let request = request_of(address, call)?;
-        let stream = self.connect(address).await?;
-        let exchange = self.exchange(stream, address, request);
+        let exchange = Exchange::open(address, self.connect).await?;
+        let exchange = self.exchange(exchange, address, request);
         let timeout = |_elapsed| CallError::Timeout {
             address: address.to_string(),
             bound,
--- /dev/null
+++ b/crates/eelgrasshill_relay/src/allowance.rs
@@ -0,0 +1,181 @@
+//! Limits of organisations over all hosts, from what the hosts tell each other they spent.
+//!
+//! Load pattern: one organisation sends several times its rate, spread unevenly over the hosts,
+//! while hosts come, go and lose sight of each other. Every host keeps the whole bucket, debits
+//! what it spends and what it hears that others spent, and fills it only by the share of hosts
+//! that it hears of: those that it cannot hear may be spending their share.
+
+use std::time::Duration;
+
+use eelgrasshill_domain::{FastMap, HostName, Incarnation, Moment, OrgName, scalar};
+
+use crate::Organisation;
+
+/// Part of the burst that is used, in percent. Parts of the fleet that have just lost sight of
+/// each other may each spend what is in the bucket, and there are at most a few such parts.
+const BURST_USED: f64 = 60.0;
+
+/// Part of the rate that is used, in percent; news are late by some tenths of a second.
+const RATE_USED: f64 = 97.0;
+
+/// Advice where the time until tokens are there is not known.
+const RETRY: Duration = Duration::from_secs(1);
+
+scalar! {
+    /// The hosts that share the limits, and how many of them were heard of lately.
+    pub struct Quorum {
+        /// Hosts heard of lately, this one included.
+        pub heard: u64,
+        /// Hosts that are registered.
+        pub registered: u64,
+    }
+}
+
+impl Quorum {
+    /// Returns the share of the hosts that was heard of, from just above 0 to 1.
+    #[must_use]
+    pub fn share(self) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "numbers of hosts are small")]
+        let share = self.heard.max(1) as f64 / self.registered.max(1) as f64;
+        share.min(1.0)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: Moment,
+}
+
+/// Where a peer's counts come from: they start anew with each of its starts.
+pub type Series = (HostName, Incarnation);
+
+/// The buckets of all organisations at one host.
+#[derive(Clone, Debug)]
+pub struct Allowances {
+    buckets: FastMap<OrgName, Bucket>,
+    spent: FastMap<OrgName, u64>,
+    heard: FastMap<OrgName, (Series, u64)>,
+    quorum: Quorum,
+}
+
+impl Default for Allowances {
+    fn default() -> Self {
+        Self {
+            buckets: FastMap::default(),
+            spent: FastMap::default(),
+            heard: FastMap::default(),
+            quorum: Quorum {
+                heard: 1,
+                registered: 1,
+            },
+        }
+    }
+}
+
+impl Allowances {
+    /// Takes the limits of a configuration; a lowered limit binds at once, new buckets are empty.
+    pub fn configure<'a>(&mut self, rows: impl Iterator<Item = &'a Organisation>, now: Moment) {
+        let mut buckets = FastMap::default();
+        for row in rows.filter(|row| row.rate > 0) {
+            let known = self.buckets.remove(&row.name);
+            let mut bucket = known.unwrap_or(Bucket {
+                rate: 0.0,
+                burst: 0.0,
+                level: 0.0,
+                at: now,
+            });
+            bucket.fill(self.quorum.share(), now);
+            #[expect(clippy::cast_precision_loss, reason = "limits are far below 2^52")]
+            {
+                bucket.rate = row.rate as f64 * RATE_USED / 100.0;
+                bucket.burst = row.burst as f64 * BURST_USED / 100.0;
+            }
+            bucket.level = bucket.level.min(bucket.burst);
+            buckets.insert(row.name.clone(), bucket);
+        }
+        self.buckets = buckets;
+    }
+
+    /// Sets which share of the hosts is heard of.
+    pub fn set_quorum(&mut self, quorum: Quorum, now: Moment) {
+        let (before, after) = (self.quorum.share(), quorum.share());
+        for bucket in self.buckets.values_mut() {
+            bucket.fill(before, now);
+            if after < before && bucket.level > 0.0 {
+                // The other part of the fleet holds the same bucket.
+                bucket.level *= after / before;
+            }
+        }
+        self.quorum = quorum;
+    }
+
+    /// Takes tokens of an organisation.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which enough tokens will be there.
+    pub fn take(&mut self, name: &OrgName, cost: u64, now: Moment) -> Result<(), Duration> {
+        let share = self.quorum.share();
+        if let Some(bucket) = self.buckets.get_mut(name) {
+            bucket.fill(share, now);
+            #[expect(clippy::cast_precision_loss, reason = "costs are far below 2^52")]
+            let cost = cost as f64;
+            // A request that costs more than the bucket holds runs on credit from a full one.
+            let needed = cost.min(bucket.burst * share);
+            if bucket.level < needed {
+                let rate = bucket.rate * share;
+                let wait = (needed - bucket.level) / rate.max(1.0);
+                return Err(Duration::try_from_secs_f64(wait).unwrap_or(RETRY));
+            }
+            bucket.level -= cost;
+        }
+        *self.spent.entry(name.clone()).or_default() += cost;
+        Ok(())
+    }
+
+    /// Gives back tokens of a request that did not run.
+    ///
+    /// Peers that already heard of the cost keep it, which only makes them cautious.
+    pub fn refund(&mut self, name: &OrgName, cost: u64) {
+        if let Some(bucket) = self.buckets.get_mut(name) {
+            #[expect(clippy::cast_precision_loss, reason = "costs are far below 2^52")]
+            let cost = cost as f64;
+            bucket.level = (bucket.level + cost).min(bucket.burst);
+        }
+    }
+
+    /// Returns tokens spent here since the start, by organisation.
+    pub fn spent(&self) -> impl Iterator<Item = (&OrgName, u64)> {
+        self.spent.iter().map(|(name, spent)| (name, *spent))
+    }
+
+    /// Hears of all that was spent elsewhere, as a count of one series.
+    pub fn hear(&mut self, series: &Series, name: &OrgName, count: u64, now: Moment) {
+        let known = self.heard.insert(name.clone(), (series.clone(), count));
+        let Some((before, counted)) = known else {
+            return;
+        };
+        // The first count of another series is where that starts, not what was spent since.
+        if before != *series {
+            return;
+        }
+        let share = self.quorum.share();
+        if let Some(bucket) = self.buckets.get_mut(name) {
+            bucket.fill(share, now);
+            #[expect(clippy::cast_precision_loss, reason = "costs are far below 2^52")]
+            let spent = count.saturating_sub(counted) as f64;
+            bucket.level -= spent;
+        }
+    }
+}
+
+impl Bucket {
+    fn fill(&mut self, share: f64, now: Moment) {
+        let span = now.since(self.at).as_secs_f64();
+        self.level = (self.level + self.rate * share * span).min(self.burst * share);
+        self.at = now;
+    }
+}
--- /dev/null
+++ b/crates/eelgrasshill_relay/src/standing.rs
@@ -0,0 +1,109 @@
+//! Which upstreams to avoid, from the outcomes of this host's own requests.
+//!
+//! Health checks can say the opposite of what callers see, so only outcomes count. A failure
+//! adds a penalty that decays; a failed connection or silence puts the upstream aside until a
+//! trial, longer each time.
+
+use std::time::Duration;
+
+use eelgrasshill_domain::{FastMap, HostName, Moment, record, scalar};
+
+/// Half-life of a failure's weight: long enough to span requests of a quiet host.
+const HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// Shortest time that an unreachable upstream is put aside.
+const ASIDE: Duration = Duration::from_millis(400);
+
+/// Longest time that an unreachable upstream is put aside.
+const ASIDE_MOST: Duration = Duration::from_secs(3);
+
+scalar! {
+    /// What a request showed of its upstream.
+    pub enum Outcome {
+        /// An answer that was no failure.
+        Sound,
+        /// The upstream's own failure, or a broken answer.
+        Failed,
+        /// No connection, or silence.
+        Unreachable,
+        /// The upstream is full and said so.
+        Full,
+    }
+}
+
+record! {
+    #[derive(Copy, Default)]
+    struct Record {
+        // Thousandths of a failure.
+        weight: u64,
+        at: Moment,
+        misses: u32,
+        aside: Option<Moment>,
+    }
+}
+
+/// The standing of all upstreams at this host.
+#[derive(Clone, Debug, Default)]
+pub struct Standings {
+    records: FastMap<HostName, Record>,
+}
+
+impl Standings {
+    /// Notes an outcome.
+    pub fn note(&mut self, id: &HostName, outcome: Outcome, now: Moment) {
+        let record = self.records.entry(id.clone()).or_default();
+        record.decay(now);
+        match outcome {
+            Outcome::Sound => {
+                record.weight /= 2;
+                record.misses = 0;
+                record.aside = None;
+            }
+            Outcome::Failed => record.weight += 1_000,
+            Outcome::Full => record.weight += 300,
+            Outcome::Unreachable => {
+                let span = ASIDE.saturating_mul(1 << record.misses.min(4)).min(ASIDE_MOST);
+                record.misses += 1;
+                record.weight += 1_000;
+                record.aside = Some(now.after(span));
+            }
+        }
+    }
+
+    /// Returns recent failures, in thousandths.
+    #[must_use]
+    pub fn failures(&self, id: &HostName, now: Moment) -> u64 {
+        self.records.get(id).map_or(0, |record| {
+            let mut record = *record;
+            record.decay(now);
+            record.weight
+        })
+    }
+
+    /// Returns whether requests should go elsewhere while anything else is open.
+    #[must_use]
+    pub fn is_aside(&self, id: &HostName, now: Moment) -> bool {
+        let record = self.records.get(id);
+        record.is_some_and(|record| record.aside.is_some_and(|until| now < until))
+    }
+
+    /// Forgets upstreams that are gone.
+    pub fn retain(&mut self, is_known: impl Fn(&HostName) -> bool) {
+        self.records.retain(|id, _record| is_known(id));
+    }
+}
+
+impl Record {
+    fn decay(&mut self, now: Moment) {
+        let span = now.since(self.at).as_secs_f64();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss,
+            reason = "weights are small and not negative"
+        )]
+        let left = (self.weight as f64 * (-span / HALF_LIFE.as_secs_f64()).exp2()) as u64;
+        self.weight = left;
+        self.at = now;
+    }
+}
--- a/crates/eelgrasshill_settings/src/lib.rs
+++ b/crates/eelgrasshill_settings/src/lib.rs
@@ -4,6 +4,7 @@
 //! field and what is allowed, so that an operator mends them in one go.
 
 mod entry;
+mod gateway;
 mod problem;
 mod reader;
 mod render;
@@ -11,6 +12,7 @@
 mod tables;
 
 pub use entry::{Bounds, EntrySettings, FleetShares};
+pub use gateway::{GatewaySettings, OrderBounds, RetryBounds};
 pub use problem::{Problem, Problems};
 pub use render::{render_pools, render_routes};
 pub use tables::{EditedTables, read_edited, read_tables};
