--- /dev/null
+++ b/crates/eelgrasshill_gateway/src/convert.rs
@@ -0,0 +1,205 @@
+//! Conversions between the decisions' types and the messages of peers.
+
+use std::sync::Arc;
+
+use eelgrasshill_domain::{AdapterName, HostName, ModelName, Moment, NameError, Offset, PoolName};
+use eelgrasshill_domain::{Incarnation, OrgName};
+use eelgrasshill_peer::generated as message;
+use eelgrasshill_relay::{
+    Asked, Holding, HostMark, Keyed, KeyedRecord, Load, Overlay, Sum, Teller,
+};
+
+use crate::state::HolderNews;
+use crate::wire::Topic;
+
+/// The topics that hosts tell each other of.
+pub(crate) const TOPICS: [Topic; 3] = [Topic::Config, Topic::Upstreams, Topic::Hosts];
+
+pub(crate) fn topic_number(topic: Topic) -> u32 {
+    match topic {
+        Topic::Config => 1,
+        Topic::Upstreams => 2,
+        Topic::Hosts => 3,
+        Topic::Lease => 4,
+    }
+}
+
+pub(crate) fn topic_of(number: u32) -> Option<Topic> {
+    TOPICS.into_iter().find(|topic| topic_number(*topic) == number)
+}
+
+pub(crate) fn write_asked(asked: &Asked) -> message::AskedModel {
+    message::AskedModel {
+        pool: asked.pool.to_string(),
+        model: asked.model.to_string(),
+        adapter: asked.adapter.as_ref().map(ToString::to_string).unwrap_or_default(),
+    }
+}
+
+pub(crate) fn read_asked(asked: &message::AskedModel) -> Result<Asked, NameError> {
+    let adapter = Some(&asked.adapter).filter(|name| !name.is_empty());
+    Ok(Asked {
+        pool: PoolName::new(&asked.pool)?,
+        model: ModelName::new(&asked.model)?,
+        adapter: adapter.map(|name| AdapterName::new(name)).transpose()?,
+    })
+}
+
+pub(crate) fn write_sum(sum: &Sum) -> message::Sum {
+    message::Sum {
+        hosts: sum.hosts.iter().map(|mark| mark.0).collect(),
+        loads: sum
+            .loads
+            .iter()
+            .map(|(id, load)| message::UpstreamLoad {
+                id: id.to_string(),
+                running: load.running,
+                unread: load.unread,
+                failed: load.failed,
+                ended: load.ended,
+            })
+            .collect(),
+        spent: sum
+            .spent
+            .iter()
+            .map(|(name, tokens)| message::Spent {
+                organisation: name.to_string(),
+                tokens: *tokens,
+            })
+            .collect(),
+        wanted: sum
+            .wanted
+            .iter()
+            .map(|(asked, rate)| message::Wanted {
+                asked: Some(write_asked(asked)),
+                rate: *rate,
+            })
+            .collect(),
+    }
+}
+
+pub(crate) fn read_sum(sum: &message::Sum) -> Result<Sum, NameError> {
+    let mut read = Sum {
+        hosts: sum.hosts.iter().map(|mark| HostMark(*mark)).collect(),
+        ..Sum::default()
+    };
+    for load in &sum.loads {
+        let counts = Load {
+            running: load.running,
+            unread: load.unread,
+            failed: load.failed,
+            ended: load.ended,
+        };
+        read.loads.insert(HostName::new(&load.id)?, counts);
+    }
+    for spent in &sum.spent {
+        read.spent.insert(OrgName::new(&spent.organisation)?, spent.tokens);
+    }
+    for wanted in &sum.wanted {
+        if let Some(asked) = &wanted.asked {
+            read.wanted.insert(read_asked(asked)?, wanted.rate);
+        }
+    }
+    Ok(read)
+}
+
+pub(crate) fn read_teller(teller: &message::Teller) -> Result<Teller, NameError> {
+    Ok(Teller {
+        host: HostName::new(&teller.host)?,
+        incarnation: Incarnation(teller.incarnation),
+    })
+}
+
+pub(crate) fn write_holder(news: &HolderNews, now: Moment) -> message::OrderHolder {
+    message::OrderHolder {
+        host: news.host.to_string(),
+        address: news.address.to_string(),
+        fence: news.fence,
+        age: millis(now.since(news.renewed)),
+    }
+}
+
+/// Reads who holds the orders' lease; `asked` is when the message was asked for.
+pub(crate) fn read_holder(holder: &message::OrderHolder, asked: Moment) -> Option<HolderNews> {
+    Some(HolderNews {
+        host: HostName::new(&holder.host).ok()?,
+        address: holder.address.parse().ok()?,
+        fence: holder.fence,
+        renewed: Moment(asked.0.checked_sub(holder.age)?),
+    })
+}
+
+pub(crate) fn write_word(overlay: &Overlay) -> message::EngineWord {
+    message::EngineWord {
+        engine: overlay.engine.to_string(),
+        born: overlay.born,
+        fence: overlay.fence,
+        number: overlay.number,
+        holdings: overlay
+            .holdings
+            .iter()
+            .map(|held| message::HeldModel {
+                model: held.model.to_string(),
+                adapters: held.adapters.iter().map(ToString::to_string).collect(),
+            })
+            .collect(),
+    }
+}
+
+pub(crate) fn read_word(word: &message::EngineWord) -> Result<Overlay, NameError> {
+    let mut holdings = Vec::new();
+    for held in &word.holdings {
+        let adapters: Result<_, _> = held.adapters.iter().map(|name| AdapterName::new(name)).collect();
+        holdings.push(Holding {
+            model: ModelName::new(&held.model)?,
+            adapters: adapters?,
+        });
+    }
+    Ok(Overlay {
+        engine: HostName::new(&word.engine)?,
+        born: word.born,
+        fence: word.fence,
+        number: word.number,
+        holdings,
+    })
+}
+
+pub(crate) fn write_topic(
+    topic: Topic,
+    keyed: &Keyed,
+    from: Offset,
+    now: Moment,
+) -> message::TopicNews {
+    message::TopicNews {
+        topic: topic_number(topic),
+        records: keyed
+            .since(from)
+            .map(|record| message::TopicRecord {
+                key: record.key.to_string(),
+                offset: record.offset.0,
+                value: record.value.to_vec(),
+            })
+            .collect(),
+        end: keyed.end().0,
+        age: keyed.fresh().map(|fresh| millis(now.since(fresh))).unwrap_or_default(),
+        known: keyed.fresh().is_some(),
+    }
+}
+
+pub(crate) fn read_records(news: message::TopicNews) -> Vec<KeyedRecord> {
+    let mut records: Vec<_> = news
+        .records
+        .into_iter()
+        .map(|record| KeyedRecord {
+            key: Arc::from(record.key),
+            offset: Offset(record.offset),
+            value: Arc::from(record.value),
+        })
+        .collect();
+    records.sort_by_key(|record| record.offset);
+    records
+}
+
+pub(crate) fn millis(span: std::time::Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/eelgrasshill_gateway/src/follow.rs
+++ b/crates/eelgrasshill_gateway/src/follow.rs
@@ -13,6 +13,9 @@
 /// Pause after a failed read: short beside all bounds, long beside an answer's four milliseconds.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// How often a host that takes its news from a parent looks whether they are stale.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// How a topic is followed.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
@@ -20,6 +23,8 @@
     pub wait: Duration,
     /// Pause between two reads.
     pub pause: Duration,
+    /// Age from which a host reads for itself although its parent should tell it.
+    pub stale: Duration,
 }
 
 /// Follows a keyed topic until the host stops.
@@ -33,6 +38,10 @@
     };
     let mut whole = true;
     while !follower.shared.is_stopped() {
+        if !whole && !follower.is_due() {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
         let done = if whole {
             follower.read_whole().await
         } else {
@@ -65,6 +74,17 @@
 }
 
 impl<W: Wire, S: Store> Follower<W, S> {
+    /// Returns whether this host reads the store itself: at the top of its zone, or without news.
+    fn is_due(&self) -> bool {
+        let now = BootClock.now();
+        let mut desk = self.shared.desk();
+        if desk.tree.place(now).parent.is_none() {
+            return true;
+        }
+        let fresh = desk.topic(self.topic).and_then(|keyed| keyed.fresh());
+        fresh.is_none_or(|fresh| now.since(fresh) >= self.pace.stale)
+    }
+
     async fn read_whole(&mut self) -> Result<(), StoreError> {
         let asked = BootClock.now();
         let page = self.store.newest(self.topic).await?;
--- a/crates/eelgrasshill_gateway/src/job.rs
+++ b/crates/eelgrasshill_gateway/src/job.rs
@@ -7,11 +7,14 @@
 use bytes::Bytes;
 use eelgrasshill_domain::{Moment, PoolName};
 use eelgrasshill_ports::{BootClock, CallError, Exchange, HttpPool};
-use eelgrasshill_relay::{Candidate, Organisation, Outcome, Route, Upstream, Wanted};
+use eelgrasshill_relay::{
+    Asked, Candidate, Organisation, Outcome, Prospect, Route, Upstream, Wanted,
+};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response};
 
+use crate::need::Needs;
 use crate::refusal::{Cause, Refusal};
 use crate::state::{LoadGuard, Shared, Tried};
 use crate::wire::{Ask, CallerHeaders, Reply, Sending, Wire};
@@ -28,6 +31,12 @@
 /// Shortest advice to come back: a news round of the hosts.
 const RETRY_LEAST: Duration = Duration::from_millis(500);
 
+/// Time that callers of a stream wait for its first event at least.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// Most times that a request waits for a model: for the model, its adapter, and one that is lost.
+const MOST_WAITS: u32 = 4;
+
 /// Shortest time in which an upstream's run is worth beginning.
 const LEAST_LEFT: Duration = Duration::from_millis(15);
 
@@ -64,6 +73,8 @@
     pub sends: u32,
     /// Whether it may have run.
     pub may_have_run: bool,
+    /// How often it waited for a model or adapter.
+    pub waits: u32,
 }
 
 /// An answer's head, with all that must be kept while its body is read.
@@ -143,6 +154,42 @@
         Ok(found)
     }
 
+    /// Waits for the model and adapter, where an engine will hold them in time.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal, with the time from which the request can be served.
+    pub async fn wait_for_model(&mut self, needs: &Needs) -> Result<(), Refusal> {
+        let refusal = Refusal::new(Cause::NotHeld);
+        let Some(model) = self.ask.model.clone() else {
+            return Err(refusal.with_retry(RETRY_LEAST));
+        };
+        let asked = Asked {
+            pool: self.target.clone(),
+            model,
+            adapter: self.ask.adapter.clone(),
+        };
+        let prospect = needs.ask(&self.shared, &asked).await;
+        log::info!("request: id={} waits={} needs {asked:?}: {prospect:?}", self.ask.id, self.waits);
+        match prospect {
+            Prospect::Ready { after, .. } if self.is_worth_waiting(after) => {
+                self.waits += 1;
+                tokio::time::sleep(after).await;
+                Ok(())
+            }
+            Prospect::Ready { after, .. } | Prospect::Later { after } => {
+                Err(refusal.with_retry(after.max(RETRY_LEAST)))
+            }
+        }
+    }
+
+    /// Returns whether a request that waits is still begun while its caller is there.
+    fn is_worth_waiting(&self, after: Duration) -> bool {
+        let passed = BootClock.now().since(self.arrived);
+        let patience = self.route.objective.max(PATIENCE) * BEGIN_PERCENT / 100;
+        self.waits < MOST_WAITS && passed + after < patience && after < self.left()
+    }
+
     /// Sends the request, or what is left of a stream after `last`.
     ///
     /// # Errors
--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -3,12 +3,18 @@
 //! Decisions are in `eelgrasshill_relay`; an adapter gives the translations ([`Wire`]) and the
 //! store ([`Store`]).
 
+mod convert;
 mod follow;
+mod holder;
 mod job;
+mod need;
+mod peers;
 mod refusal;
+mod register;
 mod relay;
 mod run;
 mod server;
+mod share;
 mod state;
 mod stream;
 mod telemetry;
--- /dev/null
+++ b/crates/eelgrasshill_gateway/src/peers.rs
@@ -0,0 +1,75 @@
+//! Answers the calls of other gateways.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use eelgrasshill_peer::generated as message;
+use eelgrasshill_peer::generated::gateway_server::{Gateway, GatewayServer};
+use eelgrasshill_ports::BootClock;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status};
+
+use crate::convert::{millis, read_asked, write_word};
+use crate::need::need_here;
+use crate::share::{MESSAGE, answer};
+use crate::state::Shared;
+use crate::wire::Wire;
+use eelgrasshill_relay::Prospect;
+
+struct Answerer<W: Wire> {
+    shared: Arc<Shared<W>>,
+}
+
+/// Serves other gateways until the host stops.
+pub(crate) async fn serve_peers<W: Wire>(shared: Arc<Shared<W>>, listener: TcpListener) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("peers: no listener: {error}");
+            return;
+        }
+    };
+    let service = GatewayServer::new(Answerer { shared })
+        .max_decoding_message_size(MESSAGE)
+        .max_encoding_message_size(MESSAGE);
+    let served = Server::builder()
+        .add_service(service)
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await;
+    if let Err(error) = served {
+        log::error!("peers: the listener ended: {error}");
+    }
+}
+
+#[tonic::async_trait]
+impl<W: Wire> Gateway for Answerer<W> {
+    async fn share(
+        &self,
+        request: Request<message::ShareRequest>,
+    ) -> Result<Response<message::ShareReply>, Status> {
+        Ok(Response::new(answer(&self.shared, request.get_ref())))
+    }
+
+    async fn need(
+        &self,
+        request: Request<message::NeedRequest>,
+    ) -> Result<Response<message::NeedReply>, Status> {
+        let asked = request.get_ref().asked.as_ref();
+        let asked = asked.ok_or_else(|| Status::invalid_argument("no model is named"))?;
+        let asked = read_asked(asked).map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let Some((prospect, words)) = need_here(&self.shared, &asked, BootClock.now()) else {
+            return Ok(Response::new(message::NeedReply::default()));
+        };
+        let (engine, after) = match prospect {
+            Prospect::Ready { engine, after } => (engine.to_string(), after),
+            Prospect::Later { after } => (String::new(), after),
+        };
+        Ok(Response::new(message::NeedReply {
+            engine,
+            after: millis(after),
+            words: words.iter().map(write_word).collect(),
+            holds: true,
+        }))
+    }
+}
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -10,10 +10,11 @@
 use bytes::{Bytes, BytesMut};
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::{BootClock, HttpPool, read_whole};
-use eelgrasshill_relay::{Organisation, Outcome, Route, Tables};
+use eelgrasshill_relay::{Asked, Organisation, Outcome, Route, Tables};
 use futures_util::StreamExt;
 
 use crate::job::{Job, Run, SendFailure, passed_headers};
+use crate::need::Needs;
 use crate::refusal::{Cause, Refusal};
 use crate::state::{OpenRequest, Shared};
 use crate::telemetry;
@@ -34,6 +35,10 @@
 /// Time from SIGTERM on in which a new stream would surely be cut by the end of the grace time.
 const LAST_STREAMS: Duration = Duration::from_millis(2_800);
 
+/// What an answer's steps take of an engine beyond the prompt, in microseconds: some 300 steps
+/// that are each longer by some 40 microseconds.
+const ANSWER_WORK: u64 = 10_000;
+
 /// Times the objective that one attempt may take while another is allowed.
 const ATTEMPT_OBJECTIVES: u32 = 3;
 
@@ -44,6 +49,7 @@
 pub async fn relay<W: Wire>(
     shared: Data<Shared<W>>,
     pool: Data<HttpPool>,
+    needs: Data<Needs>,
     request: HttpRequest,
     payload: Payload,
 ) -> HttpResponse {
@@ -52,7 +58,7 @@
     let arrived = BootClock.now();
     let leaving = shared.leaving().is_some();
     let mut response = match prepare(&shared, &pool, &request, payload, arrived).await {
-        Ok(job) => serve(job, open).await,
+        Ok(job) => serve(job, &needs, open).await,
         Err((id, refusal)) => refuse(&id, None, refusal, arrived),
     };
     if leaving {
@@ -151,6 +157,9 @@
             .map_err(|after| Refusal::new(Cause::RateLimited).with_retry(after))?;
     }
     desk.retries.note_request(&target, now);
+    if let Some(asked) = asked(&ask, &target) {
+        desk.demand.note(asked, work(&ask, shared.settings.orders.prefill), now);
+    }
     drop(desk);
     let wait = ask.deadline.unwrap_or(route.timeout).min(route.timeout);
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
@@ -171,9 +180,25 @@
         tried: crate::state::Tried::default(),
         sends: 0,
         may_have_run: false,
+        waits: 0,
+    })
+}
+
+/// Returns the model that a request asks for, if it declares one.
+fn asked(ask: &Ask, pool: &eelgrasshill_domain::PoolName) -> Option<Asked> {
+    Some(Asked {
+        pool: pool.clone(),
+        model: ask.model.clone()?,
+        adapter: ask.adapter.clone(),
     })
 }
 
+/// Returns what a request takes of an engine, in microseconds: reading its prompt, and its part
+/// in the steps that its answer takes.
+fn work(ask: &Ask, prefill: u64) -> u64 {
+    ask.prompt * 1_000 / prefill.max(1) + ANSWER_WORK
+}
+
 /// Returns the organisation of a request, none where the route is open.
 fn authorise(
     tables: &Tables,
@@ -210,12 +235,22 @@
 }
 
 /// Sends a request until it has an answer or nothing more may be done.
-async fn serve<W: Wire>(mut job: Job<W>, mut open: OpenRequest<W>) -> HttpResponse {
+async fn serve<W: Wire>(
+    mut job: Job<W>,
+    needs: &Needs,
+    mut open: OpenRequest<W>,
+) -> HttpResponse {
     let mut timed_out = false;
     let refusal = loop {
         let found = match job.choose() {
             Ok(found) => found,
             Err(_refusal) if job.may_have_run => break job.give_up(timed_out),
+            Err(refusal) if refusal.cause == Cause::NotHeld => {
+                match job.wait_for_model(needs).await {
+                    Ok(()) => continue,
+                    Err(refusal) => break refusal,
+                }
+            }
             Err(refusal) => break refusal,
         };
         let bound = attempt_bound(&job);
--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -13,7 +13,11 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::follow::{Pace, follow};
+use crate::holder::{give_orders, release};
+use crate::peers::serve_peers;
+use crate::register::{register, unregister};
 use crate::server::{serve_admin, serve_callers};
+use crate::share::share;
 use crate::state::Shared;
 use crate::wire::{Store, Topic, Wire};
 
@@ -23,6 +27,18 @@
 /// Pause between reads of the upstreams' entries: leaving ones are avoided within two seconds.
 const ENTRY_PAUSE: Duration = Duration::from_millis(400);
 
+/// Pause between reads of the hosts' registrations.
+const HOST_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Age from which a host reads the configuration itself: keys are accepted for some seconds.
+const CONFIG_STALE: Duration = Duration::from_millis(2_800);
+
+/// Age from which a host reads the entries itself: two rounds of news and a read.
+const ENTRY_STALE: Duration = Duration::from_millis(1_100);
+
+/// Age from which a host reads the registrations itself.
+const HOST_STALE: Duration = Duration::from_secs(10);
+
 /// Shortest drain: the balancer needs two looks, a second apart, and callers some time to leave.
 const LEAST_DRAIN: Duration = Duration::from_millis(3_200);
 
@@ -74,6 +90,12 @@
     let shared = Arc::new(Shared::<W>::new(settings));
     let callers = start_servers(&shared, metrics)?;
     start_followers(&shared, &store);
+    let peers = bind(shared.settings.peer)?;
+    peers.set_nonblocking(true).map_err(StartError::System)?;
+    actix_web::rt::spawn(serve_peers(Arc::clone(&shared), peers));
+    actix_web::rt::spawn(share(Arc::clone(&shared)));
+    actix_web::rt::spawn(register(Arc::clone(&shared), store.clone()));
+    actix_web::rt::spawn(give_orders(Arc::clone(&shared), store.clone()));
     actix_web::rt::spawn(watch_settings(hangup, path.to_owned(), shared.settings.clone()));
     log::info!(
         "host: name={} zone={} incarnation={} started, callers={} peers={}",
@@ -84,7 +106,10 @@
         shared.settings.peer
     );
     term.recv().await;
+    shared.leave(BootClock.now());
+    release(&shared, &store).await;
     drain(&shared).await;
+    unregister(&shared, &store).await;
     shared.stop();
     callers.stop(false).await;
     log::info!("host: name={} stopped", shared.settings.name);
@@ -116,19 +141,19 @@
 
 fn start_followers<W: Wire, S: Store>(shared: &Arc<Shared<W>>, store: &S) {
     let paces = [
-        (Topic::Config, CONFIG_WAIT, Duration::ZERO),
-        (Topic::Upstreams, Duration::ZERO, ENTRY_PAUSE),
+        (Topic::Config, CONFIG_WAIT, Duration::ZERO, CONFIG_STALE),
+        (Topic::Upstreams, Duration::ZERO, ENTRY_PAUSE, ENTRY_STALE),
+        (Topic::Hosts, Duration::ZERO, HOST_PAUSE, HOST_STALE),
     ];
-    for (topic, wait, pause) in paces {
-        let pace = Pace { wait, pause };
+    for (topic, wait, pause, stale) in paces {
+        let pace = Pace { wait, pause, stale };
         actix_web::rt::spawn(follow(Arc::clone(shared), store.clone(), topic, pace));
     }
 }
 
 /// Ends all requests that were read, as long as the grace time lasts.
 async fn drain<W: Wire>(shared: &Arc<Shared<W>>) {
-    let began = BootClock.now();
-    shared.leave(began);
+    let began = shared.leaving().unwrap_or_else(|| BootClock.now());
     log::info!("host: name={} leaves, open={}", shared.settings.name, shared.open_requests());
     let last = shared.settings.grace.saturating_sub(EXIT_TIME);
     loop {
--- a/crates/eelgrasshill_gateway/src/server.rs
+++ b/crates/eelgrasshill_gateway/src/server.rs
@@ -10,6 +10,7 @@
 use eelgrasshill_ports::HttpPool;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+use crate::need::Needs;
 use crate::relay::relay;
 use crate::state::Shared;
 use crate::wire::Wire;
@@ -28,6 +29,7 @@
         App::new()
             .app_data(data.clone())
             .app_data(Data::new(HttpPool::new()))
+            .app_data(Data::new(Needs::default()))
             .default_service(web::to(relay::<W>))
     })
     .workers(1)
--- /dev/null
+++ b/crates/eelgrasshill_gateway/src/share.rs
@@ -0,0 +1,218 @@
+//! News among hosts: each tells its parent what lies below it and takes what it has not seen.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrasshill_domain::{FastMap, Moment, Offset};
+use eelgrasshill_peer::generated as message;
+use eelgrasshill_peer::generated::gateway_client::GatewayClient;
+use eelgrasshill_ports::BootClock;
+use eelgrasshill_relay::{Peer, Side};
+use tonic::transport::{Channel, Endpoint};
+
+use crate::convert::{
+    TOPICS, read_holder, read_records, read_sum, read_teller, read_word, topic_number, topic_of,
+    write_holder, write_sum, write_topic, write_word,
+};
+use crate::state::{Desk, Shared};
+use crate::wire::Wire;
+
+/// Time between two rounds: some news are needed within half a second, over two rounds.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// Longest wait for a peer's answer.
+const ANSWER: Duration = Duration::from_millis(400);
+
+/// Most bytes of a message: a configuration with some hundred routes, and more.
+pub(crate) const MESSAGE: usize = 16 << 20;
+
+/// Opens a channel to a peer when it is first used.
+pub(crate) fn channel(address: SocketAddr, bound: Duration) -> Option<Channel> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+    let endpoint = endpoint.connect_timeout(bound).timeout(bound).tcp_nodelay(true);
+    Some(endpoint.connect_lazy())
+}
+
+/// Takes news from the parent, or from the tops of other zones, until the host stops.
+pub(crate) async fn share<W: Wire>(shared: Arc<Shared<W>>) {
+    let mut channels: FastMap<SocketAddr, Channel> = FastMap::default();
+    while !shared.is_stopped() {
+        let began = BootClock.now();
+        let place = shared.desk().tree.place(began);
+        let peers: Vec<_> = place.parent.into_iter().chain(place.beside).collect();
+        channels.retain(|address, _channel| peers.iter().any(|peer| peer.address == *address));
+        let calls = peers.into_iter().filter_map(|peer| {
+            let open = channel(peer.address, ANSWER)?;
+            let open = channels.entry(peer.address).or_insert(open).clone();
+            Some(exchange(Arc::clone(&shared), peer, open))
+        });
+        for failed in futures_util::future::join_all(calls).await.into_iter().flatten() {
+            // A channel that failed may be silent for good.
+            channels.remove(&failed);
+        }
+        let now = BootClock.now();
+        shared.desk().refresh(now);
+        tokio::time::sleep(ROUND.saturating_sub(now.since(began))).await;
+    }
+}
+
+/// Exchanges news with one peer; returns its address where that failed.
+async fn exchange<W: Wire>(shared: Arc<Shared<W>>, peer: Peer, open: Channel) -> Option<SocketAddr> {
+    let asked = BootClock.now();
+    let request = write_request(&shared, asked);
+    let mut client = GatewayClient::new(open).max_decoding_message_size(MESSAGE);
+    match tokio::time::timeout(ANSWER, client.share(request)).await {
+        Ok(Ok(reply)) => {
+            hear_reply(&shared, &peer, reply.into_inner(), asked);
+            None
+        }
+        failed => {
+            let cause = match failed {
+                Ok(Err(status)) => status.code().to_string(),
+                _ => "no answer in time".to_owned(),
+            };
+            log::info!("peers: host={} suspected: {cause}", peer.host);
+            shared.desk().tree.suspect(&peer.host, BootClock.now());
+            Some(peer.address)
+        }
+    }
+}
+
+fn teller<W: Wire>(shared: &Shared<W>) -> message::Teller {
+    message::Teller {
+        host: shared.settings.name.to_string(),
+        zone: shared.settings.zone.to_string(),
+        incarnation: shared.incarnation.0,
+    }
+}
+
+fn write_words<W: Wire>(desk: &Desk<W>, now: Moment) -> Vec<message::EngineWord> {
+    desk.fleet.told(now).map(write_word).collect()
+}
+
+fn write_request<W: Wire>(shared: &Shared<W>, now: Moment) -> message::ShareRequest {
+    let mut desk = shared.desk();
+    let own = desk.own_sum(now);
+    let sum = desk.sums.upward(own, now);
+    let topics = TOPICS.into_iter().filter_map(|topic| {
+        Some(message::TopicEnd {
+            topic: topic_number(topic),
+            end: desk.topic(topic)?.end().0,
+        })
+    });
+    let topics = topics.collect();
+    message::ShareRequest {
+        teller: Some(teller(shared)),
+        sum: Some(write_sum(&sum)),
+        topics,
+        holder: desk.holder(now).map(|news| write_holder(news, now)),
+        words: write_words(&desk, now),
+    }
+}
+
+fn hear_reply<W: Wire>(shared: &Shared<W>, peer: &Peer, reply: message::ShareReply, asked: Moment) {
+    let now = BootClock.now();
+    let side = if peer.zone == shared.settings.zone {
+        Side::Above
+    } else {
+        Side::Beside
+    };
+    let mut desk = shared.desk();
+    hear_sum(&mut desk, side, reply.teller.as_ref(), reply.sum.as_ref(), now);
+    for news in reply.topics {
+        hear_topic(&mut desk, news, asked, now);
+    }
+    hear_orders(&mut desk, reply.holder.as_ref(), &reply.words, asked, now);
+}
+
+fn hear_sum<W: Wire>(
+    desk: &mut Desk<W>,
+    side: Side,
+    teller: Option<&message::Teller>,
+    sum: Option<&message::Sum>,
+    now: Moment,
+) {
+    let (Some(teller), Some(sum)) = (teller, sum) else {
+        return;
+    };
+    match (read_teller(teller), read_sum(sum)) {
+        (Ok(teller), Ok(sum)) => desk.hear(side, teller, sum, now),
+        (Err(error), _) | (_, Err(error)) => log::warn!("peers: a sum is skipped: {error}"),
+    }
+}
+
+fn hear_topic<W: Wire>(desk: &mut Desk<W>, news: message::TopicNews, asked: Moment, now: Moment) {
+    let Some(topic) = topic_of(news.topic) else {
+        return;
+    };
+    let end = Offset(news.end);
+    let fresh = asked.0.checked_sub(news.age).map(Moment).filter(|_fresh| news.known);
+    let records = read_records(news);
+    if let Some(keyed) = desk.topic(topic) {
+        let changed = keyed.extend(records, end, fresh);
+        desk.apply(topic, &changed, now);
+    }
+}
+
+fn hear_orders<W: Wire>(
+    desk: &mut Desk<W>,
+    holder: Option<&message::OrderHolder>,
+    words: &[message::EngineWord],
+    asked: Moment,
+    now: Moment,
+) {
+    if let Some(news) = holder.and_then(|holder| read_holder(holder, asked)) {
+        desk.hear_holder(news);
+    }
+    hear_words(desk, words, now);
+}
+
+/// Takes the holder's word on engines.
+pub(crate) fn hear_words<W: Wire>(desk: &mut Desk<W>, words: &[message::EngineWord], now: Moment) {
+    for word in words {
+        match read_word(word) {
+            Ok(overlay) => {
+                desk.fleet.tell(overlay, now);
+            }
+            Err(error) => log::warn!("peers: word of an engine is skipped: {error}"),
+        }
+    }
+}
+
+/// Answers a host that tells what lies below it.
+pub(crate) fn answer<W: Wire>(
+    shared: &Shared<W>,
+    request: &message::ShareRequest,
+) -> message::ShareReply {
+    let now = BootClock.now();
+    let mut desk = shared.desk();
+    let is_child = request
+        .teller
+        .as_ref()
+        .is_some_and(|teller| teller.zone == shared.settings.zone.as_str());
+    let side = if is_child { Side::Below } else { Side::Beside };
+    hear_sum(&mut desk, side, request.teller.as_ref(), request.sum.as_ref(), now);
+    hear_orders(&mut desk, request.holder.as_ref(), &request.words, now, now);
+    let own = desk.own_sum(now);
+    let told = request.teller.as_ref().and_then(|teller| read_teller(teller).ok());
+    let sum = match told {
+        Some(teller) if is_child => desk.sums.downward(own, &teller.host, now),
+        Some(_) | None => desk.sums.upward(own, now),
+    };
+    let mut topics = Vec::new();
+    for end in &request.topics {
+        if let Some(topic) = topic_of(end.topic)
+            && let Some(keyed) = desk.topic(topic)
+        {
+            topics.push(write_topic(topic, keyed, Offset(end.end), now));
+        }
+    }
+    message::ShareReply {
+        teller: Some(teller(shared)),
+        sum: Some(write_sum(&sum)),
+        topics,
+        holder: desk.holder(now).map(|news| write_holder(news, now)),
+        words: write_words(&desk, now),
+    }
+}
--- a/crates/eelgrasshill_gateway/src/state.rs
+++ b/crates/eelgrasshill_gateway/src/state.rs
@@ -1,23 +1,42 @@
 //! What the threads of one gateway share.
 
 use std::marker::PhantomData;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastSet, HostName, Incarnation, Moment};
+use eelgrasshill_domain::{FastMap, FastSet, HostName, Incarnation, Moment};
 use eelgrasshill_ports::{BootClock, lock};
 use eelgrasshill_relay::{
-    Allowances, Candidate, ChoiceSettings, Fleet, KeyBound, Keyed, KeyedRecord, Loads, Outcome,
-    Picture, RetrySettings, RetryShare, Standings, Tables, Wanted,
+    Allowances, Asked, Candidate, ChoiceSettings, Demand, Fleet, HostMark, KeyBound, Keyed,
+    KeyedRecord, Lease, Loads, Outcome, Peer, Picture, Placer, Quorum, RetrySettings, RetryShare,
+    Side, Standings, Sum, Sums, Tables, Teller, Tree, Wanted,
 };
 use eelgrasshill_settings::GatewaySettings;
+use tokio::sync::Notify;
 
 use crate::wire::{Topic, Wire};
 
 /// How long the store's trouble is remembered: entries that lapsed are back by then.
 const TROUBLE: Duration = Duration::from_secs(3);
 
+/// Age from which word of the orders' holder no longer counts: the lease's term and some rounds.
+const HOLDER_AGE: Duration = Duration::from_millis(5_000);
+
+/// Who gives orders to engines, as far as is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HolderNews {
+    /// The host.
+    pub host: HostName,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// The fencing token.
+    pub fence: u64,
+    /// When it was last known to hold the lease.
+    pub renewed: Moment,
+}
+
 /// What is known and decided at one moment, behind one lock.
 #[derive(Debug)]
 pub struct Desk<W> {
@@ -41,13 +60,24 @@
     pub allowances: Allowances,
     /// When the store was last in trouble.
     pub trouble: Option<Moment>,
+    /// From whom to take news.
+    pub tree: Tree,
+    /// What other hosts told.
+    pub sums: Sums,
+    /// What this host's callers ask for.
+    pub demand: Demand,
+    /// Who gives orders to engines.
+    pub holder: Option<HolderNews>,
+    /// Models that the holder cannot bring before a moment.
+    pub later: FastMap<Asked, Moment>,
     choice: ChoiceSettings,
+    mark: HostMark,
     zone: eelgrasshill_domain::ZoneName,
     wire: PhantomData<W>,
 }
 
 impl<W: Wire> Desk<W> {
-    fn new(settings: &GatewaySettings) -> Self {
+    fn new(settings: &GatewaySettings, me: Peer) -> Self {
         let retries = RetrySettings {
             ratio: settings.retries.ratio,
             extra: settings.retries.extra,
@@ -64,10 +94,16 @@
             retries: RetryShare::new(retries, 1),
             allowances: Allowances::default(),
             trouble: None,
+            tree: Tree::new(me),
+            sums: Sums::default(),
+            demand: Demand::default(),
+            holder: None,
+            later: FastMap::default(),
             choice: ChoiceSettings {
                 prefill: settings.orders.prefill,
                 ..ChoiceSettings::default()
             },
+            mark: HostMark::new(&settings.name),
             zone: settings.zone.clone(),
             wire: PhantomData,
         }
@@ -89,7 +125,8 @@
             match topic {
                 Topic::Config => self.apply_config(record, now),
                 Topic::Upstreams => self.apply_entry(record, now),
-                Topic::Hosts | Topic::Lease => {}
+                Topic::Hosts => self.apply_host(record),
+                Topic::Lease => {}
             }
         }
     }
@@ -135,12 +172,82 @@
                         upstream.leaving
                     );
                 }
-                self.fleet.insert(upstream);
+                self.fleet.insert(upstream, now);
             }
             Err(error) => log::warn!("upstreams: offset={} skipped: {error}", record.offset),
         }
     }
 
+    fn apply_host(&mut self, record: &KeyedRecord) {
+        let Ok(host) = HostName::new(&record.key) else {
+            log::warn!("hosts: offset={} skipped: its key is no name", record.offset);
+            return;
+        };
+        if record.is_removal() {
+            log::info!("hosts: host={host} is registered no more");
+            self.tree.remove(&host);
+            return;
+        }
+        match serde_json::from_slice::<Peer>(&record.value) {
+            Ok(peer) if peer.host == host => {
+                log::info!("hosts: host={host} address={} registered", peer.address);
+                self.tree.insert(peer);
+            }
+            Ok(_other) => log::warn!("hosts: host={host} skipped: it names another host"),
+            Err(error) => log::warn!("hosts: host={host} skipped: {error}"),
+        }
+    }
+
+    /// Returns this host's own part of the sums.
+    pub fn own_sum(&mut self, now: Moment) -> Sum {
+        let spent = self.allowances.spent();
+        Sum {
+            hosts: FastSet::from_iter([self.mark]),
+            loads: self.loads.own().map(|(id, load)| (id.clone(), *load)).collect(),
+            spent: spent.map(|(name, tokens)| (name.clone(), tokens)).collect(),
+            wanted: self.demand.rates(now),
+        }
+    }
+
+    /// Takes a sum that another host told.
+    pub fn hear(&mut self, side: Side, teller: Teller, sum: Sum, now: Moment) {
+        for (name, tokens) in self.sums.hear(side, teller, sum, now) {
+            self.allowances.debit(&name, tokens, now);
+        }
+        self.refresh(now);
+    }
+
+    /// Acts on what all other hosts told.
+    pub fn refresh(&mut self, now: Moment) {
+        let elsewhere = self.sums.elsewhere(now);
+        let heard = elsewhere.hosts.iter().filter(|mark| **mark != self.mark);
+        let quorum = Quorum {
+            heard: 1 + u64::try_from(heard.count()).unwrap_or(u64::MAX),
+            registered: u64::try_from(self.tree.peers().count()).unwrap_or(u64::MAX),
+        };
+        self.loads.set_elsewhere(elsewhere.loads);
+        self.allowances.set_quorum(quorum, now);
+        self.retries.set_hosts(quorum.registered);
+    }
+
+    /// Takes word of who gives orders to engines.
+    pub fn hear_holder(&mut self, news: HolderNews) {
+        let known = self.holder.as_ref().map(|known| (known.fence, known.renewed));
+        if known.is_none_or(|known| known < (news.fence, news.renewed)) {
+            if known.is_none_or(|(fence, _renewed)| fence != news.fence) {
+                log::info!("orders: holder={} fence={}", news.host, news.fence);
+            }
+            self.holder = Some(news);
+        }
+    }
+
+    /// Returns who gives orders to engines, unless that is too long ago.
+    #[must_use]
+    pub fn holder(&self, now: Moment) -> Option<&HolderNews> {
+        let holder = self.holder.as_ref();
+        holder.filter(|holder| now.since(holder.renewed) < HOLDER_AGE)
+    }
+
     /// Returns whether the store was in trouble lately, so that entries may have lapsed.
     #[must_use]
     pub fn is_unsteady(&self, now: Moment) -> bool {
@@ -168,6 +275,26 @@
     }
 }
 
+/// One host's part in orders to engines.
+#[derive(Debug)]
+pub struct Hold {
+    /// Whether it may give them.
+    pub lease: Lease,
+    /// Which it would give.
+    pub placer: Placer,
+}
+
+impl Hold {
+    fn new(settings: &GatewaySettings, incarnation: Incarnation) -> Self {
+        let name = settings.name.clone();
+        let turn = settings.orders.turn;
+        Self {
+            lease: Lease::new(name, settings.peer, incarnation, turn),
+            placer: Placer::new(settings.orders.window),
+        }
+    }
+}
+
 /// What the threads of one gateway share.
 #[derive(Debug)]
 pub struct Shared<W> {
@@ -175,7 +302,12 @@
     pub settings: GatewaySettings,
     /// The number of this start of the host.
     pub incarnation: Incarnation,
+    /// How this host registers itself.
+    pub me: Peer,
+    /// Wakes the giver of orders.
+    pub wake: Notify,
     desk: Mutex<Desk<W>>,
+    hold: Mutex<Hold>,
     open: AtomicU64,
     leaving: AtomicU64,
     stopped: AtomicBool,
@@ -195,9 +327,19 @@
     /// Makes the state of a host that has just started.
     #[must_use]
     pub fn new(settings: GatewaySettings) -> Self {
+        let incarnation = BootClock.incarnation();
+        let me = Peer {
+            host: settings.name.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peer,
+            incarnation,
+        };
         Self {
-            desk: Mutex::new(Desk::new(&settings)),
-            incarnation: BootClock.incarnation(),
+            desk: Mutex::new(Desk::new(&settings, me.clone())),
+            hold: Mutex::new(Hold::new(&settings, incarnation)),
+            wake: Notify::new(),
+            me,
+            incarnation,
             settings,
             open: AtomicU64::new(0),
             leaving: AtomicU64::new(0),
@@ -210,6 +352,11 @@
         lock(&self.desk)
     }
 
+    /// Locks this host's part in orders to engines; never across an await, nor with the desk.
+    pub fn hold(&self) -> MutexGuard<'_, Hold> {
+        lock(&self.hold)
+    }
+
     /// Counts a request as open.
     pub fn open(self: &Arc<Self>) -> OpenRequest<W> {
         self.open.fetch_add(1, Ordering::Relaxed);
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -125,6 +125,8 @@
             }
         };
         events.run.guard.begin();
+        let now = eelgrasshill_ports::BootClock.now();
+        crate::telemetry::first_event(&self.route, now.since(self.arrived));
         let leaving = self.shared.leaving().is_some();
         let (sender, receiver) = mpsc::channel(AHEAD);
         if sender.try_send(Ok(first)).is_err() {
--- a/crates/eelgrasshill_relay/src/allowance.rs
+++ b/crates/eelgrasshill_relay/src/allowance.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastMap, HostName, Incarnation, Moment, OrgName, scalar};
+use eelgrasshill_domain::{FastMap, Moment, OrgName, scalar};
 
 use crate::Organisation;
 
@@ -49,15 +49,11 @@
     at: Moment,
 }
 
-/// Where a peer's counts come from: they start anew with each of its starts.
-pub type Series = (HostName, Incarnation);
-
 /// The buckets of all organisations at one host.
 #[derive(Clone, Debug)]
 pub struct Allowances {
     buckets: FastMap<OrgName, Bucket>,
     spent: FastMap<OrgName, u64>,
-    heard: FastMap<OrgName, (Series, u64)>,
     quorum: Quorum,
 }
 
@@ -66,7 +62,6 @@
         Self {
             buckets: FastMap::default(),
             spent: FastMap::default(),
-            heard: FastMap::default(),
             quorum: Quorum {
                 heard: 1,
                 registered: 1,
@@ -152,21 +147,13 @@
         self.spent.iter().map(|(name, spent)| (name, *spent))
     }
 
-    /// Hears of all that was spent elsewhere, as a count of one series.
-    pub fn hear(&mut self, series: &Series, name: &OrgName, count: u64, now: Moment) {
-        let known = self.heard.insert(name.clone(), (series.clone(), count));
-        let Some((before, counted)) = known else {
-            return;
-        };
-        // The first count of another series is where that starts, not what was spent since.
-        if before != *series {
-            return;
-        }
+    /// Takes off what was spent elsewhere.
+    pub fn debit(&mut self, name: &OrgName, spent: u64, now: Moment) {
         let share = self.quorum.share();
         if let Some(bucket) = self.buckets.get_mut(name) {
             bucket.fill(share, now);
             #[expect(clippy::cast_precision_loss, reason = "costs are far below 2^52")]
-            let spent = count.saturating_sub(counted) as f64;
+            let spent = spent as f64;
             bucket.level -= spent;
         }
     }
--- a/crates/eelgrasshill_relay/src/fleet.rs
+++ b/crates/eelgrasshill_relay/src/fleet.rs
@@ -12,10 +12,18 @@
     AdapterName, FastMap, HostName, ModelName, Moment, PoolName, ZoneName, record,
 };
 
+use crate::Overlay;
+
 /// How long a lapsed entry is used on; living upstreams are back within two seconds
 /// of the store's return, and leaving ones must get nothing two seconds after their record.
 const LAPSE: Duration = Duration::from_millis(1_500);
 
+/// How long the holder's word goes before an engine's own entry: a heartbeat and its delays.
+const TOLD: Duration = Duration::from_secs(4);
+
+/// How long the holder's word is passed on: several rounds of the hosts' news.
+const PASSED_ON: Duration = Duration::from_millis(1_500);
+
 record! {
     /// A model that an engine holds, with its adapters.
     pub struct Holding {
@@ -71,15 +79,27 @@
     lapsed: Option<Moment>,
 }
 
+#[derive(Clone, Debug)]
+struct Told {
+    overlay: Overlay,
+    at: Moment,
+}
+
 /// The upstreams that were heard of.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     entries: FastMap<HostName, Entry>,
+    told: FastMap<HostName, Told>,
 }
 
 impl Fleet {
-    /// Takes what an upstream says of itself.
-    pub fn insert(&mut self, upstream: Upstream) {
+    /// Takes what an upstream says of itself; newer word of the orders' holder goes first.
+    pub fn insert(&mut self, mut upstream: Upstream, now: Moment) {
+        let told = self.told.get(&upstream.id);
+        let told = told.filter(|t| t.overlay.born == upstream.born && now.since(t.at) < TOLD);
+        if let Some(told) = told {
+            upstream.holdings.clone_from(&told.overlay.holdings);
+        }
         let entry = Entry {
             upstream: Arc::new(upstream),
             lapsed: None,
@@ -87,6 +107,34 @@
         self.entries.insert(entry.upstream.id.clone(), entry);
     }
 
+    /// Takes the word of the orders' holder on what an engine holds; returns whether it is news.
+    pub fn tell(&mut self, overlay: Overlay, now: Moment) -> bool {
+        let known = self.told.get(&overlay.engine);
+        let newer = known.is_none_or(|known| {
+            (known.overlay.fence, known.overlay.number) < (overlay.fence, overlay.number)
+        });
+        if !newer {
+            return false;
+        }
+        if let Some(entry) = self.entries.get_mut(&overlay.engine)
+            && entry.upstream.born == overlay.born
+            && entry.upstream.holdings != overlay.holdings
+        {
+            let mut upstream = Upstream::clone(&entry.upstream);
+            upstream.holdings.clone_from(&overlay.holdings);
+            entry.upstream = Arc::new(upstream);
+        }
+        self.told
+            .insert(overlay.engine.clone(), Told { overlay, at: now });
+        true
+    }
+
+    /// Returns recent word of the orders' holder, to be passed on.
+    pub fn told(&self, now: Moment) -> impl Iterator<Item = &Overlay> {
+        let recent = self.told.values().filter(move |t| now.since(t.at) < PASSED_ON);
+        recent.map(|told| &told.overlay)
+    }
+
     /// Takes away an upstream whose entry was dropped.
     ///
     /// `unsteady` says that the store was in trouble lately, so that the entry may have lapsed.
@@ -103,6 +151,9 @@
 
     /// Drops lapsed entries that did not come back.
     pub fn expire(&mut self, now: Moment) {
+        let entries = &self.entries;
+        self.told
+            .retain(|id, told| now.since(told.at) < TOLD || entries.contains_key(id));
         self.entries
             .retain(|_id, entry| entry.lapsed.is_none_or(|since| now.since(since) < LAPSE));
     }
--- a/crates/eelgrasshill_relay/src/keyed.rs
+++ b/crates/eelgrasshill_relay/src/keyed.rs
@@ -49,7 +49,7 @@
 
     /// Takes records in order of offset, up to `end`, known to be current at `fresh`.
     ///
-    /// Returns those that are news. `fresh` counts only where the records leave no gap.
+    /// The records must be all that changed since [`Self::end`]; returns those that are news.
     pub fn extend(
         &mut self,
         records: Vec<KeyedRecord>,
@@ -57,9 +57,11 @@
         fresh: Option<Moment>,
     ) -> Vec<KeyedRecord> {
         let mut news = Vec::new();
-        for record in records {
+        // All before the end is known, also where a record that changed nothing was not kept.
+        for record in records.into_iter().filter(|record| record.offset >= self.end) {
             let known = self.rows.get(&record.key);
-            if known.is_none_or(|known| known.offset < record.offset) {
+            let is_newer = known.is_none_or(|known| known.offset < record.offset);
+            if is_newer && known.is_none_or(|known| known.value != record.value) {
                 self.rows.insert(Arc::clone(&record.key), record.clone());
                 news.push(record);
             }
@@ -94,9 +96,22 @@
                 value: Arc::from([]),
             })
             .collect();
-        let mut all = records;
-        all.extend(removals);
-        self.extend(all, end, Some(began))
+        let mut news = Vec::new();
+        for record in records.into_iter().chain(removals) {
+            let known = self.rows.get(&record.key);
+            if known.is_none_or(|known| known.offset < record.offset) {
+                let changed = known.is_none_or(|known| known.value != record.value);
+                self.rows.insert(Arc::clone(&record.key), record.clone());
+                if changed {
+                    news.push(record);
+                }
+            }
+        }
+        if end >= self.end {
+            self.end = end;
+            self.fresh = self.fresh.max(Some(began));
+        }
+        news
     }
 
     /// Returns the records at or after an offset.
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -4,24 +4,34 @@
 
 mod allowance;
 mod choice;
+mod demand;
 mod events;
 mod fleet;
 mod freshness;
 mod keyed;
+mod lease;
 mod loads;
+mod placement;
 mod retries;
 mod standing;
+mod sums;
 mod tables;
+mod tree;
 
-pub use allowance::{Allowances, Quorum, Series};
+pub use allowance::{Allowances, Quorum};
 pub use choice::{Candidate, ChoiceSettings, Picture, Wanted};
+pub use demand::{Asked, Demand};
 pub use events::EventCutter;
 pub use fleet::{Fleet, Holding, Upstream};
 pub use freshness::KeyBound;
 pub use keyed::{Keyed, KeyedRecord};
+pub use lease::{Lease, LeaseRecord, LeaseWrite};
 pub use loads::{Load, Loads};
+pub use placement::{Action, Book, OrderEnd, Overlay, Placer, Prospect, Seen, Step};
 pub use retries::{RetrySettings, RetryShare};
 pub use standing::{Outcome, Standings};
+pub use sums::{HostMark, Side, Sum, Sums, Teller};
 pub use tables::{
     CallerBounds, EnginePool, Model, Organisation, Repeat, Route, Tables, Target,
 };
+pub use tree::{Peer, Place, Tree};
--- /dev/null
+++ b/crates/eelgrasshill_relay/src/placement/book.rs
@@ -0,0 +1,288 @@
+//! What is known of one engine: what it holds, what was ordered, and what may still happen.
+
+use std::time::Duration;
+
+use eelgrasshill_domain::{AdapterName, FastMap, ModelName, Moment, PoolName, record, scalar};
+
+use super::goal::Goal;
+use super::{ADAPTER_TIME, Action, REPORT_AGE, REPORT_PAUSE, SLACK, Step, UNLOAD_PAUSE};
+use crate::{EnginePool, Holding, Model, Upstream};
+
+record! {
+    /// An engine's report, as the planner needs it.
+    pub struct Seen {
+        /// What it holds.
+        pub holdings: Vec<Holding>,
+        /// Whether it carries out an order.
+        pub busy: bool,
+        /// Orders that it has accepted.
+        pub orders: u64,
+        /// Models whose weights lie in its memory.
+        pub memory: Vec<ModelName>,
+        /// Models whose weights lie on its disk.
+        pub disk: Vec<ModelName>,
+    }
+}
+
+scalar! {
+    /// How an order ended.
+    pub enum OrderEnd {
+        /// The engine carries it out.
+        Accepted,
+        /// It holds already.
+        Done,
+        /// The engine refused it and did nothing.
+        Refused,
+        /// No answer came: it may take effect, also later.
+        Unknown,
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Moving {
+    Loading { model: ModelName, until: Moment },
+    Unloading { model: ModelName },
+    /// Somebody else's order.
+    Foreign,
+}
+
+/// What is known of one engine.
+#[derive(Clone, Debug)]
+pub struct Book {
+    pub(crate) pool: PoolName,
+    pub(crate) born: u64,
+    pub(crate) holdings: Vec<Holding>,
+    pub(crate) memory: Vec<ModelName>,
+    pub(crate) disk: Vec<ModelName>,
+    /// Orders that the engine has accepted, once a report told it.
+    pub(crate) orders: Option<u64>,
+    pub(crate) moving: Option<Moving>,
+    pub(crate) goal: Option<Goal>,
+    pub(crate) number: u64,
+    calling: bool,
+    next_report: Moment,
+    read: Moment,
+    // When an adapter was last loaded or asked for here, and from when it is there.
+    adapters: FastMap<(ModelName, AdapterName), Moment>,
+}
+
+impl Book {
+    pub(crate) fn new(upstream: &Upstream) -> Self {
+        Self {
+            pool: upstream.pool.clone(),
+            born: upstream.born,
+            holdings: upstream.holdings.clone(),
+            memory: upstream.memory.clone(),
+            disk: upstream.disk.clone(),
+            orders: None,
+            moving: None,
+            goal: None,
+            number: 0,
+            calling: false,
+            next_report: Moment(0),
+            read: Moment(0),
+            adapters: FastMap::default(),
+        }
+    }
+
+    pub(crate) fn is_calling(&self) -> bool {
+        self.calling
+    }
+
+    pub(crate) fn begin_call(&mut self, step: &Step, now: Moment) {
+        self.calling = true;
+        if matches!(step, Step::Report) {
+            let unloading = matches!(self.moving, Some(Moving::Unloading { .. }));
+            let pause = if unloading { UNLOAD_PAUSE } else { REPORT_PAUSE };
+            self.next_report = now.after(pause);
+        }
+    }
+
+    /// Returns whether a report is due: nothing is known, or an order is under way.
+    pub(crate) fn needs_report(&self, now: Moment) -> bool {
+        if now < self.next_report {
+            return false;
+        }
+        match &self.moving {
+            Some(Moving::Loading { until, .. }) => now >= *until,
+            Some(Moving::Unloading { .. } | Moving::Foreign) => true,
+            None => self.orders.is_none() || now.since(self.read) > REPORT_AGE,
+        }
+    }
+
+    pub(crate) fn holding(&self, model: &ModelName) -> Option<&Holding> {
+        self.holdings.iter().find(|held| held.model == *model)
+    }
+
+    /// Returns whether the engine holds a model that is not about to go.
+    pub(crate) fn keeps(&self, model: &ModelName) -> bool {
+        self.holding(model).is_some() && !self.is_leaving(model)
+    }
+
+    fn is_leaving(&self, model: &ModelName) -> bool {
+        let unloading = matches!(&self.moving, Some(Moving::Unloading { model: gone }) if gone == model);
+        unloading || self.goal.as_ref().is_some_and(|goal| goal.victims.contains(model))
+    }
+
+    /// Returns the time until the engine can serve a model and adapter, if that is under way.
+    pub(crate) fn ready_after(
+        &self,
+        model: &ModelName,
+        adapter: Option<&AdapterName>,
+        now: Moment,
+    ) -> Option<Duration> {
+        if self.keeps(model) {
+            let Some(adapter) = adapter else {
+                return Some(Duration::ZERO);
+            };
+            let held = self.holding(model)?;
+            if !held.adapters.contains(adapter) {
+                return None;
+            }
+            let from = self.adapters.get(&(model.clone(), adapter.clone()));
+            return Some(from.map_or(Duration::ZERO, |from| from.since(now)));
+        }
+        // An adapter is ordered once its model is there.
+        match &self.moving {
+            Some(Moving::Loading { model: new, until }) if new == model => {
+                Some(until.since(now) + SLACK)
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns what hosts may send to the engine.
+    pub(crate) fn offered(&self) -> Vec<Holding> {
+        let kept = self.holdings.iter().filter(|held| !self.is_leaving(&held.model));
+        kept.cloned().collect()
+    }
+
+    /// Takes a report; returns whether what the engine holds changed.
+    pub(crate) fn take_report(&mut self, seen: Seen, now: Moment) -> bool {
+        self.calling = false;
+        self.read = now;
+        if self.orders.is_some_and(|orders| seen.orders < orders) {
+            // The report is older than the latest order's answer.
+            return false;
+        }
+        let changed = self.holdings != seen.holdings || self.orders.is_none();
+        self.holdings = seen.holdings;
+        self.orders = Some(seen.orders);
+        self.memory = seen.memory;
+        self.disk = seen.disk;
+        if !seen.busy {
+            self.moving = None;
+        } else if self.moving.is_none() {
+            // Nothing is planned here until it ends.
+            self.moving = Some(Moving::Foreign);
+        }
+        if self.goal.as_ref().is_some_and(|goal| self.holding(&goal.model).is_some()) {
+            self.goal = None;
+        }
+        changed
+    }
+
+    /// Notes that a call for a report brought nothing.
+    pub(crate) fn end_call(&mut self) {
+        self.calling = false;
+    }
+
+    pub(crate) fn take_order(
+        &mut self,
+        action: &Action,
+        end: OrderEnd,
+        pool: &EnginePool,
+        now: Moment,
+    ) {
+        self.calling = false;
+        match end {
+            OrderEnd::Accepted | OrderEnd::Done => self.apply(action, end, pool, now),
+            OrderEnd::Refused | OrderEnd::Unknown => {
+                // The next report tells what holds; a late order loses by its precondition.
+                self.orders = None;
+                self.next_report = now.after(REPORT_PAUSE);
+            }
+        }
+    }
+
+    fn apply(&mut self, action: &Action, end: OrderEnd, pool: &EnginePool, now: Moment) {
+        if end == OrderEnd::Accepted || !matches!(action, Action::Load(_) | Action::Unload(_)) {
+            self.orders = self.orders.map(|orders| orders + 1);
+        }
+        match action {
+            Action::Load(model) => {
+                let time = pool.model(model).map_or(REPORT_PAUSE, |row| self.load_time(row));
+                self.moving = Some(Moving::Loading {
+                    model: model.clone(),
+                    until: now.after(time + SLACK),
+                });
+            }
+            Action::Unload(model) => {
+                self.adapters.retain(|(held, _adapter), _at| held != model);
+                if end == OrderEnd::Done {
+                    self.holdings.retain(|held| held.model != *model);
+                } else {
+                    self.moving = Some(Moving::Unloading { model: model.clone() });
+                    self.next_report = now.after(REPORT_PAUSE);
+                }
+            }
+            Action::LoadAdapter(model, adapter) => {
+                if let Some(held) = self.holdings.iter_mut().find(|held| held.model == *model)
+                    && !held.adapters.contains(adapter)
+                {
+                    held.adapters.push(adapter.clone());
+                }
+                let key = (model.clone(), adapter.clone());
+                self.adapters.insert(key, now.after(ADAPTER_TIME));
+            }
+            Action::UnloadAdapter(model, adapter) => {
+                if let Some(held) = self.holdings.iter_mut().find(|held| held.model == *model) {
+                    held.adapters.retain(|kept| kept != adapter);
+                }
+                self.adapters.remove(&(model.clone(), adapter.clone()));
+            }
+        }
+    }
+
+    /// Returns how long a load takes here: copies at hand load faster.
+    pub(crate) fn load_time(&self, model: &Model) -> Duration {
+        if self.memory.contains(&model.name) {
+            model.warm
+        } else if self.disk.contains(&model.name) {
+            model.disk
+        } else {
+            model.cold
+        }
+    }
+
+    pub(crate) fn is_at_hand(&self, model: &ModelName) -> bool {
+        self.memory.contains(model) || self.disk.contains(model)
+    }
+
+    pub(crate) fn is_loading_cold(&self) -> bool {
+        matches!(&self.moving, Some(Moving::Loading { model, .. }) if !self.is_at_hand(model))
+    }
+
+    pub(crate) fn adapter_count(&self) -> usize {
+        self.holdings.iter().map(|held| held.adapters.len()).sum()
+    }
+
+    /// Returns when an adapter was last ordered here.
+    pub(crate) fn adapter_from(&self, model: &ModelName, adapter: &AdapterName) -> Moment {
+        let key = (model.clone(), adapter.clone());
+        self.adapters.get(&key).copied().unwrap_or(Moment(0))
+    }
+
+    /// Returns memory that is not taken by models or adapters, all adapter places kept free.
+    pub(crate) fn room(&self, pool: &EnginePool) -> u64 {
+        let held = self.holdings.iter().filter_map(|held| pool.model(&held.model));
+        let weights: u64 = held.map(|row| row.memory).sum();
+        pool.memory.saturating_sub(weights + adapter_room(pool))
+    }
+}
+
+/// Returns the memory that a full set of adapters may take.
+fn adapter_room(pool: &EnginePool) -> u64 {
+    let largest = pool.models.iter().map(|row| row.adapter).max().unwrap_or(0);
+    largest * u64::from(pool.adapters)
+}
--- /dev/null
+++ b/crates/eelgrasshill_relay/src/tree.rs
@@ -0,0 +1,132 @@
+//! From whom each host takes its news: a tree in each zone, its tops beside each other.
+//!
+//! The order of a zone's hosts is the same everywhere, and a parent always stands before its
+//! children in it, so that whatever hosts suspect, no circle arises.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eelgrasshill_domain::{
+    FastMap, HostName, Incarnation, Moment, ZoneName, record, rendezvous_weight,
+};
+
+/// Children of one host: their calls take a parent some percent of its processor share.
+const CHILDREN: usize = 16;
+
+/// How long a host that did not answer is passed over.
+const SUSPICION: Duration = Duration::from_secs(2);
+
+record! {
+    /// An entry host as it registers itself.
+    pub struct Peer {
+        /// The host.
+        pub host: HostName,
+        /// Its zone.
+        pub zone: ZoneName,
+        /// Where its peers reach it.
+        pub address: SocketAddr,
+        /// The number of its start.
+        pub incarnation: Incarnation,
+    }
+
+    /// From whom one host takes its news.
+    pub struct Place {
+        /// The parent; none at the top of the zone, which reads the store itself.
+        pub parent: Option<Peer>,
+        /// The tops of the other zones, for a host at the top of its own.
+        pub beside: Vec<Peer>,
+    }
+}
+
+/// The registered hosts, and which of them did not answer lately.
+#[derive(Clone, Debug)]
+pub struct Tree {
+    me: Peer,
+    peers: FastMap<HostName, Peer>,
+    suspects: FastMap<HostName, Moment>,
+}
+
+impl Tree {
+    /// Makes a tree of one host.
+    #[must_use]
+    pub fn new(me: Peer) -> Self {
+        let peers = FastMap::from_iter([(me.host.clone(), me.clone())]);
+        Self {
+            me,
+            peers,
+            suspects: FastMap::default(),
+        }
+    }
+
+    /// Takes a host's registration; one that started anew is trusted again.
+    pub fn insert(&mut self, peer: Peer) {
+        if peer.host == self.me.host {
+            return;
+        }
+        let known = self.peers.get(&peer.host);
+        if known.is_none_or(|known| known.incarnation != peer.incarnation) {
+            self.suspects.remove(&peer.host);
+        }
+        self.peers.insert(peer.host.clone(), peer);
+    }
+
+    /// Takes a host out that is registered no more.
+    pub fn remove(&mut self, host: &HostName) {
+        if *host != self.me.host {
+            self.peers.remove(host);
+            self.suspects.remove(host);
+        }
+    }
+
+    /// Notes that a host did not answer.
+    pub fn suspect(&mut self, host: &HostName, now: Moment) {
+        self.suspects.insert(host.clone(), now.after(SUSPICION));
+    }
+
+    /// Returns the registered hosts, this one included.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Returns from whom to take news.
+    pub fn place(&mut self, now: Moment) -> Place {
+        self.suspects.retain(|_host, until| now < *until);
+        let own = self.ranked(&self.me.zone);
+        let rank = own.iter().position(|peer| peer.host == self.me.host);
+        let parent = match rank {
+            None | Some(0) => None,
+            Some(rank) => Some(own[(rank - 1) / CHILDREN].clone()),
+        };
+        let beside = if parent.is_none() {
+            self.other_tops()
+        } else {
+            Vec::new()
+        };
+        Place { parent, beside }
+    }
+
+    fn other_tops(&self) -> Vec<Peer> {
+        let mut zones: Vec<_> = self.peers.values().map(|peer| &peer.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+            .into_iter()
+            .filter(|zone| **zone != self.me.zone)
+            .filter_map(|zone| self.ranked(zone).first().map(|peer| (*peer).clone()))
+            .collect()
+    }
+
+    /// Returns a zone's hosts that are not suspected, first the top.
+    fn ranked(&self, zone: &ZoneName) -> Vec<&Peer> {
+        let mut peers: Vec<_> = self
+            .peers
+            .values()
+            .filter(|peer| peer.zone == *zone && !self.suspects.contains_key(&peer.host))
+            .collect();
+        peers.sort_by_key(|peer| {
+            let weight = rendezvous_weight(peer.host.as_str(), zone.as_str());
+            (std::cmp::Reverse(weight), peer.host.clone())
+        });
+        peers
+    }
+}
