Close a leaving host in one step; keep the fencing token of a lease that nobody took

The host now closes by one atomic step and passes nothing on after it. A lapsed lease that nobody took is now renewed under its token.

--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -35,6 +35,9 @@
 /// Time from SIGTERM on in which a new stream would surely be cut by the end of the grace time.
 const LAST_STREAMS: Duration = Duration::from_millis(2_800);
 
+/// Time before the end of the grace time in which calls are no longer begun: theirs is a second.
+const LAST_CALLS: Duration = Duration::from_millis(1_500);
+
 /// What an answer's steps take of an engine beyond the prompt, in microseconds: some 300 steps
 /// that are each longer by some 40 microseconds.
 const ANSWER_WORK: u64 = 10_000;
@@ -54,7 +57,9 @@
     payload: Payload,
 ) -> HttpResponse {
     let shared = shared.into_inner();
-    let open = shared.open();
+    let Some(open) = shared.open() else {
+        return Refusal::new(Cause::Leaving).with_retry(RETRY_SOON).respond();
+    };
     let arrived = BootClock.now();
     let leaving = shared.leaving().is_some();
     let mut response = match prepare(&shared, &pool, &request, payload, arrived).await {
@@ -217,10 +222,17 @@
     holder.cloned().map(Some).ok_or_else(|| Refusal::new(Cause::UnknownKey))
 }
 
-/// Refuses streams that a leaving host could not finish.
+/// Refuses requests that a leaving host could not finish.
 fn check_leaving<W: Wire>(shared: &Shared<W>, route: &Route, now: Moment) -> Result<(), Refusal> {
-    let late = shared.leaving().is_some_and(|since| now.since(since) > LAST_STREAMS);
-    if late && route.repeat.is_stream() {
+    let Some(since) = shared.leaving() else {
+        return Ok(());
+    };
+    let bound = if route.repeat.is_stream() {
+        LAST_STREAMS
+    } else {
+        shared.settings.grace.saturating_sub(LAST_CALLS)
+    };
+    if now.since(since) > bound {
         return Err(Refusal::new(Cause::Leaving).with_retry(RETRY_SOON));
     }
     Ok(())
--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -159,8 +159,11 @@
     loop {
         tokio::time::sleep(DRAIN_TICK).await;
         let passed = BootClock.now().since(began);
-        let empty = shared.open_requests() == 0;
-        if (empty && passed >= LEAST_DRAIN) || passed >= last {
+        if passed >= LEAST_DRAIN && shared.close_if_empty() {
+            break;
+        }
+        if passed >= last {
+            shared.close();
             break;
         }
     }
--- a/crates/eelgrasshill_gateway/src/state.rs
+++ b/crates/eelgrasshill_gateway/src/state.rs
@@ -21,6 +21,9 @@
 /// How long the store's trouble is remembered: entries that lapsed are back by then.
 const TROUBLE: Duration = Duration::from_secs(3);
 
+/// Added to the number of open requests once the host has closed.
+const CLOSED: u64 = 1 << 32;
+
 /// Age from which word of the orders' holder no longer counts: the lease's term and some rounds.
 const HOLDER_AGE: Duration = Duration::from_millis(5_000);
 
@@ -319,7 +322,7 @@
 
 impl<W: Wire> Drop for OpenRequest<W> {
     fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -357,16 +360,29 @@
         lock(&self.hold)
     }
 
-    /// Counts a request as open.
-    pub fn open(self: &Arc<Self>) -> OpenRequest<W> {
-        self.open.fetch_add(1, Ordering::Relaxed);
-        OpenRequest(Arc::clone(self))
+    /// Counts a request as open; none where the host has closed.
+    pub fn open(self: &Arc<Self>) -> Option<OpenRequest<W>> {
+        let before = self.open.fetch_add(1, Ordering::AcqRel);
+        let opened = OpenRequest(Arc::clone(self));
+        (before < CLOSED).then_some(opened)
+    }
+
+    /// Closes the host if no request is open: whatever comes later is not passed on.
+    #[must_use]
+    pub fn close_if_empty(&self) -> bool {
+        let closed = self.open.compare_exchange(0, CLOSED, Ordering::AcqRel, Ordering::Acquire);
+        closed.is_ok()
+    }
+
+    /// Closes the host although requests are open.
+    pub fn close(&self) {
+        self.open.fetch_add(CLOSED, Ordering::AcqRel);
     }
 
     /// Returns the number of open requests.
     #[must_use]
     pub fn open_requests(&self) -> u64 {
-        self.open.load(Ordering::Relaxed)
+        self.open.load(Ordering::Relaxed) % CLOSED
     }
 
     /// Notes that the host is leaving from a moment on.
--- a/crates/eelgrasshill_relay/src/lease.rs
+++ b/crates/eelgrasshill_relay/src/lease.rs
@@ -138,11 +138,19 @@
             Some(_held) => now.since(seen.since) >= TERM + MARGIN,
         };
         (is_free && !self.is_held(now)).then(|| LeaseWrite {
-            record: self.record(0, self.was_active()),
+            record: self.record(self.kept_fence(), self.was_active()),
             at: seen.end,
         })
     }
 
+    /// Returns the token of a lease that lapsed and that nobody took since; zero for a new one.
+    ///
+    /// An order of the lapsed time may still be on its way, and would come after a higher token.
+    fn kept_fence(&self) -> u64 {
+        let record = self.seen.as_ref().and_then(|seen| seen.record.as_ref());
+        record.filter(|record| self.is_mine(record)).map_or(0, |record| record.fence)
+    }
+
     /// Returns whether the lease was this machine's in an earlier start, and active.
     fn was_active(&self) -> bool {
         let record = self.seen.as_ref().and_then(|seen| seen.record.as_ref());
