--- a/crates/eelgrasshill_gateway/src/convert.rs
+++ b/crates/eelgrasshill_gateway/src/convert.rs
@@ -6,7 +6,7 @@
 use eelgrasshill_domain::{Incarnation, OrgName};
 use eelgrasshill_peer::generated as message;
 use eelgrasshill_relay::{
-    Asked, Holding, HostMark, Keyed, KeyedRecord, Load, Overlay, Sum, Teller,
+    Asked, Holding, HostMark, Keyed, KeyedRecord, Load, Overlay, RANKS, Sum, Teller,
 };
 
 use crate::state::HolderNews;
@@ -54,9 +54,8 @@
             .map(|(id, load)| message::UpstreamLoad {
                 id: id.to_string(),
                 running: load.running,
-                unread: load.unread,
-                failed: load.failed,
-                ended: load.ended,
+                unread: load.unread.to_vec(),
+                unreached: load.unreached,
             })
             .collect(),
         spent: sum
@@ -84,11 +83,14 @@
         ..Sum::default()
     };
     for load in &sum.loads {
+        let mut unread = [0; RANKS];
+        for (count, told) in unread.iter_mut().zip(&load.unread) {
+            *count = *told;
+        }
         let counts = Load {
             running: load.running,
-            unread: load.unread,
-            failed: load.failed,
-            ended: load.ended,
+            unread,
+            unreached: load.unreached,
         };
         read.loads.insert(HostName::new(&load.id)?, counts);
     }
@@ -116,6 +118,8 @@
         address: news.address.to_string(),
         fence: news.fence,
         age: millis(now.since(news.renewed)),
+        end: news.end.0,
+        resigned: news.resigned,
     }
 }
 
@@ -126,6 +130,8 @@
         address: holder.address.parse().ok()?,
         fence: holder.fence,
         renewed: Moment(asked.0.checked_sub(holder.age)?),
+        end: Offset(holder.end),
+        resigned: holder.resigned,
     })
 }
 
--- a/crates/eelgrasshill_gateway/src/follow.rs
+++ b/crates/eelgrasshill_gateway/src/follow.rs
@@ -74,17 +74,21 @@
 }
 
 impl<W: Wire, S: Store> Follower<W, S> {
-    /// Returns whether this host reads the store itself: at the top of its zone, or without news.
+    /// Returns whether this host reads the store itself: as the first of the tops, or without news.
     fn is_due(&self) -> bool {
         let now = BootClock.now();
-        let mut desk = self.shared.desk();
-        if desk.tree.place(now).parent.is_none() {
+        if self.is_first(now) {
             return true;
         }
+        let mut desk = self.shared.desk();
         let fresh = desk.topic(self.topic).and_then(|keyed| keyed.fresh());
         fresh.is_none_or(|fresh| now.since(fresh) >= self.pace.stale)
     }
 
+    fn is_first(&self, now: Moment) -> bool {
+        self.shared.desk().tree.place(now).first
+    }
+
     async fn read_whole(&mut self) -> Result<(), StoreError> {
         let asked = BootClock.now();
         let page = self.store.newest(self.topic).await?;
@@ -102,10 +106,12 @@
     async fn read_on(&mut self) -> Result<(), StoreError> {
         let from = self.end();
         let asked = BootClock.now();
-        let page = self.store.read(self.topic, from, self.pace.wait).await?;
+        // What is stale is looked at without waiting for a change.
+        let wait = if self.is_first(asked) { self.pace.wait } else { Duration::ZERO };
+        let page = self.store.read(self.topic, from, wait).await?;
         telemetry::store_call(self.topic, "read");
         let now = BootClock.now();
-        let fresh = page_moment(&page, asked, self.pace.wait, now);
+        let fresh = page_moment(&page, asked, wait, now);
         self.take(page, fresh, now);
         Ok(())
     }
--- a/crates/eelgrasshill_gateway/src/holder.rs
+++ b/crates/eelgrasshill_gateway/src/holder.rs
@@ -23,6 +23,9 @@
 /// How often a host at the top of its zone reads a lease that it does not hold.
 const WATCH: Duration = Duration::from_millis(700);
 
+/// Age of the configuration, as peers tell it, up to which they are taken to reach the store.
+const PEERS_FRESH: Duration = Duration::from_millis(2_400);
+
 /// Longest wait for an engine's answer to an order or a look at its report.
 const ENGINE_ANSWER: Duration = Duration::from_millis(300);
 
@@ -94,6 +97,7 @@
                 return;
             }
             self.read().await;
+            self.hear_news();
         }
         let write = {
             let hold = self.shared.hold();
@@ -107,6 +111,45 @@
         }
     }
 
+    /// Tells the lease what peers said of its holder.
+    fn hear_news(&self) {
+        let news = self.shared.desk().holder.clone();
+        if let Some(news) = news {
+            let mut hold = self.shared.hold();
+            hold.lease.hear_renewed(news.fence, news.end, news.renewed);
+            if news.resigned {
+                hold.lease.hear_resigned(news.fence, news.end);
+            }
+        }
+    }
+
+    /// Gives orders up while this host has lost the store and its peers have not.
+    fn resign(&self, now: Moment) {
+        let fresh = self.shared.desk().config.fresh();
+        if fresh.is_none_or(|fresh| now.since(fresh) > PEERS_FRESH) {
+            return;
+        }
+        let mut hold = self.shared.hold();
+        let Some(fence) = hold.lease.fence(now) else {
+            return;
+        };
+        let renewed = hold.lease.renewed();
+        if hold.lease.resign(now)
+            && let Some((renewed, end)) = renewed
+        {
+            log::info!("orders: resigned fence={fence}, the store is out of reach from here");
+            drop(hold);
+            self.shared.desk().hear_holder(HolderNews {
+                host: self.shared.settings.name.clone(),
+                address: self.shared.settings.peer,
+                fence,
+                renewed,
+                end,
+                resigned: true,
+            });
+        }
+    }
+
     /// Returns whether this host should look at the lease: at the top of its zone, now and then,
     /// and only while nobody is known to hold it.
     fn may_claim(&mut self, held: bool, now: Moment) -> bool {
@@ -159,8 +202,12 @@
     /// Plans, and sends what may be sent.
     fn order(&mut self) {
         let now = BootClock.now();
-        let fence = self.shared.hold().lease.fence(now);
-        let Some(fence) = fence else {
+        self.resign(now);
+        let (fence, renewed) = {
+            let hold = self.shared.hold();
+            (hold.lease.fence(now), hold.lease.renewed())
+        };
+        let (Some(fence), Some((renewed, end))) = (fence, renewed) else {
             if self.active {
                 log::info!("orders: no longer the holder");
                 self.active = false;
@@ -175,13 +222,15 @@
             host: self.shared.settings.name.clone(),
             address: self.shared.settings.peer,
             fence,
-            renewed: now,
+            renewed,
+            end,
+            resigned: false,
         });
         let mut wanted = desk.sums.elsewhere(now).wanted;
         for (asked, rate) in desk.demand.rates(now) {
             *wanted.entry(asked).or_default() += rate;
         }
-        let fleet = desk.fleet.clone();
+        let (fleet, loads) = (desk.fleet.clone(), desk.loads.clone());
         drop(desk);
         let mut hold = self.shared.hold();
         if !self.active {
@@ -194,7 +243,7 @@
             hold.placer.set_pools(tables.engine_pools(), now);
             self.version = Some(tables.version());
         }
-        hold.placer.set_fleet(&fleet, now);
+        hold.placer.set_fleet(&fleet, &loads, now);
         hold.placer.set_wanted(&wanted);
         let steps = hold.placer.steps(now);
         drop(hold);
--- a/crates/eelgrasshill_gateway/src/job.rs
+++ b/crates/eelgrasshill_gateway/src/job.rs
@@ -26,7 +26,10 @@
 const REUSE: Duration = Duration::from_secs(3);
 
 /// Share of the objective by which a request must be begun, in percent.
-const BEGIN_PERCENT: u32 = 80;
+const BEGIN_PERCENT: u32 = 90;
+
+/// Part of the objective for which a request may wait whatever its own size: one half.
+const LEAST_BEGIN: u32 = 2;
 
 /// Shortest advice to come back: a news round of the hosts.
 const RETRY_LEAST: Duration = Duration::from_millis(500);
@@ -141,14 +144,28 @@
             pool: &self.target,
             model: self.ask.model.as_ref(),
             adapter: self.ask.adapter.as_ref(),
+            rank: self.rank(),
             tried: &self.tried,
         };
         let Some(found) = desk.choose(&wanted, now) else {
             return Err(Refusal::new(Cause::NotHeld).with_retry(RETRY_LEAST));
         };
-        let begin = self.route.objective * BEGIN_PERCENT / 100;
+        let reading = Duration::from_micros(
+            self.ask.prompt * 1_000 / self.shared.settings.orders.prefill.max(1),
+        );
+        // A prompt that takes most of the objective by itself is late anywhere.
+        let begin = (self.route.objective * BEGIN_PERCENT / 100)
+            .saturating_sub(reading)
+            .max(self.route.objective / LEAST_BEGIN);
         if found.wait > begin {
             let after = (found.wait - begin).max(RETRY_LEAST);
+            log::info!(
+                "request: id={} upstream={} wait={:?} is too long, running={}",
+                self.ask.id,
+                found.upstream.id,
+                found.wait,
+                found.running
+            );
             return Err(Refusal::new(Cause::Overloaded).with_retry(after));
         }
         Ok(found)
@@ -172,6 +189,10 @@
         let prospect = needs.ask(&self.shared, &asked).await;
         log::info!("request: id={} waits={} needs {asked:?}: {prospect:?}", self.ask.id, self.waits);
         match prospect {
+            // The engine is there and did not take it: no order changes that.
+            Prospect::Ready { engine, .. } if self.tried.contains(&engine) => {
+                Err(Refusal::new(Cause::RefusedUpstream).with_retry(RETRY_LEAST))
+            }
             Prospect::Ready { after, .. } if self.is_worth_waiting(after) => {
                 self.waits += 1;
                 tokio::time::sleep(after).await;
@@ -201,7 +222,7 @@
         last: Option<u64>,
         bound: Duration,
     ) -> Result<Run<W>, SendFailure> {
-        let mut guard = LoadGuard::new(&self.shared, &upstream.id, self.ask.prompt);
+        let mut guard = LoadGuard::new(&self.shared, &upstream.id, self.rank(), self.ask.prompt);
         let reuse = self.route.repeat.is_repeatable();
         let opened = if reuse {
             self.pool.take(upstream.address, CONNECT).await
--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -21,8 +21,8 @@
 use crate::state::Shared;
 use crate::wire::{Store, Topic, Wire};
 
-/// How long a read of the configuration waits: half of the time for which keys are accepted.
-const CONFIG_WAIT: Duration = Duration::from_millis(2_000);
+/// How long a read of the configuration waits: a quarter of the time for which keys are accepted.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
 
 /// Pause between reads of the upstreams' entries: leaving ones are avoided within two seconds.
 const ENTRY_PAUSE: Duration = Duration::from_millis(400);
@@ -31,10 +31,10 @@
 const HOST_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Age from which a host reads the configuration itself: keys are accepted for some seconds.
-const CONFIG_STALE: Duration = Duration::from_millis(2_800);
+const CONFIG_STALE: Duration = Duration::from_millis(2_000);
 
 /// Age from which a host reads the entries itself: two rounds of news and a read.
-const ENTRY_STALE: Duration = Duration::from_millis(1_100);
+const ENTRY_STALE: Duration = Duration::from_millis(1_300);
 
 /// Age from which a host reads the registrations itself.
 const HOST_STALE: Duration = Duration::from_secs(10);
--- a/crates/eelgrasshill_gateway/src/share.rs
+++ b/crates/eelgrasshill_gateway/src/share.rs
@@ -52,7 +52,11 @@
             channels.remove(&failed);
         }
         let now = BootClock.now();
-        shared.desk().refresh(now);
+        {
+            let mut desk = shared.desk();
+            desk.refresh(now);
+            desk.allowances.begin_round(now);
+        }
         tokio::time::sleep(ROUND.saturating_sub(now.since(began))).await;
     }
 }
--- a/crates/eelgrasshill_gateway/src/state.rs
+++ b/crates/eelgrasshill_gateway/src/state.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastMap, FastSet, HostName, Incarnation, Moment};
+use eelgrasshill_domain::{FastMap, FastSet, HostName, Incarnation, Moment, Offset};
 use eelgrasshill_ports::{BootClock, lock};
 use eelgrasshill_relay::{
     Allowances, Asked, Candidate, ChoiceSettings, Demand, Fleet, HostMark, KeyBound, Keyed,
@@ -24,8 +24,8 @@
 /// Added to the number of open requests once the host has closed.
 const CLOSED: u64 = 1 << 32;
 
-/// Age from which word of the orders' holder no longer counts: the lease's term and some rounds.
-const HOLDER_AGE: Duration = Duration::from_millis(5_000);
+/// Age from which the last renewal of the orders' holder no longer counts: two were missed.
+const HOLDER_AGE: Duration = Duration::from_millis(3_000);
 
 /// Who gives orders to engines, as far as is known.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,8 +36,12 @@
     pub address: SocketAddr,
     /// The fencing token.
     pub fence: u64,
-    /// When it was last known to hold the lease.
+    /// When it sent its last renewal that stands.
     pub renewed: Moment,
+    /// Where the lease's topic ended after that.
+    pub end: Offset,
+    /// Whether it will give no more orders under this token.
+    pub resigned: bool,
 }
 
 /// What is known and decided at one moment, behind one lock.
@@ -204,9 +208,14 @@
     /// Returns this host's own part of the sums.
     pub fn own_sum(&mut self, now: Moment) -> Sum {
         let spent = self.allowances.spent();
+        let mut loads: FastMap<_, _> =
+            self.loads.own().map(|(id, load)| (id.clone(), *load)).collect();
+        for id in self.standings.aside(now) {
+            loads.entry(id.clone()).or_default().unreached = 1;
+        }
         Sum {
             hosts: FastSet::from_iter([self.mark]),
-            loads: self.loads.own().map(|(id, load)| (id.clone(), *load)).collect(),
+            loads,
             spent: spent.map(|(name, tokens)| (name.clone(), tokens)).collect(),
             wanted: self.demand.rates(now),
         }
@@ -235,10 +244,16 @@
 
     /// Takes word of who gives orders to engines.
     pub fn hear_holder(&mut self, news: HolderNews) {
-        let known = self.holder.as_ref().map(|known| (known.fence, known.renewed));
-        if known.is_none_or(|known| known < (news.fence, news.renewed)) {
-            if known.is_none_or(|(fence, _renewed)| fence != news.fence) {
-                log::info!("orders: holder={} fence={}", news.host, news.fence);
+        let rank = |news: &HolderNews| (news.fence, news.end, news.resigned);
+        let known = self.holder.as_ref();
+        if known.is_none_or(|known| rank(known) < rank(&news)) {
+            if known.is_none_or(|known| (known.fence, known.resigned) != (news.fence, news.resigned)) {
+                log::info!(
+                    "orders: holder={} fence={} resigned={}",
+                    news.host,
+                    news.fence,
+                    news.resigned
+                );
             }
             self.holder = Some(news);
         }
@@ -248,7 +263,7 @@
     #[must_use]
     pub fn holder(&self, now: Moment) -> Option<&HolderNews> {
         let holder = self.holder.as_ref();
-        holder.filter(|holder| now.since(holder.renewed) < HOLDER_AGE)
+        holder.filter(|holder| !holder.resigned && now.since(holder.renewed) < HOLDER_AGE)
     }
 
     /// Returns whether the store was in trouble lately, so that entries may have lapsed.
@@ -433,6 +448,7 @@
 pub struct LoadGuard<W: Wire> {
     shared: Arc<Shared<W>>,
     id: HostName,
+    rank: u8,
     unread: u64,
     outcome: Option<Outcome>,
 }
@@ -440,9 +456,10 @@
 impl<W: Wire> LoadGuard<W> {
     /// Counts a request that is about to be sent.
     #[must_use]
-    pub fn new(shared: &Arc<Shared<W>>, id: &HostName, tokens: u64) -> Self {
-        shared.desk().loads.start(id, tokens);
+    pub fn new(shared: &Arc<Shared<W>>, id: &HostName, rank: u8, tokens: u64) -> Self {
+        shared.desk().loads.start(id, rank, tokens);
         Self {
+            rank,
             shared: Arc::clone(shared),
             id: id.clone(),
             unread: tokens,
@@ -453,7 +470,7 @@
     /// Notes that the answer has begun.
     pub fn begin(&mut self) {
         let unread = std::mem::take(&mut self.unread);
-        self.shared.desk().loads.begin(&self.id, unread);
+        self.shared.desk().loads.begin(&self.id, self.rank, unread);
     }
 
     /// Notes how it went; counted once, when the guard is dropped.
@@ -465,7 +482,7 @@
 impl<W: Wire> Drop for LoadGuard<W> {
     fn drop(&mut self) {
         let mut desk = self.shared.desk();
-        desk.loads.begin(&self.id, self.unread);
+        desk.loads.begin(&self.id, self.rank, self.unread);
         desk.loads.end(&self.id);
         if let Some(outcome) = self.outcome {
             desk.standings.note(&self.id, outcome, BootClock.now());
--- a/crates/eelgrasshill_relay/src/allowance.rs
+++ b/crates/eelgrasshill_relay/src/allowance.rs
@@ -12,11 +12,18 @@
 use crate::Organisation;
 
 /// Part of the burst that is used, in percent. Parts of the fleet that have just lost sight of
-/// each other may each spend what is in the bucket, and there are at most a few such parts.
-const BURST_USED: f64 = 60.0;
+/// each other may each spend what is in the bucket.
+const BURST_USED: f64 = 85.0;
 
-/// Part of the rate that is used, in percent; news are late by some tenths of a second.
-const RATE_USED: f64 = 97.0;
+/// Part of the bucket, in percent of the burst, below which hosts take only their share of it.
+const SCARCE: f64 = 40.0;
+
+/// How much more than its recent share of the spending a host may take of what is left, since
+/// spending moves among hosts.
+const SHARE_FACTOR: f64 = 2.0;
+
+/// Weight of earlier rounds in the averages: they span a second or so.
+const ROUND_WEIGHT: f64 = 0.75;
 
 /// Advice where the time until tokens are there is not known.
 const RETRY: Duration = Duration::from_secs(1);
@@ -47,6 +54,12 @@
     burst: f64,
     level: f64,
     at: Moment,
+    // Since the last news: what was there, and what this host spent.
+    round_level: f64,
+    round_spent: f64,
+    // Averages of what this host and others spend in a round.
+    own: f64,
+    others: f64,
 }
 
 /// The buckets of all organisations at one host.
@@ -81,11 +94,15 @@
                 burst: 0.0,
                 level: 0.0,
                 at: now,
+                round_level: 0.0,
+                round_spent: 0.0,
+                own: 0.0,
+                others: 0.0,
             });
             bucket.fill(self.quorum.share(), now);
             #[expect(clippy::cast_precision_loss, reason = "limits are far below 2^52")]
             {
-                bucket.rate = row.rate as f64 * RATE_USED / 100.0;
+                bucket.rate = row.rate as f64;
                 bucket.burst = row.burst as f64 * BURST_USED / 100.0;
             }
             bucket.level = bucket.level.min(bucket.burst);
@@ -114,18 +131,21 @@
     /// Returns the time after which enough tokens will be there.
     pub fn take(&mut self, name: &OrgName, cost: u64, now: Moment) -> Result<(), Duration> {
         let share = self.quorum.share();
+        #[expect(clippy::cast_precision_loss, reason = "numbers of hosts are small")]
+        let heard = self.quorum.heard.max(1) as f64;
         if let Some(bucket) = self.buckets.get_mut(name) {
             bucket.fill(share, now);
             #[expect(clippy::cast_precision_loss, reason = "costs are far below 2^52")]
             let cost = cost as f64;
             // A request that costs more than the bucket holds runs on credit from a full one.
             let needed = cost.min(bucket.burst * share);
-            if bucket.level < needed {
+            if bucket.level < needed || bucket.is_beyond_share(needed, heard) {
                 let rate = bucket.rate * share;
-                let wait = (needed - bucket.level) / rate.max(1.0);
+                let wait = (needed - bucket.level).max(needed) / rate.max(1.0);
                 return Err(Duration::try_from_secs_f64(wait).unwrap_or(RETRY));
             }
             bucket.level -= cost;
+            bucket.round_spent += cost;
         }
         *self.spent.entry(name.clone()).or_default() += cost;
         Ok(())
@@ -155,11 +175,39 @@
             #[expect(clippy::cast_precision_loss, reason = "costs are far below 2^52")]
             let spent = spent as f64;
             bucket.level -= spent;
+            bucket.others += spent;
+        }
+    }
+
+    /// Begins a new round: everything that others told is taken off.
+    pub fn begin_round(&mut self, now: Moment) {
+        let share = self.quorum.share();
+        for bucket in self.buckets.values_mut() {
+            bucket.fill(share, now);
+            bucket.begin_round();
         }
     }
 }
 
 impl Bucket {
+    /// Returns whether a request would take more of a scarce bucket than this host's part in the
+    /// round; the first request of a round always may.
+    fn is_beyond_share(&self, cost: f64, heard: f64) -> bool {
+        if self.level > self.burst * SCARCE / 100.0 || self.round_spent == 0.0 {
+            return false;
+        }
+        let recent = self.own / (self.own + self.others).max(1.0);
+        let part = (recent.max(1.0 / heard) * SHARE_FACTOR).min(1.0);
+        self.round_spent + cost > self.round_level.max(0.0) * part
+    }
+
+    fn begin_round(&mut self) {
+        self.own = (self.own + self.round_spent) * ROUND_WEIGHT;
+        self.others *= ROUND_WEIGHT;
+        self.round_level = self.level;
+        self.round_spent = 0.0;
+    }
+
     fn fill(&mut self, share: f64, now: Moment) {
         let span = now.since(self.at).as_secs_f64();
         self.level = (self.level + self.rate * share * span).min(self.burst * share);
--- a/crates/eelgrasshill_relay/src/choice.rs
+++ b/crates/eelgrasshill_relay/src/choice.rs
@@ -12,6 +12,10 @@
 
 use crate::{Fleet, Loads, Standings, Upstream};
 
+/// Other hosts that must have failed to reach an upstream before it is avoided here as well: one
+/// may be cut off itself.
+const DOUBTERS: u32 = 2;
+
 record! {
     /// Figures by which upstreams are compared.
     #[derive(Copy)]
@@ -52,6 +56,8 @@
     pub model: Option<&'a ModelName>,
     /// The adapter, if one is declared.
     pub adapter: Option<&'a AdapterName>,
+    /// The request's rank: more urgent prompts are read first.
+    pub rank: u8,
     /// Upstreams that this request already tried.
     pub tried: &'a FastSet<HostName>,
 }
@@ -101,7 +107,10 @@
         now: Moment,
     ) -> Option<Candidate> {
         let all = self.candidates(wanted, now);
-        let sound = |one: &&Candidate| !self.standings.is_aside(&one.upstream.id, now);
+        let sound = |one: &&Candidate| {
+            let id = &one.upstream.id;
+            !self.standings.is_aside(id, now) && self.loads.unreached(id) < DOUBTERS
+        };
         let sound: Vec<_> = all.iter().filter(sound).cloned().collect();
         better_of_two(if sound.is_empty() { all } else { sound }, draw)
     }
@@ -113,16 +122,16 @@
                 .model
                 .is_none_or(|model| upstream.holds(model, wanted.adapter));
             if upstream.pool == *wanted.pool && holds && !wanted.tried.contains(&upstream.id) {
-                found.push(self.candidate(upstream, now));
+                found.push(self.candidate(upstream, wanted.rank, now));
             }
         }
         found
     }
 
-    fn candidate(&self, upstream: &Arc<Upstream>, now: Moment) -> Candidate {
+    fn candidate(&self, upstream: &Arc<Upstream>, rank: u8, now: Moment) -> Candidate {
         let load = self.loads.total(&upstream.id);
         let settings = self.settings;
-        let wait = load.unread * 1_000 / settings.prefill.max(1);
+        let wait = load.ahead(rank) * 1_000 / settings.prefill.max(1);
         let far = if upstream.zone == *self.zone { 0 } else { settings.far };
         let failures = self.standings.failures(&upstream.id, now);
         let running = u64::from(load.running) * settings.running
--- a/crates/eelgrasshill_relay/src/lease.rs
+++ b/crates/eelgrasshill_relay/src/lease.rs
@@ -17,7 +17,11 @@
 const TERM: Duration = Duration::from_millis(4_000);
 
 /// Time between renewals: several may be lost within a term.
-const RENEWAL: Duration = Duration::from_millis(1_000);
+const RENEWAL: Duration = Duration::from_millis(1_200);
+
+/// Age of the last renewal from which a holder that lost touch with the store resigns: two were
+/// missed, and hosts that are in touch can take over at once.
+const RESIGNATION: Duration = Duration::from_millis(2_600);
 
 /// Added to each wait for another holder: clocks run at slightly different speeds.
 const MARGIN: Duration = Duration::from_millis(400);
@@ -64,6 +68,7 @@
     until: Moment,
     active_from: Moment,
     renewed: Moment,
+    end: Offset,
 }
 
 /// One host's part in the lease.
@@ -114,6 +119,44 @@
         record.host == self.host && record.incarnation == self.incarnation && !record.released
     }
 
+    /// Takes word that the holder of a record gives no more orders: the lease is free at once.
+    pub fn hear_resigned(&mut self, fence: u64, end: Offset) {
+        if let Some(seen) = &mut self.seen
+            && seen.end == end
+            && let Some(record) = &mut seen.record
+            && record.fence == fence
+            && record.host != self.host
+        {
+            record.released = true;
+        }
+    }
+
+    /// Takes word of when the holder sent the renewal that was seen.
+    pub fn hear_renewed(&mut self, fence: u64, end: Offset, renewed: Moment) {
+        if let Some(seen) = &mut self.seen
+            && seen.end == end
+            && seen.record.as_ref().is_some_and(|record| record.fence == fence)
+        {
+            seen.since = seen.since.min(renewed);
+        }
+    }
+
+    /// Gives orders up while the store cannot be reached and others can; returns whether it did.
+    pub fn resign(&mut self, now: Moment) -> bool {
+        let due = self.held.as_ref().is_some_and(|held| now.since(held.renewed) >= RESIGNATION);
+        if due {
+            self.held = None;
+        }
+        due
+    }
+
+    /// Returns the last renewal that stands: when it was sent, and where the topic ended then.
+    #[must_use]
+    pub fn renewed(&self) -> Option<(Moment, Offset)> {
+        let held = self.held.as_ref()?;
+        Some((held.renewed, held.end))
+    }
+
     /// Returns whether this host holds the lease, active or not.
     #[must_use]
     pub fn is_held(&self, now: Moment) -> bool {
@@ -154,7 +197,8 @@
     /// Returns whether the lease was this machine's in an earlier start, and active.
     fn was_active(&self) -> bool {
         let record = self.seen.as_ref().and_then(|seen| seen.record.as_ref());
-        record.is_some_and(|record| record.host == self.host && record.active && !record.released)
+        let was = |record: &LeaseRecord| record.host == self.host && record.active && !record.released;
+        record.is_some_and(was)
     }
 
     fn record(&self, fence: u64, active: bool) -> LeaseRecord {
@@ -221,6 +265,7 @@
                 until: sent.after(TERM),
                 active_from: waited,
                 renewed: sent,
+                end: offset.next(),
             });
         }
     }
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -26,7 +26,7 @@
 pub use freshness::KeyBound;
 pub use keyed::{Keyed, KeyedRecord};
 pub use lease::{Lease, LeaseRecord, LeaseWrite};
-pub use loads::{Load, Loads};
+pub use loads::{Load, Loads, RANKS};
 pub use placement::{Action, Book, OrderEnd, Overlay, Placer, Prospect, Seen, Step};
 pub use retries::{RetrySettings, RetryShare};
 pub use standing::{Outcome, Standings};
--- a/crates/eelgrasshill_relay/src/loads.rs
+++ b/crates/eelgrasshill_relay/src/loads.rs
@@ -2,28 +2,42 @@
 
 use eelgrasshill_domain::{FastMap, HostName, record};
 
+/// Ranks that are told apart; less urgent ones count with the last of them.
+pub const RANKS: usize = 3;
+
 record! {
     /// Work on one upstream.
     #[derive(Copy, Default)]
     pub struct Load {
         /// Requests that were sent and have not ended.
         pub running: u32,
-        /// Prompt tokens of requests whose answer has not begun.
-        pub unread: u64,
-        /// Outcomes since the start that were the upstream's own failures.
-        pub failed: u64,
-        /// Outcomes since the start.
-        pub ended: u64,
+        /// Prompt tokens of requests whose answer has not begun, by rank.
+        pub unread: [u64; RANKS],
+        /// Hosts that lately could not reach it.
+        pub unreached: u32,
     }
 }
 
+/// Returns the place of a rank among those that are told apart.
+#[must_use]
+pub fn rank_index(rank: u8) -> usize {
+    usize::from(rank).min(RANKS - 1)
+}
+
 impl Load {
     /// Adds another host's share.
     pub fn add(&mut self, other: &Self) {
         self.running += other.running;
-        self.unread += other.unread;
-        self.failed += other.failed;
-        self.ended += other.ended;
+        self.unreached += other.unreached;
+        for (mine, theirs) in self.unread.iter_mut().zip(other.unread) {
+            *mine += theirs;
+        }
+    }
+
+    /// Returns the prompt tokens that an engine reads before those of a request of a rank.
+    #[must_use]
+    pub fn ahead(&self, rank: u8) -> u64 {
+        self.unread[..=rank_index(rank)].iter().sum()
     }
 }
 
@@ -36,16 +50,17 @@
 
 impl Loads {
     /// Notes that a request is sent.
-    pub fn start(&mut self, id: &HostName, tokens: u64) {
+    pub fn start(&mut self, id: &HostName, rank: u8, tokens: u64) {
         let load = self.own.entry(id.clone()).or_default();
         load.running += 1;
-        load.unread += tokens;
+        load.unread[rank_index(rank)] += tokens;
     }
 
     /// Notes that the answer of a request has begun.
-    pub fn begin(&mut self, id: &HostName, tokens: u64) {
+    pub fn begin(&mut self, id: &HostName, rank: u8, tokens: u64) {
         if let Some(load) = self.own.get_mut(id) {
-            load.unread = load.unread.saturating_sub(tokens);
+            let unread = &mut load.unread[rank_index(rank)];
+            *unread = unread.saturating_sub(tokens);
         }
     }
 
@@ -74,6 +89,12 @@
         self.own.iter()
     }
 
+    /// Returns how many other hosts lately could not reach an upstream.
+    #[must_use]
+    pub fn unreached(&self, id: &HostName) -> u32 {
+        self.elsewhere.get(id).map_or(0, |load| load.unreached)
+    }
+
     /// Forgets upstreams that are gone and have nothing running.
     pub fn retain(&mut self, is_known: impl Fn(&HostName) -> bool) {
         self.own
--- a/crates/eelgrasshill_relay/src/placement.rs
+++ b/crates/eelgrasshill_relay/src/placement.rs
@@ -23,7 +23,7 @@
 pub use book::{Book, OrderEnd, Seen};
 use budget::LoadBudget;
 
-use crate::{Asked, EnginePool, Fleet, Holding};
+use crate::{Asked, EnginePool, Fleet, Holding, Loads};
 
 /// Load per copy, in thousandths of an engine, from which a model gets one more copy.
 const BUSY: u64 = 250;
@@ -44,6 +44,9 @@
 /// Pause before a report is asked for again while an unload waits for its requests to end.
 const UNLOAD_PAUSE: Duration = Duration::from_millis(300);
 
+/// Hosts that must have failed to reach an engine before nothing there counts.
+const DOUBTERS: u32 = 2;
+
 /// Age from which a report is no longer planned upon.
 const REPORT_AGE: Duration = Duration::from_secs(20);
 
@@ -163,7 +166,7 @@
     }
 
     /// Takes what the engines say of themselves.
-    pub fn set_fleet(&mut self, fleet: &Fleet, now: Moment) {
+    pub fn set_fleet(&mut self, fleet: &Fleet, loads: &Loads, now: Moment) {
         let mut books = BTreeMap::new();
         for upstream in fleet.open(now) {
             if !self.pools.contains_key(&upstream.pool) {
@@ -171,7 +174,8 @@
             }
             let known = self.books.remove(&upstream.id);
             let known = known.filter(|book| book.born == upstream.born);
-            let book = known.unwrap_or_else(|| Book::new(upstream));
+            let mut book = known.unwrap_or_else(|| Book::new(upstream));
+            book.set_doubted(loads.total(&upstream.id).unreached >= DOUBTERS);
             books.insert(upstream.id.clone(), book);
         }
         self.books = books;
--- a/crates/eelgrasshill_relay/src/placement/book.rs
+++ b/crates/eelgrasshill_relay/src/placement/book.rs
@@ -60,6 +60,8 @@
     pub(crate) goal: Option<Goal>,
     pub(crate) number: u64,
     calling: bool,
+    silent: bool,
+    doubted: bool,
     next_report: Moment,
     read: Moment,
     // When an adapter was last loaded or asked for here, and from when it is there.
@@ -79,6 +81,8 @@
             goal: None,
             number: 0,
             calling: false,
+            silent: false,
+            doubted: false,
             next_report: Moment(0),
             read: Moment(0),
             adapters: FastMap::default(),
@@ -93,11 +97,21 @@
         self.calling = true;
         if matches!(step, Step::Report) {
             let unloading = matches!(self.moving, Some(Moving::Unloading { .. }));
-            let pause = if unloading { UNLOAD_PAUSE } else { REPORT_PAUSE };
+            let pause = if unloading || self.is_down() { UNLOAD_PAUSE } else { REPORT_PAUSE };
             self.next_report = now.after(pause);
         }
     }
 
+    /// Returns whether the engine cannot be reached, so that nothing there counts.
+    pub(crate) fn is_down(&self) -> bool {
+        self.silent || self.doubted
+    }
+
+    /// Takes whether several hosts could not reach the engine lately.
+    pub(crate) fn set_doubted(&mut self, doubted: bool) {
+        self.doubted = doubted;
+    }
+
     /// Returns whether a report is due: nothing is known, or an order is under way.
     pub(crate) fn needs_report(&self, now: Moment) -> bool {
         if now < self.next_report {
@@ -106,7 +120,7 @@
         match &self.moving {
             Some(Moving::Loading { until, .. }) => now >= *until,
             Some(Moving::Unloading { .. } | Moving::Foreign) => true,
-            None => self.orders.is_none() || now.since(self.read) > REPORT_AGE,
+            None => self.orders.is_none() || self.silent || now.since(self.read) > REPORT_AGE,
         }
     }
 
@@ -131,6 +145,9 @@
         adapter: Option<&AdapterName>,
         now: Moment,
     ) -> Option<Duration> {
+        if self.is_down() {
+            return None;
+        }
         if self.keeps(model) {
             let Some(adapter) = adapter else {
                 return Some(Duration::ZERO);
@@ -160,6 +177,7 @@
     /// Takes a report; returns whether what the engine holds changed.
     pub(crate) fn take_report(&mut self, seen: Seen, now: Moment) -> bool {
         self.calling = false;
+        self.silent = false;
         self.read = now;
         if self.orders.is_some_and(|orders| seen.orders < orders) {
             // The report is older than the latest order's answer.
@@ -185,6 +203,7 @@
     /// Notes that a call for a report brought nothing.
     pub(crate) fn end_call(&mut self) {
         self.calling = false;
+        self.silent = true;
     }
 
     pub(crate) fn take_order(
@@ -198,6 +217,7 @@
         match end {
             OrderEnd::Accepted | OrderEnd::Done => self.apply(action, end, pool, now),
             OrderEnd::Refused | OrderEnd::Unknown => {
+                self.silent |= end == OrderEnd::Unknown;
                 // The next report tells what holds; a late order loses by its precondition.
                 self.orders = None;
                 self.next_report = now.after(REPORT_PAUSE);
--- a/crates/eelgrasshill_relay/src/placement/budget.rs
+++ b/crates/eelgrasshill_relay/src/placement/budget.rs
@@ -8,9 +8,6 @@
 /// Part of the allowed rate that is used, in percent: orders arrive with some jitter.
 const USED: u64 = 95;
 
-/// Loads under way at once, as times of what a second allows: beyond some, all take longer.
-const AT_ONCE_PERCENT: u64 = 150;
-
 /// The loads of a window, and those under way.
 #[derive(Clone, Debug)]
 pub(crate) struct LoadBudget {
@@ -42,15 +39,17 @@
         self.since = now;
     }
 
-    /// Returns whether one more load may begin while `running` are under way.
-    pub(crate) fn allows(&mut self, running: usize, now: Moment) -> bool {
+    /// Returns whether one more load, which takes `time`, may begin while `running` are under way.
+    ///
+    /// The allowed rate is that at which loads end when as many run as are fast together.
+    pub(crate) fn allows(&mut self, running: usize, time: Duration, now: Moment) -> bool {
         while self.begun.front().is_some_and(|at| now.since(*at) > self.window) {
             self.begun.pop_front();
         }
         let known = now.since(self.since).min(self.window).as_millis();
         let most = u128::from(self.rate) * known * u128::from(USED) / 100_000_000;
-        let at_once = (self.rate * AT_ONCE_PERCENT / 100_000).max(1);
-        (self.begun.len() as u128) < most.max(1) && (running as u64) < at_once
+        let at_once = (u128::from(self.rate) * time.as_millis() / 1_000_000).max(1);
+        (self.begun.len() as u128) < most.max(1) && (running as u128) < at_once
     }
 
     pub(crate) fn note(&mut self, now: Moment) {
--- a/crates/eelgrasshill_relay/src/placement/goal.rs
+++ b/crates/eelgrasshill_relay/src/placement/goal.rs
@@ -67,7 +67,8 @@
     pub(crate) fn plan(&mut self, now: Moment) {
         self.needs.retain(|_asked, at| now.since(*at) < NEED_TIME);
         for book in self.books.values_mut() {
-            if book.goal.as_ref().is_some_and(|goal| now.since(goal.since) > GOAL_TIME) {
+            let is_old = |goal: &Goal| now.since(goal.since) > GOAL_TIME;
+            if book.is_down() || book.goal.as_ref().is_some_and(is_old) {
                 book.goal = None;
             }
         }
@@ -105,7 +106,7 @@
 
     fn census(&self, name: &PoolName) -> Census {
         let mut copies = FastMap::default();
-        for book in self.books.values().filter(|book| book.pool == *name) {
+        for book in self.books.values().filter(|book| book.pool == *name && !book.is_down()) {
             for held in book.holdings.iter().filter(|held| book.keeps(&held.model)) {
                 *copies.entry(held.model.clone()).or_default() += 1;
             }
@@ -153,6 +154,7 @@
         for (id, book) in &self.books {
             let is_open = book.pool == *name
                 && book.orders.is_some()
+                && !book.is_down()
                 && book.moving.is_none()
                 && book.goal.is_none()
                 && book.holding(&row.name).is_none();
@@ -199,7 +201,7 @@
         if !book.is_at_hand(&model) {
             let cold = self.books.values().filter(|book| book.is_loading_cold()).count();
             let budget = self.budgets.get_mut(&self.books.get(id)?.pool)?;
-            if !budget.allows(cold, now) {
+            if !budget.allows(cold, row.cold, now) {
                 return None;
             }
             budget.note(now);
@@ -234,7 +236,11 @@
     /// Returns the engine that should get one more adapter of a model.
     fn best_for(&self, pool: &PoolName, model: &ModelName, _now: Moment) -> Option<&HostName> {
         let books = self.books.iter().filter(|(_id, book)| {
-            book.pool == *pool && book.keeps(model) && book.moving.is_none() && book.orders.is_some()
+            book.pool == *pool
+                && book.keeps(model)
+                && book.moving.is_none()
+                && book.orders.is_some()
+                && !book.is_down()
         });
         books
             .min_by_key(|(_id, book)| book.adapter_count())
--- a/crates/eelgrasshill_relay/src/standing.rs
+++ b/crates/eelgrasshill_relay/src/standing.rs
@@ -87,6 +87,14 @@
         record.is_some_and(|record| record.aside.is_some_and(|until| now < until))
     }
 
+    /// Returns the upstreams that could not be reached lately.
+    pub fn aside(&self, now: Moment) -> impl Iterator<Item = &HostName> {
+        let records = self.records.iter();
+        records
+            .filter(move |(_id, record)| record.aside.is_some_and(|until| now < until))
+            .map(|(id, _record)| id)
+    }
+
     /// Forgets upstreams that are gone.
     pub fn retain(&mut self, is_known: impl Fn(&HostName) -> bool) {
         self.records.retain(|id, _record| is_known(id));
--- a/crates/eelgrasshill_relay/src/sums.rs
+++ b/crates/eelgrasshill_relay/src/sums.rs
@@ -14,7 +14,7 @@
 use crate::{Asked, Load};
 
 /// How long a sum counts without news: some rounds of the exchange.
-const STALE: Duration = Duration::from_millis(1_500);
+const STALE: Duration = Duration::from_millis(900);
 
 record! {
     /// A host's short mark in messages.
--- a/crates/eelgrasshill_relay/src/tree.rs
+++ b/crates/eelgrasshill_relay/src/tree.rs
@@ -31,10 +31,12 @@
 
     /// From whom one host takes its news.
     pub struct Place {
-        /// The parent; none at the top of the zone, which reads the store itself.
+        /// The parent; none at the top of the zone.
         pub parent: Option<Peer>,
         /// The tops of the other zones, for a host at the top of its own.
         pub beside: Vec<Peer>,
+        /// Whether this host is the first of the tops, from which the others take the store's news.
+        pub first: bool,
     }
 }
 
@@ -102,7 +104,12 @@
         } else {
             Vec::new()
         };
-        Place { parent, beside }
+        let first = parent.is_none() && beside.iter().all(|peer| self.me.zone < peer.zone);
+        Place {
+            parent,
+            beside,
+            first,
+        }
     }
 
     fn other_tops(&self) -> Vec<Peer> {
