--- a/crates/eelgrasshill_gateway/src/holder.rs
+++ b/crates/eelgrasshill_gateway/src/holder.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use eelgrasshill_domain::{HostName, Moment, Version};
-use eelgrasshill_ports::{BootClock, HttpPool};
+use eelgrasshill_ports::{BootClock, CallError, HttpPool};
 use eelgrasshill_relay::{Action, LeaseRecord, LeaseWrite, OrderEnd, Seen, Step};
 use http_body_util::Full;
 use hyper::{Method, Request};
@@ -26,6 +26,9 @@
 /// Age of the configuration, as peers tell it, up to which they are taken to reach the store.
 const PEERS_FRESH: Duration = Duration::from_millis(2_400);
 
+/// How often the holder logs what engines hold and are asked for.
+const SUMMARY: Duration = Duration::from_secs(2);
+
 /// Longest wait for an engine's answer to an order or a look at its report.
 const ENGINE_ANSWER: Duration = Duration::from_millis(300);
 
@@ -41,6 +44,7 @@
         version: None,
         watched: Moment(0),
         active: false,
+        summed: Moment(0),
     };
     while !giver.shared.is_stopped() {
         giver.tend_lease().await;
@@ -79,6 +83,7 @@
     version: Option<Version>,
     watched: Moment,
     active: bool,
+    summed: Moment,
 }
 
 impl<W: Wire, S: Store> Giver<W, S> {
@@ -246,6 +251,21 @@
         hold.placer.set_fleet(&fleet, &loads, now);
         hold.placer.set_wanted(&wanted);
         let steps = hold.placer.steps(now);
+        if now.since(self.summed) >= SUMMARY {
+            self.summed = now;
+            for (pool, _engines) in tables.engine_pools() {
+                let (engines, moving, down) = hold.placer.engine_counts();
+                let rows = hold.placer.summary(pool).into_iter();
+                let rows: Vec<_> = rows
+                    .map(|(model, copies, work)| format!("{model}={copies}/{work}"))
+                    .collect();
+                log::info!(
+                    "orders: pool={pool} engines={engines} moving={moving} down={down} \
+                     copies/load {}",
+                    rows.join(" ")
+                );
+            }
+        }
         drop(hold);
         self.tell(fence, now);
         for (engine, step) in steps {
@@ -301,6 +321,8 @@
             body: Vec::new(),
         };
         let answered = self.call(Method::GET, call).await;
+        let unreached = answered.as_ref().is_err_and(CallError::is_unsent);
+        let answered = answered.map_err(|error| error.to_string());
         let report = answered.and_then(|(status, body)| match status {
             200 => W::report(&body).map_err(|error| error.to_string()),
             other => Err(format!("status {other}")),
@@ -319,7 +341,7 @@
             }
             Err(cause) => {
                 log::info!("orders: engine={} report failed: {cause}", self.engine);
-                hold.placer.unreported(&self.engine);
+                hold.placer.unreported(&self.engine, unreached);
             }
         }
     }
@@ -352,7 +374,11 @@
                 },
                 Err(cause) => {
                     log::info!("orders: engine={} no answer: {cause}", self.engine);
-                    OrderEnd::Unknown
+                    if cause.is_unsent() {
+                        OrderEnd::Unreached
+                    } else {
+                        OrderEnd::Unknown
+                    }
                 }
             }
         } else {
@@ -368,20 +394,22 @@
         hold.placer.ordered(&self.engine, &action, end, BootClock.now());
     }
 
-    async fn call(&self, method: Method, call: SmallCall) -> Result<(u16, Bytes), String> {
+    async fn call(&self, method: Method, call: SmallCall) -> Result<(u16, Bytes), CallError> {
         let mut request = Request::new(Full::new(Bytes::from(call.body)));
         *request.method_mut() = method;
         *request.uri_mut() = hyper::Uri::from_static(call.path);
         *request.headers_mut() = call.headers;
         let host = hyper::header::HeaderValue::from_str(&self.address.to_string());
-        request
-            .headers_mut()
-            .insert("host", host.map_err(|error| error.to_string())?);
+        let host = host.map_err(|error| CallError::NotSent {
+            address: self.address.to_string(),
+            cause: error.to_string(),
+        })?;
+        request.headers_mut().insert("host", host);
         let called = self
             .pool
             .call(self.address, request, ENGINE_ANSWER, REPORT_BYTES)
             .await;
-        let (status, body) = called.map_err(|error| error.to_string())?;
+        let (status, body) = called?;
         Ok((status.as_u16(), body))
     }
 }
--- a/crates/eelgrasshill_relay/src/placement.rs
+++ b/crates/eelgrasshill_relay/src/placement.rs
@@ -44,6 +44,10 @@
 /// Pause before a report is asked for again while an unload waits for its requests to end.
 const UNLOAD_PAUSE: Duration = Duration::from_millis(300);
 
+/// Shortest time that a copy stays for the sake of a busier model: demand that jumps and falls
+/// back within it moves nothing.
+const STAY: Duration = Duration::from_millis(4_000);
+
 /// Hosts that must have failed to reach an engine before nothing there counts.
 const DOUBTERS: u32 = 2;
 
@@ -291,9 +295,11 @@
     }
 
     /// Notes that a call for a report brought nothing.
-    pub fn unreported(&mut self, id: &HostName) {
+    ///
+    /// `unreached` says that not even a connection stood.
+    pub fn unreported(&mut self, id: &HostName, unreached: bool) {
         if let Some(book) = self.books.get_mut(id) {
-            book.end_call();
+            book.end_call(unreached);
         }
     }
 
--- a/crates/eelgrasshill_relay/src/placement/book.rs
+++ b/crates/eelgrasshill_relay/src/placement/book.rs
@@ -5,7 +5,7 @@
 use eelgrasshill_domain::{AdapterName, FastMap, ModelName, Moment, PoolName, record, scalar};
 
 use super::goal::Goal;
-use super::{ADAPTER_TIME, Action, REPORT_AGE, REPORT_PAUSE, SLACK, Step, UNLOAD_PAUSE};
+use super::{ADAPTER_TIME, Action, REPORT_AGE, REPORT_PAUSE, SLACK, STAY, Step, UNLOAD_PAUSE};
 use crate::{EnginePool, Holding, Model, Upstream};
 
 record! {
@@ -35,6 +35,8 @@
         Refused,
         /// No answer came: it may take effect, also later.
         Unknown,
+        /// The engine could not be reached.
+        Unreached,
     }
 }
 
@@ -61,7 +63,10 @@
     pub(crate) number: u64,
     calling: bool,
     silent: bool,
+    missed: bool,
     doubted: bool,
+    // When models were ordered.
+    loaded: FastMap<ModelName, Moment>,
     next_report: Moment,
     read: Moment,
     // When an adapter was last loaded or asked for here, and from when it is there.
@@ -82,7 +87,9 @@
             number: 0,
             calling: false,
             silent: false,
+            missed: false,
             doubted: false,
+            loaded: FastMap::default(),
             next_report: Moment(0),
             read: Moment(0),
             adapters: FastMap::default(),
@@ -178,6 +185,7 @@
     pub(crate) fn take_report(&mut self, seen: Seen, now: Moment) -> bool {
         self.calling = false;
         self.silent = false;
+        self.missed = false;
         self.read = now;
         if self.orders.is_some_and(|orders| seen.orders < orders) {
             // The report is older than the latest order's answer.
@@ -201,9 +209,17 @@
     }
 
     /// Notes that a call for a report brought nothing.
-    pub(crate) fn end_call(&mut self) {
+    ///
+    /// One lost answer says little; an engine that cannot be reached, or lost two, is down.
+    pub(crate) fn end_call(&mut self, unreached: bool) {
         self.calling = false;
-        self.silent = true;
+        self.silent |= unreached || self.missed;
+        self.missed = true;
+    }
+
+    /// Returns whether a copy came so lately that it should stay.
+    pub(crate) fn is_new(&self, model: &ModelName, now: Moment) -> bool {
+        self.loaded.get(model).is_some_and(|at| now.since(*at) < STAY)
     }
 
     pub(crate) fn take_order(
@@ -216,8 +232,9 @@
         self.calling = false;
         match end {
             OrderEnd::Accepted | OrderEnd::Done => self.apply(action, end, pool, now),
-            OrderEnd::Refused | OrderEnd::Unknown => {
-                self.silent |= end == OrderEnd::Unknown;
+            OrderEnd::Refused | OrderEnd::Unknown | OrderEnd::Unreached => {
+                // An engine that only leaves an order unanswered goes on serving.
+                self.silent |= end == OrderEnd::Unreached;
                 // The next report tells what holds; a late order loses by its precondition.
                 self.orders = None;
                 self.next_report = now.after(REPORT_PAUSE);
@@ -236,8 +253,10 @@
                     model: model.clone(),
                     until: now.after(time + SLACK),
                 });
+                self.loaded.insert(model.clone(), now.after(time));
             }
             Action::Unload(model) => {
+                self.loaded.remove(model);
                 self.adapters.retain(|(held, _adapter), _at| held != model);
                 if end == OrderEnd::Done {
                     self.holdings.retain(|held| held.model != *model);
--- a/crates/eelgrasshill_relay/src/placement/goal.rs
+++ b/crates/eelgrasshill_relay/src/placement/goal.rs
@@ -84,7 +84,7 @@
             let Some(row) = pool.model(&model) else {
                 continue;
             };
-            if let Some((id, victims)) = self.place(name, pool, row, &census) {
+            if let Some((id, victims)) = self.place(name, pool, row, &census, now) {
                 for victim in &victims {
                     if let Some(copies) = census.copies.get_mut(victim) {
                         *copies = copies.saturating_sub(1);
@@ -104,6 +104,29 @@
         }
     }
 
+    /// Returns copies and load, in thousandths of an engine, of a pool's models, the busiest first.
+    #[must_use]
+    pub fn summary(&self, name: &PoolName) -> Vec<(ModelName, u64, u64)> {
+        let census = self.census(name);
+        let Some(pool) = self.pools.get(name) else {
+            return Vec::new();
+        };
+        let rows = pool.models.iter().map(|row| {
+            (row.name.clone(), census.copies(&row.name), census.work(&row.name))
+        });
+        let mut rows: Vec<_> = rows.collect();
+        rows.sort_by_key(|(_name, _copies, work)| std::cmp::Reverse(*work));
+        rows
+    }
+
+    /// Returns how many engines are open for orders, are moving models, and are down.
+    #[must_use]
+    pub fn engine_counts(&self) -> (usize, usize, usize) {
+        let down = self.books.values().filter(|book| book.is_down()).count();
+        let moving = self.books.values().filter(|book| book.moving.is_some()).count();
+        (self.books.len(), moving, down)
+    }
+
     fn census(&self, name: &PoolName) -> Census {
         let mut copies = FastMap::default();
         for book in self.books.values().filter(|book| book.pool == *name && !book.is_down()) {
@@ -149,6 +172,7 @@
         pool: &EnginePool,
         row: &Model,
         census: &Census,
+        now: Moment,
     ) -> Option<(HostName, Vec<ModelName>)> {
         let mut best: Option<(u128, &HostName, Vec<ModelName>)> = None;
         for (id, book) in &self.books {
@@ -161,7 +185,7 @@
             if !is_open {
                 continue;
             }
-            let Some(victims) = victims(book, pool, row, census) else {
+            let Some(victims) = victims(book, pool, row, census, now) else {
                 continue;
             };
             let load: u64 = book.holdings.iter().map(|held| census.load(&held.model, 0)).sum();
@@ -286,7 +310,13 @@
 }
 
 /// Returns the copies that must go so that a model fits; none where none may go.
-fn victims(book: &Book, pool: &EnginePool, row: &Model, census: &Census) -> Option<Vec<ModelName>> {
+fn victims(
+    book: &Book,
+    pool: &EnginePool,
+    row: &Model,
+    census: &Census,
+    now: Moment,
+) -> Option<Vec<ModelName>> {
     let mut room = book.room(pool);
     let mut victims = Vec::new();
     if room >= row.memory {
@@ -296,9 +326,13 @@
     let mut spare: Vec<_> = book
         .holdings
         .iter()
+        .filter(|held| missing || !book.is_new(&held.model, now))
         .filter(|held| may_go(&held.model, &row.name, missing, census))
         .collect();
-    spare.sort_by_key(|held| (census.copies(&held.model) == 1, census.load(&held.model, 1)));
+    spare.sort_by_key(|held| {
+        let last = census.copies(&held.model) == 1;
+        (last, book.is_new(&held.model, now), census.load(&held.model, 1))
+    });
     for held in spare {
         room += pool.model(&held.model).map_or(0, |row| row.memory);
         victims.push(held.model.clone());
