Place copies by what they let be served in time

Load pattern: with 10 of 12 engines left and 20 models, one copy of each took all places, and the busiest model had one copy for 2.7 engines of demand.

--- a/crates/eelgrasshill_relay/src/placement.rs
+++ b/crates/eelgrasshill_relay/src/placement.rs
@@ -1,17 +1,18 @@
 //! What each engine holds: orders that the lease's holder gives.
 //!
 //! Load pattern: a few of many models get most requests, and which ones changes within seconds;
-//! the rest get few requests each, but all must be served. So every model keeps a copy as long as
-//! they all fit, and what room is left goes to copies of the busiest. Demand moves by copies: one
-//! more copy of a busy model takes the room of a copy whose model is served well enough by its
-//! others. An engine whose memory or disk still has the weights is preferred, since a load from
-//! the store takes several times as long.
+//! the rest get few requests each, but all must be served. A copy is worth what it lets be served
+//! in time: that of a busy model, the part of its load that its engines cannot serve; the only
+//! copy of a model, its load and a fixed part. A copy moves where it brings clearly more than what
+//! makes room for it. An engine whose memory or disk still has the weights is preferred, since a
+//! load from the store takes several times as long.
 //!
 //! Each order names how many orders the engine must have accepted before. What it would then hold
 //! was counted here, so that an order that arrives late, after others, does nothing.
 
 mod book;
 mod budget;
+mod census;
 mod goal;
 
 use std::collections::BTreeMap;
@@ -25,19 +26,15 @@
 
 use crate::{Asked, EnginePool, Fleet, Holding, Loads};
 
-/// Load per copy, in thousandths of an engine, from which a model gets one more copy.
-const BUSY: u64 = 250;
-
-/// A copy is moved where the load per copy at its new model is this many percent of what its old
-/// model's remaining copies will have.
-const GAIN_PERCENT: u64 = 160;
-
 /// How long hosts are told to avoid a copy before it is unloaded: two rounds of their news.
 const VACATE: Duration = Duration::from_millis(500);
 
 /// Time within which a report confirms what was ordered, beyond the load's own time.
 const SLACK: Duration = Duration::from_millis(60);
 
+/// Pause between two plans without a new need: demand changes over seconds.
+const PLAN_PAUSE: Duration = Duration::from_millis(200);
+
 /// Pause before a report is asked for again while an order is under way.
 const REPORT_PAUSE: Duration = Duration::from_millis(150);
 
@@ -136,6 +133,7 @@
     needs: FastMap<Asked, Moment>,
     window: Duration,
     number: u64,
+    planned: Moment,
 }
 
 impl Placer {
@@ -150,6 +148,7 @@
             needs: FastMap::default(),
             window,
             number: 0,
+            planned: Moment(0),
         }
     }
 
@@ -227,7 +226,9 @@
 
     /// Returns what must be done next; each engine has at most one call under way.
     pub fn steps(&mut self, now: Moment) -> Vec<(HostName, Step)> {
-        self.plan(now);
+        if now.since(self.planned) >= PLAN_PAUSE {
+            self.plan(now);
+        }
         let mut steps = Vec::new();
         let ids: Vec<_> = self.books.keys().cloned().collect();
         for id in ids {
--- /dev/null
+++ b/crates/eelgrasshill_relay/src/placement/census.rs
@@ -0,0 +1,112 @@
+//! How much of what is asked for the engines of a pool can serve, and what moves change of it.
+//!
+//! A model's load is shared by its copies, and an engine's by the models on it. What lies beyond an
+//! engine's useful part is not served in time.
+
+use eelgrasshill_domain::{FastMap, HostName, ModelName};
+
+/// Part of an engine, in thousandths, up to which prompts are begun in time.
+const USEFUL: u64 = 650;
+
+/// What a pool's engines hold, or will, and what its models are asked for.
+pub(crate) struct Census {
+    held: FastMap<HostName, Vec<ModelName>>,
+    copies: FastMap<ModelName, u64>,
+    // Thousandths of an engine.
+    work: FastMap<ModelName, u64>,
+}
+
+impl Census {
+    pub(crate) fn new(
+        held: FastMap<HostName, Vec<ModelName>>,
+        work: FastMap<ModelName, u64>,
+    ) -> Self {
+        let mut copies = FastMap::default();
+        for model in held.values().flatten() {
+            *copies.entry(model.clone()).or_default() += 1;
+        }
+        Self { held, copies, work }
+    }
+
+    pub(crate) fn copies(&self, model: &ModelName) -> u64 {
+        self.copies.get(model).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn work(&self, model: &ModelName) -> u64 {
+        self.work.get(model).copied().unwrap_or_default()
+    }
+
+    /// Returns the load of one copy where there are `copies` of them.
+    fn share(&self, model: &ModelName, copies: u64) -> u64 {
+        self.work(model) / copies.max(1)
+    }
+
+    fn load(&self, models: &[ModelName]) -> u64 {
+        models.iter().map(|model| self.share(model, self.copies(model))).sum()
+    }
+
+    /// Returns the engines that hold a model, with their loads.
+    fn holders(&self, model: &ModelName) -> impl Iterator<Item = (&HostName, u64)> {
+        let held = self.held.iter().filter(|(_id, models)| models.contains(model));
+        held.map(|(id, models)| (id, self.load(models)))
+    }
+
+    /// Returns how much of a model's load lies beyond what its engines serve in time.
+    pub(crate) fn unserved(&self, model: &ModelName) -> u64 {
+        let share = self.share(model, self.copies(model));
+        let parts = self
+            .holders(model)
+            .map(|(_id, load)| load.saturating_sub(USEFUL) * share / load.max(1));
+        parts.sum()
+    }
+
+    /// Returns how much more is served in time with a copy on an engine in place of `victims`.
+    pub(crate) fn gain(&self, id: &HostName, model: &ModelName, victims: &[ModelName]) -> i64 {
+        let copies = self.copies(model);
+        let after = self.share(model, copies + 1);
+        let models = self.held.get(id).map_or(&[][..], Vec::as_slice);
+        let before = self.load(models);
+        let freed: u64 = victims.iter().map(|gone| self.share(gone, self.copies(gone))).sum();
+        let here = beyond(before.saturating_sub(freed) + after) - beyond(before);
+        let relief: i64 = if copies == 0 {
+            self.work(model).try_into().unwrap_or(i64::MAX)
+        } else {
+            let moved = self.share(model, copies) - after;
+            self.holders(model)
+                .map(|(_id, load)| beyond(load) - beyond(load.saturating_sub(moved)))
+                .sum()
+        };
+        relief - here
+    }
+
+    /// Returns how much less is served in time without a model's copy on an engine.
+    pub(crate) fn loss(&self, id: &HostName, model: &ModelName) -> i64 {
+        let copies = self.copies(model);
+        if copies <= 1 {
+            return self.work(model).try_into().unwrap_or(i64::MAX);
+        }
+        let added = self.share(model, copies - 1) - self.share(model, copies);
+        self.holders(model)
+            .filter(|(holder, _load)| *holder != id)
+            .map(|(_id, load)| beyond(load + added) - beyond(load))
+            .sum()
+    }
+
+    /// Takes a move that was decided.
+    pub(crate) fn change(&mut self, id: &HostName, model: &ModelName, victims: &[ModelName]) {
+        let models = self.held.entry(id.clone()).or_default();
+        models.retain(|held| !victims.contains(held));
+        models.push(model.clone());
+        for gone in victims {
+            if let Some(copies) = self.copies.get_mut(gone) {
+                *copies = copies.saturating_sub(1);
+            }
+        }
+        *self.copies.entry(model.clone()).or_default() += 1;
+    }
+}
+
+/// Returns the part of an engine's load that is not served in time.
+fn beyond(load: u64) -> i64 {
+    load.saturating_sub(USEFUL).try_into().unwrap_or(i64::MAX)
+}
--- a/crates/eelgrasshill_relay/src/placement/goal.rs
+++ b/crates/eelgrasshill_relay/src/placement/goal.rs
@@ -5,7 +5,8 @@
 use eelgrasshill_domain::{FastMap, HostName, ModelName, Moment, PoolName};
 
 use super::book::Book;
-use super::{Action, BUSY, GAIN_PERCENT, Placer, VACATE};
+use super::census::Census;
+use super::{Action, Placer, VACATE};
 use crate::{EnginePool, Model};
 
 /// How long a plan for an engine is followed before it is made anew.
@@ -14,8 +15,27 @@
 /// How long a need is remembered after it was last heard.
 const NEED_TIME: Duration = Duration::from_millis(1_500);
 
-/// What an evicted copy costs, beside the load's time: its prompts are read again.
-const EVICTION: Duration = Duration::from_millis(700);
+/// What a model without any copy is worth beyond its load, in thousandths of an engine: each model
+/// is asked for at some time.
+const MISSING: u64 = 80;
+
+/// What is added while requests wait for it.
+const NEEDED: u64 = 150;
+
+/// Least gain for which a move is looked for, in thousandths of an engine.
+const LEAST_GAIN: u64 = 40;
+
+/// Weight of what a move takes away, in percent of what it brings: estimates are rough.
+const LOSS_PERCENT: i64 = 150;
+
+/// Cost of a second of loading, in thousandths of an engine.
+const TIME_COST: i64 = 15;
+
+/// How long hosts are told to avoid a copy that hardly anybody asks for.
+const VACATE_IDLE: Duration = Duration::from_millis(150);
+
+/// Load of a copy, in thousandths of an engine, up to which it counts as idle.
+const IDLE: u64 = 10;
 
 /// Shortest time that an ordered adapter stays.
 const ADAPTER_STAY: Duration = Duration::from_millis(250);
@@ -28,43 +48,10 @@
     pub(crate) since: Moment,
 }
 
-/// What a pool's models have and need at one moment.
-struct Census {
-    // Copies that stay or come.
-    copies: FastMap<ModelName, u64>,
-    // Thousandths of an engine.
-    work: FastMap<ModelName, u64>,
-}
-
-impl Census {
-    fn copies(&self, model: &ModelName) -> u64 {
-        self.copies.get(model).copied().unwrap_or_default()
-    }
-
-    fn work(&self, model: &ModelName) -> u64 {
-        self.work.get(model).copied().unwrap_or_default()
-    }
-
-    /// Returns the load of each copy, after `taken` of them are gone.
-    fn load(&self, model: &ModelName, taken: u64) -> u64 {
-        self.work(model) / self.copies(model).saturating_sub(taken).max(1)
-    }
-}
-
-/// Why a model gets a copy, the most pressing first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Cause {
-    /// Requests wait and no engine has it.
-    Needed,
-    /// No engine has it.
-    Missing,
-    /// Its copies are busy.
-    Busy,
-}
-
 impl Placer {
     /// Sets goals for engines that have none.
     pub(crate) fn plan(&mut self, now: Moment) {
+        self.planned = now;
         self.needs.retain(|_asked, at| now.since(*at) < NEED_TIME);
         for book in self.books.values_mut() {
             let is_old = |goal: &Goal| now.since(goal.since) > GOAL_TIME;
@@ -80,26 +67,22 @@
 
     fn plan_pool(&mut self, name: &PoolName, pool: &EnginePool, now: Moment) {
         let mut census = self.census(name);
-        for (_cause, model) in self.lacking(name, pool, &census) {
+        for (model, needed) in self.lacking(name, pool, &census) {
             let Some(row) = pool.model(&model) else {
                 continue;
             };
-            if let Some((id, victims)) = self.place(name, pool, row, &census, now) {
-                for victim in &victims {
-                    if let Some(copies) = census.copies.get_mut(victim) {
-                        *copies = copies.saturating_sub(1);
-                    }
-                }
-                *census.copies.entry(model.clone()).or_default() += 1;
-                self.number += 1;
-                if let Some(book) = self.books.get_mut(&id) {
-                    book.number = self.number;
-                    book.goal = Some(Goal {
-                        model,
-                        victims,
-                        since: now,
-                    });
-                }
+            let Some((id, victims)) = self.place(name, pool, row, needed, &census, now) else {
+                continue;
+            };
+            census.change(&id, &model, &victims);
+            self.number += 1;
+            if let Some(book) = self.books.get_mut(&id) {
+                book.number = self.number;
+                book.goal = Some(Goal {
+                    model,
+                    victims,
+                    since: now,
+                });
             }
         }
     }
@@ -119,7 +102,7 @@
         rows
     }
 
-    /// Returns how many engines are open for orders, are moving models, and are down.
+    /// Returns how many engines are known, are moving models, and are down.
     #[must_use]
     pub fn engine_counts(&self) -> (usize, usize, usize) {
         let down = self.books.values().filter(|book| book.is_down()).count();
@@ -128,53 +111,50 @@
     }
 
     fn census(&self, name: &PoolName) -> Census {
-        let mut copies = FastMap::default();
-        for book in self.books.values().filter(|book| book.pool == *name && !book.is_down()) {
-            for held in book.holdings.iter().filter(|held| book.keeps(&held.model)) {
-                *copies.entry(held.model.clone()).or_default() += 1;
-            }
-            if let Some(coming) = book.coming() {
-                *copies.entry(coming.clone()).or_default() += 1;
-            }
+        let mut held = FastMap::default();
+        let books = self.books.iter();
+        for (id, book) in books.filter(|(_id, book)| book.pool == *name && !book.is_down()) {
+            let kept = book.holdings.iter().filter(|held| book.keeps(&held.model));
+            let mut models: Vec<_> = kept.map(|held| held.model.clone()).collect();
+            models.extend(book.coming().cloned());
+            held.insert(id.clone(), models);
         }
         let work = self.wants.get(name).map(|want| want.work.clone());
-        Census {
-            copies,
-            work: work.unwrap_or_default(),
-        }
+        Census::new(held, work.unwrap_or_default())
     }
 
-    /// Returns the models that should get a copy, the most pressing first.
-    fn lacking(&self, name: &PoolName, pool: &EnginePool, census: &Census) -> Vec<(Cause, ModelName)> {
+    /// Returns models that should get a copy and whether requests wait for it, the most pressing
+    /// first.
+    fn lacking(&self, name: &PoolName, pool: &EnginePool, census: &Census) -> Vec<(ModelName, bool)> {
         let mut found = Vec::new();
         for row in &pool.models {
             let needed = self
                 .needs
                 .keys()
                 .any(|asked| asked.pool == *name && asked.model == row.name);
-            let cause = match census.copies(&row.name) {
-                0 if needed => Some(Cause::Needed),
-                0 => Some(Cause::Missing),
-                _ => (census.load(&row.name, 0) >= BUSY).then_some(Cause::Busy),
+            let weight = match census.copies(&row.name) {
+                0 => census.work(&row.name) + MISSING + if needed { NEEDED } else { 0 },
+                _ => census.unserved(&row.name),
             };
-            if let Some(cause) = cause {
-                found.push((cause, std::cmp::Reverse(census.load(&row.name, 0)), row.name.clone()));
+            if weight >= LEAST_GAIN {
+                found.push((std::cmp::Reverse(weight), row.name.clone(), needed));
             }
         }
         found.sort();
-        found.into_iter().map(|(cause, _load, model)| (cause, model)).collect()
+        found.into_iter().map(|(_weight, model, needed)| (model, needed)).collect()
     }
 
-    /// Returns the engine that gets a copy at the least cost, and what makes room there.
+    /// Returns the engine where a copy serves most, and what makes room there.
     fn place(
         &self,
         name: &PoolName,
         pool: &EnginePool,
         row: &Model,
+        needed: bool,
         census: &Census,
         now: Moment,
     ) -> Option<(HostName, Vec<ModelName>)> {
-        let mut best: Option<(u128, &HostName, Vec<ModelName>)> = None;
+        let mut best: Option<(i64, &HostName, Vec<ModelName>)> = None;
         for (id, book) in &self.books {
             let is_open = book.pool == *name
                 && book.orders.is_some()
@@ -185,19 +165,20 @@
             if !is_open {
                 continue;
             }
-            let Some(victims) = victims(book, pool, row, census, now) else {
+            let Some((victims, loss)) = victims(id, book, pool, row, census, now) else {
                 continue;
             };
-            let load: u64 = book.holdings.iter().map(|held| census.load(&held.model, 0)).sum();
-            // A thousandth of an engine's load weighs like two milliseconds of loading.
-            let cost = book.load_time(row).as_millis()
-                + u128::from(load) * 2
-                + EVICTION.as_millis() * victims.len() as u128;
-            if best.as_ref().is_none_or(|(least, _id, _victims)| cost < *least) {
-                best = Some((cost, id, victims));
+            let mut gain = census.gain(id, &row.name, &victims);
+            if census.copies(&row.name) == 0 {
+                gain += signed(MISSING) + if needed { signed(NEEDED) } else { 0 };
+            }
+            let time = signed(u64::try_from(book.load_time(row).as_millis()).unwrap_or(u64::MAX));
+            let value = gain - loss * LOSS_PERCENT / 100 - time * TIME_COST / 1_000;
+            if value > 0 && best.as_ref().is_none_or(|(most, _id, _victims)| value > *most) {
+                best = Some((value, id, victims));
             }
         }
-        best.map(|(_cost, id, victims)| (id.clone(), victims))
+        best.map(|(_value, id, victims)| (id.clone(), victims))
     }
 
     /// Returns the next order for an engine without a call under way.
@@ -213,7 +194,9 @@
         let book = self.books.get(id)?;
         let goal = book.goal.as_ref()?;
         if let Some(victim) = goal.victims.iter().find(|victim| book.holding(victim).is_some()) {
-            let vacated = now.since(goal.since) >= VACATE;
+            let work = self.wants.get(&book.pool).and_then(|want| want.work.get(victim));
+            let is_idle = work.is_none_or(|work| *work <= IDLE);
+            let vacated = now.since(goal.since) >= if is_idle { VACATE_IDLE } else { VACATE };
             return vacated.then(|| Action::Unload(victim.clone()));
         }
         let row = pool.model(&goal.model)?;
@@ -309,47 +292,48 @@
     }
 }
 
-/// Returns the copies that must go so that a model fits; none where none may go.
+/// Returns the copies that make room for a model at the least loss, and that loss; none where
+/// there is no room to be had.
 fn victims(
+    id: &HostName,
     book: &Book,
     pool: &EnginePool,
     row: &Model,
     census: &Census,
     now: Moment,
-) -> Option<Vec<ModelName>> {
+) -> Option<(Vec<ModelName>, i64)> {
     let mut room = book.room(pool);
-    let mut victims = Vec::new();
     if room >= row.memory {
-        return Some(victims);
+        return Some((Vec::new(), 0));
     }
-    let missing = census.copies(&row.name) == 0;
     let mut spare: Vec<_> = book
         .holdings
         .iter()
-        .filter(|held| missing || !book.is_new(&held.model, now))
-        .filter(|held| may_go(&held.model, &row.name, missing, census))
+        .filter(|held| !book.is_new(&held.model, now))
+        .map(|held| {
+            let last = if census.copies(&held.model) == 1 { signed(MISSING) } else { 0 };
+            (census.loss(id, &held.model) + last, &held.model)
+        })
         .collect();
-    spare.sort_by_key(|held| {
-        let last = census.copies(&held.model) == 1;
-        (last, book.is_new(&held.model, now), census.load(&held.model, 1))
-    });
-    for held in spare {
-        room += pool.model(&held.model).map_or(0, |row| row.memory);
-        victims.push(held.model.clone());
+    spare.sort();
+    let size = |model: &ModelName| pool.model(model).map_or(0, |row| row.memory);
+    // One copy that is large enough goes before several.
+    let alone = spare.iter().find(|(_loss, model)| room + size(model) >= row.memory);
+    if let Some((loss, model)) = alone {
+        return Some((vec![(*model).clone()], *loss));
+    }
+    let (mut found, mut sum) = (Vec::new(), 0);
+    for (loss, model) in spare {
+        room += size(model);
+        sum += loss;
+        found.push(model.clone());
         if room >= row.memory {
-            return Some(victims);
+            return Some((found, sum));
         }
     }
     None
 }
 
-/// Returns whether a copy of `model` may make room for one of `wanted`.
-fn may_go(model: &ModelName, wanted: &ModelName, missing: bool, census: &Census) -> bool {
-    let copies = census.copies(model);
-    if missing {
-        // A copy too many goes first; a last copy only where nobody asks for it and somebody
-        // asks for the other.
-        return copies > 1 || (census.work(model) == 0 && census.work(wanted) > 0);
-    }
-    copies > 1 && census.load(model, 1) * GAIN_PERCENT <= census.load(wanted, 0) * 100
+fn signed(number: u64) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
 }
