--- a/crates/eelgrasshill_relay/src/placement/census.rs
+++ b/crates/eelgrasshill_relay/src/placement/census.rs
@@ -1,12 +1,12 @@
 //! How much of what is asked for the engines of a pool can serve, and what moves change of it.
 //!
-//! A model's load is shared by its copies, and an engine's by the models on it. What lies beyond an
-//! engine's useful part is not served in time.
+//! A model's load is shared by its copies, and an engine's by the models on it. The fuller an
+//! engine is, the more of what is added to it is begun too late.
 
 use eelgrasshill_domain::{FastMap, HostName, ModelName};
 
-/// Part of an engine, in thousandths, up to which prompts are begun in time.
-const USEFUL: u64 = 650;
+/// Load of an engine, in thousandths, from which whatever is added is begun too late.
+const FULL: u64 = 650;
 
 /// What a pool's engines hold, or will, and what its models are asked for.
 pub(crate) struct Census {
@@ -51,12 +51,13 @@
         held.map(|(id, models)| (id, self.load(models)))
     }
 
-    /// Returns how much of a model's load lies beyond what its engines serve in time.
+    /// Returns how much of a model's load is begun too late.
     pub(crate) fn unserved(&self, model: &ModelName) -> u64 {
         let share = self.share(model, self.copies(model));
-        let parts = self
-            .holders(model)
-            .map(|(_id, load)| load.saturating_sub(USEFUL) * share / load.max(1));
+        let parts = self.holders(model).map(|(_id, load)| {
+            let late = u64::try_from(late(load)).unwrap_or_default();
+            late * share / load.max(1)
+        });
         parts.sum()
     }
 
@@ -67,13 +68,13 @@
         let models = self.held.get(id).map_or(&[][..], Vec::as_slice);
         let before = self.load(models);
         let freed: u64 = victims.iter().map(|gone| self.share(gone, self.copies(gone))).sum();
-        let here = beyond(before.saturating_sub(freed) + after) - beyond(before);
+        let here = late(before.saturating_sub(freed) + after) - late(before);
         let relief: i64 = if copies == 0 {
             self.work(model).try_into().unwrap_or(i64::MAX)
         } else {
             let moved = self.share(model, copies) - after;
             self.holders(model)
-                .map(|(_id, load)| beyond(load) - beyond(load.saturating_sub(moved)))
+                .map(|(_id, load)| late(load) - late(load.saturating_sub(moved)))
                 .sum()
         };
         relief - here
@@ -88,7 +89,7 @@
         let added = self.share(model, copies - 1) - self.share(model, copies);
         self.holders(model)
             .filter(|(holder, _load)| *holder != id)
-            .map(|(_id, load)| beyond(load + added) - beyond(load))
+            .map(|(_id, load)| late(load + added) - late(load))
             .sum()
     }
 
@@ -106,7 +107,10 @@
     }
 }
 
-/// Returns the part of an engine's load that is not served in time.
-fn beyond(load: u64) -> i64 {
-    load.saturating_sub(USEFUL).try_into().unwrap_or(i64::MAX)
+/// Returns the part of an engine's load that is begun too late: some of it while prompts meet each
+/// other, and all beyond what the engine can take.
+fn late(load: u64) -> i64 {
+    let below = load.min(FULL);
+    let late = below * below / (2 * FULL) + (load - below);
+    late.try_into().unwrap_or(i64::MAX)
 }
