--- a/crates/eelgrasshill_relay/src/allowance.rs
+++ b/crates/eelgrasshill_relay/src/allowance.rs
@@ -13,7 +13,12 @@
 
 /// Part of the burst that is used, in percent. Parts of the fleet that have just lost sight of
 /// each other may each spend what is in the bucket.
-const BURST_USED: f64 = 85.0;
+const BURST_USED: f64 = 65.0;
+
+/// Part of the rate that is used, in percent. The platform allows a tenth more over its window;
+/// hosts that learn late of each other's spending refuse some requests that the rate allows, and
+/// let others through in their place.
+const RATE_USED: f64 = 107.0;
 
 /// Part of the bucket, in percent of the burst, below which hosts take only their share of it.
 const SCARCE: f64 = 40.0;
@@ -60,6 +65,8 @@
     // Averages of what this host and others spend in a round.
     own: f64,
     others: f64,
+    // Tokens of requests that this host sent away and that have not had their turn since.
+    sent_away: f64,
 }
 
 /// The buckets of all organisations at one host.
@@ -98,11 +105,12 @@
                 round_spent: 0.0,
                 own: 0.0,
                 others: 0.0,
+                sent_away: 0.0,
             });
             bucket.fill(self.quorum.share(), now);
             #[expect(clippy::cast_precision_loss, reason = "limits are far below 2^52")]
             {
-                bucket.rate = row.rate as f64;
+                bucket.rate = row.rate as f64 * RATE_USED / 100.0;
                 bucket.burst = row.burst as f64 * BURST_USED / 100.0;
             }
             bucket.level = bucket.level.min(bucket.burst);
@@ -141,7 +149,10 @@
             let needed = cost.min(bucket.burst * share);
             if bucket.level < needed || bucket.is_beyond_share(needed, heard) {
                 let rate = bucket.rate * share;
-                let wait = (needed - bucket.level).max(needed) / rate.max(1.0);
+                // Those that were sent away before come back before this one.
+                let before = bucket.sent_away * heard;
+                bucket.sent_away += cost;
+                let wait = ((needed - bucket.level).max(needed) + before) / rate.max(1.0);
                 return Err(Duration::try_from_secs_f64(wait).unwrap_or(RETRY));
             }
             bucket.level -= cost;
@@ -182,7 +193,12 @@
     /// Begins a new round: everything that others told is taken off.
     pub fn begin_round(&mut self, now: Moment) {
         let share = self.quorum.share();
+        #[expect(clippy::cast_precision_loss, reason = "numbers of hosts are small")]
+        let heard = self.quorum.heard.max(1) as f64;
         for bucket in self.buckets.values_mut() {
+            let span = now.since(bucket.at).as_secs_f64();
+            let turn = bucket.rate * share * span / heard;
+            bucket.sent_away = (bucket.sent_away - turn).max(0.0);
             bucket.fill(share, now);
             bucket.begin_round();
         }
