--- a/crates/eelgrasshill_relay/src/allowance.rs
+++ b/crates/eelgrasshill_relay/src/allowance.rs
@@ -27,6 +27,10 @@
 /// spending moves among hosts.
 const SHARE_FACTOR: f64 = 2.0;
 
+/// Part of the burst that a host begins with: hosts that all start at once would otherwise refuse
+/// what their callers are owed, and what the window allows beyond the rate covers it.
+const FIRST_FILL: f64 = 0.4;
+
 /// Weight of earlier rounds in the averages: they span a second or so.
 const ROUND_WEIGHT: f64 = 0.75;
 
@@ -91,11 +95,14 @@
 }
 
 impl Allowances {
-    /// Takes the limits of a configuration; a lowered limit binds at once, new buckets are empty.
+    /// Takes the limits of a configuration; a lowered limit binds at once.
+    ///
+    /// New buckets hold little: what was spent before this host's start is not known.
     pub fn configure<'a>(&mut self, rows: impl Iterator<Item = &'a Organisation>, now: Moment) {
         let mut buckets = FastMap::default();
         for row in rows.filter(|row| row.rate > 0) {
             let known = self.buckets.remove(&row.name);
+            let is_new = known.is_none();
             let mut bucket = known.unwrap_or(Bucket {
                 rate: 0.0,
                 burst: 0.0,
@@ -113,6 +120,9 @@
                 bucket.rate = row.rate as f64 * RATE_USED / 100.0;
                 bucket.burst = row.burst as f64 * BURST_USED / 100.0;
             }
+            if is_new {
+                bucket.level = bucket.burst * FIRST_FILL * self.quorum.share();
+            }
             bucket.level = bucket.level.min(bucket.burst);
             buckets.insert(row.name.clone(), bucket);
         }
@@ -124,9 +134,10 @@
         let (before, after) = (self.quorum.share(), quorum.share());
         for bucket in self.buckets.values_mut() {
             bucket.fill(before, now);
-            if after < before && bucket.level > 0.0 {
-                // The other part of the fleet holds the same bucket.
-                bucket.level *= after / before;
+            if bucket.level > 0.0 {
+                // A part of the fleet that is lost from sight holds its part of the bucket, and
+                // brings what is left of it when it is back.
+                bucket.level = (bucket.level * after / before).min(bucket.burst * after);
             }
         }
         self.quorum = quorum;
--- /dev/null
+++ b/crates/eelgrasshill_relay/tests/records.rs
@@ -0,0 +1,252 @@
+//! Records, entries, events, choices and budgets, each by a table of cases.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrasshill_domain::{
+    FastMap, FastSet, HostName, Incarnation, ModelName, Moment, Offset, PoolName, ZoneName,
+};
+use eelgrasshill_relay::{
+    ChoiceSettings, EventCutter, Fleet, Holding, KeyBound, Keyed, KeyedRecord, Load, Loads,
+    Outcome, Overlay, Peer, Picture, RANKS, RetrySettings, RetryShare, Standings, Tree, Upstream,
+    Wanted,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+fn name(text: &str) -> HostName {
+    HostName::new(text).expect("the name is valid")
+}
+
+fn record(key: &str, offset: u64, value: &str) -> KeyedRecord {
+    KeyedRecord {
+        key: Arc::from(key),
+        offset: Offset(offset),
+        value: Arc::from(value.as_bytes()),
+    }
+}
+
+fn upstream(id: &str, models: &[&str]) -> Upstream {
+    let holdings = models.iter().map(|model| Holding {
+        model: ModelName::new(model).expect("the name is valid"),
+        adapters: Vec::new(),
+    });
+    Upstream {
+        id: name(id),
+        pool: PoolName::new("p").expect("the name is valid"),
+        zone: ZoneName::new("z").expect("the name is valid"),
+        address: "127.0.0.1:1".parse().expect("the address is valid"),
+        slots: 48,
+        leaving: false,
+        born: 1,
+        holdings: holdings.collect(),
+        memory: Vec::new(),
+        disk: Vec::new(),
+    }
+}
+
+#[test]
+fn the_newest_record_wins_whatever_way_it_comes() {
+    let mut keyed = Keyed::default();
+    keyed.extend(vec![record("a", 0, "1"), record("b", 1, "1")], Offset(2), Some(Moment(10)));
+    // A peer that is behind tells nothing new, and does not make the records fresh.
+    let news = keyed.extend(vec![record("a", 0, "0")], Offset(1), Some(Moment(50)));
+    assert!(news.is_empty());
+    assert_eq!(keyed.fresh(), Some(Moment(10)));
+    // A heartbeat that repeats what is known moves the end only.
+    let news = keyed.extend(vec![record("a", 2, "1")], Offset(3), Some(Moment(60)));
+    assert!(news.is_empty());
+    assert_eq!((keyed.end(), keyed.fresh()), (Offset(3), Some(Moment(60))));
+    // An older value cannot come back through a peer that kept it longer.
+    keyed.extend(vec![record("a", 3, "2"), record("a", 4, "1")], Offset(5), None);
+    assert!(keyed.extend(vec![record("a", 3, "2")], Offset(5), None).is_empty());
+    assert_eq!(&*keyed.get("a").expect("it is held").value, b"1");
+}
+
+#[test]
+fn keys_that_a_whole_read_lacks_are_dropped() {
+    let mut keyed = Keyed::default();
+    keyed.extend(vec![record("a", 0, "1"), record("b", 1, "1")], Offset(2), None);
+    let news = keyed.replace(vec![record("b", 1, "1"), record("c", 7, "1")], Offset(8), Moment(5));
+    let removed: Vec<_> = news.iter().filter(|n| n.is_removal()).map(|n| &*n.key).collect();
+    assert_eq!(removed, ["a"]);
+    assert!(keyed.get("a").is_none() && keyed.get("c").is_some());
+    assert_eq!(keyed.since(Offset(2)).count(), 2, "peers hear of the removal as well");
+}
+
+#[test]
+fn lapsed_entries_are_used_on_for_a_while_and_leaving_ones_are_not() {
+    let cases = [
+        (false, false, 0, false, "a dropped entry is gone at once"),
+        (true, false, 1_000, true, "it may have lapsed while the store was in trouble"),
+        (true, false, 1_600, false, "but not for longer than the drain allows"),
+        (true, true, 0, false, "a leaving upstream gets nothing"),
+    ];
+    for (unsteady, leaving, after, open, why) in cases {
+        let mut fleet = Fleet::default();
+        let entry = Upstream { leaving, ..upstream("u", &["m"]) };
+        fleet.insert(entry, Moment(1_000));
+        fleet.remove(&name("u"), unsteady, Moment(1_000));
+        assert_eq!(fleet.open(Moment(1_000 + after)).count() == 1, open, "{why}");
+    }
+}
+
+#[test]
+fn the_holders_word_goes_before_an_older_entry() {
+    let model = ModelName::new("new").expect("the name is valid");
+    let word = |fence, number, born| Overlay {
+        engine: name("u"),
+        born,
+        fence,
+        number,
+        holdings: upstream("u", &["new"]).holdings,
+    };
+    let mut fleet = Fleet::default();
+    fleet.insert(upstream("u", &["old"]), Moment(0));
+    assert!(fleet.tell(word(2, 5, 1), Moment(100)));
+    fleet.insert(upstream("u", &["old"]), Moment(500));
+    assert!(fleet.get(&name("u")).expect("it is known").holds(&model, None));
+    assert!(!fleet.tell(word(2, 4, 1), Moment(600)), "older word is no news");
+    assert!(!fleet.tell(word(1, 9, 1), Moment(600)), "an earlier holder's neither");
+    fleet.insert(upstream("u", &["old"]), Moment(5_000));
+    assert!(!fleet.get(&name("u")).expect("it is known").holds(&model, None));
+    let reborn = Upstream { born: 2, ..upstream("u", &[]) };
+    fleet.insert(reborn, Moment(600));
+    assert!(!fleet.get(&name("u")).expect("it is known").holds(&model, None), "it starts empty");
+}
+
+#[test]
+fn only_whole_events_are_passed_on() {
+    struct Case {
+        pieces: &'static [&'static str],
+        passed: &'static str,
+        last: Option<u64>,
+        torn: bool,
+    }
+    let cases = [
+        Case { pieces: &["id: 1\nda", "ta: a\n\n"], passed: "id: 1\ndata: a\n\n", last: Some(1), torn: false },
+        Case { pieces: &["id: 1\ndata: a\n\nid: 2\n"], passed: "id: 1\ndata: a\n\n", last: Some(1), torn: true },
+        Case { pieces: &["id: 8\ndata: a\n\nid: 9\ndata: b\n\n"], passed: "id: 8\ndata: a\n\nid: 9\ndata: b\n\n", last: Some(9), torn: false },
+        Case { pieces: &["version: 2\nid:3\ndata: id: 7\n\n"], passed: "version: 2\nid:3\ndata: id: 7\n\n", last: Some(3), torn: false },
+        Case { pieces: &["data: a\n"], passed: "", last: Some(4), torn: true },
+    ];
+    for case in cases {
+        let mut cutter = EventCutter::new(Some(4));
+        let passed: Vec<u8> =
+            case.pieces.iter().filter_map(|piece| cutter.push(piece.as_bytes())).flatten().collect();
+        assert_eq!(String::from_utf8_lossy(&passed), case.passed);
+        assert_eq!((cutter.last(), cutter.is_torn()), (case.last, case.torn), "{:?}", case.pieces);
+    }
+}
+
+#[test]
+fn choices_avoid_what_fails_and_count_prompts_by_rank() {
+    let pool = PoolName::new("p").expect("the name is valid");
+    let zone = ZoneName::new("z").expect("the name is valid");
+    let model = ModelName::new("m").expect("the name is valid");
+    let mut fleet = Fleet::default();
+    for id in ["a", "b"] {
+        fleet.insert(upstream(id, &["m"]), Moment(0));
+    }
+    let settings = ChoiceSettings::default();
+    let choose = |loads: &Loads, standings: &Standings, rank, tried: &FastSet<HostName>| {
+        let picture = Picture { fleet: &fleet, loads, standings, zone: &zone, settings: &settings };
+        let wanted = Wanted { pool: &pool, model: Some(&model), adapter: None, rank, tried };
+        picture.choose(&wanted, |_count| 0, Moment(1_000))
+    };
+    let none = FastSet::default();
+    let (mut loads, mut standings) = (Loads::default(), Standings::default());
+    // Prompts of the least urgent rank do not delay an urgent request.
+    loads.start(&name("a"), 2, 38_000);
+    loads.start(&name("b"), 0, 3_800);
+    let urgent = choose(&loads, &standings, 0, &none).expect("both are open");
+    assert_eq!((urgent.upstream.id.as_str(), urgent.wait.as_millis()), ("a", 0));
+    let last = choose(&loads, &standings, 2, &none).expect("both are open");
+    assert_eq!((last.upstream.id.as_str(), last.wait.as_millis()), ("b", 100));
+    // An upstream that could not be reached is avoided, here or by what two other hosts say.
+    standings.note(&name("a"), Outcome::Unreachable, Moment(990));
+    assert_eq!(choose(&loads, &standings, 0, &none).expect("b is open").upstream.id, name("b"));
+    let doubted = Load { running: 0, unread: [0; RANKS], unreached: 2 };
+    let mut told = Loads::default();
+    told.set_elsewhere(FastMap::from_iter([(name("b"), doubted)]));
+    let found = choose(&told, &Standings::default(), 0, &none).expect("a is open");
+    assert_eq!(found.upstream.id, name("a"));
+    // Where nothing else is left, an avoided one is better than none.
+    let tried = FastSet::from_iter([name("b")]);
+    assert_eq!(choose(&loads, &standings, 0, &tried).expect("a is left").upstream.id, name("a"));
+}
+
+#[test]
+fn repeats_of_all_hosts_stay_within_the_fleets_budget() {
+    let settings = RetrySettings { ratio: 200, extra: 116, window: Duration::from_secs(10) };
+    let pool = PoolName::new("p").expect("the name is valid");
+    let mut hosts: Vec<_> = (0..15).map(|_host| RetryShare::new(settings, 15)).collect();
+    let (mut requests, mut repeats) = (0_u64, 0_u64);
+    for clock in (0..10_000).step_by(5) {
+        let at = usize::try_from(clock / 5).expect("the clock is small") % hosts.len();
+        hosts[at].note_request(&pool, Moment(clock));
+        requests += 1;
+        while hosts[at].take(&pool, Moment(clock)) {
+            repeats += 1;
+        }
+    }
+    assert!(repeats <= requests / 5 + 116, "{repeats} repeats of {requests} requests");
+    assert!(repeats >= (requests / 5 + 116) / 2, "{repeats} repeats: most of the budget is unused");
+}
+
+#[test]
+fn keys_are_accepted_only_while_they_are_known_to_stand() {
+    let bound = KeyBound(Duration::from_secs(5));
+    let cases = [
+        (None, 0, false),
+        (Some(Moment(1_000)), 1_000, true),
+        (Some(Moment(1_000)), 5_500, true),
+        (Some(Moment(1_000)), 5_600, false),
+    ];
+    for (fresh, now, allowed) in cases {
+        assert_eq!(bound.allows(fresh, Moment(now)), allowed, "{fresh:?} at {now}");
+    }
+}
+
+#[test]
+fn whatever_hosts_suspect_the_tree_has_no_circle() {
+    for seed in 0..50 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let peers: Vec<_> = (0..60)
+            .map(|number| Peer {
+                host: name(&format!("h{number}")),
+                zone: ZoneName::new(&format!("z{}", number % 3)).expect("the name is valid"),
+                address: "127.0.0.1:1".parse().expect("the address is valid"),
+                incarnation: Incarnation(1),
+            })
+            .collect();
+        let mut parents = FastMap::default();
+        let mut firsts = 0;
+        for me in &peers {
+            let mut tree = Tree::new(me.clone());
+            for peer in &peers {
+                tree.insert(peer.clone());
+            }
+            if seed > 0 {
+                for peer in &peers {
+                    if random.random_range(0..4) == 0 {
+                        tree.suspect(&peer.host, Moment(0));
+                    }
+                }
+            }
+            let place = tree.place(Moment(10));
+            firsts += usize::from(place.first);
+            parents.insert(me.host.clone(), place.parent.map(|parent| parent.host));
+        }
+        for peer in &peers {
+            let mut at = peer.host.clone();
+            for _step in 0..peers.len() {
+                match &parents[&at] {
+                    Some(parent) => at = parent.clone(),
+                    None => break,
+                }
+            }
+            assert!(parents[&at].is_none(), "seed {seed}: {} hangs on a circle", peer.host);
+        }
+        assert!(seed > 0 || firsts == 1, "{firsts} hosts read the store");
+    }
+}
