--- a/crates/eelgrasshill_relay/src/choice.rs
+++ b/crates/eelgrasshill_relay/src/choice.rs
@@ -158,5 +158,9 @@
         found.swap(second, last - 1);
         found.drain(..last - 1);
     }
+    // Equal ones are taken in turn, not by their order here, which is the same on every host.
+    if found.len() == 2 && draw(2) == 0 {
+        found.swap(0, 1);
+    }
     found.into_iter().min_by_key(|candidate| candidate.cost)
 }
