--- a/crates/eelgrasshill_entry/src/answer/attempt.rs
+++ b/crates/eelgrasshill_entry/src/answer/attempt.rs
@@ -13,8 +13,8 @@
 use tokio::sync::mpsc;
 
 use crate::answer::{Answer, Part};
-use eelgrasshill_ports::lock;
 use crate::{ApiError, BootClock, Code};
+use eelgrasshill_ports::lock;
 
 /// How often a running answer checks that its caller's key still works.
 const KEY_CHECK: Duration = Duration::from_millis(500);
--- a/crates/eelgrasshill_entry/src/control/place.rs
+++ b/crates/eelgrasshill_entry/src/control/place.rs
@@ -24,8 +24,8 @@
 use crate::control::exchange::channel;
 use crate::control::messages::{Demanded, Happened};
 use crate::control::{Control, Outside};
-use eelgrasshill_ports::lock;
 use crate::{BootClock, Shared};
+use eelgrasshill_ports::lock;
 
 /// How often demand is told to the candidates.
 const DEMAND: Duration = Duration::from_secs(1);
--- a/crates/eelgrasshill_entry/src/lib.rs
+++ b/crates/eelgrasshill_entry/src/lib.rs
@@ -14,9 +14,9 @@
 mod shared;
 mod signal;
 
-pub use eelgrasshill_ports::BootClock;
 pub use control::{ClaimCommand, ClaimTurn};
 pub use dispatch::{Dispatch, Place};
+pub use eelgrasshill_ports::BootClock;
 pub use journal::{Journal, Step, StepEvent, Trace};
 pub use quota::{Quota, Reservation};
 pub use refusal::{ApiError, Code, RUN_HEADER, Run};
--- a/crates/eelgrasshill_entry/src/shared.rs
+++ b/crates/eelgrasshill_entry/src/shared.rs
@@ -14,8 +14,8 @@
 use eelgrasshill_settings::EntrySettings;
 use tokio::sync::mpsc;
 
-use eelgrasshill_ports::lock;
 use crate::{BootClock, ClaimCommand, Dispatch, Journal, Quota};
+use eelgrasshill_ports::lock;
 
 /// An immutable picture of the tables, replaced by the control thread.
 #[derive(Debug, Default)]
--- a/crates/eelgrasshill_gateway/src/convert.rs
+++ b/crates/eelgrasshill_gateway/src/convert.rs
@@ -25,14 +25,20 @@
 }
 
 pub(crate) fn topic_of(number: u32) -> Option<Topic> {
-    TOPICS.into_iter().find(|topic| topic_number(*topic) == number)
+    TOPICS
+        .into_iter()
+        .find(|topic| topic_number(*topic) == number)
 }
 
 pub(crate) fn write_asked(asked: &Asked) -> message::AskedModel {
     message::AskedModel {
         pool: asked.pool.to_string(),
         model: asked.model.to_string(),
-        adapter: asked.adapter.as_ref().map(ToString::to_string).unwrap_or_default(),
+        adapter: asked
+            .adapter
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
     }
 }
 
@@ -95,7 +101,8 @@
         read.loads.insert(HostName::new(&load.id)?, counts);
     }
     for spent in &sum.spent {
-        read.spent.insert(OrgName::new(&spent.organisation)?, spent.tokens);
+        read.spent
+            .insert(OrgName::new(&spent.organisation)?, spent.tokens);
     }
     for wanted in &sum.wanted {
         if let Some(asked) = &wanted.asked {
@@ -155,7 +162,11 @@
 pub(crate) fn read_word(word: &message::EngineWord) -> Result<Overlay, NameError> {
     let mut holdings = Vec::new();
     for held in &word.holdings {
-        let adapters: Result<_, _> = held.adapters.iter().map(|name| AdapterName::new(name)).collect();
+        let adapters: Result<_, _> = held
+            .adapters
+            .iter()
+            .map(|name| AdapterName::new(name))
+            .collect();
         holdings.push(Holding {
             model: ModelName::new(&held.model)?,
             adapters: adapters?,
@@ -187,7 +198,10 @@
             })
             .collect(),
         end: keyed.end().0,
-        age: keyed.fresh().map(|fresh| millis(now.since(fresh))).unwrap_or_default(),
+        age: keyed
+            .fresh()
+            .map(|fresh| millis(now.since(fresh)))
+            .unwrap_or_default(),
         known: keyed.fresh().is_some(),
     }
 }
--- a/crates/eelgrasshill_gateway/src/follow.rs
+++ b/crates/eelgrasshill_gateway/src/follow.rs
@@ -14,7 +14,7 @@
 const PAUSE: Duration = Duration::from_millis(250);
 
 /// How often a host that takes its news from a parent looks whether they are stale.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_millis(200);
 
 /// How a topic is followed.
 #[derive(Clone, Copy, Debug)]
@@ -107,7 +107,11 @@
         let from = self.end();
         let asked = BootClock.now();
         // What is stale is looked at without waiting for a change.
-        let wait = if self.is_first(asked) { self.pace.wait } else { Duration::ZERO };
+        let wait = if self.is_first(asked) {
+            self.pace.wait
+        } else {
+            Duration::ZERO
+        };
         let page = self.store.read(self.topic, from, wait).await?;
         telemetry::store_call(self.topic, "read");
         let now = BootClock.now();
@@ -127,7 +131,9 @@
 
     fn end(&self) -> eelgrasshill_domain::Offset {
         let mut desk = self.shared.desk();
-        desk.topic(self.topic).map(|keyed| keyed.end()).unwrap_or_default()
+        desk.topic(self.topic)
+            .map(|keyed| keyed.end())
+            .unwrap_or_default()
     }
 
     fn note_lost(&mut self, error: &StoreError) {
--- a/crates/eelgrasshill_gateway/src/holder.rs
+++ b/crates/eelgrasshill_gateway/src/holder.rs
@@ -20,6 +20,9 @@
 /// How often plans are made without a need that wakes the giver of orders.
 const TICK: Duration = Duration::from_millis(50);
 
+/// How often a host that gives no orders looks whether it should.
+const IDLE_TICK: Duration = Duration::from_millis(250);
+
 /// How often a host at the top of its zone reads a lease that it does not hold.
 const WATCH: Duration = Duration::from_millis(700);
 
@@ -49,8 +52,9 @@
     while !giver.shared.is_stopped() {
         giver.tend_lease().await;
         giver.order();
+        let tick = if giver.active { TICK } else { IDLE_TICK };
         // Whether a need or the time woke it, the same is due.
-        let _woken = tokio::time::timeout(TICK, giver.shared.wake.notified()).await;
+        let _woken = tokio::time::timeout(tick, giver.shared.wake.notified()).await;
     }
 }
 
@@ -73,7 +77,9 @@
         log::error!("orders: the lease's record cannot be written: {error}");
         Vec::new()
     });
-    store.append(Topic::Lease, KEY, &value, Some(write.at)).await
+    store
+        .append(Topic::Lease, KEY, &value, Some(write.at))
+        .await
 }
 
 struct Giver<W: Wire, S: Store> {
@@ -109,7 +115,8 @@
             let now = BootClock.now();
             let lease = &hold.lease;
             let due = lease.renewal(now).filter(|_write| lease.is_held(now));
-            due.or_else(|| lease.claim(now)).filter(|_write| !lease.is_blind())
+            due.or_else(|| lease.claim(now))
+                .filter(|_write| !lease.is_blind())
         };
         if let Some(write) = write {
             self.write(write).await;
@@ -180,7 +187,10 @@
                         .map_err(|error| log::warn!("orders: the lease's record: {error}"))
                         .ok()
                 });
-                self.shared.hold().lease.see(record, page.end, BootClock.now());
+                self.shared
+                    .hold()
+                    .lease
+                    .see(record, page.end, BootClock.now());
             }
             Err(error) => log::info!("orders: the lease cannot be read: {error}"),
         }
@@ -364,7 +374,10 @@
         // The lease is looked at right before the order goes out.
         let fence = self.shared.hold().lease.fence(BootClock.now());
         let end = if fence == Some(self.fence) {
-            match self.call(Method::POST, W::order(&order, &self.engine)).await {
+            match self
+                .call(Method::POST, W::order(&order, &self.engine))
+                .await
+            {
                 Ok((status, _body)) => match W::order_reply(status) {
                     OrderReply::Accepted => OrderEnd::Accepted,
                     OrderReply::Done => OrderEnd::Done,
@@ -391,7 +404,8 @@
             self.fence
         );
         let mut hold = self.shared.hold();
-        hold.placer.ordered(&self.engine, &action, end, BootClock.now());
+        hold.placer
+            .ordered(&self.engine, &action, end, BootClock.now());
     }
 
     async fn call(&self, method: Method, call: SmallCall) -> Result<(u16, Bytes), CallError> {
--- a/crates/eelgrasshill_gateway/src/job.rs
+++ b/crates/eelgrasshill_gateway/src/job.rs
@@ -126,7 +126,11 @@
         is_safe
             && self.sends < self.route.attempts.max(1)
             && self.left() > LEAST_LEFT
-            && self.shared.desk().retries.take(&self.target, BootClock.now())
+            && self
+                .shared
+                .desk()
+                .retries
+                .take(&self.target, BootClock.now())
     }
 
     /// Chooses the upstream for the next send.
@@ -187,7 +191,11 @@
             adapter: self.ask.adapter.clone(),
         };
         let prospect = needs.ask(&self.shared, &asked).await;
-        log::info!("request: id={} waits={} needs {asked:?}: {prospect:?}", self.ask.id, self.waits);
+        log::info!(
+            "request: id={} waits={} needs {asked:?}: {prospect:?}",
+            self.ask.id,
+            self.waits
+        );
         match prospect {
             // The engine is there and did not take it: no order changes that.
             Prospect::Ready { engine, .. } if self.tried.contains(&engine) => {
@@ -234,7 +242,11 @@
             Err(error) => {
                 guard.set_outcome(Outcome::Unreachable);
                 self.tried.insert(upstream.id.clone());
-                log::info!("request: id={} upstream={} unsent: {error}", self.ask.id, upstream.id);
+                log::info!(
+                    "request: id={} upstream={} unsent: {error}",
+                    self.ask.id,
+                    upstream.id
+                );
                 return Err(SendFailure::Unsent);
             }
         };
@@ -328,7 +340,11 @@
         if !self.may_have_run {
             return Refusal::new(Cause::RefusedUpstream).with_retry(RETRY_LEAST);
         }
-        Refusal::new(if timed_out { Cause::Timeout } else { Cause::Lost })
+        Refusal::new(if timed_out {
+            Cause::Timeout
+        } else {
+            Cause::Lost
+        })
     }
 }
 
--- a/crates/eelgrasshill_gateway/src/need.rs
+++ b/crates/eelgrasshill_gateway/src/need.rs
@@ -47,7 +47,9 @@
         Prospect::Later { .. } => None,
     };
     let words = hold.placer.overlays(fence);
-    let words = words.filter(|word| Some(&word.engine) == engine.as_ref()).collect();
+    let words = words
+        .filter(|word| Some(&word.engine) == engine.as_ref())
+        .collect();
     shared.wake.notify_one();
     Some((prospect, words))
 }
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -58,7 +58,9 @@
 ) -> HttpResponse {
     let shared = shared.into_inner();
     let Some(open) = shared.open() else {
-        return Refusal::new(Cause::Leaving).with_retry(RETRY_SOON).respond();
+        return Refusal::new(Cause::Leaving)
+            .with_retry(RETRY_SOON)
+            .respond();
     };
     let arrived = BootClock.now();
     let leaving = shared.leaving().is_some();
@@ -67,7 +69,9 @@
         Err((id, refusal)) => refuse(&id, None, refusal, arrived),
     };
     if leaving {
-        response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
+        response
+            .head_mut()
+            .set_connection_type(actix_web::http::ConnectionType::Close);
     }
     response
 }
@@ -129,7 +133,9 @@
         Ok(body.freeze())
     };
     let slow = |_elapsed| Err(Cause::Malformed);
-    tokio::time::timeout(BODY_TIME, whole).await.unwrap_or_else(slow)
+    tokio::time::timeout(BODY_TIME, whole)
+        .await
+        .unwrap_or_else(slow)
 }
 
 fn resolve<W: Wire>(
@@ -146,7 +152,10 @@
     let Some(tables) = desk.tables.clone() else {
         return Err(Refusal::new(Cause::NoTables).with_retry(RETRY_SOON));
     };
-    let host = request.headers().get("host").and_then(|host| host.to_str().ok());
+    let host = request
+        .headers()
+        .get("host")
+        .and_then(|host| host.to_str().ok());
     let host = host.map_or("", |host| host.split(':').next().unwrap_or(host));
     let Some(route) = tables.route(host, request.uri().path()) else {
         return Err(Refusal::new(Cause::NoRoute));
@@ -163,11 +172,15 @@
     }
     desk.retries.note_request(&target, now);
     if let Some(asked) = asked(&ask, &target) {
-        desk.demand.note(asked, work(&ask, shared.settings.orders.prefill), now);
+        desk.demand
+            .note(asked, work(&ask, shared.settings.orders.prefill), now);
     }
     drop(desk);
     let wait = ask.deadline.unwrap_or(route.timeout).min(route.timeout);
-    let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
     Ok(Job {
         method: hyper::Method::from_bytes(request.method().as_str().as_bytes())
             .map_err(|_invalid| malformed())?,
@@ -219,7 +232,10 @@
         return Err(Refusal::new(Cause::KeysStale).with_retry(RETRY_SOON));
     }
     let holder = ask.key.as_ref().and_then(|key| tables.holder(key));
-    holder.cloned().map(Some).ok_or_else(|| Refusal::new(Cause::UnknownKey))
+    holder
+        .cloned()
+        .map(Some)
+        .ok_or_else(|| Refusal::new(Cause::UnknownKey))
 }
 
 /// Refuses requests that a leaving host could not finish.
@@ -247,11 +263,7 @@
 }
 
 /// Sends a request until it has an answer or nothing more may be done.
-async fn serve<W: Wire>(
-    mut job: Job<W>,
-    needs: &Needs,
-    mut open: OpenRequest<W>,
-) -> HttpResponse {
+async fn serve<W: Wire>(mut job: Job<W>, needs: &Needs, mut open: OpenRequest<W>) -> HttpResponse {
     let mut timed_out = false;
     let refusal = loop {
         let found = match job.choose() {
@@ -306,8 +318,7 @@
 /// Returns how long one attempt may take: all that is left, unless another could follow.
 fn attempt_bound<W: Wire>(job: &Job<W>) -> Duration {
     let left = job.left();
-    let more = job.route.repeat.is_repeatable()
-        && job.sends + 1 < job.route.attempts;
+    let more = job.route.repeat.is_repeatable() && job.sends + 1 < job.route.attempts;
     if more {
         let objective = job.route.objective * ATTEMPT_OBJECTIVES;
         objective.max(ATTEMPT_LEAST).min(left)
@@ -335,7 +346,13 @@
         return job.stream(run, open, bound).await;
     }
     run.guard.begin();
-    let Run { upstream, response, reply, exchange, mut guard } = run;
+    let Run {
+        upstream,
+        response,
+        reply,
+        exchange,
+        mut guard,
+    } = run;
     let (head, body) = response.into_parts();
     let read = read_whole(upstream.address, body, ANSWER);
     let left = job.left();
@@ -354,7 +371,11 @@
             return Err((job, open, SendFailure::Lost(cause)));
         }
     };
-    guard.set_outcome(if is_failure { Outcome::Failed } else { Outcome::Sound });
+    guard.set_outcome(if is_failure {
+        Outcome::Failed
+    } else {
+        Outcome::Sound
+    });
     drop(guard);
     job.keep(exchange, &reply);
     let now = BootClock.now();
@@ -378,4 +399,3 @@
     }
     Ok(built.body(body))
 }
-
--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -28,7 +28,7 @@
 const ENTRY_PAUSE: Duration = Duration::from_millis(400);
 
 /// Pause between reads of the hosts' registrations.
-const HOST_PAUSE: Duration = Duration::from_millis(1_500);
+const HOST_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// Age from which a host reads the configuration itself: keys are accepted for some seconds.
 const CONFIG_STALE: Duration = Duration::from_millis(2_000);
@@ -96,7 +96,11 @@
     actix_web::rt::spawn(share(Arc::clone(&shared)));
     actix_web::rt::spawn(register(Arc::clone(&shared), store.clone()));
     actix_web::rt::spawn(give_orders(Arc::clone(&shared), store.clone()));
-    actix_web::rt::spawn(watch_settings(hangup, path.to_owned(), shared.settings.clone()));
+    actix_web::rt::spawn(watch_settings(
+        hangup,
+        path.to_owned(),
+        shared.settings.clone(),
+    ));
     log::info!(
         "host: name={} zone={} incarnation={} started, callers={} peers={}",
         shared.settings.name,
@@ -154,7 +158,11 @@
 /// Ends all requests that were read, as long as the grace time lasts.
 async fn drain<W: Wire>(shared: &Arc<Shared<W>>) {
     let began = shared.leaving().unwrap_or_else(|| BootClock.now());
-    log::info!("host: name={} leaves, open={}", shared.settings.name, shared.open_requests());
+    log::info!(
+        "host: name={} leaves, open={}",
+        shared.settings.name,
+        shared.open_requests()
+    );
     let last = shared.settings.grace.saturating_sub(EXIT_TIME);
     loop {
         tokio::time::sleep(DRAIN_TICK).await;
@@ -167,14 +175,20 @@
             break;
         }
     }
-    log::info!("host: name={} drained, open={}", shared.settings.name, shared.open_requests());
+    log::info!(
+        "host: name={} drained, open={}",
+        shared.settings.name,
+        shared.open_requests()
+    );
 }
 
 /// Checks the settings anew on SIGHUP and when the file changes.
 async fn watch_settings(mut hangup: Signal, path: std::path::PathBuf, mut known: GatewaySettings) {
     loop {
         // A change without a signal is found at the next look.
-        let signalled = tokio::time::timeout(SETTINGS_LOOK, hangup.recv()).await.is_ok();
+        let signalled = tokio::time::timeout(SETTINGS_LOOK, hangup.recv())
+            .await
+            .is_ok();
         match GatewaySettings::read(&path) {
             Ok(settings) if settings != known => {
                 log::info!("host: settings changed; addresses and bounds apply at the next start");
--- a/crates/eelgrasshill_gateway/src/share.rs
+++ b/crates/eelgrasshill_gateway/src/share.rs
@@ -30,7 +30,10 @@
 /// Opens a channel to a peer when it is first used.
 pub(crate) fn channel(address: SocketAddr, bound: Duration) -> Option<Channel> {
     let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
-    let endpoint = endpoint.connect_timeout(bound).timeout(bound).tcp_nodelay(true);
+    let endpoint = endpoint
+        .connect_timeout(bound)
+        .timeout(bound)
+        .tcp_nodelay(true);
     Some(endpoint.connect_lazy())
 }
 
@@ -47,7 +50,11 @@
             let open = channels.entry(peer.address).or_insert(open).clone();
             Some(exchange(Arc::clone(&shared), peer, open))
         });
-        for failed in futures_util::future::join_all(calls).await.into_iter().flatten() {
+        for failed in futures_util::future::join_all(calls)
+            .await
+            .into_iter()
+            .flatten()
+        {
             // A channel that failed may be silent for good.
             channels.remove(&failed);
         }
@@ -62,7 +69,11 @@
 }
 
 /// Exchanges news with one peer; returns its address where that failed.
-async fn exchange<W: Wire>(shared: Arc<Shared<W>>, peer: Peer, open: Channel) -> Option<SocketAddr> {
+async fn exchange<W: Wire>(
+    shared: Arc<Shared<W>>,
+    peer: Peer,
+    open: Channel,
+) -> Option<SocketAddr> {
     let asked = BootClock.now();
     let request = write_request(&shared, asked);
     let mut client = GatewayClient::new(open).max_decoding_message_size(MESSAGE);
@@ -123,7 +134,13 @@
         Side::Beside
     };
     let mut desk = shared.desk();
-    hear_sum(&mut desk, side, reply.teller.as_ref(), reply.sum.as_ref(), now);
+    hear_sum(
+        &mut desk,
+        side,
+        reply.teller.as_ref(),
+        reply.sum.as_ref(),
+        now,
+    );
     for news in reply.topics {
         hear_topic(&mut desk, news, asked, now);
     }
@@ -151,7 +168,11 @@
         return;
     };
     let end = Offset(news.end);
-    let fresh = asked.0.checked_sub(news.age).map(Moment).filter(|_fresh| news.known);
+    let fresh = asked
+        .0
+        .checked_sub(news.age)
+        .map(Moment)
+        .filter(|_fresh| news.known);
     let records = read_records(news);
     if let Some(keyed) = desk.topic(topic) {
         let changed = keyed.extend(records, end, fresh);
@@ -196,10 +217,19 @@
         .as_ref()
         .is_some_and(|teller| teller.zone == shared.settings.zone.as_str());
     let side = if is_child { Side::Below } else { Side::Beside };
-    hear_sum(&mut desk, side, request.teller.as_ref(), request.sum.as_ref(), now);
+    hear_sum(
+        &mut desk,
+        side,
+        request.teller.as_ref(),
+        request.sum.as_ref(),
+        now,
+    );
     hear_orders(&mut desk, request.holder.as_ref(), &request.words, now, now);
     let own = desk.own_sum(now);
-    let told = request.teller.as_ref().and_then(|teller| read_teller(teller).ok());
+    let told = request
+        .teller
+        .as_ref()
+        .and_then(|teller| read_teller(teller).ok());
     let sum = match told {
         Some(teller) if is_child => desk.sums.downward(own, &teller.host, now),
         Some(_) | None => desk.sums.upward(own, now),
--- a/crates/eelgrasshill_gateway/src/state.rs
+++ b/crates/eelgrasshill_gateway/src/state.rs
@@ -159,7 +159,10 @@
 
     fn apply_entry(&mut self, record: &KeyedRecord, now: Moment) {
         let Ok(id) = HostName::new(&record.key) else {
-            log::warn!("upstreams: offset={} skipped: its key is no name", record.offset);
+            log::warn!(
+                "upstreams: offset={} skipped: its key is no name",
+                record.offset
+            );
             return;
         };
         if record.is_removal() {
@@ -187,7 +190,10 @@
 
     fn apply_host(&mut self, record: &KeyedRecord) {
         let Ok(host) = HostName::new(&record.key) else {
-            log::warn!("hosts: offset={} skipped: its key is no name", record.offset);
+            log::warn!(
+                "hosts: offset={} skipped: its key is no name",
+                record.offset
+            );
             return;
         };
         if record.is_removal() {
@@ -208,8 +214,11 @@
     /// Returns this host's own part of the sums.
     pub fn own_sum(&mut self, now: Moment) -> Sum {
         let spent = self.allowances.spent();
-        let mut loads: FastMap<_, _> =
-            self.loads.own().map(|(id, load)| (id.clone(), *load)).collect();
+        let mut loads: FastMap<_, _> = self
+            .loads
+            .own()
+            .map(|(id, load)| (id.clone(), *load))
+            .collect();
         for id in self.standings.aside(now) {
             loads.entry(id.clone()).or_default().unreached = 1;
         }
@@ -247,7 +256,9 @@
         let rank = |news: &HolderNews| (news.fence, news.end, news.resigned);
         let known = self.holder.as_ref();
         if known.is_none_or(|known| rank(known) < rank(&news)) {
-            if known.is_none_or(|known| (known.fence, known.resigned) != (news.fence, news.resigned)) {
+            if known
+                .is_none_or(|known| (known.fence, known.resigned) != (news.fence, news.resigned))
+            {
                 log::info!(
                     "orders: holder={} fence={} resigned={}",
                     news.host,
@@ -385,7 +396,9 @@
     /// Closes the host if no request is open: whatever comes later is not passed on.
     #[must_use]
     pub fn close_if_empty(&self) -> bool {
-        let closed = self.open.compare_exchange(0, CLOSED, Ordering::AcqRel, Ordering::Acquire);
+        let closed = self
+            .open
+            .compare_exchange(0, CLOSED, Ordering::AcqRel, Ordering::Acquire);
         closed.is_ok()
     }
 
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -83,10 +83,12 @@
                 }
             }
         };
-        tokio::time::timeout(bound, read).await.unwrap_or(Next::Broken(CallError::Timeout {
-            address: address.to_string(),
-            bound,
-        }))
+        tokio::time::timeout(bound, read)
+            .await
+            .unwrap_or(Next::Broken(CallError::Timeout {
+                address: address.to_string(),
+                bound,
+            }))
     }
 }
 
@@ -151,7 +153,9 @@
             match ended {
                 Ended::Complete => {
                     events.run.guard.set_outcome(Outcome::Sound);
-                    let Run { exchange, reply, .. } = events.run;
+                    let Run {
+                        exchange, reply, ..
+                    } = events.run;
                     self.keep(exchange, &reply);
                     self.log_stream("complete", runs, last);
                     return;
@@ -217,7 +221,11 @@
             let found = match self.choose() {
                 Ok(found) => found,
                 Err(refusal) => {
-                    log::info!("request: id={} cannot go on: {}", self.ask.id, refusal.cause);
+                    log::info!(
+                        "request: id={} cannot go on: {}",
+                        self.ask.id,
+                        refusal.cause
+                    );
                     return None;
                 }
             };
@@ -249,7 +257,10 @@
             "request: id={} route={} stream {end} runs={runs} last={last:?} ms={}",
             self.ask.id,
             self.route.name,
-            eelgrasshill_ports::BootClock.now().since(self.arrived).as_millis()
+            eelgrasshill_ports::BootClock
+                .now()
+                .since(self.arrived)
+                .as_millis()
         );
     }
 }
--- a/crates/eelgrasshill_ports/src/pool.rs
+++ b/crates/eelgrasshill_ports/src/pool.rs
@@ -144,7 +144,11 @@
         let now = BootClock.now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
-        while let Some(Idle { mut exchange, until }) = kept.pop() {
+        while let Some(Idle {
+            mut exchange,
+            until,
+        }) = kept.pop()
+        {
             if now < until && exchange.sender.is_ready() {
                 exchange.reused = true;
                 return Some(exchange);
--- a/crates/eelgrasshill_relay/src/choice.rs
+++ b/crates/eelgrasshill_relay/src/choice.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasshill_domain::{AdapterName, FastSet, HostName, ModelName, Moment, PoolName, ZoneName, record};
+use eelgrasshill_domain::{
+    AdapterName, FastSet, HostName, ModelName, Moment, PoolName, ZoneName, record,
+};
 
 use crate::{Fleet, Loads, Standings, Upstream};
 
@@ -132,11 +134,16 @@
         let load = self.loads.total(&upstream.id);
         let settings = self.settings;
         let wait = load.ahead(rank) * 1_000 / settings.prefill.max(1);
-        let far = if upstream.zone == *self.zone { 0 } else { settings.far };
+        let far = if upstream.zone == *self.zone {
+            0
+        } else {
+            settings.far
+        };
         let failures = self.standings.failures(&upstream.id, now);
         let running = u64::from(load.running) * settings.running
             // Pools of few slots are compared by the share that is taken.
-            * 48 / u64::from(upstream.slots.max(1));
+            * 48
+            / u64::from(upstream.slots.max(1));
         Candidate {
             upstream: Arc::clone(upstream),
             wait: Duration::from_micros(wait),
--- a/crates/eelgrasshill_relay/src/demand.rs
+++ b/crates/eelgrasshill_relay/src/demand.rs
@@ -44,7 +44,10 @@
 impl Demand {
     /// Notes a request that takes an engine `work` microseconds.
     pub fn note(&mut self, asked: Asked, work: u64, now: Moment) {
-        let rate = self.rates.entry(asked).or_insert(Rate { level: 0.0, at: now });
+        let rate = self.rates.entry(asked).or_insert(Rate {
+            level: 0.0,
+            at: now,
+        });
         #[expect(clippy::cast_precision_loss, reason = "the work of a request is small")]
         let added = work as f64 / SPAN.as_secs_f64();
         *rate = Rate {
--- a/crates/eelgrasshill_relay/src/fleet.rs
+++ b/crates/eelgrasshill_relay/src/fleet.rs
@@ -131,7 +131,10 @@
 
     /// Returns recent word of the orders' holder, to be passed on.
     pub fn told(&self, now: Moment) -> impl Iterator<Item = &Overlay> {
-        let recent = self.told.values().filter(move |t| now.since(t.at) < PASSED_ON);
+        let recent = self
+            .told
+            .values()
+            .filter(move |t| now.since(t.at) < PASSED_ON);
         recent.map(|told| &told.overlay)
     }
 
--- a/crates/eelgrasshill_relay/src/keyed.rs
+++ b/crates/eelgrasshill_relay/src/keyed.rs
@@ -58,7 +58,10 @@
     ) -> Vec<KeyedRecord> {
         let mut news = Vec::new();
         // All before the end is known, also where a record that changed nothing was not kept.
-        for record in records.into_iter().filter(|record| record.offset >= self.end) {
+        for record in records
+            .into_iter()
+            .filter(|record| record.offset >= self.end)
+        {
             let known = self.rows.get(&record.key);
             let is_newer = known.is_none_or(|known| known.offset < record.offset);
             if is_newer && known.is_none_or(|known| known.value != record.value) {
@@ -80,11 +83,12 @@
         end: Offset,
         began: Moment,
     ) -> Vec<KeyedRecord> {
-        let kept: eelgrasshill_domain::FastSet<_> =
-            records.iter().map(|record| Arc::clone(&record.key)).collect();
-        let dropped = |row: &&KeyedRecord| {
-            !row.is_removal() && row.offset < end && !kept.contains(&row.key)
-        };
+        let kept: eelgrasshill_domain::FastSet<_> = records
+            .iter()
+            .map(|record| Arc::clone(&record.key))
+            .collect();
+        let dropped =
+            |row: &&KeyedRecord| !row.is_removal() && row.offset < end && !kept.contains(&row.key);
         let removals: Vec<_> = self
             .rows
             .values()
--- a/crates/eelgrasshill_relay/src/lease.rs
+++ b/crates/eelgrasshill_relay/src/lease.rs
@@ -86,7 +86,12 @@
 impl Lease {
     /// Makes the part of a host that has just started; `turn` is the bound between two holders.
     #[must_use]
-    pub fn new(host: HostName, address: SocketAddr, incarnation: Incarnation, turn: Duration) -> Self {
+    pub fn new(
+        host: HostName,
+        address: SocketAddr,
+        incarnation: Incarnation,
+        turn: Duration,
+    ) -> Self {
         Self {
             host,
             address,
@@ -135,7 +140,10 @@
     pub fn hear_renewed(&mut self, fence: u64, end: Offset, renewed: Moment) {
         if let Some(seen) = &mut self.seen
             && seen.end == end
-            && seen.record.as_ref().is_some_and(|record| record.fence == fence)
+            && seen
+                .record
+                .as_ref()
+                .is_some_and(|record| record.fence == fence)
         {
             seen.since = seen.since.min(renewed);
         }
@@ -143,7 +151,10 @@
 
     /// Gives orders up while the store cannot be reached and others can; returns whether it did.
     pub fn resign(&mut self, now: Moment) -> bool {
-        let due = self.held.as_ref().is_some_and(|held| now.since(held.renewed) >= RESIGNATION);
+        let due = self
+            .held
+            .as_ref()
+            .is_some_and(|held| now.since(held.renewed) >= RESIGNATION);
         if due {
             self.held = None;
         }
@@ -191,13 +202,16 @@
     /// An order of the lapsed time may still be on its way, and would come after a higher token.
     fn kept_fence(&self) -> u64 {
         let record = self.seen.as_ref().and_then(|seen| seen.record.as_ref());
-        record.filter(|record| self.is_mine(record)).map_or(0, |record| record.fence)
+        record
+            .filter(|record| self.is_mine(record))
+            .map_or(0, |record| record.fence)
     }
 
     /// Returns whether the lease was this machine's in an earlier start, and active.
     fn was_active(&self) -> bool {
         let record = self.seen.as_ref().and_then(|seen| seen.record.as_ref());
-        let was = |record: &LeaseRecord| record.host == self.host && record.active && !record.released;
+        let was =
+            |record: &LeaseRecord| record.host == self.host && record.active && !record.released;
         record.is_some_and(was)
     }
 
@@ -217,8 +231,8 @@
     pub fn renewal(&self, now: Moment) -> Option<LeaseWrite> {
         let held = self.held.as_ref()?;
         let seen = self.seen.as_ref()?;
-        let became_active = now >= held.active_from
-            && seen.record.as_ref().is_some_and(|record| !record.active);
+        let became_active =
+            now >= held.active_from && seen.record.as_ref().is_some_and(|record| !record.active);
         (became_active || now.since(held.renewed) >= RENEWAL).then(|| LeaseWrite {
             record: self.record(held.fence, now >= held.active_from),
             at: seen.end,
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -31,7 +31,5 @@
 pub use retries::{RetrySettings, RetryShare};
 pub use standing::{Outcome, Standings};
 pub use sums::{HostMark, Side, Sum, Sums, Teller};
-pub use tables::{
-    CallerBounds, EnginePool, Model, Organisation, Repeat, Route, Tables, Target,
-};
+pub use tables::{CallerBounds, EnginePool, Model, Organisation, Repeat, Route, Tables, Target};
 pub use tree::{Peer, Place, Tree};
--- a/crates/eelgrasshill_relay/src/loads.rs
+++ b/crates/eelgrasshill_relay/src/loads.rs
@@ -97,7 +97,6 @@
 
     /// Forgets upstreams that are gone and have nothing running.
     pub fn retain(&mut self, is_known: impl Fn(&HostName) -> bool) {
-        self.own
-            .retain(|id, load| load.running > 0 || is_known(id));
+        self.own.retain(|id, load| load.running > 0 || is_known(id));
     }
 }
--- a/crates/eelgrasshill_relay/src/placement.rs
+++ b/crates/eelgrasshill_relay/src/placement.rs
@@ -164,7 +164,9 @@
         pools: impl Iterator<Item = (&'a PoolName, &'a Arc<EnginePool>)>,
         now: Moment,
     ) {
-        self.pools = pools.map(|(name, pool)| (name.clone(), Arc::clone(pool))).collect();
+        self.pools = pools
+            .map(|(name, pool)| (name.clone(), Arc::clone(pool)))
+            .collect();
         for (name, pool) in &self.pools {
             let window = self.window;
             self.budgets
@@ -210,7 +212,9 @@
         }
         self.needs.insert(asked.clone(), now);
         self.plan(now);
-        let found = self.prospect(asked, now).or_else(|| self.expected(asked, now));
+        let found = self
+            .prospect(asked, now)
+            .or_else(|| self.expected(asked, now));
         found.unwrap_or(Prospect::Later { after: LATER })
     }
 
@@ -242,7 +246,10 @@
     }
 
     fn prospect(&self, asked: &Asked, now: Moment) -> Option<Prospect> {
-        let books = self.books.iter().filter(|(_id, book)| book.pool == asked.pool);
+        let books = self
+            .books
+            .iter()
+            .filter(|(_id, book)| book.pool == asked.pool);
         let mut soonest: Option<(Duration, &HostName)> = None;
         for (id, book) in books {
             let Some(after) = book.ready_after(&asked.model, asked.adapter.as_ref(), now) else {
--- a/crates/eelgrasshill_relay/src/placement/book.rs
+++ b/crates/eelgrasshill_relay/src/placement/book.rs
@@ -5,7 +5,10 @@
 use eelgrasshill_domain::{AdapterName, FastMap, ModelName, Moment, PoolName, record, scalar};
 
 use super::goal::Goal;
-use super::{ADAPTER_TIME, Action, REPORT_AGE, REPORT_PAUSE, SLACK, STAY, Step, UNLOAD_PAUSE, UNLOAD_TIME, VACATE};
+use super::{
+    ADAPTER_TIME, Action, REPORT_AGE, REPORT_PAUSE, SLACK, STAY, Step, UNLOAD_PAUSE, UNLOAD_TIME,
+    VACATE,
+};
 use crate::{EnginePool, Holding, Model, Upstream};
 
 record! {
@@ -42,8 +45,13 @@
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Moving {
-    Loading { model: ModelName, until: Moment },
-    Unloading { model: ModelName },
+    Loading {
+        model: ModelName,
+        until: Moment,
+    },
+    Unloading {
+        model: ModelName,
+    },
     /// Somebody else's order.
     Foreign,
 }
@@ -104,7 +112,11 @@
         self.calling = true;
         if matches!(step, Step::Report) {
             let unloading = matches!(self.moving, Some(Moving::Unloading { .. }));
-            let pause = if unloading || self.is_down() { UNLOAD_PAUSE } else { REPORT_PAUSE };
+            let pause = if unloading || self.is_down() {
+                UNLOAD_PAUSE
+            } else {
+                REPORT_PAUSE
+            };
             self.next_report = now.after(pause);
         }
     }
@@ -141,8 +153,13 @@
     }
 
     fn is_leaving(&self, model: &ModelName) -> bool {
-        let unloading = matches!(&self.moving, Some(Moving::Unloading { model: gone }) if gone == model);
-        unloading || self.goal.as_ref().is_some_and(|goal| goal.victims.contains(model))
+        let unloading =
+            matches!(&self.moving, Some(Moving::Unloading { model: gone }) if gone == model);
+        unloading
+            || self
+                .goal
+                .as_ref()
+                .is_some_and(|goal| goal.victims.contains(model))
     }
 
     /// Returns the time until the engine can serve a model and adapter, if that is under way.
@@ -178,7 +195,11 @@
     /// Returns the time until there is room for a model that is planned to come here.
     pub(crate) fn goal_room_after(&self, model: &ModelName, now: Moment) -> Option<Duration> {
         let goal = self.goal.as_ref().filter(|goal| goal.model == *model)?;
-        if !goal.victims.iter().any(|victim| self.holding(victim).is_some()) {
+        if !goal
+            .victims
+            .iter()
+            .any(|victim| self.holding(victim).is_some())
+        {
             return Some(Duration::ZERO);
         }
         Some(VACATE.saturating_sub(now.since(goal.since)) + UNLOAD_TIME)
@@ -186,7 +207,10 @@
 
     /// Returns what hosts may send to the engine.
     pub(crate) fn offered(&self) -> Vec<Holding> {
-        let kept = self.holdings.iter().filter(|held| !self.is_leaving(&held.model));
+        let kept = self
+            .holdings
+            .iter()
+            .filter(|held| !self.is_leaving(&held.model));
         kept.cloned().collect()
     }
 
@@ -211,7 +235,11 @@
             // Nothing is planned here until it ends.
             self.moving = Some(Moving::Foreign);
         }
-        if self.goal.as_ref().is_some_and(|goal| self.holding(&goal.model).is_some()) {
+        if self
+            .goal
+            .as_ref()
+            .is_some_and(|goal| self.holding(&goal.model).is_some())
+        {
             self.goal = None;
         }
         changed
@@ -228,7 +256,9 @@
 
     /// Returns whether a copy came so lately that it should stay.
     pub(crate) fn is_new(&self, model: &ModelName, now: Moment) -> bool {
-        self.loaded.get(model).is_some_and(|at| now.since(*at) < STAY)
+        self.loaded
+            .get(model)
+            .is_some_and(|at| now.since(*at) < STAY)
     }
 
     pub(crate) fn take_order(
@@ -257,7 +287,9 @@
         }
         match action {
             Action::Load(model) => {
-                let time = pool.model(model).map_or(REPORT_PAUSE, |row| self.load_time(row));
+                let time = pool
+                    .model(model)
+                    .map_or(REPORT_PAUSE, |row| self.load_time(row));
                 self.moving = Some(Moving::Loading {
                     model: model.clone(),
                     until: now.after(time + SLACK),
@@ -270,7 +302,9 @@
                 if end == OrderEnd::Done {
                     self.holdings.retain(|held| held.model != *model);
                 } else {
-                    self.moving = Some(Moving::Unloading { model: model.clone() });
+                    self.moving = Some(Moving::Unloading {
+                        model: model.clone(),
+                    });
                     self.next_report = now.after(REPORT_PAUSE);
                 }
             }
@@ -323,7 +357,10 @@
 
     /// Returns memory that is not taken by models or adapters, all adapter places kept free.
     pub(crate) fn room(&self, pool: &EnginePool) -> u64 {
-        let held = self.holdings.iter().filter_map(|held| pool.model(&held.model));
+        let held = self
+            .holdings
+            .iter()
+            .filter_map(|held| pool.model(&held.model));
         let weights: u64 = held.map(|row| row.memory).sum();
         pool.memory.saturating_sub(weights + adapter_room(pool))
     }
--- a/crates/eelgrasshill_relay/src/placement/budget.rs
+++ b/crates/eelgrasshill_relay/src/placement/budget.rs
@@ -43,7 +43,11 @@
     ///
     /// The allowed rate is that at which loads end when as many run as are fast together.
     pub(crate) fn allows(&mut self, running: usize, time: Duration, now: Moment) -> bool {
-        while self.begun.front().is_some_and(|at| now.since(*at) > self.window) {
+        while self
+            .begun
+            .front()
+            .is_some_and(|at| now.since(*at) > self.window)
+        {
             self.begun.pop_front();
         }
         let known = now.since(self.since).min(self.window).as_millis();
--- a/crates/eelgrasshill_relay/src/placement/census.rs
+++ b/crates/eelgrasshill_relay/src/placement/census.rs
@@ -42,12 +42,18 @@
     }
 
     fn load(&self, models: &[ModelName]) -> u64 {
-        models.iter().map(|model| self.share(model, self.copies(model))).sum()
+        models
+            .iter()
+            .map(|model| self.share(model, self.copies(model)))
+            .sum()
     }
 
     /// Returns the engines that hold a model, with their loads.
     fn holders(&self, model: &ModelName) -> impl Iterator<Item = (&HostName, u64)> {
-        let held = self.held.iter().filter(|(_id, models)| models.contains(model));
+        let held = self
+            .held
+            .iter()
+            .filter(|(_id, models)| models.contains(model));
         held.map(|(id, models)| (id, self.load(models)))
     }
 
@@ -67,7 +73,10 @@
         let after = self.share(model, copies + 1);
         let models = self.held.get(id).map_or(&[][..], Vec::as_slice);
         let before = self.load(models);
-        let freed: u64 = victims.iter().map(|gone| self.share(gone, self.copies(gone))).sum();
+        let freed: u64 = victims
+            .iter()
+            .map(|gone| self.share(gone, self.copies(gone)))
+            .sum();
         let here = late(before.saturating_sub(freed) + after) - late(before);
         let relief: i64 = if copies == 0 {
             self.work(model).try_into().unwrap_or(i64::MAX)
--- a/crates/eelgrasshill_relay/src/placement/goal.rs
+++ b/crates/eelgrasshill_relay/src/placement/goal.rs
@@ -59,7 +59,11 @@
                 book.goal = None;
             }
         }
-        let pools: Vec<_> = self.pools.iter().map(|(n, p)| (n.clone(), p.clone())).collect();
+        let pools: Vec<_> = self
+            .pools
+            .iter()
+            .map(|(n, p)| (n.clone(), p.clone()))
+            .collect();
         for (name, pool) in pools {
             self.plan_pool(&name, &pool, now);
         }
@@ -95,7 +99,11 @@
             return Vec::new();
         };
         let rows = pool.models.iter().map(|row| {
-            (row.name.clone(), census.copies(&row.name), census.work(&row.name))
+            (
+                row.name.clone(),
+                census.copies(&row.name),
+                census.work(&row.name),
+            )
         });
         let mut rows: Vec<_> = rows.collect();
         rows.sort_by_key(|(_name, _copies, work)| std::cmp::Reverse(*work));
@@ -106,7 +114,11 @@
     #[must_use]
     pub fn engine_counts(&self) -> (usize, usize, usize) {
         let down = self.books.values().filter(|book| book.is_down()).count();
-        let moving = self.books.values().filter(|book| book.moving.is_some()).count();
+        let moving = self
+            .books
+            .values()
+            .filter(|book| book.moving.is_some())
+            .count();
         (self.books.len(), moving, down)
     }
 
@@ -125,7 +137,12 @@
 
     /// Returns models that should get a copy and whether requests wait for it, the most pressing
     /// first.
-    fn lacking(&self, name: &PoolName, pool: &EnginePool, census: &Census) -> Vec<(ModelName, bool)> {
+    fn lacking(
+        &self,
+        name: &PoolName,
+        pool: &EnginePool,
+        census: &Census,
+    ) -> Vec<(ModelName, bool)> {
         let mut found = Vec::new();
         for row in &pool.models {
             let needed = self
@@ -141,7 +158,10 @@
             }
         }
         found.sort();
-        found.into_iter().map(|(_weight, model, needed)| (model, needed)).collect()
+        found
+            .into_iter()
+            .map(|(_weight, model, needed)| (model, needed))
+            .collect()
     }
 
     /// Returns the engine where a copy serves most, and what makes room there.
@@ -174,7 +194,11 @@
             }
             let time = signed(u64::try_from(book.load_time(row).as_millis()).unwrap_or(u64::MAX));
             let value = gain - loss * LOSS_PERCENT / 100 - time * TIME_COST / 1_000;
-            if value > 0 && best.as_ref().is_none_or(|(most, _id, _victims)| value > *most) {
+            if value > 0
+                && best
+                    .as_ref()
+                    .is_none_or(|(most, _id, _victims)| value > *most)
+            {
                 best = Some((value, id, victims));
             }
         }
@@ -193,8 +217,15 @@
         }
         let book = self.books.get(id)?;
         let goal = book.goal.as_ref()?;
-        if let Some(victim) = goal.victims.iter().find(|victim| book.holding(victim).is_some()) {
-            let work = self.wants.get(&book.pool).and_then(|want| want.work.get(victim));
+        if let Some(victim) = goal
+            .victims
+            .iter()
+            .find(|victim| book.holding(victim).is_some())
+        {
+            let work = self
+                .wants
+                .get(&book.pool)
+                .and_then(|want| want.work.get(victim));
             let is_idle = work.is_none_or(|work| *work <= IDLE);
             let vacated = now.since(goal.since) >= if is_idle { VACATE_IDLE } else { VACATE };
             return vacated.then(|| Action::Unload(victim.clone()));
@@ -206,7 +237,11 @@
             return None;
         }
         if !book.is_at_hand(&model) {
-            let cold = self.books.values().filter(|book| book.is_loading_cold()).count();
+            let cold = self
+                .books
+                .values()
+                .filter(|book| book.is_loading_cold())
+                .count();
             let budget = self.budgets.get_mut(&self.books.get(id)?.pool)?;
             if !budget.allows(cold, row.cold, now) {
                 return None;
@@ -265,7 +300,10 @@
                     continue;
                 }
                 let key = (held.model.clone(), adapter.clone());
-                let rate = want.and_then(|want| want.adapters.get(&key)).copied().unwrap_or(0);
+                let rate = want
+                    .and_then(|want| want.adapters.get(&key))
+                    .copied()
+                    .unwrap_or(0);
                 let rank = (rate, from);
                 if least.as_ref().is_none_or(|(best, _key)| rank < *best) {
                     least = Some((rank, key));
@@ -311,14 +349,20 @@
         .iter()
         .filter(|held| !book.is_new(&held.model, now))
         .map(|held| {
-            let last = if census.copies(&held.model) == 1 { signed(MISSING) } else { 0 };
+            let last = if census.copies(&held.model) == 1 {
+                signed(MISSING)
+            } else {
+                0
+            };
             (census.loss(id, &held.model) + last, &held.model)
         })
         .collect();
     spare.sort();
     let size = |model: &ModelName| pool.model(model).map_or(0, |row| row.memory);
     // One copy that is large enough goes before several.
-    let alone = spare.iter().find(|(_loss, model)| room + size(model) >= row.memory);
+    let alone = spare
+        .iter()
+        .find(|(_loss, model)| room + size(model) >= row.memory);
     if let Some((loss, model)) = alone {
         return Some((vec![(*model).clone()], *loss));
     }
--- a/crates/eelgrasshill_relay/src/standing.rs
+++ b/crates/eelgrasshill_relay/src/standing.rs
@@ -62,7 +62,9 @@
             Outcome::Failed => record.weight += 1_000,
             Outcome::Full => record.weight += 300,
             Outcome::Unreachable => {
-                let span = ASIDE.saturating_mul(1 << record.misses.min(4)).min(ASIDE_MOST);
+                let span = ASIDE
+                    .saturating_mul(1 << record.misses.min(4))
+                    .min(ASIDE_MOST);
                 record.misses += 1;
                 record.weight += 1_000;
                 record.aside = Some(now.after(span));
--- a/crates/eelgrasshill_relay/src/sums.rs
+++ b/crates/eelgrasshill_relay/src/sums.rs
@@ -47,7 +47,10 @@
     /// Returns the mark of a host.
     #[must_use]
     pub fn new(host: &HostName) -> Self {
-        #[expect(clippy::cast_possible_truncation, reason = "a mark is a part of the hash")]
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "a mark is a part of the hash"
+        )]
         let mark = rendezvous_weight(host.as_str(), "mark") as u32;
         Self(mark)
     }
@@ -93,7 +96,13 @@
 
 impl Sums {
     /// Takes a sum; returns what was newly spent there, by organisation.
-    pub fn hear(&mut self, side: Side, teller: Teller, sum: Sum, now: Moment) -> Vec<(OrgName, u64)> {
+    pub fn hear(
+        &mut self,
+        side: Side,
+        teller: Teller,
+        sum: Sum,
+        now: Moment,
+    ) -> Vec<(OrgName, u64)> {
         let key = (side, teller.host);
         let mut spent = Vec::new();
         let known = self.sources.remove(&key);
--- a/crates/eelgrasshill_relay/src/tree.rs
+++ b/crates/eelgrasshill_relay/src/tree.rs
@@ -40,11 +40,25 @@
     }
 }
 
+/// A host with its weight in the order of its zone, which is worked out once.
+#[derive(Clone, Debug)]
+struct Ranked {
+    peer: Peer,
+    weight: u64,
+}
+
+impl Ranked {
+    fn new(peer: Peer) -> Self {
+        let weight = rendezvous_weight(peer.host.as_str(), peer.zone.as_str());
+        Self { peer, weight }
+    }
+}
+
 /// The registered hosts, and which of them did not answer lately.
 #[derive(Clone, Debug)]
 pub struct Tree {
     me: Peer,
-    peers: FastMap<HostName, Peer>,
+    peers: FastMap<HostName, Ranked>,
     suspects: FastMap<HostName, Moment>,
 }
 
@@ -52,7 +66,7 @@
     /// Makes a tree of one host.
     #[must_use]
     pub fn new(me: Peer) -> Self {
-        let peers = FastMap::from_iter([(me.host.clone(), me.clone())]);
+        let peers = FastMap::from_iter([(me.host.clone(), Ranked::new(me.clone()))]);
         Self {
             me,
             peers,
@@ -66,10 +80,10 @@
             return;
         }
         let known = self.peers.get(&peer.host);
-        if known.is_none_or(|known| known.incarnation != peer.incarnation) {
+        if known.is_none_or(|known| known.peer.incarnation != peer.incarnation) {
             self.suspects.remove(&peer.host);
         }
-        self.peers.insert(peer.host.clone(), peer);
+        self.peers.insert(peer.host.clone(), Ranked::new(peer));
     }
 
     /// Takes a host out that is registered no more.
@@ -87,17 +101,19 @@
 
     /// Returns the registered hosts, this one included.
     pub fn peers(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.values()
+        self.peers.values().map(|ranked| &ranked.peer)
     }
 
     /// Returns from whom to take news.
     pub fn place(&mut self, now: Moment) -> Place {
         self.suspects.retain(|_host, until| now < *until);
         let own = self.ranked(&self.me.zone);
-        let rank = own.iter().position(|peer| peer.host == self.me.host);
+        let rank = own
+            .iter()
+            .position(|ranked| ranked.peer.host == self.me.host);
         let parent = match rank {
             None | Some(0) => None,
-            Some(rank) => Some(own[(rank - 1) / CHILDREN].clone()),
+            Some(rank) => Some(own[(rank - 1) / CHILDREN].peer.clone()),
         };
         let beside = if parent.is_none() {
             self.other_tops()
@@ -113,27 +129,26 @@
     }
 
     fn other_tops(&self) -> Vec<Peer> {
-        let mut zones: Vec<_> = self.peers.values().map(|peer| &peer.zone).collect();
+        let mut zones: Vec<_> = self.peers().map(|peer| &peer.zone).collect();
         zones.sort_unstable();
         zones.dedup();
         zones
             .into_iter()
             .filter(|zone| **zone != self.me.zone)
-            .filter_map(|zone| self.ranked(zone).first().map(|peer| (*peer).clone()))
+            .filter_map(|zone| self.ranked(zone).first().map(|ranked| ranked.peer.clone()))
             .collect()
     }
 
     /// Returns a zone's hosts that are not suspected, first the top.
-    fn ranked(&self, zone: &ZoneName) -> Vec<&Peer> {
-        let mut peers: Vec<_> = self
-            .peers
-            .values()
-            .filter(|peer| peer.zone == *zone && !self.suspects.contains_key(&peer.host))
-            .collect();
-        peers.sort_by_key(|peer| {
-            let weight = rendezvous_weight(peer.host.as_str(), zone.as_str());
-            (std::cmp::Reverse(weight), peer.host.clone())
+    fn ranked(&self, zone: &ZoneName) -> Vec<&Ranked> {
+        let is_open = |ranked: &&Ranked| {
+            ranked.peer.zone == *zone && !self.suspects.contains_key(&ranked.peer.host)
+        };
+        let mut found: Vec<_> = self.peers.values().filter(is_open).collect();
+        found.sort_unstable_by(|a, b| {
+            let by_weight = b.weight.cmp(&a.weight);
+            by_weight.then_with(|| a.peer.host.cmp(&b.peer.host))
         });
-        peers
+        found
     }
 }
--- a/crates/eelgrasshill_relay/tests/allowance.rs
+++ b/crates/eelgrasshill_relay/tests/allowance.rs
@@ -98,7 +98,10 @@
                 let cost = self.random.random_range(200..3_000);
                 if self.random.random_range(0..cost) < due {
                     let count = self.hosts.len();
-                    let at = self.random.random_range(0..count).min(self.random.random_range(0..count));
+                    let at = self
+                        .random
+                        .random_range(0..count)
+                        .min(self.random.random_range(0..count));
                     asked += cost;
                     if self.hosts[at].0.take(&name(), cost, Moment(clock)).is_ok() {
                         self.spent.push((clock, cost));
@@ -115,7 +118,11 @@
     fn most(&self) -> u64 {
         let ends = self.spent.iter().map(|(end, _cost)| {
             let within = |(at, _cost): &&(u64, u64)| *at <= *end && *at + WINDOW > *end;
-            self.spent.iter().filter(within).map(|(_at, cost)| cost).sum()
+            self.spent
+                .iter()
+                .filter(within)
+                .map(|(_at, cost)| cost)
+                .sum()
         });
         ends.max().unwrap_or_default()
     }
@@ -131,8 +138,15 @@
         let mut fleet = Fleet::new(15, seed);
         fleet.run(0, 3_000, RATE / 2, &[]);
         let (asked, ran) = fleet.run(3_000, 15_000, RATE * 4, &[]);
-        assert!(fleet.most() <= allowed(), "seed {seed}: {} ran in a window", fleet.most());
-        assert!(ran >= RATE * 12 * 9 / 10, "seed {seed}: {ran} of {asked} ran");
+        assert!(
+            fleet.most() <= allowed(),
+            "seed {seed}: {} ran in a window",
+            fleet.most()
+        );
+        assert!(
+            ran >= RATE * 12 * 9 / 10,
+            "seed {seed}: {ran} of {asked} ran"
+        );
     }
 }
 
@@ -153,7 +167,11 @@
         fleet.run(0, 4_000, RATE / 2, &[]);
         let cut: Vec<_> = (1..6).collect();
         fleet.run(4_000, 14_000, RATE * 4, &cut);
-        assert!(fleet.most() <= allowed(), "seed {seed}: {} ran in a window", fleet.most());
+        assert!(
+            fleet.most() <= allowed(),
+            "seed {seed}: {} ran in a window",
+            fleet.most()
+        );
     }
 }
 
@@ -189,7 +207,13 @@
         heard.iter().map(|(_name, tokens)| *tokens).sum::<u64>()
     };
     let cases = [
-        (1, 1, 500, 0, "the first word only says where counting starts"),
+        (
+            1,
+            1,
+            500,
+            0,
+            "the first word only says where counting starts",
+        ),
         (1, 1, 700, 200, "a rise counts"),
         (2, 1, 900, 0, "another host starts on its own"),
         (1, 2, 50, 0, "a new start is no rise"),
--- a/crates/eelgrasshill_relay/tests/lease.rs
+++ b/crates/eelgrasshill_relay/tests/lease.rs
@@ -30,7 +30,10 @@
     }
 
     fn advance(&mut self, now: u64) {
-        let due: Vec<_> = self.late.extract_if(.., |(at, _write)| *at <= now).collect();
+        let due: Vec<_> = self
+            .late
+            .extract_if(.., |(at, _write)| *at <= now)
+            .collect();
         for (_at, write) in due {
             self.write(&write);
         }
@@ -109,7 +112,10 @@
     if node.lease.is_blind() {
         return;
     }
-    let renewal = node.lease.renewal(at).filter(|_write| node.lease.is_held(at));
+    let renewal = node
+        .lease
+        .renewal(at)
+        .filter(|_write| node.lease.is_held(at));
     let Some(write) = renewal.or_else(|| node.lease.claim(at)) else {
         return;
     };
@@ -117,7 +123,9 @@
         // The answer is lost; the write may be done at once, later, or never.
         match random.random_range(0..3) {
             0 => drop(topic.write(&write)),
-            1 => topic.late.push((now + random.random_range(1_000..6_000), write)),
+            1 => topic
+                .late
+                .push((now + random.random_range(1_000..6_000), write)),
             _ => {}
         }
         node.lease.forget();
@@ -149,10 +157,30 @@
 #[test]
 fn holders_never_take_turns_within_the_bound() {
     let cases = [
-        Faults { freeze: 0, cut: 0, restart: 0, lost: 0 },
-        Faults { freeze: 4, cut: 0, restart: 0, lost: 0 },
-        Faults { freeze: 0, cut: 4, restart: 0, lost: 100 },
-        Faults { freeze: 2, cut: 2, restart: 2, lost: 300 },
+        Faults {
+            freeze: 0,
+            cut: 0,
+            restart: 0,
+            lost: 0,
+        },
+        Faults {
+            freeze: 4,
+            cut: 0,
+            restart: 0,
+            lost: 0,
+        },
+        Faults {
+            freeze: 0,
+            cut: 4,
+            restart: 0,
+            lost: 100,
+        },
+        Faults {
+            freeze: 2,
+            cut: 2,
+            restart: 2,
+            lost: 300,
+        },
     ];
     for faults in cases {
         for seed in 0..SEEDS {
@@ -168,19 +196,31 @@
     let mut topic = Topic::default();
     let mut first = Node::start("a", 1);
     let mut random = StdRng::seed_from_u64(1);
-    let none = Faults { freeze: 0, cut: 0, restart: 0, lost: 0 };
+    let none = Faults {
+        freeze: 0,
+        cut: 0,
+        restart: 0,
+        lost: 0,
+    };
     for now in (0..10_000).step_by(50) {
         step(&mut first, &mut topic, &mut random, none, now);
     }
     assert!(first.lease.fence(Moment(9_950)).is_some());
     let mut again = Node::start("a", 2);
-    again.lease.see(topic.record.clone(), Offset(topic.end), Moment(10_100));
-    let write = again.lease.claim(Moment(10_100)).expect("the lease was this machine's");
+    again
+        .lease
+        .see(topic.record.clone(), Offset(topic.end), Moment(10_100));
+    let write = again
+        .lease
+        .claim(Moment(10_100))
+        .expect("the lease was this machine's");
     let offset = topic.write(&write).expect("nobody wrote since");
     again.lease.written(write, offset, Moment(10_100));
     assert!(again.lease.fence(Moment(10_100)).is_some());
     let mut other = Node::start("b", 1);
-    other.lease.see(topic.record.clone(), Offset(topic.end), Moment(10_200));
+    other
+        .lease
+        .see(topic.record.clone(), Offset(topic.end), Moment(10_200));
     assert_eq!(other.lease.claim(Moment(13_000)), None);
 }
 
@@ -191,13 +231,19 @@
     let mut topic = Topic::default();
     let mut node = Node::start("a", 1);
     let mut random = StdRng::seed_from_u64(1);
-    let none = Faults { freeze: 0, cut: 0, restart: 0, lost: 0 };
+    let none = Faults {
+        freeze: 0,
+        cut: 0,
+        restart: 0,
+        lost: 0,
+    };
     for now in (0..8_000).step_by(50) {
         step(&mut node, &mut topic, &mut random, none, now);
     }
     let before = node.lease.fence(Moment(7_950)).expect("the lease is held");
     assert_eq!(node.lease.fence(Moment(15_000)), None, "the term is over");
-    node.lease.see(topic.record.clone(), Offset(topic.end), Moment(15_000));
+    node.lease
+        .see(topic.record.clone(), Offset(topic.end), Moment(15_000));
     let write = node.lease.claim(Moment(15_000)).expect("nobody took it");
     let offset = topic.write(&write).expect("nobody wrote since");
     node.lease.written(write, offset, Moment(15_000));
@@ -209,22 +255,36 @@
     let mut topic = Topic::default();
     let mut node = Node::start("a", 1);
     let mut random = StdRng::seed_from_u64(1);
-    let none = Faults { freeze: 0, cut: 0, restart: 0, lost: 0 };
+    let none = Faults {
+        freeze: 0,
+        cut: 0,
+        restart: 0,
+        lost: 0,
+    };
     for now in (0..8_000).step_by(50) {
         step(&mut node, &mut topic, &mut random, none, now);
     }
     let fence = node.lease.fence(Moment(7_950)).expect("the lease is held");
     assert!(!node.lease.resign(Moment(8_000)), "the renewal is fresh");
     let mut other = Node::start("b", 1);
-    other.lease.see(topic.record.clone(), Offset(topic.end), Moment(10_600));
+    other
+        .lease
+        .see(topic.record.clone(), Offset(topic.end), Moment(10_600));
     assert_eq!(other.lease.claim(Moment(10_700)), None);
     assert!(node.lease.resign(Moment(10_700)));
     assert_eq!(node.lease.fence(Moment(10_700)), None);
     other.lease.hear_resigned(fence, Offset(topic.end));
-    let write = other.lease.claim(Moment(10_700)).expect("the holder resigned");
+    let write = other
+        .lease
+        .claim(Moment(10_700))
+        .expect("the holder resigned");
     let offset = topic.write(&write).expect("nobody wrote since");
     other.lease.written(write, offset, Moment(10_700));
-    assert_eq!(other.lease.fence(Moment(13_600)), None, "orders may be on their way");
+    assert_eq!(
+        other.lease.fence(Moment(13_600)),
+        None,
+        "orders may be on their way"
+    );
     let renewal = other.lease.renewal(Moment(13_000)).expect("it is due");
     let offset = topic.write(&renewal).expect("nobody wrote since");
     other.lease.written(renewal, offset, Moment(13_000));
--- a/crates/eelgrasshill_relay/tests/placement.rs
+++ b/crates/eelgrasshill_relay/tests/placement.rs
@@ -24,7 +24,10 @@
     world.run(40_000, Trouble::default());
     for (number, least) in [(0, 4), (1, 2), (2, 2), (3, 1)] {
         let copies = world.copies(number);
-        assert!(copies >= least, "model {number} has {copies} copies, {least} are needed");
+        assert!(
+            copies >= least,
+            "model {number} has {copies} copies, {least} are needed"
+        );
     }
     assert_eq!(world.violations, Vec::<String>::new());
 }
@@ -49,7 +52,9 @@
     let mut world = World::new(2, 6, 3);
     world.want(0, 200);
     world.run(10_000, Trouble::default());
-    let missing = (0..6).find(|number| world.copies(*number) == 0).expect("four fit at most");
+    let missing = (0..6)
+        .find(|number| world.copies(*number) == 0)
+        .expect("four fit at most");
     world.want(missing, 30);
     let asked = Asked {
         pool: pool_name(),
@@ -75,8 +80,18 @@
     }
     world.run(20_000, Trouble::default());
     let before = world.loads;
-    world.run(20_000, Trouble { unanswered: 300, ..Trouble::default() });
-    assert!(world.loads - before <= 4, "{} loads without a change of demand", world.loads - before);
+    world.run(
+        20_000,
+        Trouble {
+            unanswered: 300,
+            ..Trouble::default()
+        },
+    );
+    assert!(
+        world.loads - before <= 4,
+        "{} loads without a change of demand",
+        world.loads - before
+    );
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
@@ -89,7 +104,11 @@
         let mut world = World::new(8, 14, seed);
         for _phase in 0..8 {
             for number in 0..14 {
-                let rate = if random.random_range(0..4) == 0 { 900 } else { 10 };
+                let rate = if random.random_range(0..4) == 0 {
+                    900
+                } else {
+                    10
+                };
                 world.want(number, rate);
             }
             let trouble = Trouble {
--- a/crates/eelgrasshill_relay/tests/records.rs
+++ b/crates/eelgrasshill_relay/tests/records.rs
@@ -47,7 +47,11 @@
 #[test]
 fn the_newest_record_wins_whatever_way_it_comes() {
     let mut keyed = Keyed::default();
-    keyed.extend(vec![record("a", 0, "1"), record("b", 1, "1")], Offset(2), Some(Moment(10)));
+    keyed.extend(
+        vec![record("a", 0, "1"), record("b", 1, "1")],
+        Offset(2),
+        Some(Moment(10)),
+    );
     // A peer that is behind tells nothing new, and does not make the records fresh.
     let news = keyed.extend(vec![record("a", 0, "0")], Offset(1), Some(Moment(50)));
     assert!(news.is_empty());
@@ -57,36 +61,79 @@
     assert!(news.is_empty());
     assert_eq!((keyed.end(), keyed.fresh()), (Offset(3), Some(Moment(60))));
     // An older value cannot come back through a peer that kept it longer.
-    keyed.extend(vec![record("a", 3, "2"), record("a", 4, "1")], Offset(5), None);
-    assert!(keyed.extend(vec![record("a", 3, "2")], Offset(5), None).is_empty());
+    keyed.extend(
+        vec![record("a", 3, "2"), record("a", 4, "1")],
+        Offset(5),
+        None,
+    );
+    assert!(
+        keyed
+            .extend(vec![record("a", 3, "2")], Offset(5), None)
+            .is_empty()
+    );
     assert_eq!(&*keyed.get("a").expect("it is held").value, b"1");
 }
 
 #[test]
 fn keys_that_a_whole_read_lacks_are_dropped() {
     let mut keyed = Keyed::default();
-    keyed.extend(vec![record("a", 0, "1"), record("b", 1, "1")], Offset(2), None);
-    let news = keyed.replace(vec![record("b", 1, "1"), record("c", 7, "1")], Offset(8), Moment(5));
-    let removed: Vec<_> = news.iter().filter(|n| n.is_removal()).map(|n| &*n.key).collect();
+    keyed.extend(
+        vec![record("a", 0, "1"), record("b", 1, "1")],
+        Offset(2),
+        None,
+    );
+    let news = keyed.replace(
+        vec![record("b", 1, "1"), record("c", 7, "1")],
+        Offset(8),
+        Moment(5),
+    );
+    let removed: Vec<_> = news
+        .iter()
+        .filter(|n| n.is_removal())
+        .map(|n| &*n.key)
+        .collect();
     assert_eq!(removed, ["a"]);
     assert!(keyed.get("a").is_none() && keyed.get("c").is_some());
-    assert_eq!(keyed.since(Offset(2)).count(), 2, "peers hear of the removal as well");
+    assert_eq!(
+        keyed.since(Offset(2)).count(),
+        2,
+        "peers hear of the removal as well"
+    );
 }
 
 #[test]
 fn lapsed_entries_are_used_on_for_a_while_and_leaving_ones_are_not() {
     let cases = [
         (false, false, 0, false, "a dropped entry is gone at once"),
-        (true, false, 1_000, true, "it may have lapsed while the store was in trouble"),
-        (true, false, 1_600, false, "but not for longer than the drain allows"),
+        (
+            true,
+            false,
+            1_000,
+            true,
+            "it may have lapsed while the store was in trouble",
+        ),
+        (
+            true,
+            false,
+            1_600,
+            false,
+            "but not for longer than the drain allows",
+        ),
         (true, true, 0, false, "a leaving upstream gets nothing"),
     ];
     for (unsteady, leaving, after, open, why) in cases {
         let mut fleet = Fleet::default();
-        let entry = Upstream { leaving, ..upstream("u", &["m"]) };
+        let entry = Upstream {
+            leaving,
+            ..upstream("u", &["m"])
+        };
         fleet.insert(entry, Moment(1_000));
         fleet.remove(&name("u"), unsteady, Moment(1_000));
-        assert_eq!(fleet.open(Moment(1_000 + after)).count() == 1, open, "{why}");
+        assert_eq!(
+            fleet.open(Moment(1_000 + after)).count() == 1,
+            open,
+            "{why}"
+        );
     }
 }
 
@@ -104,14 +151,39 @@
     fleet.insert(upstream("u", &["old"]), Moment(0));
     assert!(fleet.tell(word(2, 5, 1), Moment(100)));
     fleet.insert(upstream("u", &["old"]), Moment(500));
-    assert!(fleet.get(&name("u")).expect("it is known").holds(&model, None));
-    assert!(!fleet.tell(word(2, 4, 1), Moment(600)), "older word is no news");
-    assert!(!fleet.tell(word(1, 9, 1), Moment(600)), "an earlier holder's neither");
+    assert!(
+        fleet
+            .get(&name("u"))
+            .expect("it is known")
+            .holds(&model, None)
+    );
+    assert!(
+        !fleet.tell(word(2, 4, 1), Moment(600)),
+        "older word is no news"
+    );
+    assert!(
+        !fleet.tell(word(1, 9, 1), Moment(600)),
+        "an earlier holder's neither"
+    );
     fleet.insert(upstream("u", &["old"]), Moment(5_000));
-    assert!(!fleet.get(&name("u")).expect("it is known").holds(&model, None));
-    let reborn = Upstream { born: 2, ..upstream("u", &[]) };
+    assert!(
+        !fleet
+            .get(&name("u"))
+            .expect("it is known")
+            .holds(&model, None)
+    );
+    let reborn = Upstream {
+        born: 2,
+        ..upstream("u", &[])
+    };
     fleet.insert(reborn, Moment(600));
-    assert!(!fleet.get(&name("u")).expect("it is known").holds(&model, None), "it starts empty");
+    assert!(
+        !fleet
+            .get(&name("u"))
+            .expect("it is known")
+            .holds(&model, None),
+        "it starts empty"
+    );
 }
 
 #[test]
@@ -123,18 +195,52 @@
         torn: bool,
     }
     let cases = [
-        Case { pieces: &["id: 1\nda", "ta: a\n\n"], passed: "id: 1\ndata: a\n\n", last: Some(1), torn: false },
-        Case { pieces: &["id: 1\ndata: a\n\nid: 2\n"], passed: "id: 1\ndata: a\n\n", last: Some(1), torn: true },
-        Case { pieces: &["id: 8\ndata: a\n\nid: 9\ndata: b\n\n"], passed: "id: 8\ndata: a\n\nid: 9\ndata: b\n\n", last: Some(9), torn: false },
-        Case { pieces: &["version: 2\nid:3\ndata: id: 7\n\n"], passed: "version: 2\nid:3\ndata: id: 7\n\n", last: Some(3), torn: false },
-        Case { pieces: &["data: a\n"], passed: "", last: Some(4), torn: true },
+        Case {
+            pieces: &["id: 1\nda", "ta: a\n\n"],
+            passed: "id: 1\ndata: a\n\n",
+            last: Some(1),
+            torn: false,
+        },
+        Case {
+            pieces: &["id: 1\ndata: a\n\nid: 2\n"],
+            passed: "id: 1\ndata: a\n\n",
+            last: Some(1),
+            torn: true,
+        },
+        Case {
+            pieces: &["id: 8\ndata: a\n\nid: 9\ndata: b\n\n"],
+            passed: "id: 8\ndata: a\n\nid: 9\ndata: b\n\n",
+            last: Some(9),
+            torn: false,
+        },
+        Case {
+            pieces: &["version: 2\nid:3\ndata: id: 7\n\n"],
+            passed: "version: 2\nid:3\ndata: id: 7\n\n",
+            last: Some(3),
+            torn: false,
+        },
+        Case {
+            pieces: &["data: a\n"],
+            passed: "",
+            last: Some(4),
+            torn: true,
+        },
     ];
     for case in cases {
         let mut cutter = EventCutter::new(Some(4));
-        let passed: Vec<u8> =
-            case.pieces.iter().filter_map(|piece| cutter.push(piece.as_bytes())).flatten().collect();
+        let passed: Vec<u8> = case
+            .pieces
+            .iter()
+            .filter_map(|piece| cutter.push(piece.as_bytes()))
+            .flatten()
+            .collect();
         assert_eq!(String::from_utf8_lossy(&passed), case.passed);
-        assert_eq!((cutter.last(), cutter.is_torn()), (case.last, case.torn), "{:?}", case.pieces);
+        assert_eq!(
+            (cutter.last(), cutter.is_torn()),
+            (case.last, case.torn),
+            "{:?}",
+            case.pieces
+        );
     }
 }
 
@@ -149,8 +255,20 @@
     }
     let settings = ChoiceSettings::default();
     let choose = |loads: &Loads, standings: &Standings, rank, tried: &FastSet<HostName>| {
-        let picture = Picture { fleet: &fleet, loads, standings, zone: &zone, settings: &settings };
-        let wanted = Wanted { pool: &pool, model: Some(&model), adapter: None, rank, tried };
+        let picture = Picture {
+            fleet: &fleet,
+            loads,
+            standings,
+            zone: &zone,
+            settings: &settings,
+        };
+        let wanted = Wanted {
+            pool: &pool,
+            model: Some(&model),
+            adapter: None,
+            rank,
+            tried,
+        };
         picture.choose(&wanted, |_count| 0, Moment(1_000))
     };
     let none = FastSet::default();
@@ -159,25 +277,51 @@
     loads.start(&name("a"), 2, 38_000);
     loads.start(&name("b"), 0, 3_800);
     let urgent = choose(&loads, &standings, 0, &none).expect("both are open");
-    assert_eq!((urgent.upstream.id.as_str(), urgent.wait.as_millis()), ("a", 0));
+    assert_eq!(
+        (urgent.upstream.id.as_str(), urgent.wait.as_millis()),
+        ("a", 0)
+    );
     let last = choose(&loads, &standings, 2, &none).expect("both are open");
-    assert_eq!((last.upstream.id.as_str(), last.wait.as_millis()), ("b", 100));
+    assert_eq!(
+        (last.upstream.id.as_str(), last.wait.as_millis()),
+        ("b", 100)
+    );
     // An upstream that could not be reached is avoided, here or by what two other hosts say.
     standings.note(&name("a"), Outcome::Unreachable, Moment(990));
-    assert_eq!(choose(&loads, &standings, 0, &none).expect("b is open").upstream.id, name("b"));
-    let doubted = Load { running: 0, unread: [0; RANKS], unreached: 2 };
+    assert_eq!(
+        choose(&loads, &standings, 0, &none)
+            .expect("b is open")
+            .upstream
+            .id,
+        name("b")
+    );
+    let doubted = Load {
+        running: 0,
+        unread: [0; RANKS],
+        unreached: 2,
+    };
     let mut told = Loads::default();
     told.set_elsewhere(FastMap::from_iter([(name("b"), doubted)]));
     let found = choose(&told, &Standings::default(), 0, &none).expect("a is open");
     assert_eq!(found.upstream.id, name("a"));
     // Where nothing else is left, an avoided one is better than none.
     let tried = FastSet::from_iter([name("b")]);
-    assert_eq!(choose(&loads, &standings, 0, &tried).expect("a is left").upstream.id, name("a"));
+    assert_eq!(
+        choose(&loads, &standings, 0, &tried)
+            .expect("a is left")
+            .upstream
+            .id,
+        name("a")
+    );
 }
 
 #[test]
 fn repeats_of_all_hosts_stay_within_the_fleets_budget() {
-    let settings = RetrySettings { ratio: 200, extra: 116, window: Duration::from_secs(10) };
+    let settings = RetrySettings {
+        ratio: 200,
+        extra: 116,
+        window: Duration::from_secs(10),
+    };
     let pool = PoolName::new("p").expect("the name is valid");
     let mut hosts: Vec<_> = (0..15).map(|_host| RetryShare::new(settings, 15)).collect();
     let (mut requests, mut repeats) = (0_u64, 0_u64);
@@ -189,8 +333,14 @@
             repeats += 1;
         }
     }
-    assert!(repeats <= requests / 5 + 116, "{repeats} repeats of {requests} requests");
-    assert!(repeats >= (requests / 5 + 116) / 2, "{repeats} repeats: most of the budget is unused");
+    assert!(
+        repeats <= requests / 5 + 116,
+        "{repeats} repeats of {requests} requests"
+    );
+    assert!(
+        repeats >= (requests / 5 + 116) / 2,
+        "{repeats} repeats: most of the budget is unused"
+    );
 }
 
 #[test]
@@ -203,7 +353,11 @@
         (Some(Moment(1_000)), 5_600, false),
     ];
     for (fresh, now, allowed) in cases {
-        assert_eq!(bound.allows(fresh, Moment(now)), allowed, "{fresh:?} at {now}");
+        assert_eq!(
+            bound.allows(fresh, Moment(now)),
+            allowed,
+            "{fresh:?} at {now}"
+        );
     }
 }
 
@@ -245,7 +399,11 @@
                     None => break,
                 }
             }
-            assert!(parents[&at].is_none(), "seed {seed}: {} hangs on a circle", peer.host);
+            assert!(
+                parents[&at].is_none(),
+                "seed {seed}: {} hangs on a circle",
+                peer.host
+            );
         }
         assert!(seed > 0 || firsts == 1, "{firsts} hosts read the store");
     }
--- a/crates/eelgrasshill_relay/tests/world/mod.rs
+++ b/crates/eelgrasshill_relay/tests/world/mod.rs
@@ -228,7 +228,8 @@
                 let end = if self.random.random_range(0..1_000) < trouble.unanswered {
                     if self.random.random_range(0..1_000) < trouble.late {
                         let at = self.clock + self.random.random_range(2_000..12_000);
-                        self.late.push((at, id.clone(), action.clone(), precondition));
+                        self.late
+                            .push((at, id.clone(), action.clone(), precondition));
                     }
                     OrderEnd::Unknown
                 } else if self.accept(id, &action, precondition) {
@@ -254,7 +255,8 @@
             Action::Load(name) => {
                 let held = u64::try_from(engine.held.len()).expect("few models are held");
                 if (held + 1) * SIZE > MEMORY {
-                    self.violations.push(format!("{id} is overcommitted by {name} at {clock}"));
+                    self.violations
+                        .push(format!("{id} is overcommitted by {name} at {clock}"));
                 }
                 let near = engine.disk.contains(name);
                 engine.busy = Some((clock + if near { 800 } else { 4_000 }, action.clone()));
@@ -264,7 +266,8 @@
                     let from = clock.saturating_sub(5_000);
                     let count = self.begun.iter().filter(|at| **at > from).count();
                     if count > STORE_LOADS {
-                        self.violations.push(format!("{count} loads in a window at {clock}"));
+                        self.violations
+                            .push(format!("{count} loads in a window at {clock}"));
                     }
                 }
             }
@@ -272,7 +275,8 @@
             Action::LoadAdapter(name, adapter) => {
                 let used: usize = engine.held.iter().map(|(_, adapters)| adapters.len()).sum();
                 if used + 1 > PLACES {
-                    self.violations.push(format!("{id} has no place for {adapter} at {clock}"));
+                    self.violations
+                        .push(format!("{id} has no place for {adapter} at {clock}"));
                 }
                 let Some((_, adapters)) = engine.held.iter_mut().find(|(held, _)| held == name)
                 else {
--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -184,7 +184,12 @@
     let arrival = millis("arrival-ms", 5_000);
     let idle = millis("idle-ms", 20_000);
     let grace = reader.optional_with("grace-s", SECONDS, parse_seconds);
-    let connections = reader.number("connections", "a number from 1 to 100000", 1..=100_000, 1_500);
+    let connections = reader.number(
+        "connections",
+        "a number from 1 to 100000",
+        1..=100_000,
+        1_500,
+    );
     reader.finish();
     BoundsSection {
         key,
@@ -211,9 +216,19 @@
 
 fn read_orders(mut reader: Reader<'_>) -> OrderBounds {
     const SECONDS: &str = "seconds from 1 to 3600, fractions allowed";
-    let turn = reader.number("turn-ms", "milliseconds from 100 to 600000", 100..=600_000, 3_000);
+    let turn = reader.number(
+        "turn-ms",
+        "milliseconds from 100 to 600000",
+        100..=600_000,
+        3_000,
+    );
     let window = reader.optional_with("load-window-s", SECONDS, parse_seconds);
-    let prefill = reader.number("prefill-tokens-per-ms", "a number from 1 to 100000", 1..=100_000, 38);
+    let prefill = reader.number(
+        "prefill-tokens-per-ms",
+        "a number from 1 to 100000",
+        1..=100_000,
+        38,
+    );
     reader.finish();
     OrderBounds {
         turn: Duration::from_millis(turn),
