Let a stream's last events reach the caller before its connection is ended

Seen once in a_stream_that_cannot_go_on_does_not_look_whole: the server drops what it has not written when a body fails, so that the caller got nothing of three events that were there.

--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -21,6 +21,9 @@
 /// which callers leave, and several times a pause that is still on time.
 const SILENCE: Duration = Duration::from_secs(1);
 
+/// Time in which the server writes what it has taken.
+const WRITE_TIME: Duration = Duration::from_millis(50);
+
 /// Events that may wait for a slow caller.
 const AHEAD: usize = 8;
 
@@ -41,6 +44,20 @@
     Broken,
 }
 
+/// Lets the events that were passed on reach the caller: an error of the body drops what the
+/// server has not written yet.
+async fn let_pass(sender: &Sender) {
+    let waiting = async {
+        while sender.capacity() < AHEAD && !sender.is_closed() {
+            tokio::time::sleep(WRITE_TIME).await;
+        }
+        tokio::time::sleep(WRITE_TIME).await;
+    };
+    if tokio::time::timeout(SILENCE, waiting).await.is_err() {
+        log::info!("request: a caller does not read, the rest of its stream is dropped");
+    }
+}
+
 /// What the next read of a run brought.
 enum Next {
     Events(Bytes),
@@ -171,6 +188,7 @@
             }
             let Some(next) = self.resume(last, sender).await else {
                 self.log_stream("broken", runs, last);
+                let_pass(sender).await;
                 // The receiver is gone only where the caller is.
                 let _deserted = sender.send(Err(BrokenStream)).await;
                 return;
