Take no success without the upstream's signature; count adapters on their way

A success that no upstream vouches for is not passed on. Adapters that a report lists as coming take their places already: a holder that had just taken over could have ordered one too many. The desk, what is known at one moment, is a file of its own.

--- a/crates/eelgrasshill_gateway/src/convert.rs
+++ b/crates/eelgrasshill_gateway/src/convert.rs
@@ -9,7 +9,7 @@
     Asked, Holding, HostMark, Keyed, KeyedRecord, Load, Overlay, RANKS, Sum, Teller,
 };
 
-use crate::state::HolderNews;
+use crate::desk::HolderNews;
 use crate::wire::Topic;
 
 /// The topics that hosts tell each other of.
--- /dev/null
+++ b/crates/eelgrasshill_gateway/src/desk.rs
@@ -0,0 +1,307 @@
+//! What a gateway knows and decides at one moment.
+
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset};
+use eelgrasshill_relay::{
+    Allowances, Asked, Candidate, ChoiceSettings, Demand, Fleet, HostMark, Keyed, KeyedRecord,
+    Loads, Peer, Picture, Quorum, RetrySettings, RetryShare, Side, Standings, Sum, Sums, Tables,
+    Teller, Tree, Wanted,
+};
+use eelgrasshill_settings::GatewaySettings;
+
+use crate::wire::{Topic, Wire};
+
+/// How long the store's trouble is remembered: entries that lapsed are back by then.
+const TROUBLE: Duration = Duration::from_secs(3);
+
+/// Age from which the last renewal of the orders' holder no longer counts: two were missed.
+const HOLDER_AGE: Duration = Duration::from_secs(3);
+
+/// Who gives orders to engines, as far as is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HolderNews {
+    /// The host.
+    pub host: HostName,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// The fencing token.
+    pub fence: u64,
+    /// When it sent its last renewal that stands.
+    pub renewed: Moment,
+    /// Where the lease's topic ended after that.
+    pub end: Offset,
+    /// Whether it will give no more orders under this token.
+    pub resigned: bool,
+}
+
+/// What is known and decided at one moment, behind one lock.
+#[derive(Debug)]
+pub struct Desk<W> {
+    /// The operators' configuration as it was read.
+    pub config: Keyed,
+    /// The upstreams' entries as they were read.
+    pub entries: Keyed,
+    /// The entry hosts' entries as they were read.
+    pub hosts: Keyed,
+    /// The configuration in force.
+    pub tables: Option<Arc<Tables>>,
+    /// The upstreams.
+    pub fleet: Fleet,
+    /// What runs on them.
+    pub loads: Loads,
+    /// How they did lately.
+    pub standings: Standings,
+    /// The budget of repeats.
+    pub retries: RetryShare,
+    /// The organisations' limits.
+    pub allowances: Allowances,
+    /// When the store was last in trouble.
+    pub trouble: Option<Moment>,
+    /// From whom to take news.
+    pub tree: Tree,
+    /// What other hosts told.
+    pub sums: Sums,
+    /// What this host's callers ask for.
+    pub demand: Demand,
+    /// Who gives orders to engines.
+    pub holder: Option<HolderNews>,
+    /// Models that the holder cannot bring before a moment.
+    pub later: FastMap<Asked, Moment>,
+    choice: ChoiceSettings,
+    mark: HostMark,
+    zone: eelgrasshill_domain::ZoneName,
+    wire: PhantomData<W>,
+}
+
+impl<W: Wire> Desk<W> {
+    /// Makes the desk of a host that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: &GatewaySettings, me: Peer) -> Self {
+        let retries = RetrySettings {
+            ratio: settings.retries.ratio,
+            extra: settings.retries.extra,
+            window: settings.retries.window,
+        };
+        Self {
+            config: Keyed::default(),
+            entries: Keyed::default(),
+            hosts: Keyed::default(),
+            tables: None,
+            fleet: Fleet::default(),
+            loads: Loads::default(),
+            standings: Standings::default(),
+            retries: RetryShare::new(retries, 1),
+            allowances: Allowances::default(),
+            trouble: None,
+            tree: Tree::new(me),
+            sums: Sums::default(),
+            demand: Demand::default(),
+            holder: None,
+            later: FastMap::default(),
+            choice: ChoiceSettings {
+                prefill: settings.orders.prefill,
+                ..ChoiceSettings::default()
+            },
+            mark: HostMark::new(&settings.name),
+            zone: settings.zone.clone(),
+            wire: PhantomData,
+        }
+    }
+
+    /// Returns the records of a keyed topic.
+    pub fn topic(&mut self, topic: Topic) -> Option<&mut Keyed> {
+        match topic {
+            Topic::Config => Some(&mut self.config),
+            Topic::Upstreams => Some(&mut self.entries),
+            Topic::Hosts => Some(&mut self.hosts),
+            Topic::Lease => None,
+        }
+    }
+
+    /// Acts on records that are news.
+    pub fn apply(&mut self, topic: Topic, news: &[KeyedRecord], now: Moment) {
+        for record in news {
+            match topic {
+                Topic::Config => self.apply_config(record, now),
+                Topic::Upstreams => self.apply_entry(record, now),
+                Topic::Hosts => self.apply_host(record),
+                Topic::Lease => {}
+            }
+        }
+    }
+
+    fn apply_config(&mut self, record: &KeyedRecord, now: Moment) {
+        if &*record.key != W::CONFIG_KEY || record.is_removal() {
+            return;
+        }
+        match W::tables(&record.value) {
+            Ok(tables) => {
+                log::info!(
+                    "config: version={} offset={} in force",
+                    tables.version(),
+                    record.offset
+                );
+                let rows = tables.organisations().map(|row| &**row);
+                self.allowances.configure(rows, now);
+                self.tables = Some(Arc::new(tables));
+            }
+            Err(error) => log::error!("config: offset={} skipped: {error}", record.offset),
+        }
+    }
+
+    fn apply_entry(&mut self, record: &KeyedRecord, now: Moment) {
+        let Ok(id) = HostName::new(&record.key) else {
+            log::warn!(
+                "upstreams: offset={} skipped: its key is no name",
+                record.offset
+            );
+            return;
+        };
+        if record.is_removal() {
+            let unsteady = self.is_unsteady(now);
+            log::info!("upstreams: id={id} entry dropped, store in trouble={unsteady}");
+            self.fleet.remove(&id, unsteady, now);
+            return;
+        }
+        match W::upstream(&record.key, &record.value) {
+            Ok(upstream) => {
+                let before = self.fleet.get(&id);
+                if before.is_none_or(|b| b.leaving != upstream.leaving || b.born != upstream.born) {
+                    log::info!(
+                        "upstreams: id={id} pool={} address={} leaving={}",
+                        upstream.pool,
+                        upstream.address,
+                        upstream.leaving
+                    );
+                }
+                self.fleet.insert(upstream, now);
+            }
+            Err(error) => log::warn!("upstreams: offset={} skipped: {error}", record.offset),
+        }
+    }
+
+    fn apply_host(&mut self, record: &KeyedRecord) {
+        let Ok(host) = HostName::new(&record.key) else {
+            log::warn!(
+                "hosts: offset={} skipped: its key is no name",
+                record.offset
+            );
+            return;
+        };
+        if record.is_removal() {
+            log::info!("hosts: host={host} is registered no more");
+            self.tree.remove(&host);
+            return;
+        }
+        match serde_json::from_slice::<Peer>(&record.value) {
+            Ok(peer) if peer.host == host => {
+                log::info!("hosts: host={host} address={} registered", peer.address);
+                self.tree.insert(peer);
+            }
+            Ok(_other) => log::warn!("hosts: host={host} skipped: it names another host"),
+            Err(error) => log::warn!("hosts: host={host} skipped: {error}"),
+        }
+    }
+
+    /// Returns this host's own part of the sums.
+    pub fn own_sum(&mut self, now: Moment) -> Sum {
+        let spent = self.allowances.spent();
+        let mut loads: FastMap<_, _> = self
+            .loads
+            .own()
+            .map(|(id, load)| (id.clone(), *load))
+            .collect();
+        for id in self.standings.aside(now) {
+            loads.entry(id.clone()).or_default().unreached = 1;
+        }
+        Sum {
+            hosts: FastSet::from_iter([self.mark]),
+            loads,
+            spent: spent.map(|(name, tokens)| (name.clone(), tokens)).collect(),
+            wanted: self.demand.rates(now),
+        }
+    }
+
+    /// Takes a sum that another host told.
+    pub fn hear(&mut self, side: Side, teller: Teller, sum: Sum, now: Moment) {
+        for (name, tokens) in self.sums.hear(side, teller, sum, now) {
+            self.allowances.debit(&name, tokens, now);
+        }
+        self.refresh(now);
+    }
+
+    /// Begins a round of news, in which each host takes its part of what is scarce.
+    pub fn begin_round(&mut self, now: Moment) {
+        self.refresh(now);
+        self.allowances.begin_round(now);
+    }
+
+    /// Acts on what all other hosts told.
+    pub fn refresh(&mut self, now: Moment) {
+        let elsewhere = self.sums.elsewhere(now);
+        let heard = elsewhere.hosts.iter().filter(|mark| **mark != self.mark);
+        let quorum = Quorum {
+            heard: 1 + u64::try_from(heard.count()).unwrap_or(u64::MAX),
+            registered: u64::try_from(self.tree.peers().count()).unwrap_or(u64::MAX),
+        };
+        self.loads.set_elsewhere(elsewhere.loads);
+        self.allowances.set_quorum(quorum, now);
+        self.retries.set_hosts(quorum.registered);
+    }
+
+    /// Takes word of who gives orders to engines.
+    pub fn hear_holder(&mut self, news: HolderNews) {
+        let rank = |news: &HolderNews| (news.fence, news.end, news.resigned);
+        let known = self.holder.as_ref();
+        if known.is_none_or(|known| rank(known) < rank(&news)) {
+            if known
+                .is_none_or(|known| (known.fence, known.resigned) != (news.fence, news.resigned))
+            {
+                log::info!(
+                    "orders: holder={} fence={} resigned={}",
+                    news.host,
+                    news.fence,
+                    news.resigned
+                );
+            }
+            self.holder = Some(news);
+        }
+    }
+
+    /// Returns who gives orders to engines, unless that is too long ago.
+    #[must_use]
+    pub fn holder(&self, now: Moment) -> Option<&HolderNews> {
+        let holder = self.holder.as_ref();
+        holder.filter(|holder| !holder.resigned && now.since(holder.renewed) < HOLDER_AGE)
+    }
+
+    /// Returns whether the store was in trouble lately, so that entries may have lapsed.
+    #[must_use]
+    pub fn is_unsteady(&self, now: Moment) -> bool {
+        self.trouble.is_some_and(|at| now.since(at) < TROUBLE)
+    }
+
+    /// Returns the upstream for a request.
+    pub fn choose(&self, wanted: &Wanted<'_>, now: Moment) -> Option<Candidate> {
+        let picture = Picture {
+            fleet: &self.fleet,
+            loads: &self.loads,
+            standings: &self.standings,
+            zone: &self.zone,
+            settings: &self.choice,
+        };
+        picture.choose(wanted, |count| rand::random_range(0..count), now)
+    }
+
+    /// Forgets what is kept of upstreams that are gone.
+    pub fn tidy(&mut self, now: Moment) {
+        self.fleet.expire(now);
+        let fleet = &self.fleet;
+        self.loads.retain(|id| fleet.get(id).is_some());
+        self.standings.retain(|id| fleet.get(id).is_some());
+    }
+}
--- a/crates/eelgrasshill_gateway/src/holder.rs
+++ b/crates/eelgrasshill_gateway/src/holder.rs
@@ -10,7 +10,8 @@
 use http_body_util::Full;
 use hyper::{Method, Request};
 
-use crate::state::{HolderNews, Shared};
+use crate::desk::HolderNews;
+use crate::state::Shared;
 use crate::telemetry;
 use crate::wire::{EngineOrder, OrderReply, SmallCall, Store, StoreError, Topic, Wire};
 
--- a/crates/eelgrasshill_gateway/src/job.rs
+++ b/crates/eelgrasshill_gateway/src/job.rs
@@ -289,16 +289,15 @@
             guard.set_outcome(Outcome::Full);
             return Err(SendFailure::NotRun);
         }
-        if reply.id.as_deref() != Some(self.ask.id.as_str()) {
-            // An answer to another request: what becomes of this one cannot be known.
+        self.may_have_run = true;
+        if let Some(cause) = self.distrust(response.status().is_success(), &reply) {
+            // What becomes of this request cannot be known.
             guard.set_outcome(Outcome::Failed);
-            self.may_have_run = true;
             return Err(SendFailure::Lost(CallError::Malformed {
                 address: upstream.address.to_string(),
-                cause: format!("the answer is for request {:?}", reply.id),
+                cause,
             }));
         }
-        self.may_have_run = true;
         Ok(Run {
             upstream: Arc::clone(upstream),
             response,
@@ -308,6 +307,14 @@
         })
     }
 
+    /// Returns why an answer is not taken for that of this request.
+    fn distrust(&self, success: bool, reply: &Reply) -> Option<String> {
+        if reply.id.as_deref() != Some(self.ask.id.as_str()) {
+            return Some(format!("the answer is for request {:?}", reply.id));
+        }
+        (success && !reply.sealed).then(|| "a success that the upstream does not sign".to_owned())
+    }
+
     fn outgoing(&self, upstream: &Upstream, last: Option<u64>) -> Request<Full<Bytes>> {
         let sending = Sending {
             upstream: &upstream.id,
--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! store ([`Store`]).
 
 mod convert;
+mod desk;
 mod follow;
 mod holder;
 mod job;
--- a/crates/eelgrasshill_gateway/src/share.rs
+++ b/crates/eelgrasshill_gateway/src/share.rs
@@ -15,7 +15,8 @@
     TOPICS, read_holder, read_records, read_sum, read_teller, read_word, topic_number, topic_of,
     write_holder, write_sum, write_topic, write_word,
 };
-use crate::state::{Desk, Shared};
+use crate::desk::Desk;
+use crate::state::Shared;
 use crate::wire::Wire;
 
 /// Time between two rounds: some news are needed within half a second, over two rounds.
--- a/crates/eelgrasshill_gateway/src/wire.rs
+++ b/crates/eelgrasshill_gateway/src/wire.rs
@@ -141,14 +141,12 @@
 /// An engine's account of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineReport {
-    /// What it holds.
+    /// What it holds, adapters on their way included.
     pub holdings: Vec<eelgrasshill_relay::Holding>,
     /// Whether it carries out an order.
     pub busy: bool,
     /// Orders that it has accepted since its start.
     pub orders: u64,
-    /// Adapters that are on their way to it.
-    pub coming: usize,
     /// Models whose weights lie in its memory.
     pub memory: Vec<ModelName>,
     /// Models whose weights lie on its disk.
