Copy an answer's head in one place; name a host's position in the tree as such

Two copies of the loop over an upstream's headers, a name that stood for two things, and a method that nothing used, from reading the change as a newcomer. No behaviour changed.

--- a/crates/eelgrasshill_gateway/src/follow.rs
+++ b/crates/eelgrasshill_gateway/src/follow.rs
@@ -86,7 +86,7 @@
     }
 
     fn is_first(&self, now: Moment) -> bool {
-        self.shared.desk().tree.place(now).first
+        self.shared.desk().tree.position(now).first
     }
 
     async fn read_whole(&mut self) -> Result<(), StoreError> {
--- a/crates/eelgrasshill_gateway/src/holder.rs
+++ b/crates/eelgrasshill_gateway/src/holder.rs
@@ -169,7 +169,7 @@
         let has_holder = desk
             .holder(now)
             .is_some_and(|holder| holder.host != self.shared.settings.name);
-        let is_top = desk.tree.place(now).parent.is_none();
+        let is_top = desk.tree.position(now).parent.is_none();
         let due = now.since(self.watched) >= WATCH;
         let may = due && (held || (is_top && !has_holder && desk.config.fresh().is_some()));
         if may {
--- a/crates/eelgrasshill_gateway/src/job.rs
+++ b/crates/eelgrasshill_gateway/src/job.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::http::header::HeaderMap as CallerMap;
+use actix_web::http::StatusCode as CallerStatus;
+use actix_web::http::header::{HeaderMap as CallerMap, HeaderName, HeaderValue};
+use actix_web::{HttpResponse, HttpResponseBuilder};
 use bytes::Bytes;
 use eelgrasshill_domain::{Moment, PoolName};
 use eelgrasshill_ports::{BootClock, CallError, Exchange, HttpPool};
@@ -12,7 +14,7 @@
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::{HeaderMap, Request, Response};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 
 use crate::need::Needs;
 use crate::refusal::{Cause, Refusal};
@@ -355,19 +357,31 @@
     }
 }
 
-/// Returns the headers of an upstream's answer that belong to the answer, not to its connection.
-pub fn passed_headers(headers: &HeaderMap) -> impl Iterator<Item = (&str, &[u8])> {
-    const CONNECTION: [&str; 7] = [
-        "connection",
-        "keep-alive",
-        "transfer-encoding",
-        "content-length",
-        "te",
-        "trailer",
-        "upgrade",
-    ];
-    headers
+/// Headers that belong to one connection, and a length that the server works out itself.
+const CONNECTION_HEADERS: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "te",
+    "trailer",
+    "upgrade",
+];
+
+/// Begins the answer to a caller with the status and headers of an upstream's answer.
+pub fn begin_answer(status: StatusCode, headers: &HeaderMap) -> HttpResponseBuilder {
+    let status = CallerStatus::from_u16(status.as_u16()).unwrap_or(CallerStatus::BAD_GATEWAY);
+    let mut answer = HttpResponse::build(status);
+    let passed = headers
         .iter()
-        .map(|(name, value)| (name.as_str(), value.as_bytes()))
-        .filter(|(name, _value)| !CONNECTION.contains(name))
+        .filter(|(name, _value)| !CONNECTION_HEADERS.contains(&name.as_str()));
+    for (name, value) in passed {
+        if let (Ok(name), Ok(value)) = (
+            HeaderName::try_from(name.as_str()),
+            HeaderValue::from_bytes(value.as_bytes()),
+        ) {
+            answer.append_header((name, value));
+        }
+    }
+    answer
 }
--- a/crates/eelgrasshill_gateway/src/register.rs
+++ b/crates/eelgrasshill_gateway/src/register.rs
@@ -63,7 +63,7 @@
     now: Moment,
 ) -> Vec<HostName> {
     let mut desk = shared.desk();
-    if desk.tree.place(now).parent.is_some() {
+    if desk.tree.position(now).parent.is_some() {
         unheard.clear();
         return Vec::new();
     }
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::http::StatusCode;
-use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::web::{Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
 use bytes::{Bytes, BytesMut};
@@ -13,7 +11,7 @@
 use eelgrasshill_relay::{Asked, Organisation, Outcome, Route, Tables};
 use futures_util::StreamExt;
 
-use crate::job::{Job, Run, SendFailure, passed_headers};
+use crate::job::{Job, Run, SendFailure, begin_answer};
 use crate::need::Needs;
 use crate::refusal::{Cause, Refusal};
 use crate::state::{OpenRequest, Shared};
@@ -389,13 +387,5 @@
         job.sends,
         now.since(job.arrived).as_millis()
     );
-    let status = StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut built = HttpResponse::build(status);
-    for (name, value) in passed_headers(&head.headers) {
-        if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::from_bytes(value))
-        {
-            built.append_header((name, value));
-        }
-    }
-    Ok(built.body(body))
+    Ok(begin_answer(head.status, &head.headers).body(body))
 }
--- a/crates/eelgrasshill_gateway/src/share.rs
+++ b/crates/eelgrasshill_gateway/src/share.rs
@@ -43,8 +43,8 @@
     let mut channels: FastMap<SocketAddr, Channel> = FastMap::default();
     while !shared.is_stopped() {
         let began = BootClock.now();
-        let place = shared.desk().tree.place(began);
-        let peers: Vec<_> = place.parent.into_iter().chain(place.beside).collect();
+        let position = shared.desk().tree.position(began);
+        let peers: Vec<_> = position.parent.into_iter().chain(position.beside).collect();
         channels.retain(|address, _channel| peers.iter().any(|peer| peer.address == *address));
         let calls = peers.into_iter().filter_map(|peer| {
             let open = channel(peer.address, ANSWER)?;
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -3,8 +3,6 @@
 use std::time::Duration;
 
 use actix_web::HttpResponse;
-use actix_web::http::StatusCode;
-use actix_web::http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use eelgrasshill_ports::CallError;
@@ -13,7 +11,7 @@
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::job::{Job, Run, SendFailure, passed_headers};
+use crate::job::{Job, Run, SendFailure, begin_answer};
 use crate::state::OpenRequest;
 use crate::wire::Wire;
 
@@ -121,16 +119,7 @@
         open: OpenRequest<W>,
         first_bound: Duration,
     ) -> Result<HttpResponse, (Self, OpenRequest<W>, SendFailure)> {
-        let mut response = HttpResponse::build(
-            StatusCode::from_u16(run.response.status().as_u16()).unwrap_or(StatusCode::BAD_GATEWAY),
-        );
-        for (name, value) in passed_headers(run.response.headers()) {
-            if let (Ok(name), Ok(value)) =
-                (HeaderName::try_from(name), HeaderValue::from_bytes(value))
-            {
-                response.append_header((name, value));
-            }
-        }
+        let mut response = begin_answer(run.response.status(), run.response.headers());
         let mut events = Events {
             cutter: EventCutter::new(self.ask.last),
             run,
--- a/crates/eelgrasshill_relay/src/choice.rs
+++ b/crates/eelgrasshill_relay/src/choice.rs
@@ -76,14 +76,6 @@
     cost: u64,
 }
 
-impl Candidate {
-    /// Returns whether all places are taken.
-    #[must_use]
-    pub fn is_full(&self) -> bool {
-        self.running >= self.upstream.slots
-    }
-}
-
 /// What a choice looks at.
 #[derive(Clone, Copy, Debug)]
 pub struct Picture<'a> {
--- a/crates/eelgrasshill_relay/src/tree.rs
+++ b/crates/eelgrasshill_relay/src/tree.rs
@@ -30,7 +30,7 @@
     }
 
     /// From whom one host takes its news.
-    pub struct Place {
+    pub struct Position {
         /// The parent; none at the top of the zone.
         pub parent: Option<Peer>,
         /// The tops of the other zones, for a host at the top of its own.
@@ -105,7 +105,7 @@
     }
 
     /// Returns from whom to take news.
-    pub fn place(&mut self, now: Moment) -> Place {
+    pub fn position(&mut self, now: Moment) -> Position {
         self.suspects.retain(|_host, until| now < *until);
         let own = self.ranked(&self.me.zone);
         let rank = own
@@ -121,7 +121,7 @@
             Vec::new()
         };
         let first = parent.is_none() && beside.iter().all(|peer| self.me.zone < peer.zone);
-        Place {
+        Position {
             parent,
             beside,
             first,
--- a/crates/eelgrasshill_relay/tests/records.rs
+++ b/crates/eelgrasshill_relay/tests/records.rs
@@ -387,9 +387,9 @@
                     }
                 }
             }
-            let place = tree.place(Moment(10));
-            firsts += usize::from(place.first);
-            parents.insert(me.host.clone(), place.parent.map(|parent| parent.host));
+            let position = tree.position(Moment(10));
+            firsts += usize::from(position.first);
+            parents.insert(me.host.clone(), position.parent.map(|parent| parent.host));
         }
         for peer in &peers {
             let mut at = peer.host.clone();
