Wait for a silent engine while no other can go on with its stream

A stream is now left only where its route, the budget of repeats and a free engine allow it to go on. The test pauses an engine for 1.4 s; it was red before.

--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -204,6 +204,9 @@
                     }
                 }
                 Next::End => return Ended::Complete,
+                // Silence alone ends nothing while no other engine can go on.
+                Next::Broken(CallError::Timeout { .. })
+                    if !self.left().is_zero() && !self.can_go_on() => {}
                 Next::Broken(error) => {
                     log::info!(
                         "request: id={} upstream={} event={:?} stream broke off: {error}",
@@ -217,6 +220,18 @@
         }
     }
 
+    /// Returns whether another engine could go on with the stream now.
+    fn can_go_on(&self) -> bool {
+        let is_allowed =
+            self.route.repeat == Repeat::ResumableStream && self.sends < self.route.attempts;
+        if !is_allowed {
+            return false;
+        }
+        let now = eelgrasshill_ports::BootClock.now();
+        let has_budget = self.shared.desk().retries.allows(&self.target, now);
+        has_budget && self.choose().is_ok()
+    }
+
     /// Goes on after the last event that was passed on, while that is allowed.
     async fn resume(&mut self, last: Option<u64>, sender: &Sender) -> Option<Events<W>> {
         if self.route.repeat != Repeat::ResumableStream {
--- a/crates/eelgrasshill_relay/src/retries.rs
+++ b/crates/eelgrasshill_relay/src/retries.rs
@@ -64,16 +64,21 @@
 
     /// Takes one repeat, if the share allows it.
     pub fn take(&mut self, pool: &PoolName, now: Moment) -> bool {
+        let allowed = self.allows(pool, now);
+        if allowed && let Some(window) = self.pools.get_mut(pool) {
+            window.repeats.push_back(now);
+        }
+        allowed
+    }
+
+    /// Returns whether the share allows one more repeat.
+    pub fn allows(&mut self, pool: &PoolName, now: Moment) -> bool {
         let window = self.pools.entry(pool.clone()).or_default();
         window.trim(self.settings.window, now);
         let requests = u64::try_from(window.requests.len()).unwrap_or(u64::MAX);
         let repeats = u64::try_from(window.repeats.len()).unwrap_or(u64::MAX);
         let most = requests * self.settings.ratio / 1_000 + self.settings.extra / self.hosts;
-        if repeats >= most * USED / 100 {
-            return false;
-        }
-        window.repeats.push_back(now);
-        true
+        repeats < most * USED / 100
     }
 }
 
