Keep one type for an engine's report and for an order's end, one bound on doubts

From reading the whole change once more: EngineReport had become the planner's Seen, OrderReply was mapped one to one onto OrderEnd, the number of hosts that must doubt an upstream stood twice, and three tests of the lease built the same world.

--- a/crates/eelgrasshill_gateway/src/holder.rs
+++ b/crates/eelgrasshill_gateway/src/holder.rs
@@ -6,14 +6,14 @@
 use bytes::Bytes;
 use eelgrasshill_domain::{HostName, Moment, Version};
 use eelgrasshill_ports::{BootClock, CallError, HttpPool};
-use eelgrasshill_relay::{Action, LeaseRecord, LeaseWrite, OrderEnd, Seen, Step};
+use eelgrasshill_relay::{Action, LeaseRecord, LeaseWrite, OrderEnd, Step};
 use http_body_util::Full;
 use hyper::{Method, Request};
 
 use crate::desk::HolderNews;
 use crate::state::Shared;
 use crate::telemetry;
-use crate::wire::{EngineOrder, OrderReply, SmallCall, Store, StoreError, Topic, Wire};
+use crate::wire::{EngineOrder, SmallCall, Store, StoreError, Topic, Wire};
 
 /// The key of the lease's record.
 const KEY: &str = "orders";
@@ -339,14 +339,7 @@
         });
         let mut hold = self.shared.hold();
         match report {
-            Ok(report) => {
-                let seen = Seen {
-                    holdings: report.holdings,
-                    busy: report.busy,
-                    orders: report.orders,
-                    memory: report.memory,
-                    disk: report.disk,
-                };
+            Ok(seen) => {
                 hold.placer.reported(&self.engine, seen, BootClock.now());
             }
             Err(cause) => {
@@ -378,13 +371,7 @@
                 .call(Method::POST, W::order(&order, &self.engine))
                 .await
             {
-                Ok((status, _body)) => match W::order_reply(status) {
-                    OrderReply::Accepted => OrderEnd::Accepted,
-                    OrderReply::Done => OrderEnd::Done,
-                    OrderReply::Conflict | OrderReply::Refused | OrderReply::Gone => {
-                        OrderEnd::Refused
-                    }
-                },
+                Ok((status, _body)) => W::order_end(status),
                 Err(cause) => {
                     log::info!("orders: engine={} no answer: {cause}", self.engine);
                     if cause.is_unsent() {
--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -24,6 +24,6 @@
 pub use run::{StartError, run};
 pub use telemetry::start_log;
 pub use wire::{
-    Ask, AskError, CallerHeaders, DecodeError, EngineOrder, EngineReport, OrderReply, Reply,
-    Sending, SmallCall, Store, StoreAddress, StoreError, Topic, TopicPage, Wire,
+    Ask, AskError, CallerHeaders, DecodeError, EngineOrder, Reply, Sending, SmallCall, Store,
+    StoreAddress, StoreError, Topic, TopicPage, Wire,
 };
--- a/crates/eelgrasshill_gateway/src/need.rs
+++ b/crates/eelgrasshill_gateway/src/need.rs
@@ -1,6 +1,8 @@
 //! Asks the holder of the orders' lease for a model or adapter that no engine holds.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,8 +11,6 @@
 use eelgrasshill_peer::generated::gateway_client::GatewayClient;
 use eelgrasshill_ports::BootClock;
 use eelgrasshill_relay::{Asked, Overlay, Prospect};
-use std::cell::RefCell;
-use std::rc::Rc;
 use tonic::transport::Channel;
 
 use crate::convert::write_asked;
--- a/crates/eelgrasshill_gateway/src/wire.rs
+++ b/crates/eelgrasshill_gateway/src/wire.rs
@@ -9,7 +9,7 @@
 use derive_more::{Display, Error};
 use eelgrasshill_domain::{AdapterName, HostName, KeyText, ModelName, Moment, Offset, OrgName};
 use eelgrasshill_ports::CallError;
-use eelgrasshill_relay::{KeyedRecord, Tables, Upstream};
+use eelgrasshill_relay::{KeyedRecord, OrderEnd, Seen, Tables, Upstream};
 use hyper::HeaderMap;
 
 /// The headers of a caller's request.
@@ -138,36 +138,6 @@
     pub fence: u64,
 }
 
-/// An engine's account of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EngineReport {
-    /// What it holds, adapters on their way included.
-    pub holdings: Vec<eelgrasshill_relay::Holding>,
-    /// Whether it carries out an order.
-    pub busy: bool,
-    /// Orders that it has accepted since its start.
-    pub orders: u64,
-    /// Models whose weights lie in its memory.
-    pub memory: Vec<ModelName>,
-    /// Models whose weights lie on its disk.
-    pub disk: Vec<ModelName>,
-}
-
-/// An engine's answer to an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderReply {
-    /// The order is being carried out.
-    Accepted,
-    /// What it asks for already holds.
-    Done,
-    /// Another order is under way, or others were accepted meanwhile.
-    Conflict,
-    /// The order is refused.
-    Refused,
-    /// Another engine is at the address.
-    Gone,
-}
-
 /// A small call, as it goes over HTTP.
 #[derive(Clone, Debug)]
 pub struct SmallCall {
@@ -212,17 +182,17 @@
     fn order(order: &EngineOrder, engine: &HostName) -> SmallCall;
 
     /// Returns what the status of an order's answer means.
-    fn order_reply(status: u16) -> OrderReply;
+    fn order_end(status: u16) -> OrderEnd;
 
     /// The path of an engine's report.
     const REPORT: &'static str;
 
-    /// Decodes an engine's report.
+    /// Decodes an engine's report; adapters on their way count as held.
     ///
     /// # Errors
     ///
     /// Returns [`DecodeError`] when it is not one.
-    fn report(value: &[u8]) -> Result<EngineReport, DecodeError>;
+    fn report(value: &[u8]) -> Result<Seen, DecodeError>;
 
     /// The key of the configuration in its topic.
     const CONFIG_KEY: &'static str;
--- a/crates/eelgrasshill_relay/src/choice.rs
+++ b/crates/eelgrasshill_relay/src/choice.rs
@@ -14,10 +14,6 @@
 
 use crate::{Fleet, Loads, Standings, Upstream};
 
-/// Other hosts that must have failed to reach an upstream before it is avoided here as well: one
-/// may be cut off itself.
-const DOUBTERS: u32 = 2;
-
 record! {
     /// Figures by which upstreams are compared.
     #[derive(Copy)]
@@ -103,7 +99,7 @@
         let all = self.candidates(wanted, now);
         let sound = |one: &&Candidate| {
             let id = &one.upstream.id;
-            !self.standings.is_aside(id, now) && self.loads.unreached(id) < DOUBTERS
+            !self.standings.is_aside(id, now) && !self.loads.is_doubted(id)
         };
         let sound: Vec<_> = all.iter().filter(sound).cloned().collect();
         better_of_two(if sound.is_empty() { all } else { sound }, draw)
--- a/crates/eelgrasshill_relay/src/loads.rs
+++ b/crates/eelgrasshill_relay/src/loads.rs
@@ -5,6 +5,10 @@
 /// Ranks that are told apart; less urgent ones count with the last of them.
 pub const RANKS: usize = 3;
 
+/// Hosts that must have failed to reach an upstream before others avoid it: one may be cut off
+/// itself.
+const DOUBTERS: u32 = 2;
+
 record! {
     /// Work on one upstream.
     #[derive(Copy, Default)]
@@ -89,10 +93,12 @@
         self.own.iter()
     }
 
-    /// Returns how many other hosts lately could not reach an upstream.
+    /// Returns whether several other hosts lately could not reach an upstream.
     #[must_use]
-    pub fn unreached(&self, id: &HostName) -> u32 {
-        self.elsewhere.get(id).map_or(0, |load| load.unreached)
+    pub fn is_doubted(&self, id: &HostName) -> bool {
+        self.elsewhere
+            .get(id)
+            .is_some_and(|load| load.unreached >= DOUBTERS)
     }
 
     /// Forgets upstreams that are gone and have nothing running.
--- a/crates/eelgrasshill_relay/src/placement.rs
+++ b/crates/eelgrasshill_relay/src/placement.rs
@@ -45,9 +45,6 @@
 /// back within it moves nothing.
 const STAY: Duration = Duration::from_secs(4);
 
-/// Hosts that must have failed to reach an engine before nothing there counts.
-const DOUBTERS: u32 = 2;
-
 /// Age from which a report is no longer planned upon.
 const REPORT_AGE: Duration = Duration::from_secs(20);
 
@@ -186,7 +183,7 @@
             let known = self.books.remove(&upstream.id);
             let known = known.filter(|book| book.born == upstream.born);
             let mut book = known.unwrap_or_else(|| Book::new(upstream));
-            book.set_doubted(loads.total(&upstream.id).unreached >= DOUBTERS);
+            book.set_doubted(loads.is_doubted(&upstream.id));
             books.insert(upstream.id.clone(), book);
         }
         self.books = books;
--- a/crates/eelgrasshill_relay/tests/lease.rs
+++ b/crates/eelgrasshill_relay/tests/lease.rs
@@ -154,6 +154,23 @@
     None
 }
 
+/// Runs one host without faults until a moment; it holds the lease then.
+fn held_until(end: u64) -> (Topic, Node) {
+    let mut topic = Topic::default();
+    let mut node = Node::start("a", 1);
+    let mut random = StdRng::seed_from_u64(1);
+    let calm = Faults {
+        freeze: 0,
+        cut: 0,
+        restart: 0,
+        lost: 0,
+    };
+    for now in (0..end).step_by(50) {
+        step(&mut node, &mut topic, &mut random, calm, now);
+    }
+    (topic, node)
+}
+
 #[test]
 fn holders_never_take_turns_within_the_bound() {
     let cases = [
@@ -193,18 +210,7 @@
 
 #[test]
 fn a_machine_that_starts_anew_goes_on_at_once_and_others_wait() {
-    let mut topic = Topic::default();
-    let mut first = Node::start("a", 1);
-    let mut random = StdRng::seed_from_u64(1);
-    let calm = Faults {
-        freeze: 0,
-        cut: 0,
-        restart: 0,
-        lost: 0,
-    };
-    for now in (0..10_000).step_by(50) {
-        step(&mut first, &mut topic, &mut random, calm, now);
-    }
+    let (mut topic, first) = held_until(10_000);
     assert!(first.lease.fence(Moment(9_950)).is_some());
     let mut again = Node::start("a", 2);
     again
@@ -228,18 +234,7 @@
 /// one under the new token of the same host.
 #[test]
 fn a_lapsed_lease_that_nobody_took_keeps_its_token() {
-    let mut topic = Topic::default();
-    let mut node = Node::start("a", 1);
-    let mut random = StdRng::seed_from_u64(1);
-    let calm = Faults {
-        freeze: 0,
-        cut: 0,
-        restart: 0,
-        lost: 0,
-    };
-    for now in (0..8_000).step_by(50) {
-        step(&mut node, &mut topic, &mut random, calm, now);
-    }
+    let (mut topic, mut node) = held_until(8_000);
     let before = node.lease.fence(Moment(7_950)).expect("the lease is held");
     assert_eq!(node.lease.fence(Moment(15_000)), None, "the term is over");
     node.lease
@@ -252,18 +247,7 @@
 
 #[test]
 fn a_resigned_lease_is_free_at_once() {
-    let mut topic = Topic::default();
-    let mut node = Node::start("a", 1);
-    let mut random = StdRng::seed_from_u64(1);
-    let calm = Faults {
-        freeze: 0,
-        cut: 0,
-        restart: 0,
-        lost: 0,
-    };
-    for now in (0..8_000).step_by(50) {
-        step(&mut node, &mut topic, &mut random, calm, now);
-    }
+    let (mut topic, mut node) = held_until(8_000);
     let fence = node.lease.fence(Moment(7_950)).expect("the lease is held");
     assert!(!node.lease.resign(Moment(8_000)), "the renewal is fresh");
     let mut other = Node::start("b", 1);
