Compress large records and fetch them beside the rounds of news

Change: records from 8 KB on are compressed once, and what is then still above 16 KB is fetched by a call of its own with 2 s to answer.

--- a/crates/eelgrasshill_gateway/src/convert.rs
+++ b/crates/eelgrasshill_gateway/src/convert.rs
@@ -1,5 +1,6 @@
 //! Conversions between the decisions' types and the messages of peers.
 
+use std::io;
 use std::sync::Arc;
 
 use eelgrasshill_domain::{AdapterName, HostName, ModelName, Moment, NameError, Offset, PoolName};
@@ -10,6 +11,7 @@
 };
 
 use crate::desk::HolderNews;
+use crate::pack::{Packer, unpack};
 use crate::wire::Topic;
 
 /// The topics that hosts tell each other of.
@@ -184,6 +186,7 @@
 pub(crate) fn write_topic(
     topic: Topic,
     keyed: &Keyed,
+    packer: &mut Packer,
     from: Offset,
     now: Moment,
 ) -> message::TopicNews {
@@ -191,12 +194,17 @@
         topic: topic_number(topic),
         records: keyed
             .since(from)
-            .map(|record| message::TopicRecord {
-                key: record.key.to_string(),
-                offset: record.offset.0,
-                value: record.value.to_vec(),
+            .map(|record| {
+                let (value, is_packed) = packer.pack(record);
+                message::TopicRecord {
+                    key: record.key.to_string(),
+                    offset: record.offset.0,
+                    value,
+                    packed: is_packed,
+                }
             })
             .collect(),
+        left_out: false,
         end: keyed.end().0,
         age: keyed
             .fresh()
@@ -206,18 +214,28 @@
     }
 }
 
-pub(crate) fn read_records(news: message::TopicNews) -> Vec<KeyedRecord> {
-    let mut records: Vec<_> = news
-        .records
-        .into_iter()
-        .map(|record| KeyedRecord {
+/// Reads the records of a topic, in order.
+///
+/// # Errors
+///
+/// Returns why one of them cannot be read; the others then say less than they seem to.
+pub(crate) fn read_records(news: message::TopicNews) -> io::Result<Vec<KeyedRecord>> {
+    let read = |record: message::TopicRecord| {
+        let value = if record.packed {
+            unpack(&record.value)?
+        } else {
+            record.value
+        };
+        Ok(KeyedRecord {
             key: Arc::from(record.key),
             offset: Offset(record.offset),
-            value: Arc::from(record.value),
+            value: Arc::from(value),
         })
-        .collect();
+    };
+    let records: io::Result<Vec<_>> = news.records.into_iter().map(read).collect();
+    let mut records = records?;
     records.sort_by_key(|record| record.offset);
-    records
+    Ok(records)
 }
 
 pub(crate) fn millis(span: std::time::Duration) -> u64 {
--- a/crates/eelgrasshill_gateway/src/desk.rs
+++ b/crates/eelgrasshill_gateway/src/desk.rs
@@ -13,6 +13,7 @@
 };
 use eelgrasshill_settings::GatewaySettings;
 
+use crate::pack::Packer;
 use crate::wire::{Topic, Wire};
 
 /// How long the store's trouble is remembered: entries that lapsed are back by then.
@@ -79,6 +80,7 @@
     pub later: FastMap<Asked, Moment>,
     /// When a host below last needed to know what is wanted elsewhere.
     pub needed: Option<Moment>,
+    packer: Packer,
     refreshed: Moment,
     quorum: Quorum,
     choice: ChoiceSettings,
@@ -113,6 +115,7 @@
             holder: None,
             later: FastMap::default(),
             needed: None,
+            packer: Packer::default(),
             refreshed: Moment(0),
             quorum: Quorum::UNSEEN,
             choice: ChoiceSettings {
@@ -135,6 +138,17 @@
         }
     }
 
+    /// Returns the records of a keyed topic, and the packer for those that are sent.
+    pub(crate) fn topic_and_packer(&mut self, topic: Topic) -> Option<(&Keyed, &mut Packer)> {
+        let keyed = match topic {
+            Topic::Config => &self.config,
+            Topic::Upstreams => &self.entries,
+            Topic::Hosts => &self.hosts,
+            Topic::Lease => return None,
+        };
+        Some((keyed, &mut self.packer))
+    }
+
     /// Acts on records that are news.
     pub fn apply(&mut self, topic: Topic, news: &[KeyedRecord], now: Moment) {
         for record in news {
--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -5,10 +5,13 @@
 
 mod convert;
 mod desk;
+mod dial;
+mod fetch;
 mod follow;
 mod holder;
 mod job;
 mod need;
+mod pack;
 mod peers;
 mod refusal;
 mod register;
@@ -19,6 +22,7 @@
 mod state;
 mod stream;
 mod telemetry;
+mod topics;
 mod wire;
 
 pub use run::{StartError, run};
--- a/crates/eelgrasshill_gateway/src/need.rs
+++ b/crates/eelgrasshill_gateway/src/need.rs
@@ -14,7 +14,8 @@
 use tonic::transport::Channel;
 
 use crate::convert::write_asked;
-use crate::share::{channel, hear_words};
+use crate::dial::channel;
+use crate::share::hear_words;
 use crate::state::Shared;
 use crate::wire::Wire;
 
--- /dev/null
+++ b/crates/eelgrasshill_gateway/src/pack.rs
@@ -0,0 +1,72 @@
+//! Compresses large records that pass between hosts.
+//!
+//! Load pattern: an operator changes the configuration, some 100 KB, and each of a hundred hosts
+//! with slow links needs it at once from the same few hosts.
+
+use std::io::{self, Read, Write};
+use std::sync::Arc;
+
+use eelgrasshill_domain::{FastMap, Offset};
+use eelgrasshill_relay::KeyedRecord;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+
+use crate::dial::MESSAGE;
+
+/// Bytes from which a record is compressed: entries of engines are smaller, configurations larger.
+const LARGE: usize = 8 << 10;
+
+/// Large records in compressed form, each worked out once.
+#[derive(Debug, Default)]
+pub(crate) struct Packer {
+    packed: FastMap<Arc<str>, (Offset, Arc<[u8]>)>,
+}
+
+impl Packer {
+    /// Returns a record's content as it is sent, and whether that is compressed.
+    pub(crate) fn pack(&mut self, record: &KeyedRecord) -> (Vec<u8>, bool) {
+        if record.value.len() < LARGE {
+            return (record.value.to_vec(), false);
+        }
+        let known = self.packed.get(&record.key);
+        if let Some((_offset, packed)) = known.filter(|(offset, _packed)| *offset == record.offset)
+        {
+            return (packed.to_vec(), true);
+        }
+        match compress(&record.value) {
+            Ok(packed) => {
+                let kept = (record.offset, Arc::from(packed.as_slice()));
+                self.packed.insert(Arc::clone(&record.key), kept);
+                (packed, true)
+            }
+            Err(error) => {
+                log::warn!("peers: a record is sent as it is: {error}");
+                (record.value.to_vec(), false)
+            }
+        }
+    }
+}
+
+fn compress(value: &[u8]) -> io::Result<Vec<u8>> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(value)?;
+    encoder.finish()
+}
+
+/// Returns a record's content from its compressed form.
+///
+/// # Errors
+///
+/// Returns why it cannot be read; also where it is longer than any message.
+pub(crate) fn unpack(packed: &[u8]) -> io::Result<Vec<u8>> {
+    let most = u64::try_from(MESSAGE).unwrap_or(u64::MAX);
+    let mut value = Vec::new();
+    DeflateDecoder::new(packed)
+        .take(most + 1)
+        .read_to_end(&mut value)?;
+    if value.len() > MESSAGE {
+        return Err(io::Error::other("the record is too long"));
+    }
+    Ok(value)
+}
--- a/crates/eelgrasshill_gateway/src/peers.rs
+++ b/crates/eelgrasshill_gateway/src/peers.rs
@@ -11,8 +11,10 @@
 use tonic::{Request, Response, Status};
 
 use crate::convert::{millis, read_asked, write_word};
+use crate::dial::MESSAGE;
+use crate::fetch::answer_fetch;
 use crate::need::need_here;
-use crate::share::{MESSAGE, answer};
+use crate::share::answer;
 use crate::state::Shared;
 use crate::wire::Wire;
 use eelgrasshill_relay::Prospect;
@@ -51,6 +53,14 @@
         Ok(Response::new(answer(&self.shared, request.get_ref())))
     }
 
+    async fn fetch(
+        &self,
+        request: Request<message::FetchRequest>,
+    ) -> Result<Response<message::FetchReply>, Status> {
+        let reply = answer_fetch(&self.shared, request.get_ref());
+        Ok(Response::new(reply))
+    }
+
     async fn need(
         &self,
         request: Request<message::NeedRequest>,
--- a/crates/eelgrasshill_gateway/src/share.rs
+++ b/crates/eelgrasshill_gateway/src/share.rs
@@ -4,19 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastMap, HostName, Moment, Offset};
+use eelgrasshill_domain::{FastMap, HostName, Moment};
 use eelgrasshill_peer::generated as message;
 use eelgrasshill_peer::generated::gateway_client::GatewayClient;
 use eelgrasshill_ports::BootClock;
 use eelgrasshill_relay::{Peer, Side, Sum};
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::Channel;
 
 use crate::convert::{
-    TOPICS, read_holder, read_records, read_sum, read_teller, read_word, topic_number, topic_of,
-    write_holder, write_sum, write_topic, write_word,
+    read_holder, read_sum, read_teller, read_word, write_holder, write_sum, write_word,
 };
 use crate::desk::Desk;
+use crate::dial::{MESSAGE, channel};
+use crate::fetch::{Fetching, fetch};
 use crate::state::Shared;
+use crate::topics::{hear_topic, leave_out_large, topic_ends, write_topics};
 use crate::wire::Wire;
 
 /// Time between two rounds: some news are needed within half a second, over two rounds.
@@ -25,19 +27,6 @@
 /// Longest wait for a peer's answer.
 const ANSWER: Duration = Duration::from_millis(400);
 
-/// Most bytes of a message: a configuration with some hundred routes, and more.
-pub(crate) const MESSAGE: usize = 16 << 20;
-
-/// Opens a channel to a peer when it is first used.
-pub(crate) fn channel(address: SocketAddr, bound: Duration) -> Option<Channel> {
-    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
-    let endpoint = endpoint
-        .connect_timeout(bound)
-        .timeout(bound)
-        .tcp_nodelay(true);
-    Some(endpoint.connect_lazy())
-}
-
 /// What this host knows of one peer, from one exchange to the next.
 #[derive(Clone)]
 struct Link {
@@ -53,6 +42,7 @@
 /// Takes news from the parent, or from the tops of other zones, until the host stops.
 pub(crate) async fn share<W: Wire>(shared: Arc<Shared<W>>) {
     let mut links: FastMap<SocketAddr, Link> = FastMap::default();
+    let fetching = Fetching::default();
     while !shared.is_stopped() {
         let began = BootClock.now();
         let position = shared.desk().tree.position(began);
@@ -67,7 +57,7 @@
                     told: 0,
                 },
             };
-            Some(exchange(Arc::clone(&shared), peer, link))
+            Some(exchange(Arc::clone(&shared), peer, link, fetching.clone()))
         });
         let calls: Vec<_> = calls.collect();
         // What is not in use any more is dropped, as is a channel that failed: it may be silent
@@ -85,6 +75,7 @@
     shared: Arc<Shared<W>>,
     peer: Peer,
     mut link: Link,
+    fetching: Fetching,
 ) -> Option<(SocketAddr, Link)> {
     let asked = BootClock.now();
     let (request, words) = write_request(&shared, &link, asked);
@@ -97,7 +88,11 @@
             link.told = if start == link.start { words } else { 0 };
             link.start = start;
             link.known = reply.words_told;
+            let left_out = reply.topics.iter().any(|news| news.left_out);
             hear_reply(&shared, &peer, reply, asked);
+            if left_out && let Some(guard) = fetching.begin() {
+                actix_web::rt::spawn(fetch(shared, peer.address, guard));
+            }
             Some((peer.address, link))
         }
         failed => {
@@ -134,13 +129,7 @@
     let mut own = desk.own_sum(now);
     own.wanted = desk.demand.rates(now);
     let sum = desk.sums.upward(own, now);
-    let topics = TOPICS.into_iter().filter_map(|topic| {
-        Some(message::TopicEnd {
-            topic: topic_number(topic),
-            end: desk.topic(topic)?.end().0,
-        })
-    });
-    let topics = topics.collect();
+    let topics = topic_ends(&mut desk);
     let holder = desk.holder(now);
     let holds = holder.is_some_and(|holder| holder.host == shared.settings.name);
     let request = message::ShareRequest {
@@ -171,7 +160,7 @@
         reply.sum.as_ref(),
         now,
     );
-    for news in reply.topics {
+    for news in reply.topics.into_iter().filter(|news| !news.left_out) {
         hear_topic(&mut desk, news, asked, now);
     }
     hear_orders(&mut desk, reply.holder.as_ref(), &reply.words, asked, now);
@@ -193,23 +182,6 @@
     }
 }
 
-fn hear_topic<W: Wire>(desk: &mut Desk<W>, news: message::TopicNews, asked: Moment, now: Moment) {
-    let Some(topic) = topic_of(news.topic) else {
-        return;
-    };
-    let end = Offset(news.end);
-    let fresh = asked
-        .0
-        .checked_sub(news.age)
-        .map(Moment)
-        .filter(|_fresh| news.known);
-    let records = read_records(news);
-    if let Some(keyed) = desk.topic(topic) {
-        let changed = keyed.extend(records, end, fresh);
-        desk.apply(topic, &changed, now);
-    }
-}
-
 fn hear_orders<W: Wire>(
     desk: &mut Desk<W>,
     holder: Option<&message::OrderHolder>,
@@ -277,13 +249,9 @@
     } else {
         0
     };
-    let mut topics = Vec::new();
-    for end in &request.topics {
-        if let Some(topic) = topic_of(end.topic)
-            && let Some(keyed) = desk.topic(topic)
-        {
-            topics.push(write_topic(topic, keyed, Offset(end.end), now));
-        }
+    let mut topics = write_topics(&mut desk, &request.topics, now);
+    for news in &mut topics {
+        leave_out_large(news);
     }
     message::ShareReply {
         teller: Some(teller(shared)),
