--- a/crates/eelgrasshill_gateway/src/follow.rs
+++ b/crates/eelgrasshill_gateway/src/follow.rs
@@ -13,6 +13,10 @@
 /// Pause after a failed read: short beside all bounds, long beside an answer's four milliseconds.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// Longest pause after failed reads of a host that takes its news from a parent: while the store
+/// is away, only the first host asks on, and its word of the return is there within a second.
+const PAUSE_MOST: Duration = Duration::from_secs(2);
+
 /// How often a host that takes its news from a parent looks whether they are stale.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -35,6 +39,7 @@
         topic,
         pace,
         lost: false,
+        pause: PAUSE,
     };
     let mut whole = true;
     while !follower.shared.is_stopped() {
@@ -51,6 +56,7 @@
             Ok(()) => {
                 whole = false;
                 follower.note_regained();
+                follower.pause = PAUSE;
                 tokio::time::sleep(pace.pause).await;
             }
             Err(StoreError::Expired) => {
@@ -59,7 +65,7 @@
             }
             Err(error) => {
                 follower.note_lost(&error);
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(follower.next_pause(whole)).await;
             }
         }
     }
@@ -71,6 +77,7 @@
     topic: Topic,
     pace: Pace,
     lost: bool,
+    pause: Duration,
 }
 
 impl<W: Wire, S: Store> Follower<W, S> {
@@ -85,6 +92,17 @@
         fresh.is_none_or(|fresh| now.since(fresh) >= self.pace.stale)
     }
 
+    /// Returns how long to wait after a failed read: longer each time, unless others depend on it.
+    fn next_pause(&mut self, whole: bool) -> Duration {
+        if whole || self.is_first(BootClock.now()) {
+            return PAUSE;
+        }
+        let pause = self.pause;
+        self.pause = (pause * 2).min(PAUSE_MOST);
+        // Hosts that failed together do not return together.
+        pause.mul_f64(rand::random_range(0.5..1.0))
+    }
+
     fn is_first(&self, now: Moment) -> bool {
         self.shared.desk().tree.position(now).first
     }
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -27,6 +27,16 @@
 /// Most bytes of an answer that is read whole.
 const ANSWER: usize = 16 << 20;
 
+/// Time from the start in which a request waits for the host's first look at the store: callers
+/// come at once to hosts that were all started anew.
+const START: Duration = Duration::from_secs(3);
+
+/// Longest such wait: a read of the store, and its parsing on a tenth of a processor.
+const START_WAIT: Duration = Duration::from_secs(1);
+
+/// Pause between two looks while a request waits for that.
+const START_LOOK: Duration = Duration::from_millis(10);
+
 /// Advice to callers of a host that knows no configuration yet or is leaving.
 const RETRY_SOON: Duration = Duration::from_millis(300);
 
@@ -112,9 +122,22 @@
     };
     let id = ask.id.clone();
     let body = body.map_err(|cause| (id.clone(), Refusal::new(cause)))?;
+    await_start(shared, arrived).await;
     resolve(shared, pool, request, ask, body, arrived).map_err(|refusal| (id, refusal))
 }
 
+/// Waits until a host that has just started knows enough to serve, or a while.
+async fn await_start<W: Wire>(shared: &Shared<W>, arrived: Moment) {
+    loop {
+        let now = BootClock.now();
+        let is_starting = now.since(shared.began) < START && now.since(arrived) < START_WAIT;
+        if !is_starting || shared.is_informed(now) {
+            return;
+        }
+        tokio::time::sleep(START_LOOK).await;
+    }
+}
+
 async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, Cause> {
     let whole = async {
         let mut body = BytesMut::new();
--- a/crates/eelgrasshill_gateway/src/state.rs
+++ b/crates/eelgrasshill_gateway/src/state.rs
@@ -44,6 +44,8 @@
     pub incarnation: Incarnation,
     /// How this host registers itself.
     pub me: Peer,
+    /// When the process started.
+    pub began: Moment,
     /// Wakes the giver of orders.
     pub wake: Notify,
     desk: Mutex<Desk<W>>,
@@ -78,6 +80,7 @@
         Self {
             desk: Mutex::new(Desk::new(&settings, me.clone())),
             hold: Mutex::new(Hold::new(&settings, incarnation)),
+            began: BootClock.now(),
             wake: Notify::new(),
             me,
             incarnation,
@@ -159,10 +162,14 @@
     /// Returns whether the balancer may send callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let now = BootClock.now();
+        self.leaving().is_none() && self.is_informed(BootClock.now())
+    }
+
+    /// Returns whether this host knows what it needs to serve requests.
+    #[must_use]
+    pub fn is_informed(&self, now: Moment) -> bool {
         let desk = self.desk();
-        self.leaving().is_none()
-            && desk.tables.is_some()
+        desk.tables.is_some()
             && !desk.fleet.is_empty()
             && desk.hosts.fresh().is_some()
             && self.allows_keys(&desk, now)
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -249,7 +249,13 @@
                     return None;
                 }
             };
-            let bound = self.left().min(SILENCE);
+            // Nobody could go on after the last engine, so it is given all the time that is left.
+            let is_last = self.sends + 1 >= self.route.attempts;
+            let bound = if is_last {
+                self.left()
+            } else {
+                self.left().min(SILENCE)
+            };
             let sent = tokio::select! {
                 sent = self.send(&found.upstream, last, bound) => sent,
                 () = sender.closed() => return None,
