--- a/crates/eelgrasshill_gateway/src/share.rs
+++ b/crates/eelgrasshill_gateway/src/share.rs
@@ -28,7 +28,6 @@
 const ANSWER: Duration = Duration::from_millis(400);
 
 /// What this host knows of one peer, from one exchange to the next.
-#[derive(Clone)]
 struct Link {
     channel: Channel,
     /// The peer's start that the two numbers belong to; 0 before it answered.
--- a/crates/eelgrasshill_settings/tests/tables.rs
+++ b/crates/eelgrasshill_settings/tests/tables.rs
@@ -5,7 +5,9 @@
 use std::path::Path;
 
 use eelgrasshill_domain::Version;
-use eelgrasshill_settings::{EntrySettings, read_edited, render_pools, render_routes};
+use eelgrasshill_settings::{
+    EntrySettings, GatewaySettings, read_edited, render_pools, render_routes,
+};
 
 fn example(name: &str, file: &str) -> String {
     let path = format!(
@@ -124,3 +126,49 @@
     let missing = EntrySettings::read(Path::new("no-such-file.ini")).unwrap_err();
     assert!(missing.to_string().starts_with("no-such-file.ini: "));
 }
+
+#[test]
+fn gateway_settings_tell_what_a_host_can_carry() {
+    struct Case {
+        lines: &'static str,
+        capacity: Option<u32>,
+    }
+    let cases = [
+        Case {
+            lines: "",
+            capacity: Some(100),
+        },
+        Case {
+            lines: "processor-share = 0.084\nlink-mbps = 10.0\n",
+            capacity: Some(8),
+        },
+        Case {
+            lines: "processor-share = 0.5\nlink-mbps = 10\n",
+            capacity: Some(10),
+        },
+        Case {
+            lines: "processor-share = none\n",
+            capacity: None,
+        },
+        Case {
+            lines: "link-mbps = 0\n",
+            capacity: None,
+        },
+    ];
+    for case in cases {
+        let text = format!(
+            "[host]\nname = a\nzone = z\nlisten = 127.0.0.1:1\nready = 127.0.0.1:2\n\
+             peer = 127.0.0.1:3\nmetrics = 127.0.0.1:4\n{}[store]\naddress = 127.0.0.1:5\n",
+            case.lines
+        );
+        let read = GatewaySettings::parse("gateway.ini", &text);
+        match (read, case.capacity) {
+            (Ok(settings), Some(capacity)) => assert_eq!(settings.capacity, capacity, "{text}"),
+            (Err(problems), None) => {
+                let field = case.lines.split(' ').next().unwrap();
+                assert!(problems.to_string().contains(field), "{problems}");
+            }
+            (read, expected) => panic!("{}: {read:?}, not {expected:?}", case.lines),
+        }
+    }
+}
