Keep one bound for calls, one channel to peers, one way to read settings

Read the change since for what stands twice; behaviour stays. - A call within a bound stood four times in the ports (client, plain, and twice in the pool) and a fifth time in the engine's head: error.rs has it now, and the pool has one piece that sends and reads a small answer. - Channels to peers were opened alike in the gateway and the entry host: peer crate. - Both settings read a file, took sections and named unknown ones alike: section.rs. - The gateway matched topics twice, and worked the sum for a parent out in two places: once each in the desk.

--- a/crates/eelgrasshill_entry/src/control/exchange.rs
+++ b/crates/eelgrasshill_entry/src/control/exchange.rs
@@ -6,9 +6,9 @@
 use actix::{ActorFutureExt, Addr, AsyncContext, Context, Handler, WrapFuture};
 use eelgrasshill_control::{CatchUp, Heartbeat};
 use eelgrasshill_domain::{HostName, Moment, Offset};
-use eelgrasshill_peer::PeerClient;
 use eelgrasshill_peer::generated as wire;
-use tonic::transport::{Channel, Endpoint};
+use eelgrasshill_peer::{PeerClient, open_channel};
+use tonic::transport::Channel;
 
 use crate::BootClock;
 use crate::control::messages::{Ask, Asked, Exchange, Exchanged, Heard, IsFollowed};
@@ -28,14 +28,7 @@
 
 /// Opens a channel to a peer on its first use.
 pub(crate) fn channel(address: SocketAddr, bound: Duration) -> Option<Channel> {
-    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
-    Some(
-        endpoint
-            .connect_timeout(ANSWER)
-            .timeout(bound)
-            .tcp_nodelay(true)
-            .connect_lazy(),
-    )
+    open_channel(address, ANSWER, bound)
 }
 
 impl<O: Outside> Control<O> {
--- a/crates/eelgrasshill_gateway/src/desk.rs
+++ b/crates/eelgrasshill_gateway/src/desk.rs
@@ -140,20 +140,15 @@
 
     /// Returns the records of a keyed topic.
     pub fn topic(&mut self, topic: Topic) -> Option<&mut Keyed> {
-        match topic {
-            Topic::Config => Some(&mut self.config),
-            Topic::Upstreams => Some(&mut self.entries),
-            Topic::Hosts => Some(&mut self.hosts),
-            Topic::Lease => None,
-        }
+        self.topic_and_packer(topic).map(|(keyed, _packer)| keyed)
     }
 
     /// Returns the records of a keyed topic, and the packer for those that are sent.
-    pub(crate) fn topic_and_packer(&mut self, topic: Topic) -> Option<(&Keyed, &mut Packer)> {
+    pub(crate) fn topic_and_packer(&mut self, topic: Topic) -> Option<(&mut Keyed, &mut Packer)> {
         let keyed = match topic {
-            Topic::Config => &self.config,
-            Topic::Upstreams => &self.entries,
-            Topic::Hosts => &self.hosts,
+            Topic::Config => &mut self.config,
+            Topic::Upstreams => &mut self.entries,
+            Topic::Hosts => &mut self.hosts,
             Topic::Lease => return None,
         };
         Some((keyed, &mut self.packer))
@@ -248,8 +243,31 @@
         }
     }
 
+    /// Returns the sum of this host and all below it, for its parent or the other tops.
+    pub(crate) fn sum_upward(&mut self, now: Moment) -> Sum {
+        let mut own = self.own_sum(now);
+        own.wanted = self.demand.rates(now);
+        self.sums.upward(own, now)
+    }
+
+    /// Returns the sum of all but a child's part, for that child.
+    pub(crate) fn sum_for_child(
+        &mut self,
+        child: &HostName,
+        needs_wanted: bool,
+        now: Moment,
+    ) -> Sum {
+        let own = self.own_sum(now);
+        let mut sum = self.sums.downward(own, child, now);
+        if needs_wanted {
+            sum.wanted = self.demand.rates(now);
+            self.sums.add_wanted_but(child, &mut sum.wanted, now);
+        }
+        sum
+    }
+
     /// Returns this host's own part of the sums, but for what its callers want.
-    pub fn own_sum(&mut self, now: Moment) -> Sum {
+    fn own_sum(&mut self, now: Moment) -> Sum {
         let spent = self.allowances.spent();
         let mut loads: FastMap<_, _> = self
             .loads
--- a/crates/eelgrasshill_gateway/src/fetch.rs
+++ b/crates/eelgrasshill_gateway/src/fetch.rs
@@ -5,11 +5,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use eelgrasshill_peer::generated as message;
 use eelgrasshill_peer::generated::gateway_client::GatewayClient;
+use eelgrasshill_peer::{generated as message, open_channel};
 use eelgrasshill_ports::BootClock;
 
-use crate::dial::{MESSAGE, channel};
+use crate::pack::MESSAGE;
 use crate::state::Shared;
 use crate::topics::{hear_topic, topic_ends, write_topics};
 use crate::wire::Wire;
@@ -41,7 +41,7 @@
 
 /// Fetches all records that are news; what fails is asked for again in a later round.
 pub(crate) async fn fetch<W: Wire>(shared: Arc<Shared<W>>, address: SocketAddr, guard: FetchGuard) {
-    let Some(open) = channel(address, ANSWER) else {
+    let Some(open) = open_channel(address, ANSWER, ANSWER) else {
         return;
     };
     let asked = BootClock.now();
--- a/crates/eelgrasshill_gateway/src/holder.rs
+++ b/crates/eelgrasshill_gateway/src/holder.rs
@@ -165,13 +165,15 @@
     /// Returns whether this host should look at the lease: at the top of its zone, now and then,
     /// and only while nobody is known to hold it.
     fn may_claim(&mut self, held: bool, now: Moment) -> bool {
+        if now.since(self.watched) < WATCH {
+            return false;
+        }
         let mut desk = self.shared.desk();
         let has_holder = desk
             .holder(now)
             .is_some_and(|holder| holder.host != self.shared.settings.name);
         let is_top = desk.tree.position(now).parent.is_none();
-        let due = now.since(self.watched) >= WATCH;
-        let may = due && (held || (is_top && !has_holder && desk.config.fresh().is_some()));
+        let may = held || (is_top && !has_holder && desk.config.fresh().is_some());
         if may {
             self.watched = now;
         }
--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -5,7 +5,6 @@
 
 mod convert;
 mod desk;
-mod dial;
 mod fetch;
 mod follow;
 mod holder;
--- a/crates/eelgrasshill_gateway/src/need.rs
+++ b/crates/eelgrasshill_gateway/src/need.rs
@@ -7,14 +7,13 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::{FastMap, HostName, Moment};
-use eelgrasshill_peer::generated as message;
 use eelgrasshill_peer::generated::gateway_client::GatewayClient;
+use eelgrasshill_peer::{generated as message, open_channel};
 use eelgrasshill_ports::BootClock;
 use eelgrasshill_relay::{Asked, Overlay, Prospect};
 use tonic::transport::Channel;
 
 use crate::convert::write_asked;
-use crate::dial::channel;
 use crate::share::hear_words;
 use crate::state::Shared;
 use crate::wire::Wire;
@@ -94,7 +93,7 @@
     ) -> Prospect {
         let later = Prospect::Later { after: RETRY };
         let kept = self.channels.borrow().get(&address).cloned();
-        let Some(open) = kept.or_else(|| channel(address, ANSWER)) else {
+        let Some(open) = kept.or_else(|| open_channel(address, ANSWER, ANSWER)) else {
             return later;
         };
         let request = message::NeedRequest {
--- a/crates/eelgrasshill_gateway/src/pack.rs
+++ b/crates/eelgrasshill_gateway/src/pack.rs
@@ -12,7 +12,8 @@
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 
-use crate::dial::MESSAGE;
+/// Most bytes of a message: a configuration with some hundred routes, and more.
+pub(crate) const MESSAGE: usize = 16 << 20;
 
 /// Bytes from which a record is compressed: entries of engines are smaller, configurations larger.
 const LARGE: usize = 8 << 10;
--- a/crates/eelgrasshill_gateway/src/peers.rs
+++ b/crates/eelgrasshill_gateway/src/peers.rs
@@ -11,9 +11,9 @@
 use tonic::{Request, Response, Status};
 
 use crate::convert::{millis, read_asked, write_word};
-use crate::dial::MESSAGE;
 use crate::fetch::answer_fetch;
 use crate::need::need_here;
+use crate::pack::MESSAGE;
 use crate::share::answer;
 use crate::state::Shared;
 use crate::wire::Wire;
--- a/crates/eelgrasshill_gateway/src/share.rs
+++ b/crates/eelgrasshill_gateway/src/share.rs
@@ -4,19 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastMap, HostName, Moment};
-use eelgrasshill_peer::generated as message;
+use eelgrasshill_domain::{FastMap, Moment};
 use eelgrasshill_peer::generated::gateway_client::GatewayClient;
+use eelgrasshill_peer::{generated as message, open_channel};
 use eelgrasshill_ports::BootClock;
-use eelgrasshill_relay::{Peer, Side, Sum};
+use eelgrasshill_relay::{Peer, Side};
 use tonic::transport::Channel;
 
 use crate::convert::{
     read_holder, read_sum, read_teller, read_word, write_holder, write_sum, write_word,
 };
 use crate::desk::Desk;
-use crate::dial::{MESSAGE, channel};
 use crate::fetch::{Fetching, fetch};
+use crate::pack::MESSAGE;
 use crate::state::Shared;
 use crate::topics::{hear_topic, leave_out_large, topic_ends, write_topics};
 use crate::wire::Wire;
@@ -50,7 +50,7 @@
             let link = match links.remove(&peer.address) {
                 Some(link) => link,
                 None => Link {
-                    channel: channel(peer.address, ANSWER)?,
+                    channel: open_channel(peer.address, ANSWER, ANSWER)?,
                     start: 0,
                     known: 0,
                     told: 0,
@@ -125,9 +125,7 @@
     now: Moment,
 ) -> (message::ShareRequest, u64) {
     let mut desk = shared.desk();
-    let mut own = desk.own_sum(now);
-    own.wanted = desk.demand.rates(now);
-    let sum = desk.sums.upward(own, now);
+    let sum = desk.sum_upward(now);
     let topics = topic_ends(&mut desk);
     let holder = desk.holder(now);
     let holds = holder.is_some_and(|holder| holder.host == shared.settings.name);
@@ -235,13 +233,9 @@
             if request.needs_wanted {
                 desk.needed = Some(now);
             }
-            sum_for_child(&mut desk, &teller.host, request.needs_wanted, now)
-        }
-        Some(_) | None => {
-            let mut own = desk.own_sum(now);
-            own.wanted = desk.demand.rates(now);
-            desk.sums.upward(own, now)
+            desk.sum_for_child(&teller.host, request.needs_wanted, now)
         }
+        Some(_) | None => desk.sum_upward(now),
     };
     let known = if request.known_start == shared.incarnation.0 {
         request.words_known
@@ -261,19 +255,3 @@
         words_told: desk.fleet.words(),
     }
 }
-
-fn sum_for_child<W: Wire>(
-    desk: &mut Desk<W>,
-    child: &HostName,
-    needs_wanted: bool,
-    now: Moment,
-) -> Sum {
-    let own = desk.own_sum(now);
-    let mut sum = desk.sums.downward(own, child, now);
-    if needs_wanted {
-        let mut wanted = desk.demand.rates(now);
-        desk.sums.add_wanted_but(child, &mut wanted, now);
-        sum.wanted = wanted;
-    }
-    sum
-}
--- a/crates/eelgrasshill_peer/src/lib.rs
+++ b/crates/eelgrasshill_peer/src/lib.rs
@@ -1,5 +1,6 @@
 //! The protocol between entry hosts: generated messages and their conversions.
 
+mod channel;
 mod convert;
 
 /// Messages and stubs that the generator writes from `proto/peer.proto`.
@@ -16,6 +17,7 @@
     include!("generated/eelgrasshill.peer.rs");
 }
 
+pub use channel::open_channel;
 pub use convert::ConvertError;
 pub use generated::peer_client::PeerClient;
 pub use generated::peer_server::{Peer, PeerServer};
--- a/crates/eelgrasshill_ports/src/client.rs
+++ b/crates/eelgrasshill_ports/src/client.rs
@@ -11,6 +11,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::CallError;
+use crate::error::within;
 
 /// Most bytes of an error answer that are kept for the logs.
 const DETAIL_BYTES: usize = 200;
@@ -105,7 +106,7 @@
     ) -> Result<A, CallError> {
         let request = self.pooled.get(format!("http://{address}{path}"));
         let bound = self.settings.answer + extra;
-        self.within(address, bound, async {
+        within(address, bound, async {
             let response = request
                 .send()
                 .await
@@ -128,7 +129,7 @@
     ) -> Result<A, CallError> {
         let request = self.pooled.post(format!("http://{address}{path}"));
         let bound = self.settings.answer;
-        self.within(address, bound, async {
+        within(address, bound, async {
             let response = request
                 .send_json(body)
                 .await
@@ -138,19 +139,6 @@
         .await
     }
 
-    async fn within<T>(
-        &self,
-        address: SocketAddr,
-        bound: Duration,
-        call: impl Future<Output = Result<T, CallError>>,
-    ) -> Result<T, CallError> {
-        let timeout = |_elapsed| CallError::Timeout {
-            address: address.to_string(),
-            bound,
-        };
-        tokio::time::timeout(bound, call).await.map_err(timeout)?
-    }
-
     async fn document<A, S>(
         &self,
         address: SocketAddr,
--- a/crates/eelgrasshill_ports/src/engine_http.rs
+++ b/crates/eelgrasshill_ports/src/engine_http.rs
@@ -12,6 +12,7 @@
 use futures_util::Stream;
 
 use crate::client::{read_body, status_error};
+use crate::error::within;
 use crate::{
     CallError, Engine, EngineReport, GenerateRequest, HttpClient, Order, OrderAnswer, StreamEvent,
 };
@@ -85,24 +86,11 @@
             .client
             .single()
             .post(format!("http://{address}/generate"));
-        let sent = tokio::time::timeout(self.first, call.send_json(request)).await;
-        let response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => {
-                return Err(CallError::from_send(
-                    &address.to_string(),
-                    self.first,
-                    &error,
-                ));
-            }
-            Err(_elapsed) => {
-                let address = address.to_string();
-                return Err(CallError::Timeout {
-                    address,
-                    bound: self.first,
-                });
-            }
-        };
+        let response = within(address, self.first, async {
+            let sent = call.send_json(request).await;
+            sent.map_err(|error| CallError::from_send(&address.to_string(), self.first, &error))
+        })
+        .await?;
         let status = response.status();
         if !status.is_success() {
             let body = read_body(address, response, self.client.settings().body).await?;
--- a/crates/eelgrasshill_ports/src/error.rs
+++ b/crates/eelgrasshill_ports/src/error.rs
@@ -1,5 +1,6 @@
 //! Failures of calls to outside systems, told apart by what may have happened.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use awc::error::{ConnectError, SendRequestError};
@@ -85,6 +86,19 @@
     }
 }
 
+/// Makes a call within a bound.
+pub(crate) async fn within<T>(
+    address: SocketAddr,
+    bound: Duration,
+    call: impl Future<Output = Result<T, CallError>>,
+) -> Result<T, CallError> {
+    let timeout = |_elapsed| CallError::Timeout {
+        address: address.to_string(),
+        bound,
+    };
+    tokio::time::timeout(bound, call).await.map_err(timeout)?
+}
+
 /// Why an append has no offset.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
 pub enum AppendError {
--- a/crates/eelgrasshill_ports/src/plain.rs
+++ b/crates/eelgrasshill_ports/src/plain.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::Request;
 
+use crate::error::within;
 use crate::{CallError, Exchange, HttpClientSettings, read_whole};
 
 /// The header that carries the request's id to an upstream.
@@ -134,12 +135,6 @@
         let request = request_of(address, call)?;
         let exchange = Exchange::open(address, self.connect).await?;
         let exchange = self.exchange(exchange, address, request);
-        let timeout = |_elapsed| CallError::Timeout {
-            address: address.to_string(),
-            bound,
-        };
-        tokio::time::timeout(bound, exchange)
-            .await
-            .map_err(timeout)?
+        within(address, bound, exchange).await
     }
 }
--- a/crates/eelgrasshill_ports/src/pool.rs
+++ b/crates/eelgrasshill_ports/src/pool.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::error::within;
 use crate::{BootClock, CallError};
 
 /// Ends a connection's task when the call that uses it ends.
@@ -37,7 +38,6 @@
     address: SocketAddr,
     #[debug(skip)]
     sender: SendRequest<Full<Bytes>>,
-    reused: bool,
     _driver: AbortOnDrop,
 }
 
@@ -85,17 +85,10 @@
         Ok(Self {
             address,
             sender,
-            reused: false,
             _driver: AbortOnDrop(driver),
         })
     }
 
-    /// Returns whether the connection carried a request before.
-    #[must_use]
-    pub fn is_reused(&self) -> bool {
-        self.reused
-    }
-
     /// Sends a request and returns the head of the answer.
     ///
     /// # Errors
@@ -121,6 +114,18 @@
             },
         }
     }
+
+    /// Sends a request and reads the whole answer.
+    async fn send_small(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        limit: usize,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let response = self.send(request).await?;
+        let status = response.status();
+        let body = read_whole(self.address, response.into_body(), limit).await?;
+        Ok((status, body))
+    }
 }
 
 struct Idle {
@@ -158,13 +163,8 @@
         let now = BootClock.now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
-        while let Some(Idle {
-            mut exchange,
-            until,
-        }) = kept.pop()
-        {
+        while let Some(Idle { exchange, until }) = kept.pop() {
             if now < until && exchange.sender.is_ready() {
-                exchange.reused = true;
                 return Some(exchange);
             }
         }
@@ -195,20 +195,13 @@
         bound: Duration,
         limit: usize,
     ) -> Result<(StatusCode, Bytes), CallError> {
-        let whole = async {
+        within(address, bound, async {
             let mut exchange = self.take(address, bound).await?;
-            let response = exchange.send(request).await?;
-            let status = response.status();
-            let body = read_whole(address, response.into_body(), limit).await?;
+            let answer = exchange.send_small(request, limit).await?;
             self.keep(exchange, KEEP);
-            Ok((status, body))
-        };
-        tokio::time::timeout(bound, whole)
-            .await
-            .map_err(|_elapsed| CallError::Timeout {
-                address: address.to_string(),
-                bound,
-            })?
+            Ok(answer)
+        })
+        .await
     }
 }
 
@@ -226,19 +219,11 @@
     bound: Duration,
     limit: usize,
 ) -> Result<(StatusCode, Bytes), CallError> {
-    let whole = async {
+    within(address, bound, async {
         let mut exchange = Exchange::open_with(address, bound, true).await?;
-        let response = exchange.send(request).await?;
-        let status = response.status();
-        let body = read_whole(address, response.into_body(), limit).await?;
-        Ok((status, body))
-    };
-    tokio::time::timeout(bound, whole)
-        .await
-        .map_err(|_elapsed| CallError::Timeout {
-            address: address.to_string(),
-            bound,
-        })?
+        exchange.send_small(request, limit).await
+    })
+    .await
 }
 
 /// How long a connection of small calls is kept; servers close theirs after ten seconds.
--- a/crates/eelgrasshill_relay/src/events.rs
+++ b/crates/eelgrasshill_relay/src/events.rs
@@ -51,11 +51,6 @@
     pub fn is_overlong(&self) -> bool {
         self.rest.len() > EVENT_BYTES
     }
-
-    /// Drops a torn event; the next run sends it again.
-    pub fn restart(&mut self) {
-        self.rest.clear();
-    }
 }
 
 /// Returns the id of the last event in `whole` that has one.
--- a/crates/eelgrasshill_relay/src/tables.rs
+++ b/crates/eelgrasshill_relay/src/tables.rs
@@ -195,12 +195,6 @@
         self.organisations.values()
     }
 
-    /// Returns what engines of a pool can hold, where the pool's upstreams are engines.
-    #[must_use]
-    pub fn engines(&self, pool: &PoolName) -> Option<&Arc<EnginePool>> {
-        self.pools.get(pool)?.as_ref()
-    }
-
     /// Returns the pools whose upstreams are engines.
     pub fn engine_pools(&self) -> impl Iterator<Item = (&PoolName, &Arc<EnginePool>)> {
         let pools = self.pools.iter();
--- a/crates/eelgrasshill_settings/src/entry.rs
+++ b/crates/eelgrasshill_settings/src/entry.rs
@@ -6,9 +6,9 @@
 
 use eelgrasshill_domain::{HostName, ZoneName};
 
+use crate::Problems;
 use crate::reader::{Reader, parse_list};
-use crate::section::{Section, read_sections};
-use crate::{Problem, Problems};
+use crate::section::{read_file, read_sections, take_section, unknown_sections};
 
 const ADDRESS: &str = "an IP number and a port, as in 127.0.0.1:8080";
 const ZONES: &str = "the names of all zones between commas";
@@ -84,16 +84,7 @@
     ///
     /// Returns every mistake in it.
     pub fn read(path: &Path) -> Result<Self, Problems> {
-        let file = path.display().to_string();
-        match std::fs::read_to_string(path) {
-            Ok(text) => Self::parse(&file, &text),
-            Err(error) => {
-                let cause = error.to_string();
-                Err(Problems {
-                    list: vec![Problem::Unreadable { file, cause }],
-                })
-            }
-        }
+        read_file(path, Self::parse)
     }
 
     /// Checks the text of a file of that name.
@@ -111,26 +102,13 @@
                 });
             }
         };
-        let mut take = |name: &str| {
-            let found = sections.iter().position(|section| section.name == name);
-            match found {
-                Some(at) => sections.remove(at),
-                None => Section {
-                    name: name.to_owned(),
-                    ..Section::default()
-                },
-            }
-        };
+        let mut take = |name: &str| take_section(&mut sections, name);
         let host = read_host(Reader::new(file, take("host"), &mut problems));
         let platform = read_platform(Reader::new(file, take("platform"), &mut problems));
         let peers = read_peers(Reader::new(file, take("peers"), &mut problems));
         let bounds = read_bounds(Reader::new(file, take("bounds"), &mut problems));
         let fleet = read_fleet(Reader::new(file, take("fleet"), &mut problems));
-        problems.extend(sections.into_iter().map(|section| Problem::Section {
-            file: file.to_owned(),
-            section: section.name,
-            allowed: SECTIONS,
-        }));
+        problems.extend(unknown_sections(file, sections, SECTIONS));
         match (host, platform, fleet) {
             (Some(host), Some(platform), Some(fleet)) if problems.is_empty() => Ok(Self {
                 name: host.name,
--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -6,9 +6,9 @@
 
 use eelgrasshill_domain::{HostName, ZoneName};
 
+use crate::Problems;
 use crate::reader::Reader;
-use crate::section::{Section, read_sections};
-use crate::{Problem, Problems};
+use crate::section::{read_file, read_sections, take_section, unknown_sections};
 
 const ADDRESS: &str = "an IP number and a port, as in 127.0.0.1:8080";
 const SECTIONS: &str = "[host], [store], [bounds], [retries] and [engines]";
@@ -84,16 +84,7 @@
     ///
     /// Returns every mistake in it.
     pub fn read(path: &Path) -> Result<Self, Problems> {
-        let file = path.display().to_string();
-        match std::fs::read_to_string(path) {
-            Ok(text) => Self::parse(&file, &text),
-            Err(error) => Err(Problems {
-                list: vec![Problem::Unreadable {
-                    file,
-                    cause: error.to_string(),
-                }],
-            }),
-        }
+        read_file(path, Self::parse)
     }
 
     /// Checks the text of a file of that name.
@@ -107,13 +98,7 @@
         let mut sections = read_sections(file, text).map_err(|problem| Problems {
             list: vec![problem],
         })?;
-        let mut take = |name: &str| match sections.iter().position(|s| s.name == name) {
-            Some(at) => sections.remove(at),
-            None => Section {
-                name: name.to_owned(),
-                ..Section::default()
-            },
-        };
+        let mut take = |name: &str| take_section(&mut sections, name);
         let host = read_host(Reader::new(file, take("host"), &mut problems));
         let mut store = Reader::new(file, take("store"), &mut problems);
         let address = store.required("address", ADDRESS);
@@ -121,11 +106,7 @@
         let bounds = read_bounds(Reader::new(file, take("bounds"), &mut problems));
         let retries = read_retries(Reader::new(file, take("retries"), &mut problems));
         let (orders, prefill) = read_orders(Reader::new(file, take("engines"), &mut problems));
-        problems.extend(sections.into_iter().map(|section| Problem::Section {
-            file: file.to_owned(),
-            section: section.name,
-            allowed: SECTIONS,
-        }));
+        problems.extend(unknown_sections(file, sections, SECTIONS));
         match (host, address) {
             (Some(host), Some(store)) if problems.is_empty() => Ok(Self {
                 name: host.name,
--- a/crates/eelgrasshill_settings/src/section.rs
+++ b/crates/eelgrasshill_settings/src/section.rs
@@ -1,10 +1,11 @@
 //! Reads INI text into sections by a library and hides its value types.
 
 use std::collections::BTreeMap;
+use std::path::Path;
 
 use config::{Config, File, FileFormat, Value, ValueKind};
 
-use crate::Problem;
+use crate::{Problem, Problems};
 
 /// One section of a file: its dotted name and its fields as text.
 #[derive(Clone, Debug, Default)]
@@ -33,6 +34,47 @@
     Ok(sections)
 }
 
+/// Takes a section out; one that is not there is empty.
+pub(crate) fn take_section(sections: &mut Vec<Section>, name: &str) -> Section {
+    match sections.iter().position(|section| section.name == name) {
+        Some(at) => sections.remove(at),
+        None => Section {
+            name: name.to_owned(),
+            ..Section::default()
+        },
+    }
+}
+
+/// Returns a problem for each section that nobody took.
+pub(crate) fn unknown_sections(
+    file: &str,
+    sections: Vec<Section>,
+    allowed: &'static str,
+) -> impl Iterator<Item = Problem> {
+    sections.into_iter().map(move |section| Problem::Section {
+        file: file.to_owned(),
+        section: section.name,
+        allowed,
+    })
+}
+
+/// Reads a file and checks its text.
+pub(crate) fn read_file<T>(
+    path: &Path,
+    parse: impl FnOnce(&str, &str) -> Result<T, Problems>,
+) -> Result<T, Problems> {
+    let file = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => parse(&file, &text),
+        Err(error) => {
+            let cause = error.to_string();
+            Err(Problems {
+                list: vec![Problem::Unreadable { file, cause }],
+            })
+        }
+    }
+}
+
 fn collect(name: &str, table: BTreeMap<String, Value>, out: &mut Vec<Section>) {
     let mut section = Section {
         name: name.to_owned(),
