Log what decides a rate-limited refusal, parent changes and late rounds

The incident's hypotheses could not be told apart: a refusal as rate-limited named neither organisation nor level, and nothing said which parent a host had, how many hosts it could reach or whether its own rounds were late.

- Each rate-limited refusal has a line with organisation, cost, level, tokens of rejected requests, share decision and host counts.
- A changed parent, changed host counts and a late round have one line each, late rounds and suspected peers a counter.

No decision changes.

--- a/crates/eelgrasshill_gateway/src/exchange.rs
+++ b/crates/eelgrasshill_gateway/src/exchange.rs
@@ -25,6 +25,7 @@
 use crate::fetch::{FetchSlot, fetch};
 use crate::gateway_state::GatewayState;
 use crate::shared::Shared;
+use crate::telemetry;
 use crate::topics::{apply_topic_update, encode_topics, omit_large_records, topic_ends};
 
 /// Time between rounds. Some changes must reach all hosts within half a second, over two rounds.
@@ -33,6 +34,9 @@
 /// Timeout for a peer's answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Duration from which a round is logged as late: the others' view of this host becomes stale.
+const LATE_ROUND: Duration = Duration::from_millis(600);
+
 /// State of the exchange with one peer, kept between rounds.
 struct PeerLink {
     channel: Channel,
@@ -48,9 +52,29 @@
 pub(crate) async fn exchange_with_peers<C: PlatformCodec>(shared: Arc<Shared<C>>) {
     let mut links: FastMap<SocketAddr, PeerLink> = FastMap::default();
     let fetch_slot = FetchSlot::default();
+    let mut parent = None;
+    let mut last_start = BootClock.now();
     while !shared.is_stopped() {
         let round_start = BootClock.now();
+        let elapsed = round_start.since(last_start);
+        if elapsed >= LATE_ROUND {
+            telemetry::count_late_round();
+            log::info!(
+                "peers: round started {} ms after the last",
+                elapsed.as_millis()
+            );
+        }
+        last_start = round_start;
         let position = shared.state().tree.position(round_start);
+        let new_parent = position.parent.as_ref().map(|peer| peer.host.clone());
+        if parent.as_ref() != Some(&new_parent) {
+            log::info!(
+                "peers: parent={} reads-store={}",
+                new_parent.as_ref().map_or("-", |host| host.as_str()),
+                position.reads_store
+            );
+            parent = Some(new_parent);
+        }
         let peers: Vec<_> = position
             .parent
             .into_iter()
@@ -119,6 +143,7 @@
                 Ok(Err(status)) => status.code().to_string(),
                 _ => "no answer before the timeout".to_owned(),
             };
+            telemetry::count_suspected_peer();
             log::info!("peers: host={} suspected: {cause}", peer.host);
             shared.state().tree.suspect(&peer.host, BootClock.now());
             None
--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -98,6 +98,8 @@
     compressor: RecordCompressor,
     refreshed_at: Moment,
     host_counts: HostCounts,
+    // The counts of the last log line.
+    logged_counts: HostCounts,
     selection: SelectionSettings,
     host_hash: HostHash,
     zone: eelgrasshill_domain::ZoneName,
@@ -129,6 +131,7 @@
             compressor: RecordCompressor::default(),
             refreshed_at: Moment(0),
             host_counts: HostCounts::UNKNOWN,
+            logged_counts: HostCounts::UNKNOWN,
             selection: SelectionSettings {
                 prefill_tokens_per_ms: bounds.prefill_tokens_per_ms,
                 ..SelectionSettings::default()
@@ -317,7 +320,18 @@
 
     /// Starts a round of the exchange, in which each host gets its part of the rate limits.
     pub fn begin_round(&mut self, now: Moment) {
+        let before = self.logged_counts;
         self.refresh_totals(now);
+        if before != self.host_counts {
+            log::info!(
+                "peers: reachable={} registered={}, before {} of {}",
+                self.host_counts.reachable,
+                self.host_counts.registered,
+                before.reachable,
+                before.registered
+            );
+            self.logged_counts = self.host_counts;
+        }
         self.rate_limiter.begin_round(now);
     }
 
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -204,7 +204,14 @@
         state
             .rate_limiter
             .take(&row.name, token_cost, now)
-            .map_err(|after| Refusal::new(RefusalCause::RateLimited).with_retry(after))?;
+            .map_err(|exceeded| {
+                log::info!(
+                    "request: id={} organisation={} cost={token_cost} over its rate: {exceeded}",
+                    metadata.id,
+                    row.name
+                );
+                Refusal::new(RefusalCause::RateLimited).with_retry(exceeded.retry_after)
+            })?;
     }
     state.retries.note_request(&target_pool, now);
     if let Some(model_key) = model_key(&metadata, &target_pool) {
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -128,6 +128,16 @@
     metrics::counter!("eelgrasshill_refusals_total", "cause" => cause.to_string()).increment(1);
 }
 
+/// Counts a round of the exchange that started late.
+pub(crate) fn count_late_round() {
+    metrics::counter!("eelgrasshill_late_rounds_total").increment(1);
+}
+
+/// Counts a peer that did not answer in time.
+pub(crate) fn count_suspected_peer() {
+    metrics::counter!("eelgrasshill_suspected_peers_total").increment(1);
+}
+
 /// Counts an order to an engine by its end.
 pub(crate) fn count_order(end: &str) {
     metrics::counter!("eelgrasshill_orders_total", "end" => end.to_owned()).increment(1);
--- a/crates/eelgrasshill_relay/src/rate_limiter.rs
+++ b/crates/eelgrasshill_relay/src/rate_limiter.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use derive_more::{Display, Error};
 use eelgrasshill_domain::{FastMap, Moment, OrgName, scalar};
 
 use crate::Organisation;
@@ -68,6 +69,26 @@
     }
 }
 
+/// Error for a request that exceeds its organisation's rate limit, with what decided it.
+#[derive(Clone, Copy, Debug, PartialEq, Display, Error)]
+#[display(
+    "level={level:.0} rejected={rejected_cost:.0} beyond-share={is_beyond_share} hosts={}/{}",
+    host_counts.reachable,
+    host_counts.registered
+)]
+pub struct RateExceeded {
+    /// Time until enough tokens are expected.
+    pub retry_after: Duration,
+    /// Tokens in the bucket; negative if it is overdrawn.
+    pub level: f64,
+    /// Tokens of rejected requests that are expected to be retried at this host.
+    pub rejected_cost: f64,
+    /// Whether the bucket had enough tokens, but not for this host.
+    pub is_beyond_share: bool,
+    /// Hosts over which the limit was shared.
+    pub host_counts: HostCounts,
+}
+
 #[derive(Clone, Debug)]
 struct Bucket {
     // The parts of the configured limits that are used, in tokens per second and tokens.
@@ -154,8 +175,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the time until enough tokens are expected, if there are too few now.
-    pub fn take(&mut self, name: &OrgName, cost: u64, now: Moment) -> Result<(), Duration> {
+    /// Returns [`RateExceeded`] if there are too few tokens now.
+    pub fn take(&mut self, name: &OrgName, cost: u64, now: Moment) -> Result<(), RateExceeded> {
         let share = self.host_counts.share();
         let reachable = tokens(self.host_counts.reachable.max(1));
         if let Some(bucket) = self.buckets.get_mut(name) {
@@ -169,7 +190,13 @@
                 let pending = bucket.rejected_cost * reachable;
                 bucket.rejected_cost += cost;
                 let wait = ((needed - bucket.level).max(needed) + pending) / rate.max(1.0);
-                return Err(Duration::try_from_secs_f64(wait).unwrap_or(FALLBACK_RETRY_DELAY));
+                return Err(RateExceeded {
+                    retry_after: Duration::try_from_secs_f64(wait).unwrap_or(FALLBACK_RETRY_DELAY),
+                    level: bucket.level,
+                    rejected_cost: bucket.rejected_cost,
+                    is_beyond_share: bucket.level >= needed,
+                    host_counts: self.host_counts,
+                });
             }
             bucket.level -= cost;
             bucket.round_spent += cost;
