Bound what the lease holder spends on planning

Cause: work for each event. Each miss, most of them for adapters, made a full plan; each answer of an engine, hundreds per second, made the holder add up the demand of all hosts and compare all engines again; and the load estimate looked for a model's engines among all engines thousands of times a plan.

Change: an adapter whose model an engine keeps needs no plan; 10 ms pass between two passes of the holder and 100 ms between two sums of the demand; the estimate keeps the engines of each model. A plan of more than 50 ms is logged.

--- a/crates/eelgrasshill_gateway/src/orders.rs
+++ b/crates/eelgrasshill_gateway/src/orders.rs
@@ -25,6 +25,18 @@
 /// Time between plans of the lease holder, unless a request or an engine's answer wakes it.
 const PLAN_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Minimum time between two plans of the lease holder.
+///
+/// Engines answer hundreds of calls per second, and each answer wakes the holder. A plan for each
+/// would leave it no time for its requests and for the hosts below it in the tree.
+const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Time between updates of the demand from which the holder plans, which changes over seconds.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Duration of a plan from which it is logged: this host's requests waited for it.
+const LONG_PLAN: Duration = Duration::from_millis(50);
+
 /// Time between checks of the lease by a host that gives no orders.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -55,11 +67,18 @@
         config_version: None,
         last_read: Moment(0),
         active: false,
+        demand_at: Moment(0),
         last_summary: Moment(0),
     };
     while !dispatcher.shared.is_stopped() {
         dispatcher.maintain_lease().await;
+        let plan_start = BootClock.now();
         dispatcher.plan_and_send();
+        let plan_time = BootClock.now().since(plan_start);
+        if plan_time >= LONG_PLAN {
+            log::info!("orders: a plan took {} ms", plan_time.as_millis());
+        }
+        tokio::time::sleep(MIN_PLAN_INTERVAL).await;
         let interval = if dispatcher.active {
             PLAN_INTERVAL
         } else {
@@ -102,6 +121,7 @@
     config_version: Option<Version>,
     last_read: Moment,
     active: bool,
+    demand_at: Moment,
     last_summary: Moment,
 }
 
@@ -267,8 +287,12 @@
             end,
             resigned: false,
         });
-        let mut demand = state.demand.rates(now);
-        state.received_totals.add_demand_elsewhere(&mut demand, now);
+        let is_demand_due = !self.active || now.since(self.demand_at) >= DEMAND_INTERVAL;
+        let demand = is_demand_due.then(|| {
+            let mut demand = state.demand.rates(now);
+            state.received_totals.add_demand_elsewhere(&mut demand, now);
+            demand
+        });
         let (upstreams, loads) = (state.upstreams.clone(), state.loads.clone());
         drop(state);
         let mut order_state = self.shared.order_state();
@@ -283,7 +307,10 @@
             self.config_version = Some(tables.version());
         }
         order_state.planner.set_upstreams(&upstreams, &loads, now);
-        order_state.planner.set_demand(&demand);
+        if let Some(demand) = demand {
+            order_state.planner.set_demand(&demand);
+            self.demand_at = now;
+        }
         let next_calls = order_state.planner.next_calls(now);
         if now.since(self.last_summary) >= SUMMARY_INTERVAL {
             self.last_summary = now;
--- a/crates/eelgrasshill_relay/src/placement.rs
+++ b/crates/eelgrasshill_relay/src/placement.rs
@@ -227,25 +227,31 @@
             return found;
         }
         self.misses.insert(model_key.clone(), now);
-        self.plan(now);
-        let found = self
-            .availability(model_key, now)
-            .or_else(|| self.planned_availability(model_key, now));
+        // An adapter of a model that an engine keeps needs no plan, and most misses are of that kind.
+        let mut found = self.adapter_availability(model_key);
+        if found.is_none() {
+            self.plan(now);
+            found = self
+                .availability(model_key, now)
+                .or_else(|| self.planned_availability(model_key, now));
+        }
         found.unwrap_or(Availability::Later {
             after: DEFAULT_RETRY_DELAY,
         })
     }
 
+    /// Returns the availability of an adapter whose model an engine keeps.
+    fn adapter_availability(&self, model_key: &ModelKey) -> Option<Availability> {
+        model_key.adapter.as_ref()?;
+        let engine = self.best_adapter_engine(&model_key.pool, &model_key.model)?;
+        Some(Availability::Ready {
+            engine: engine.clone(),
+            after: ORDER_LATENCY + ADAPTER_LOAD_TIME,
+        })
+    }
+
     /// Returns the availability that the next orders will lead to.
     fn planned_availability(&self, model_key: &ModelKey, now: Moment) -> Option<Availability> {
-        if model_key.adapter.is_some()
-            && let Some(engine) = self.best_adapter_engine(&model_key.pool, &model_key.model)
-        {
-            return Some(Availability::Ready {
-                engine: engine.clone(),
-                after: ORDER_LATENCY + ADAPTER_LOAD_TIME,
-            });
-        }
         let pool = self.pools.get(&model_key.pool)?;
         let model = pool.model(&model_key.model)?;
         self.engines
--- a/crates/eelgrasshill_relay/src/placement/load_estimate.rs
+++ b/crates/eelgrasshill_relay/src/placement/load_estimate.rs
@@ -12,7 +12,8 @@
 /// Copies on a pool's engines, current and planned, with the load of its models.
 pub(crate) struct LoadEstimate {
     held: FastMap<HostName, Vec<ModelName>>,
-    copies: FastMap<ModelName, u64>,
+    // Engines that hold each model. A plan asks for them thousands of times.
+    holders: FastMap<ModelName, Vec<HostName>>,
     // Load in thousandths of an engine.
     work: FastMap<ModelName, u64>,
 }
@@ -22,15 +23,22 @@
         held: FastMap<HostName, Vec<ModelName>>,
         work: FastMap<ModelName, u64>,
     ) -> Self {
-        let mut copies = FastMap::default();
-        for model in held.values().flatten() {
-            *copies.entry(model.clone()).or_default() += 1;
+        let mut holders: FastMap<_, Vec<_>> = FastMap::default();
+        for (id, models) in &held {
+            for model in models {
+                holders.entry(model.clone()).or_default().push(id.clone());
+            }
+        }
+        Self {
+            held,
+            holders,
+            work,
         }
-        Self { held, copies, work }
     }
 
     pub(crate) fn copies(&self, model: &ModelName) -> u64 {
-        self.copies.get(model).copied().unwrap_or_default()
+        let holders = self.holders.get(model).map_or(0, Vec::len);
+        u64::try_from(holders).unwrap_or(u64::MAX)
     }
 
     pub(crate) fn work(&self, model: &ModelName) -> u64 {
@@ -51,11 +59,11 @@
 
     /// Returns the engines that hold a model, with their total loads.
     fn holders(&self, model: &ModelName) -> impl Iterator<Item = (&HostName, u64)> {
-        let held = self
-            .held
-            .iter()
-            .filter(|(_id, models)| models.contains(model));
-        held.map(|(id, models)| (id, self.load(models)))
+        let holders = self.holders.get(model).into_iter().flatten();
+        holders.map(|id| {
+            let models = self.held.get(id).map_or(&[][..], Vec::as_slice);
+            (id, self.load(models))
+        })
     }
 
     /// Returns the part of a model's load that starts too late.
@@ -109,11 +117,12 @@
         models.retain(|held| !evictions.contains(held));
         models.push(model.clone());
         for gone in evictions {
-            if let Some(copies) = self.copies.get_mut(gone) {
-                *copies = copies.saturating_sub(1);
+            if let Some(holders) = self.holders.get_mut(gone) {
+                holders.retain(|holder| holder != id);
             }
         }
-        *self.copies.entry(model.clone()).or_default() += 1;
+        let holders = self.holders.entry(model.clone()).or_default();
+        holders.push(id.clone());
     }
 }
 
