Do not suspect peers whose answer this host was too busy to read

A host whose own thread was busy for longer than the timeout found all its calls timed out and suspected its parent and the roots of all other zones at once, for two seconds.

--- a/crates/eelgrasshill_gateway/src/exchange.rs
+++ b/crates/eelgrasshill_gateway/src/exchange.rs
@@ -34,6 +34,10 @@
 /// Timeout for a peer's answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Delay after which a timeout says nothing about the peer, because this host was too busy to
+/// read an answer.
+const MAX_TIMEOUT_DELAY: Duration = Duration::from_millis(150);
+
 /// Duration from which a round is logged as late: the others' view of this host becomes stale.
 const LATE_ROUND: Duration = Duration::from_millis(600);
 
@@ -154,9 +158,19 @@
                 Ok(Err(status)) => status.code().to_string(),
                 _ => "no answer before the timeout".to_owned(),
             };
+            let now = BootClock.now();
+            let waited = now.since(requested_at);
+            if waited > PEER_TIMEOUT + MAX_TIMEOUT_DELAY {
+                log::info!(
+                    "peers: host={} not suspected, this host was busy for {} ms: {cause}",
+                    peer.host,
+                    waited.as_millis()
+                );
+                return None;
+            }
             telemetry::count_suspected_peer();
             log::info!("peers: host={} suspected: {cause}", peer.host);
-            shared.state().tree.suspect(&peer.host, BootClock.now());
+            shared.state().tree.suspect(&peer.host, now);
             None
         }
     }
