Bound the bytes of an answer that never ends, in each client

Cause: libraries bound the parts that they keep, not those that they skip.

Change: connections count what arrives. Under hyper 320 KiB may arrive before a body is read, and 256 KiB without data in it; a head has at most 64 KiB. Under awc each request allows twice the bytes that its answer may have. Streams end after a megabyte without a further event id, and event parsers see whole lines. An answer that exceeds a bound is lost: it may have run.

--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -12,12 +12,11 @@
 use actix_web::{HttpResponse, HttpResponseBuilder};
 use bytes::Bytes;
 use eelgrasshill_domain::{Moment, PoolName};
-use eelgrasshill_ports::{BootClock, CallError, HttpConnection, HttpPool};
+use eelgrasshill_ports::{AnswerBody, BootClock, CallError, HttpConnection, HttpPool};
 use eelgrasshill_relay::{
     Availability, Candidate, ModelKey, Organisation, RequestOutcome, Route, Upstream, UpstreamQuery,
 };
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
 use crate::codec::{AnswerHead, CallerHeaders, ForwardInfo, PlatformCodec, RequestMetadata};
@@ -98,7 +97,7 @@
     /// Upstream that answers.
     pub upstream: Arc<Upstream>,
     /// Status, headers and unread body.
-    pub response: Response<Incoming>,
+    pub response: Response<AnswerBody>,
     /// What the platform's headers of the answer say.
     pub answer_head: AnswerHead,
     /// Connection on which the body arrives.
@@ -320,7 +319,7 @@
     fn read_head(
         &mut self,
         upstream: &Arc<Upstream>,
-        response: Response<Incoming>,
+        response: Response<AnswerBody>,
         connection: HttpConnection,
         mut guard: LoadGuard<C>,
     ) -> Result<IncomingAnswer<C>, SendFailure> {
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -103,11 +103,12 @@
                         let Ok(bytes) = frame.into_data() else {
                             continue;
                         };
-                        if let Some(whole) = self.splitter.push(&bytes) {
-                            return ReadOutcome::Events(whole);
-                        }
+                        let whole = self.splitter.push(&bytes);
                         if self.splitter.is_overlong() {
-                            return lost("an event exceeds the maximum length".to_owned());
+                            return lost("too many bytes without a further event".to_owned());
+                        }
+                        if let Some(whole) = whole {
+                            return ReadOutcome::Events(whole);
                         }
                     }
                 }
--- a/crates/eelgrasshill_ports/src/client.rs
+++ b/crates/eelgrasshill_ports/src/client.rs
@@ -6,6 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use actix_service::{Service as _, fn_service};
+use actix_tls::connect::{ConnectInfo, Connector as TcpConnector};
+use awc::http::Uri;
 use awc::http::header::CONTENT_LENGTH;
 use awc::{Client, ClientResponse, Connector};
 use bytes::{Bytes, BytesMut};
@@ -14,11 +17,17 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::CallError;
+use crate::bounded::BoundedStream;
 use crate::error::with_timeout;
 
 /// The number of bytes of an error response that [`CallError::Status`] keeps.
 const MAX_DETAIL_BYTES: usize = 200;
 
+/// Bytes on the wire for each byte that an answer may have.
+///
+/// Besides its data, a body in chunks has their sizes.
+const WIRE_BYTES_PER_BYTE: usize = 2;
+
 /// Timeouts and size limits of an HTTP client.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpClientSettings {
@@ -58,7 +67,15 @@
     #[must_use]
     pub fn new(settings: HttpClientSettings) -> Self {
         let build = |idle_timeout: Duration| {
+            let answer_bytes = settings.max_body_bytes.saturating_mul(WIRE_BYTES_PER_BYTE);
+            let bounded = fn_service(move |target: ConnectInfo<Uri>| async move {
+                let connected = TcpConnector::default().service().call(target).await?;
+                let (stream, connection) = connected.replace_io(());
+                let stream = BoundedStream::with_answer_bytes(stream, answer_bytes);
+                Ok(connection.replace_io(stream).1)
+            });
             let connector = Connector::new()
+                .connector(bounded)
                 .timeout(settings.connect_timeout)
                 .conn_keep_alive(idle_timeout)
                 // No limit on the number of connections.
--- a/crates/eelgrasshill_ports/src/engine_http.rs
+++ b/crates/eelgrasshill_ports/src/engine_http.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use awc::ClientResponse;
-use derive_more::Debug;
+use awc::error::PayloadError;
+use bytes::{Bytes, BytesMut};
+use derive_more::{Debug, Display, Error, From};
 use eelgrasshill_domain::RequestId;
 use eventsource_stream::{Event, EventStream, Eventsource};
 use futures_util::Stream;
@@ -23,6 +25,9 @@
 /// The event type of a keep-alive.
 const PING_EVENT: &str = "ping";
 
+/// The maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// An HTTP adapter for engines.
 #[derive(Clone, Debug)]
 pub struct HttpEngine {
@@ -46,7 +51,85 @@
 pub struct AnswerEvents {
     address: SocketAddr,
     #[debug(skip)]
-    events: EventStream<ClientResponse>,
+    events: EventStream<WholeLines<ClientResponse>>,
+}
+
+/// The reason why the lines of an event stream cannot be read.
+#[derive(Debug, Display, Error, From)]
+enum LineError {
+    /// The connection failed.
+    #[display("{_0}")]
+    Payload(#[error(source)] PayloadError),
+    /// An event does not end.
+    #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
+    #[from(skip)]
+    Overlong,
+}
+
+/// Passes a stream of bytes on in whole lines.
+///
+/// The event parser starts again at the last event's first byte whenever bytes arrive.
+struct WholeLines<S> {
+    inner: S,
+    partial: BytesMut,
+    // Bytes since the last empty line, which ends an event.
+    event_bytes: usize,
+}
+
+impl<S> WholeLines<S> {
+    fn new(inner: S) -> Self {
+        Self {
+            inner,
+            partial: BytesMut::new(),
+            event_bytes: 0,
+        }
+    }
+
+    /// Appends bytes and returns the lines that are now complete.
+    fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let known = self.partial.len();
+        self.partial.extend_from_slice(bytes);
+        let end = bytes.iter().rposition(|byte| *byte == b'\n');
+        let lines = end.map(|end| self.partial.split_to(known + end + 1).freeze());
+        let is_empty = |line: &[u8]| line.is_empty() || line == b"\r";
+        let has_event_end = lines.as_ref().is_some_and(|lines| {
+            // What follows the last line break is no line.
+            let whole = &lines[..lines.len() - 1];
+            whole.split(|byte| *byte == b'\n').any(is_empty)
+        });
+        self.event_bytes = if has_event_end {
+            self.partial.len()
+        } else {
+            self.event_bytes + bytes.len()
+        };
+        lines
+    }
+}
+
+impl<S> Stream for WholeLines<S>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    type Item = Result<Bytes, LineError>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        loop {
+            match ready!(Pin::new(&mut self.inner).poll_next(cx)) {
+                Some(Ok(bytes)) => {
+                    let lines = self.push(&bytes);
+                    if self.event_bytes > MAX_EVENT_BYTES {
+                        return Poll::Ready(Some(Err(LineError::Overlong)));
+                    }
+                    if let Some(lines) = lines {
+                        return Poll::Ready(Some(Ok(lines)));
+                    }
+                }
+                Some(Err(error)) => return Poll::Ready(Some(Err(error.into()))),
+                None if self.partial.is_empty() => return Poll::Ready(None),
+                None => return Poll::Ready(Some(Ok(self.partial.split().freeze()))),
+            }
+        }
+    }
 }
 
 impl AnswerEvents {
@@ -105,7 +188,7 @@
         }
         Ok(AnswerEvents {
             address,
-            events: response.eventsource(),
+            events: WholeLines::new(response).eventsource(),
         })
     }
 
--- a/crates/eelgrasshill_ports/src/lib.rs
+++ b/crates/eelgrasshill_ports/src/lib.rs
@@ -4,6 +4,7 @@
 //! the log, the host list or an upstream therefore takes one new file here. The gateway does not
 //! use the traits; its platform is described by the platform crate.
 
+mod bounded;
 mod client;
 mod clock;
 mod engine;
@@ -15,6 +16,7 @@
 mod plain;
 mod pool;
 
+pub use bounded::AnswerBody;
 pub use client::{HttpClient, HttpClientSettings};
 pub use clock::BootClock;
 pub use engine::{
--- a/crates/eelgrasshill_ports/src/pool.rs
+++ b/crates/eelgrasshill_ports/src/pool.rs
@@ -13,19 +13,30 @@
 use derive_more::Debug;
 use eelgrasshill_domain::{FastMap, Moment};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::bounded::{AnswerBody, BoundedStream, ByteBudget};
 use crate::error::with_timeout;
 use crate::{BootClock, CallError};
 
 /// How long [`HttpPool::call`] keeps an idle connection; servers close theirs after 10 s.
 const IDLE_TTL: Duration = Duration::from_secs(5);
 
+/// Maximum size of a head, and of the read buffer.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Maximum number of bytes of a body between two parts of its data.
+///
+/// It is several times the read buffer, since data is read ahead.
+const MAX_BYTES_BEFORE_DATA: usize = 256 << 10;
+
+/// Maximum number of bytes until the body is read, with all informational answers and read ahead.
+const MAX_BYTES_BEFORE_BODY: usize = MAX_HEAD_BYTES + MAX_BYTES_BEFORE_DATA;
+
 /// Aborts the task that drives a connection when the connection is dropped.
 #[derive(Debug)]
 struct AbortOnDrop(JoinHandle<()>);
@@ -42,6 +53,7 @@
     address: SocketAddr,
     #[debug(skip)]
     sender: SendRequest<Full<Bytes>>,
+    budget: ByteBudget,
     _driver: AbortOnDrop,
 }
 
@@ -86,7 +98,11 @@
                 .map_err(|error| not_sent(error.to_string()))?;
         }
         // Sends nothing yet, so it needs no timeout.
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let budget = ByteBudget::new(MAX_BYTES_BEFORE_BODY);
+        let stream = BoundedStream::new(stream, budget.clone());
+        let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         let driver = tokio::task::spawn(async move {
@@ -98,6 +114,7 @@
         Ok(Self {
             address,
             sender,
+            budget,
             _driver: AbortOnDrop(driver),
         })
     }
@@ -110,14 +127,16 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, CallError> {
+    ) -> Result<Response<AnswerBody>, CallError> {
+        self.budget.allow(MAX_BYTES_BEFORE_BODY);
         let address = self.address;
         let lost = move |error: hyper::Error| CallError::Lost {
             address: address.to_string(),
             cause: error.to_string(),
         };
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => Ok(response
+                .map(|body| AnswerBody::new(body, self.budget.clone(), MAX_BYTES_BEFORE_DATA))),
             Err(mut error) => match error.take_message() {
                 Some(_request) => Err(CallError::NotSent {
                     address: address.to_string(),
@@ -256,7 +275,7 @@
 /// Returns [`CallError::Lost`] when the body was truncated or is longer than that.
 pub async fn read_response_body(
     address: SocketAddr,
-    body: Incoming,
+    body: AnswerBody,
     max_bytes: usize,
 ) -> Result<Bytes, CallError> {
     let collected = Limited::new(body, max_bytes).collect().await;
--- a/crates/eelgrasshill_relay/src/events.rs
+++ b/crates/eelgrasshill_relay/src/events.rs
@@ -5,7 +5,9 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size of an event; a longer one ends the stream.
+/// Maximum number of bytes up to the next event with a higher id; more of them end the stream.
+///
+/// A faulty engine may send an event that does not end, or events without id, for ever.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Blank line that ends an event.
@@ -16,6 +18,9 @@
 pub struct EventSplitter {
     partial: BytesMut,
     last: Option<u64>,
+    // Highest id so far, and the bytes since its event.
+    highest: Option<u64>,
+    idle_bytes: usize,
 }
 
 impl EventSplitter {
@@ -23,21 +28,28 @@
     #[must_use]
     pub fn new(last: Option<u64>) -> Self {
         Self {
-            partial: BytesMut::new(),
             last,
+            highest: last,
+            ..Self::default()
         }
     }
 
     /// Appends bytes and returns the events that are now complete, unmodified.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        self.idle_bytes += bytes.len();
+        // Earlier bytes have no event end, but their last one may be the first of it.
+        let new = self.partial.len().saturating_sub(EVENT_END.len() - 1);
         self.partial.extend_from_slice(bytes);
-        let end = self
-            .partial
+        let end = self.partial[new..]
             .windows(EVENT_END.len())
             .rposition(|pair| pair == EVENT_END)?
             + EVENT_END.len();
-        let whole = self.partial.split_to(end).freeze();
+        let whole = self.partial.split_to(new + end).freeze();
         self.last = last_id(&whole).or(self.last);
+        if self.last > self.highest {
+            self.highest = self.last;
+            self.idle_bytes = self.partial.len();
+        }
         Some(whole)
     }
 
@@ -53,10 +65,10 @@
         !self.partial.is_empty()
     }
 
-    /// Returns whether the partial event exceeds the maximum size.
+    /// Returns whether more bytes than the maximum brought no event with a higher id.
     #[must_use]
     pub fn is_overlong(&self) -> bool {
-        self.partial.len() > MAX_EVENT_BYTES
+        self.idle_bytes > MAX_EVENT_BYTES
     }
 }
 
--- a/crates/eelgrasshill_relay/tests/records.rs
+++ b/crates/eelgrasshill_relay/tests/records.rs
@@ -261,6 +261,50 @@
     }
 }
 
+/// Guards against streams of an engine whose bytes never end.
+#[test]
+fn bytes_without_a_further_event_are_bounded() {
+    struct Case {
+        name: &'static str,
+        unit: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "an event that does not end",
+            unit: "data: x\n",
+        },
+        Case {
+            name: "empty events",
+            unit: "\n\n",
+        },
+        Case {
+            name: "comments",
+            unit: ": x\n\n",
+        },
+        Case {
+            name: "the same event",
+            unit: "id: 5\ndata: x\n\n",
+        },
+    ];
+    // Bytes in one part, and parts of more than a megabyte in all.
+    let (part_bytes, parts) = (16 << 10, 80);
+    for case in cases {
+        let mut splitter = EventSplitter::new(Some(4));
+        let part = case.unit.repeat(part_bytes / case.unit.len());
+        let is_overlong = (0..parts).any(|_part| {
+            splitter.push(part.as_bytes());
+            splitter.is_overlong()
+        });
+        assert!(is_overlong, "{}", case.name);
+    }
+    let mut splitter = EventSplitter::new(None);
+    for number in 0..100_000 {
+        let event = format!("id: {number}\ndata: a token of a long answer\n\n");
+        assert!(splitter.push(event.as_bytes()).is_some());
+        assert!(!splitter.is_overlong(), "event {number} of a long answer");
+    }
+}
+
 #[test]
 fn selection_avoids_failing_upstreams_and_counts_prompts_by_rank() {
     let pool = PoolName::new("p").expect("the name is valid");
