--- a/crates/eelgrasshill_gateway/src/exchange.rs
+++ b/crates/eelgrasshill_gateway/src/exchange.rs
@@ -34,10 +34,6 @@
 /// Timeout for a peer's answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Delay after which a timeout says nothing about the peer, because this host was too busy to
-/// read an answer.
-const MAX_TIMEOUT_DELAY: Duration = Duration::from_millis(150);
-
 /// Duration from which a round is logged as late: the others' view of this host becomes stale.
 const LATE_ROUND: Duration = Duration::from_millis(600);
 
@@ -159,18 +155,17 @@
                 _ => "no answer before the timeout".to_owned(),
             };
             let now = BootClock.now();
-            let waited = now.since(requested_at);
-            if waited > PEER_TIMEOUT + MAX_TIMEOUT_DELAY {
+            let due_at = requested_at.after(PEER_TIMEOUT);
+            if shared.state().tree.note_failure(&peer.host, due_at, now) {
+                telemetry::count_suspected_peer();
+                log::info!("peers: host={} suspected: {cause}", peer.host);
+            } else {
                 log::info!(
                     "peers: host={} not suspected, this host was busy for {} ms: {cause}",
                     peer.host,
-                    waited.as_millis()
+                    now.since(requested_at).as_millis()
                 );
-                return None;
             }
-            telemetry::count_suspected_peer();
-            log::info!("peers: host={} suspected: {cause}", peer.host);
-            shared.state().tree.suspect(&peer.host, now);
             None
         }
     }
--- a/crates/eelgrasshill_relay/src/tree.rs
+++ b/crates/eelgrasshill_relay/src/tree.rs
@@ -21,6 +21,11 @@
 /// How long a host that did not answer is left out of the tree.
 const SUSPICION_TTL: Duration = Duration::from_secs(2);
 
+/// Delay of a timeout from which it says nothing about the peer.
+///
+/// This host was then too busy to read an answer.
+const MAX_TIMEOUT_DELAY: Duration = Duration::from_millis(150);
+
 scalar! {
     /// Capacity of a host.
     ///
@@ -153,6 +158,17 @@
         self.suspects.insert(host.clone(), now.after(SUSPICION_TTL));
     }
 
+    /// Suspects a host whose answer was due at the given moment, and returns whether it does.
+    ///
+    /// It does not if this host noticed the failure long after that.
+    pub fn note_failure(&mut self, host: &HostName, due_at: Moment, now: Moment) -> bool {
+        let is_own_delay = now.since(due_at) > MAX_TIMEOUT_DELAY;
+        if !is_own_delay {
+            self.suspect(host, now);
+        }
+        !is_own_delay
+    }
+
     /// Returns the registered hosts, including this one.
     pub fn peers(&self) -> impl Iterator<Item = &Peer> {
         self.peers.iter().map(|ranked| &ranked.peer)
--- a/crates/eelgrasshill_relay/tests/exchange.rs
+++ b/crates/eelgrasshill_relay/tests/exchange.rs
@@ -85,6 +85,43 @@
     }
 }
 
+/// Guards against a busy host that suspects its parent and the roots of all zones at once.
+#[test]
+fn late_timeout_of_a_busy_host_suspects_no_peer() {
+    struct Case {
+        name: &'static str,
+        failed_at: u64,
+        is_suspected: bool,
+    }
+    let cases = [
+        Case {
+            name: "the connection was refused",
+            failed_at: 10_010,
+            is_suspected: true,
+        },
+        Case {
+            name: "no answer before the timeout",
+            failed_at: 10_405,
+            is_suspected: true,
+        },
+        Case {
+            name: "this host was busy for a second",
+            failed_at: 11_000,
+            is_suspected: false,
+        },
+    ];
+    for case in cases {
+        // Both are in zone z0.
+        let mut tree = Tree::new(peer(ZONES, Some(8)));
+        tree.insert(peer(0, Some(50)));
+        let (due_at, failed_at) = (Moment(10_400), Moment(case.failed_at));
+        let is_suspected = tree.note_failure(&host(0), due_at, failed_at);
+        assert_eq!(is_suspected, case.is_suspected, "{}", case.name);
+        let parent = tree.position(failed_at).parent;
+        assert_eq!(parent.is_none(), case.is_suspected, "{}", case.name);
+    }
+}
+
 #[test]
 fn hosts_of_similar_capacity_share_the_root_role() {
     let mut roots = FastMap::<HostName, usize>::default();
