--- a/crates/eelgrasshill_relay/tests/exchange.rs
+++ b/crates/eelgrasshill_relay/tests/exchange.rs
@@ -229,6 +229,60 @@
     );
 }
 
+/// Guards against load and demand that count twice while a host changes its parent.
+#[test]
+fn hosts_that_changed_their_parent_count_once() {
+    struct Case {
+        name: &'static str,
+        role: PeerRole,
+        /// Senders of totals, the earlier first, with the hosts in them.
+        senders: [(usize, &'static [usize]); 2],
+        demand: u64,
+    }
+    let cases = [
+        Case {
+            name: "the new parent's totals replace those of the old one",
+            role: PeerRole::Parent,
+            senders: [(1, &[1, 2, 3, 4]), (2, &[1, 2, 3, 4])],
+            demand: 10,
+        },
+        Case {
+            name: "a child that left is contained in another child's totals",
+            role: PeerRole::Child,
+            senders: [(3, &[3]), (2, &[2, 3])],
+            demand: 10,
+        },
+        Case {
+            name: "a child that came is still contained in another child's totals",
+            role: PeerRole::Child,
+            senders: [(2, &[2, 3, 4]), (3, &[3])],
+            demand: 20,
+        },
+        Case {
+            name: "different children",
+            role: PeerRole::Child,
+            senders: [(2, &[2]), (3, &[3])],
+            demand: 20,
+        },
+    ];
+    for case in cases {
+        let mut received_totals = ReceivedTotals::default();
+        for ((sender, hosts), at) in case.senders.into_iter().zip([100, 200]) {
+            let (sender, mut totals) = host_totals(sender, 10);
+            totals.hosts = hosts.iter().map(|one| HostHash::new(&host(*one))).collect();
+            received_totals.receive(case.role, sender, totals, Moment(at));
+        }
+        let mut demand = FastMap::default();
+        received_totals.add_demand_elsewhere(&mut demand, Moment(300));
+        assert_eq!(
+            demand[&model_key(SHARED_MODEL)],
+            case.demand,
+            "{}",
+            case.name
+        );
+    }
+}
+
 #[test]
 fn holdings_updates_are_forwarded_once_to_each_peer() {
     let update = |engine: usize, number| HoldingsUpdate {
