Keep the report of another root apart from its later answers

Cause: roots call each other. The answer to the first root's own call, which is no report, replaced the report of the same host, so the first root believed that only its own zone shared its buckets and filled them by a quarter of the rate. fair_rate.rs had missed it because it counted hosts before a round, while the gateway counts after it.

Change: the time and the spending of the last report are kept beside the totals. Allowances rise by up to a tenth while the level is above zero, so that the level settles below the point where hosts may take freely; there, hosts with fresher copies took more.

--- a/crates/eelgrasshill_relay/src/rate_limiter/bucket.rs
+++ b/crates/eelgrasshill_relay/src/rate_limiter/bucket.rs
@@ -39,7 +39,7 @@
 /// Minimum and maximum of that change.
 ///
 /// Hosts of an overdrawn bucket pay it off with half of the rate, and admit requests with the rest.
-const ALLOWANCE_CHANGES: RangeInclusive<f64> = -0.5..=0.0;
+const ALLOWANCE_CHANGES: RangeInclusive<f64> = -0.5..=0.1;
 
 /// Time over which an unused allowance accumulates.
 const ALLOWANCE_SPAN: Duration = Duration::from_millis(500);
--- a/crates/eelgrasshill_relay/src/totals.rs
+++ b/crates/eelgrasshill_relay/src/totals.rs
@@ -96,6 +96,9 @@
     incarnation: Incarnation,
     totals: Totals,
     at: Moment,
+    // The latest report. Roots also answer each other's calls, with totals that are no report.
+    reported_at: Option<Moment>,
+    spent: FastMap<OrgName, SpentTokens>,
 }
 
 /// Position of the totals' sender relative to this host.
@@ -136,17 +139,24 @@
         for (name, spent) in &totals.spent {
             let counted = known
                 .as_ref()
-                .and_then(|known| known.totals.spent.get(name))
+                .and_then(|known| known.spent.get(name))
                 .map_or(0, |before| before.total);
             let tokens = spent.total.saturating_sub(counted.max(spent.reported));
             if tokens > 0 {
                 added.push((name.clone(), tokens));
             }
         }
+        let (reported_at, spent) = if totals.is_report {
+            (Some(now), totals.spent.clone())
+        } else {
+            known.map_or_else(Default::default, |known| (known.reported_at, known.spent))
+        };
         let source = PeerTotals {
             incarnation: sender.incarnation,
             totals,
             at: now,
+            reported_at,
+            spent,
         };
         self.sources.insert(key, source);
         added
@@ -232,9 +242,10 @@
     /// Returns the hosts whose spending is reported to this host.
     #[must_use]
     pub fn reporting_hosts(&self, now: Moment) -> FastSet<HostHash> {
+        let is_recent = |at: Moment| now.since(at) < TOTALS_TTL;
         let sources = self.sources.values();
         sources
-            .filter(|source| source.totals.is_report && now.since(source.at) < TOTALS_TTL)
+            .filter(|source| source.reported_at.is_some_and(is_recent))
             .flat_map(|source| source.totals.hosts.iter().copied())
             .collect()
     }
--- a/crates/eelgrasshill_relay/tests/fair_rate.rs
+++ b/crates/eelgrasshill_relay/tests/fair_rate.rs
@@ -175,7 +175,6 @@
         for peer in unanswered.drain(..) {
             self.hosts[index].tree.suspect(&peer, now);
         }
-        self.finish_round(index, now);
         let position = self.hosts[index].tree.position(now);
         let is_child = position.parent.is_some();
         let (up, down) = if is_child {
@@ -223,6 +222,7 @@
             let sender = self.sender(target);
             self.receive(index, down, sender, reply, now);
         }
+        self.finish_round(index, now);
         self.hosts[index].next_round_ms = now.0 + if is_late { TIMEOUT_MS } else { ROUND_MS };
     }
 
--- a/crates/eelgrasshill_relay/tests/rate_limiter.rs
+++ b/crates/eelgrasshill_relay/tests/rate_limiter.rs
@@ -379,6 +379,7 @@
             reported: case.reported,
         };
         let totals = Totals {
+            is_report: true,
             spent: FastMap::from_iter([(name(), spent)]),
             ..Totals::default()
         };
