Keep a silent engine's stream until another engine has taken it

Cause: the connection to the silent engine was given up before another engine had accepted the stream.

Change: it is kept while another engine is asked, and dropped when that one answers; if none takes the stream, its engine keeps it. Broken connections are given up at once, as before.

Evidence: a_silent_engine_keeps_its_stream_until_another_takes_it fails without the change (two of two runs) and passes with it (three of three).

--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -2,7 +2,8 @@
 //!
 //! A stream is resumed after the last complete event that was passed on, if its route allows it, an
 //! attempt is left and the retry budget permits. Otherwise the caller's connection is cut without
-//! the last chunk, so that a broken stream does not look complete.
+//! the last chunk, so that a broken stream does not look complete. A silent upstream keeps its
+//! stream until another one has taken it.
 
 use std::time::Duration;
 
@@ -46,7 +47,9 @@
     Complete,
     /// The caller closed its connection.
     Deserted,
-    /// The upstream broke off or fell silent.
+    /// The upstream fell silent, and another one may take the stream.
+    Silent,
+    /// The upstream broke off, or no time is left.
     Broken,
 }
 
@@ -194,6 +197,21 @@
                     self.log_stream("deserted", runs, last);
                     return;
                 }
+                StreamEnd::Silent => {
+                    if let Some(next) = self.resume(last, sender).await {
+                        events.incoming.guard.set_outcome(RequestOutcome::Failed);
+                        events = next;
+                        runs += 1;
+                    } else {
+                        log::info!(
+                            "request: id={} upstream={} event={last:?} keeps the stream, \
+                             no other took it",
+                            self.metadata.id,
+                            events.incoming.upstream.id
+                        );
+                    }
+                    continue;
+                }
                 StreamEnd::Broken => {
                     events.incoming.guard.set_outcome(RequestOutcome::Failed);
                     drop(events);
@@ -238,7 +256,12 @@
                         events.incoming.upstream.id,
                         events.splitter.last()
                     );
-                    return StreamEnd::Broken;
+                    let is_silent = matches!(error, CallError::Timeout { .. });
+                    return if is_silent && !self.time_left().is_zero() {
+                        StreamEnd::Silent
+                    } else {
+                        StreamEnd::Broken
+                    };
                 }
             }
         }
