Let a host take its part of the rate and of the level, without a threshold

A host took freely only above 40 % of the burst and only once a round; between these rules, callers of a nearly full bucket were refused.

Change: one rule. A host admits a request while its allowance and three times its part of the level are together above zero. The threshold and the count of tokens taken in a round are gone.

--- a/crates/eelgrasshill_relay/src/rate_limiter.rs
+++ b/crates/eelgrasshill_relay/src/rate_limiter.rs
@@ -179,7 +179,7 @@
         for (name, bucket) in &mut self.buckets {
             bucket.advance(view, now);
             let elsewhere = asked.get(name).map_or(0.0, |rate| tokens(*rate));
-            bucket.refresh(elsewhere, view);
+            bucket.refresh(elsewhere);
         }
     }
 
--- a/crates/eelgrasshill_relay/src/rate_limiter/bucket.rs
+++ b/crates/eelgrasshill_relay/src/rate_limiter/bucket.rs
@@ -1,9 +1,9 @@
 //! The token bucket of one organisation at one host.
 //!
-//! While the bucket is well filled, any host may take from it. While tokens are scarce, each host
-//! takes only its allowance: the part of the rate that corresponds to its part of the requests of
-//! all hosts. Hosts that hear late of each other's spending would otherwise race for the tokens,
-//! and one whose copy of the bucket is overdrawn would get none while others take all.
+//! Each host takes the part of the rate that corresponds to its part of the requested tokens of all
+//! hosts, its allowance. While tokens are left in the bucket, it may go beyond that by a few times
+//! its part of them. Hosts that hear late of each other's spending would otherwise race for the
+//! tokens, and one whose copy of the bucket is overdrawn would get none while others take all.
 
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -24,8 +24,10 @@
 /// above 100 percent makes up for them; the platform tolerates 110 percent over its window.
 const RATE_PERCENT: f64 = 107.0;
 
-/// Bucket level, relative to the burst, below which hosts take only their allowance.
-const SCARCE_PERCENT: f64 = 40.0;
+/// Factor by which a host may take more than its part of the tokens that are left.
+///
+/// Requests move among hosts, so the part is only an estimate.
+const PART_FACTOR: f64 = 3.0;
 
 /// Part of the burst in a new bucket.
 ///
@@ -71,9 +73,7 @@
     // Tokens that the level assumes other hosts to have spent since a level was adopted, and that
     // they have not reported to this host.
     assumed: f64,
-    // Tokens that this host took since it last learned what others have left.
-    taken: f64,
-    // Tokens that this host may take while tokens are scarce; negative after a larger request.
+    // Tokens that this host may take without the credit; negative after it took more.
     allowance: f64,
     // Tokens per second that are requested at this host, admitted or not, and those at the last
     // refresh and at other hosts. The last two are about equally old.
@@ -93,7 +93,6 @@
             level: 0.0,
             at: now,
             assumed: 0.0,
-            taken: 0.0,
             allowance: 1.0,
             asked: 0.0,
             asked_before: 0.0,
@@ -113,12 +112,9 @@
     }
 
     /// Starts to use new totals of the other hosts.
-    pub(super) fn refresh(&mut self, asked_elsewhere: f64, view: FleetView) {
+    pub(super) fn refresh(&mut self, asked_elsewhere: f64) {
         self.asked_elsewhere = asked_elsewhere;
         self.asked_before = self.asked;
-        if view.is_first_root {
-            self.taken = 0.0;
-        }
     }
 
     /// Returns the tokens per second that are requested at this host, admitted or not.
@@ -154,8 +150,7 @@
     pub(super) fn take(&mut self, cost: f64, view: FleetView, now: Moment) -> Result<(), f64> {
         self.advance(view, now);
         self.asked += cost / ASKED_TIME_CONSTANT.as_secs_f64();
-        let is_scarce = self.is_scarce(view);
-        if is_scarce && self.allowance <= 0.0 {
+        if self.allowance + self.credit(view) <= 0.0 {
             let allowed = self.allowed_rate(view).max(1.0);
             // Requests that were rejected before are expected to be retried first.
             let wait = (cost + self.rejected_cost - self.allowance) / allowed;
@@ -163,18 +158,14 @@
             return Err(wait);
         }
         self.debit(cost);
-        self.taken += cost;
-        // A request may cost more than the allowance that is left. Then later ones wait, but only
-        // if tokens were scarce.
-        let least = if is_scarce { f64::NEG_INFINITY } else { 0.0 };
-        self.allowance = (self.allowance - cost).max(least.min(self.allowance));
+        self.allowance -= cost;
         Ok(())
     }
 
-    fn is_scarce(&self, view: FleetView) -> bool {
+    /// Returns the tokens of the bucket that this host may take beyond its allowance.
+    fn credit(&self, view: FleetView) -> f64 {
         let part = self.part(view).max(1.0 / view.reachable);
-        self.level <= self.burst * view.share * SCARCE_PERCENT / 100.0
-            || self.taken > self.level * part * 0.5
+        self.level.max(0.0) * (part * PART_FACTOR).min(1.0)
     }
 
     /// Returns this host's part of the requested tokens.
@@ -198,7 +189,7 @@
         self.asked_elsewhere.min(self.rate * view.share * others)
     }
 
-    /// Returns the tokens per second that this host may take while tokens are scarce.
+    /// Returns the tokens per second by which the allowance rises.
     fn allowed_rate(&self, view: FleetView) -> f64 {
         let part = self.part(view);
         let change = ALLOWANCE_GAIN * self.level / (self.burst * view.share).max(1.0);
@@ -225,7 +216,6 @@
     pub(super) fn adopt(&mut self, level: f64, view: FleetView) {
         self.level = level.min(self.burst * view.share);
         self.assumed = 0.0;
-        self.taken = 0.0;
     }
 
     /// Applies the time that has passed.
