Accept scaled values of the platform, and run with defaults for odd ones

Change: quantities of the settings may have fractions, and one above the highest useful value is replaced by it. An empty value counts as missing. What cannot be used is reported by `--check` and at a reload as before; a host that starts logs it and runs with the default, unless it is an address or a name.

--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -12,7 +12,7 @@
 
 use derive_more::{Display, Error};
 use eelgrasshill_ports::BootClock;
-use eelgrasshill_settings::GatewaySettings;
+use eelgrasshill_settings::{GatewaySettings, Problems};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -84,11 +84,14 @@
 
 /// Runs a gateway until it has drained.
 ///
+/// `problems` are those mistakes in the settings file for which the defaults are used.
+///
 /// # Errors
 ///
 /// Returns [`StartError`] if it could not start.
 pub async fn run<C: PlatformCodec, S: StoreClient>(
     settings: GatewaySettings,
+    problems: Problems,
     path: &Path,
     store: S,
 ) -> Result<(), StartError> {
@@ -110,7 +113,12 @@
     actix_web::rt::spawn(exchange_with_peers(Arc::clone(&shared)));
     actix_web::rt::spawn(register(Arc::clone(&shared), store.clone()));
     actix_web::rt::spawn(dispatch_orders(Arc::clone(&shared), store.clone()));
-    actix_web::rt::spawn(watch_settings(Arc::clone(&shared), hangup, path.to_owned()));
+    actix_web::rt::spawn(watch_settings(
+        Arc::clone(&shared),
+        problems,
+        hangup,
+        path.to_owned(),
+    ));
     log::info!(
         "host: name={} zone={} incarnation={} started, callers={} peers={}",
         shared.settings.name,
@@ -212,9 +220,11 @@
 
 /// Reads the settings again on SIGHUP and when the file changes.
 ///
-/// Changed bounds apply at once, all other settings at the next start.
+/// Changed bounds apply at once, all other settings at the next start. A file with other mistakes
+/// than the ones that the host started with changes nothing.
 async fn watch_settings<C: PlatformCodec>(
     shared: Arc<Shared<C>>,
+    known_problems: Problems,
     mut hangup: Signal,
     path: std::path::PathBuf,
 ) {
@@ -225,7 +235,15 @@
         let signalled = tokio::time::timeout(SETTINGS_CHECK_INTERVAL, hangup.recv())
             .await
             .is_ok();
-        match GatewaySettings::read(&path) {
+        let read = GatewaySettings::read_usable(&path).and_then(|(settings, problems)| {
+            let is_usable = problems.problems.is_empty() || problems == known_problems;
+            if is_usable {
+                Ok(settings)
+            } else {
+                Err(problems)
+            }
+        });
+        match read {
             Ok(settings) => {
                 last_problems = None;
                 if settings != current {
--- a/crates/eelgrasshill_settings/src/reader.rs
+++ b/crates/eelgrasshill_settings/src/reader.rs
@@ -94,6 +94,22 @@
         self.optional_with(field, allowed, parse).unwrap_or(default)
     }
 
+    /// Reads an optional quantity; one above the range is replaced by the highest.
+    ///
+    /// Reports a quantity below the range.
+    pub(crate) fn quantity(
+        &mut self,
+        field: &str,
+        allowed: &'static str,
+        range: std::ops::RangeInclusive<f64>,
+    ) -> Option<f64> {
+        self.optional_with(field, allowed, |text| {
+            let number: f64 = text.parse().ok()?;
+            // Not a number is in no range.
+            (number >= *range.start()).then(|| number.min(*range.end()))
+        })
+    }
+
     /// Reads a comma-separated list.
     pub(crate) fn list<T: FromStr>(&mut self, field: &str, allowed: &'static str) -> Vec<T> {
         self.optional_with(field, allowed, parse_list)
--- a/crates/eelgrasshill_settings/src/section.rs
+++ b/crates/eelgrasshill_settings/src/section.rs
@@ -16,6 +16,14 @@
     pub(crate) fields: BTreeMap<String, String>,
 }
 
+impl Section {
+    /// Removes the fields without a value, so that they count as missing.
+    pub(crate) fn without_empty_fields(mut self) -> Self {
+        self.fields.retain(|_field, value| !value.trim().is_empty());
+        self
+    }
+}
+
 /// Parses all sections of an INI text, sorted by name.
 pub(crate) fn read_sections(file: &str, text: &str) -> Result<Vec<Section>, Problem> {
     let syntax_problem = |error: config::ConfigError| Problem::InvalidSyntax {
