Obey engines that leave or ask for rest; match refusals by request id

Cause: an engine says that it leaves in all its answers, and a full one may name a time for which it wants nothing; neither was read. A refusal was taken for this request's before its id was compared, so an earlier refusal that a faulty engine wrote once more on a kept connection told the caller "not run" for a request that ran, or sent it to a second engine. Comments counted as progress of a stream, so a stalled engine kept its stream until the deadline.

Change: a leaving notice takes an engine out of use at once, also for the lease holder, and travels along the tree like updates of holdings. It ends with a restart, or with a ready entry whose record was written more than the longest delay of a write after the notice. A rest holds for its time plus a random part; it is no failure of the engine, and callers are refused at once with the first end of a rest if all engines of their model rest. An answer counts only with this request's id, refusals too. Only events are progress.

--- a/crates/eelgrasshill_gateway/src/codec.rs
+++ b/crates/eelgrasshill_gateway/src/codec.rs
@@ -106,9 +106,13 @@
     /// Whether the upstream signed the answer as its own.
     pub signed: bool,
     /// Whether the upstream did not run the request and never will.
+    ///
+    /// Another upstream than the expected one does not, nor one without the model.
     pub not_run: bool,
-    /// Whether the answer is from another upstream than expected, or from one without the model.
-    pub wrong_upstream: bool,
+    /// Whether the upstream says that it is leaving.
+    pub leaving: bool,
+    /// Time for which a full upstream wants no requests from this host.
+    pub rest: Option<Duration>,
     /// How long the connection may stay idle; none if it must be closed.
     pub idle_timeout: Option<Duration>,
 }
--- a/crates/eelgrasshill_gateway/src/convert.rs
+++ b/crates/eelgrasshill_gateway/src/convert.rs
@@ -11,8 +11,8 @@
 use eelgrasshill_domain::{Incarnation, OrgName};
 use eelgrasshill_peer::generated as message;
 use eelgrasshill_relay::{
-    HoldingsUpdate, HostHash, KeyedRecord, KeyedTopic, ModelKey, RANKS, ResidentModel, SpentTokens,
-    Totals, TotalsSender, UpstreamLoad,
+    HoldingsUpdate, HostHash, KeyedRecord, KeyedTopic, LeavingNotice, ModelKey, RANKS,
+    ResidentModel, SpentTokens, Totals, TotalsSender, UpstreamLoad,
 };
 
 use crate::codec::Topic;
@@ -235,6 +235,20 @@
     })
 }
 
+pub(crate) fn encode_notice(notice: &LeavingNotice) -> message::LeavingEngine {
+    message::LeavingEngine {
+        engine: notice.engine.to_string(),
+        born: notice.started_ms,
+    }
+}
+
+pub(crate) fn decode_notice(encoded: &message::LeavingEngine) -> Result<LeavingNotice, NameError> {
+    Ok(LeavingNotice {
+        engine: HostName::new(&encoded.engine)?,
+        started_ms: encoded.born,
+    })
+}
+
 pub(crate) fn encode_topic(
     topic: Topic,
     topic_records: &KeyedTopic,
--- a/crates/eelgrasshill_gateway/src/exchange.rs
+++ b/crates/eelgrasshill_gateway/src/exchange.rs
@@ -19,8 +19,8 @@
 use crate::codec::PlatformCodec;
 use crate::compression::MAX_MESSAGE_BYTES;
 use crate::convert::{
-    decode_holder, decode_holdings_update, decode_sender, decode_totals, encode_holder,
-    encode_holdings_update, encode_totals,
+    decode_holder, decode_holdings_update, decode_notice, decode_sender, decode_totals,
+    encode_holder, encode_holdings_update, encode_notice, encode_totals,
 };
 use crate::fetch::{FetchSlot, fetch};
 use crate::gateway_state::GatewayState;
@@ -191,6 +191,40 @@
         .collect()
 }
 
+fn encode_notices<C: PlatformCodec>(
+    state: &GatewayState<C>,
+    received_count: u64,
+    now: Moment,
+) -> Vec<message::LeavingEngine> {
+    state
+        .upstreams
+        .recent_notices(received_count, now)
+        .map(encode_notice)
+        .collect()
+}
+
+/// Applies notices of other hosts that engines are leaving.
+fn apply_notices<C: PlatformCodec>(
+    state: &mut GatewayState<C>,
+    notices: &[message::LeavingEngine],
+    now: Moment,
+) {
+    for notice in notices {
+        match decode_notice(notice) {
+            Ok(notice) => {
+                let engine = notice.engine.clone();
+                if state.upstreams.note_leaving(notice, now) {
+                    log::info!("upstreams: id={engine} leaves, as another host heard from it");
+                }
+            }
+            Err(error) => log::warn!(
+                "peers: malformed leaving notice skipped, engine={:?}: {error}",
+                notice.engine
+            ),
+        }
+    }
+}
+
 /// Builds a request; also returns how many updates a peer that gets it has received.
 fn build_request<C: PlatformCodec>(
     shared: &Shared<C>,
@@ -214,6 +248,7 @@
         words_known: link.updates_received,
         known_start: link.incarnation,
         needs_wanted: is_holder || state.is_demand_requested(now),
+        leaving: encode_notices(&state, link.updates_acked, now),
     };
     (request, state.upstreams.update_count())
 }
@@ -246,6 +281,7 @@
     for update in reply.topics.into_iter().filter(|update| !update.left_out) {
         apply_topic_update(&mut state, update, requested_at, now);
     }
+    apply_notices(&mut state, &reply.leaving, now);
     apply_order_status(
         &mut state,
         reply.holder.as_ref(),
@@ -336,6 +372,7 @@
         false,
         now,
     );
+    apply_notices(&mut state, &request.leaving, now);
     apply_order_status(
         &mut state,
         request.holder.as_ref(),
@@ -371,6 +408,7 @@
         topics,
         holder: state.holder(now).map(|status| encode_holder(status, now)),
         words: encode_holdings_updates(&state, received_count, now),
+        leaving: encode_notices(&state, received_count, now),
         words_told: state.upstreams.update_count(),
     }
 }
--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -11,10 +11,10 @@
 
 use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset};
 use eelgrasshill_relay::{
-    Candidate, HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, Peer,
-    PeerRole, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings,
-    SmoothedDemand, Tables, Totals, TotalsSender, Tree, UpstreamHealth, UpstreamLoads,
-    UpstreamQuery, UpstreamSelector,
+    Candidate, EngineRests, HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams,
+    ModelKey, NoUpstream, Peer, PeerRole, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings,
+    SelectionSettings, SmoothedDemand, Tables, Totals, TotalsSender, Tree, UpstreamHealth,
+    UpstreamLoads, UpstreamQuery, UpstreamSelector,
 };
 use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
 
@@ -77,6 +77,8 @@
     pub loads: UpstreamLoads,
     /// Recent outcomes of requests on each upstream.
     pub health: UpstreamHealth,
+    /// Upstreams that asked this host for rest.
+    pub rests: EngineRests,
     /// Budget of retries for each target pool.
     pub retries: RetryBudget,
     /// Token rate limits of the organisations.
@@ -121,6 +123,7 @@
             upstreams: KnownUpstreams::default(),
             loads: UpstreamLoads::default(),
             health: UpstreamHealth::default(),
+            rests: EngineRests::default(),
             retries: RetryBudget::new(retry_settings(bounds), HostCounts::UNKNOWN.registered),
             rate_limiter: RateLimiter::default(),
             store_failure: None,
@@ -181,6 +184,12 @@
                 Topic::Lease => {}
             }
         }
+        if topic == Topic::Upstreams
+            && let Some(confirmed_at) = self.upstreams_topic.confirmed_at()
+        {
+            let end = self.upstreams_topic.end();
+            self.upstreams.confirm_registry(end, confirmed_at);
+        }
         // The first read gives the host counts even if no other host is registered.
         if topic == Topic::Hosts && (!records.is_empty() || self.host_counts == HostCounts::UNKNOWN)
         {
@@ -235,6 +244,12 @@
                         upstream.leaving
                     );
                 }
+                if self.upstreams.check_notice(&upstream, record.offset) {
+                    log::info!(
+                        "upstreams: id={id} offset={} is not leaving, despite an earlier answer",
+                        record.offset
+                    );
+                }
                 self.upstreams.insert(upstream, now);
             }
             Err(error) => log::warn!("upstreams: offset={} skipped: {error}", record.offset),
@@ -419,12 +434,17 @@
             .is_some_and(|at| now.since(at) < STORE_FAILURE_TTL)
     }
 
-    /// Chooses an upstream for a request; none if no upstream can serve it.
-    pub fn choose(&self, query: &UpstreamQuery<'_>, now: Moment) -> Option<Candidate> {
+    /// Chooses an upstream for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoUpstream`] if no upstream can serve it.
+    pub fn choose(&self, query: &UpstreamQuery<'_>, now: Moment) -> Result<Candidate, NoUpstream> {
         let selector = UpstreamSelector {
             upstreams: &self.upstreams,
             loads: &self.loads,
             health: &self.health,
+            rests: &self.rests,
             zone: &self.zone,
             settings: &self.selection,
         };
@@ -434,6 +454,7 @@
     /// Removes the loads and outcomes of upstreams that no longer exist.
     pub fn remove_expired(&mut self, now: Moment) {
         self.upstreams.expire(now);
+        self.rests.expire(now);
         let upstreams = &self.upstreams;
         self.loads.retain(|id| upstreams.get(id).is_some());
         self.health.retain(|id| upstreams.get(id).is_some());
--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod stream;
 mod telemetry;
 mod topics;
+mod upstream_signals;
 
 pub use codec::{
     AnswerHead, CallerHeaders, DecodeError, EngineOrder, EngineRequest, ForwardInfo, HeaderError,
--- a/crates/eelgrasshill_gateway/src/orders.rs
+++ b/crates/eelgrasshill_gateway/src/orders.rs
@@ -8,16 +8,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrasshill_domain::{HostName, Moment, Version};
+use eelgrasshill_domain::{Moment, Version};
 use eelgrasshill_ports::{BootClock, CallError, HttpPool, call_unpooled};
-use eelgrasshill_relay::{Action, LeaseRecord, LeaseWrite, NextCall, OrderOutcome};
+use eelgrasshill_relay::{Action, LeaseRecord, LeaseWrite, NextCall, OrderOutcome, Upstream};
 use http_body_util::Full;
-use hyper::{Method, Request};
+use hyper::{Method, Request, Response};
 
 use crate::codec::{EngineOrder, EngineRequest, PlatformCodec, StoreClient, StoreError, Topic};
 use crate::gateway_state::HolderStatus;
 use crate::shared::Shared;
 use crate::telemetry;
+use crate::upstream_signals::note_leaving;
 
 /// Key of the lease's record in its topic.
 const LEASE_KEY: &str = "orders";
@@ -336,8 +337,7 @@
             let call = EngineCall {
                 shared: Arc::clone(&self.shared),
                 http_pool: self.http_pool.clone(),
-                engine,
-                address: upstream.address,
+                engine: Arc::clone(upstream),
                 fence,
             };
             actix_web::rt::spawn(call.execute(next_call));
@@ -363,8 +363,7 @@
 struct EngineCall<C: PlatformCodec> {
     shared: Arc<Shared<C>>,
     http_pool: HttpPool,
-    engine: HostName,
-    address: std::net::SocketAddr,
+    engine: Arc<Upstream>,
     fence: u64,
 }
 
@@ -398,11 +397,11 @@
             Ok(report) => {
                 order_state
                     .planner
-                    .apply_report(&self.engine, report, BootClock.now());
+                    .apply_report(&self.engine.id, report, BootClock.now());
             }
             Err(cause) => {
-                log::info!("orders: engine={} report failed: {cause}", self.engine);
-                order_state.planner.fail_report(&self.engine, unsent);
+                log::info!("orders: engine={} report failed: {cause}", self.engine.id);
+                order_state.planner.fail_report(&self.engine.id, unsent);
             }
         }
     }
@@ -425,12 +424,15 @@
         // The lease is checked again right before the order is sent.
         let fence = self.shared.order_state().lease.fence(BootClock.now());
         let end = if fence == Some(self.fence) {
-            match self.send_order(C::encode_order(&order, &self.engine)).await {
+            match self
+                .send_order(C::encode_order(&order, &self.engine.id))
+                .await
+            {
                 Ok((status, _body)) => C::decode_order_outcome(status),
                 Err(cause) => {
                     log::info!(
                         "orders: engine={} no answer to an order: {cause}",
-                        self.engine
+                        self.engine.id
                     );
                     if cause.is_unsent() {
                         OrderOutcome::Unreached
@@ -445,13 +447,13 @@
         telemetry::count_order(&format!("{end:?}").to_lowercase());
         log::info!(
             "orders: engine={} action={action:?} precondition={precondition} fence={} end={end:?}",
-            self.engine,
+            self.engine.id,
             self.fence
         );
         let mut order_state = self.shared.order_state();
         order_state
             .planner
-            .apply_order_outcome(&self.engine, &action, end, BootClock.now());
+            .apply_order_outcome(&self.engine.id, &action, end, BootClock.now());
     }
 
     /// Sends an order on a new connection.
@@ -459,19 +461,32 @@
     /// The order must not arrive after another host has taken over the lease.
     async fn send_order(&self, call: EngineRequest) -> Result<(u16, Bytes), CallError> {
         let request = self.request(Method::POST, call)?;
-        let (status, body) =
-            call_unpooled(self.address, request, ENGINE_TIMEOUT, MAX_REPORT_BYTES).await?;
-        Ok((status.as_u16(), body))
+        let address = self.engine.address;
+        let response = call_unpooled(address, request, ENGINE_TIMEOUT, MAX_REPORT_BYTES).await?;
+        Ok(self.read_answer(response, "an order"))
+    }
+
+    /// Returns the status and body, after noting whether the engine says that it is leaving.
+    fn read_answer(&self, response: Response<Bytes>, answered: &str) -> (u16, Bytes) {
+        let status = response.status().as_u16();
+        if C::parse_answer_head(status, response.headers()).leaving {
+            note_leaving(&self.shared, &self.engine, answered);
+        }
+        (status, response.into_body())
     }
 
     async fn call(&self, method: Method, call: EngineRequest) -> Result<(u16, Bytes), CallError> {
         let request = self.request(method, call)?;
         let called = self
             .http_pool
-            .call(self.address, request, ENGINE_TIMEOUT, MAX_REPORT_BYTES)
+            .call(
+                self.engine.address,
+                request,
+                ENGINE_TIMEOUT,
+                MAX_REPORT_BYTES,
+            )
             .await;
-        let (status, body) = called?;
-        Ok((status.as_u16(), body))
+        Ok(self.read_answer(called?, "a report"))
     }
 
     fn request(
@@ -483,9 +498,9 @@
         *request.method_mut() = method;
         *request.uri_mut() = hyper::Uri::from_static(call.path);
         *request.headers_mut() = call.headers;
-        let host = hyper::header::HeaderValue::from_str(&self.address.to_string());
+        let host = hyper::header::HeaderValue::from_str(&self.engine.address.to_string());
         let host = host.map_err(|error| CallError::NotSent {
-            address: self.address.to_string(),
+            address: self.engine.address.to_string(),
             cause: error.to_string(),
         })?;
         request.headers_mut().insert("host", host);
--- a/crates/eelgrasshill_gateway/src/refusal.rs
+++ b/crates/eelgrasshill_gateway/src/refusal.rs
@@ -41,6 +41,9 @@
     /// No upstream can start the request in time.
     #[display("overloaded")]
     Overloaded,
+    /// All upstreams with the model asked this host to send nothing for some time.
+    #[display("resting")]
+    Resting,
     /// Upstreams did not run the request, and it may not be sent again.
     #[display("refused-upstream")]
     RefusedUpstream,
@@ -92,6 +95,7 @@
             | RefusalCause::Leaving
             | RefusalCause::NotHeld
             | RefusalCause::Overloaded
+            | RefusalCause::Resting
             | RefusalCause::RefusedUpstream => StatusCode::SERVICE_UNAVAILABLE,
             RefusalCause::Lost => StatusCode::BAD_GATEWAY,
             RefusalCause::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -14,7 +14,8 @@
 use eelgrasshill_domain::{Moment, PoolName};
 use eelgrasshill_ports::{AnswerBody, BootClock, CallError, HttpConnection, HttpPool};
 use eelgrasshill_relay::{
-    Availability, Candidate, ModelKey, Organisation, RequestOutcome, Route, Upstream, UpstreamQuery,
+    Availability, Candidate, ModelKey, NoUpstream, Organisation, RequestOutcome, Route, Upstream,
+    UpstreamQuery,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -23,6 +24,7 @@
 use crate::model_request::ModelRequester;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::shared::{LoadGuard, Shared, TriedUpstreams};
+use crate::upstream_signals::{note_leaving, note_rest};
 
 /// Timeout for opening a connection.
 ///
@@ -43,6 +45,11 @@
 /// Minimum retry time for callers, in which the hosts exchange their state.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// The random part of a retry time after a rest is at most the rest divided by this.
+///
+/// It spreads the callers that were told the same time.
+const RETRY_SPREAD_DIVISOR: u32 = 4;
+
 /// Minimum time that callers of a stream wait for its first event.
 const MIN_CALLER_PATIENCE: Duration = Duration::from_millis(1_500);
 
@@ -170,8 +177,16 @@
             rank: self.rank(),
             tried: &self.tried,
         };
-        let Some(candidate) = state.choose(&query, now) else {
-            return Err(Refusal::new(RefusalCause::NotHeld).with_retry(MIN_RETRY_AFTER));
+        let candidate = match state.choose(&query, now) {
+            Ok(candidate) => candidate,
+            Err(NoUpstream::NotHeld) => {
+                return Err(Refusal::new(RefusalCause::NotHeld).with_retry(MIN_RETRY_AFTER));
+            }
+            Err(NoUpstream::Resting { remaining }) => {
+                let spread = (remaining / RETRY_SPREAD_DIVISOR).mul_f64(rand::random());
+                let after = (remaining + spread).max(MIN_RETRY_AFTER);
+                return Err(Refusal::new(RefusalCause::Resting).with_retry(after));
+            }
         };
         let prefill_time = Duration::from_micros(
             self.metadata.prompt_tokens * 1_000 / self.shared.bounds().prefill_tokens_per_ms.max(1),
@@ -324,19 +339,29 @@
         mut guard: LoadGuard<C>,
     ) -> Result<IncomingAnswer<C>, SendFailure> {
         let answer_head = C::parse_answer_head(response.status().as_u16(), response.headers());
-        if answer_head.not_run || answer_head.wrong_upstream {
-            guard.set_outcome(RequestOutcome::Full);
-            return Err(SendFailure::NotRun);
+        if answer_head.leaving {
+            note_leaving(&self.shared, upstream, &self.metadata.id);
         }
-        self.may_have_run = true;
         if let Some(cause) = self.answer_fault(response.status().is_success(), &answer_head) {
             // The answer may be another request's, so it is unknown whether this one ran.
+            self.may_have_run = true;
             guard.set_outcome(RequestOutcome::Failed);
             return Err(SendFailure::Lost(CallError::Malformed {
                 address: upstream.address.to_string(),
                 cause,
             }));
         }
+        if let Some(asked) = answer_head.rest {
+            note_rest(&self.shared, upstream, asked, &self.metadata.id);
+        }
+        if answer_head.not_run {
+            // An upstream that asks for rest works, and gets no requests for that time anyway.
+            if answer_head.rest.is_none() {
+                guard.set_outcome(RequestOutcome::Full);
+            }
+            return Err(SendFailure::NotRun);
+        }
+        self.may_have_run = true;
         Ok(IncomingAnswer {
             upstream: Arc::clone(upstream),
             response,
@@ -347,6 +372,9 @@
     }
 
     /// Returns why an answer is not accepted for this request; none if it is.
+    ///
+    /// A faulty upstream may repeat an earlier answer on a connection that is used again, also one
+    /// that says that its request did not run.
     fn answer_fault(&self, success: bool, answer_head: &AnswerHead) -> Option<String> {
         if answer_head.id.as_deref() != Some(self.metadata.id.as_str()) {
             return Some(format!(
@@ -354,7 +382,8 @@
                 answer_head.id
             ));
         }
-        (success && !answer_head.signed).then(|| {
+        let is_accepted = !success || answer_head.signed;
+        (!is_accepted).then(|| {
             "expected a signed answer, got a successful one without a signature".to_owned()
         })
     }
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -10,8 +10,9 @@
 use actix_web::HttpResponse;
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use eelgrasshill_ports::CallError;
-use eelgrasshill_relay::{EventSplitter, Repeat, RequestOutcome};
+use eelgrasshill_domain::Moment;
+use eelgrasshill_ports::{BootClock, CallError};
+use eelgrasshill_relay::{EventSplitter, Repeat, RequestOutcome, has_content};
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
@@ -85,9 +86,24 @@
 struct EventReader<C: PlatformCodec> {
     incoming: IncomingAnswer<C>,
     splitter: EventSplitter,
+    // When the stream last made progress, or was last found to be silent.
+    progress_at: Moment,
 }
 
 impl<C: PlatformCodec> EventReader<C> {
+    fn new(incoming: IncomingAnswer<C>, last_event: Option<u64>) -> Self {
+        Self {
+            incoming,
+            splitter: EventSplitter::new(last_event),
+            progress_at: BootClock.now(),
+        }
+    }
+
+    /// Returns how long the stream may make no progress from now on.
+    fn patience(&self, silence_timeout: Duration) -> Duration {
+        silence_timeout.saturating_sub(BootClock.now().since(self.progress_at))
+    }
+
     async fn next(&mut self, bound: Duration) -> ReadOutcome {
         let address = self.incoming.upstream.address;
         let lost = |cause: String| {
@@ -111,6 +127,9 @@
                             return lost("too many bytes without a further event".to_owned());
                         }
                         if let Some(whole) = whole {
+                            if has_content(&whole) {
+                                self.progress_at = BootClock.now();
+                            }
                             return ReadOutcome::Events(whole);
                         }
                     }
@@ -139,10 +158,7 @@
         first_bound: Duration,
     ) -> Result<HttpResponse, (Self, OpenRequest<C>, SendFailure)> {
         let mut response = start_response(incoming.response.status(), incoming.response.headers());
-        let mut events = EventReader {
-            splitter: EventSplitter::new(self.metadata.last_event),
-            incoming,
-        };
+        let mut events = EventReader::new(incoming, self.metadata.last_event);
         let first = match events.next(first_bound.min(self.time_left())).await {
             ReadOutcome::Events(bytes) => bytes,
             ReadOutcome::End => Bytes::new(),
@@ -155,7 +171,7 @@
             }
         };
         events.incoming.guard.record_answer_start();
-        let now = eelgrasshill_ports::BootClock.now();
+        let now = BootClock.now();
         crate::telemetry::record_first_event(&self.route, now.since(self.arrived_at));
         let leaving = self.shared.leaving().is_some();
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
@@ -203,6 +219,7 @@
                         events = next;
                         runs += 1;
                     } else {
+                        events.progress_at = BootClock.now();
                         log::info!(
                             "request: id={} upstream={} event={last:?} keeps the stream, \
                              no other took it",
@@ -236,7 +253,7 @@
         };
         loop {
             let next = tokio::select! {
-                next = events.next(silence_timeout.min(self.time_left())) => next,
+                next = events.next(events.patience(silence_timeout).min(self.time_left())) => next,
                 () = sender.closed() => return StreamEnd::Deserted,
             };
             match next {
@@ -248,7 +265,10 @@
                 ReadOutcome::End => return StreamEnd::Complete,
                 // A silent engine keeps the stream as long as no other could resume it.
                 ReadOutcome::Broken(CallError::Timeout { .. })
-                    if !self.time_left().is_zero() && !self.can_resume() => {}
+                    if !self.time_left().is_zero() && !self.can_resume() =>
+                {
+                    events.progress_at = BootClock.now();
+                }
                 ReadOutcome::Broken(error) => {
                     log::info!(
                         "request: id={} upstream={} event={:?} stream broke off: {error}",
@@ -274,7 +294,7 @@
         if !is_allowed {
             return false;
         }
-        let now = eelgrasshill_ports::BootClock.now();
+        let now = BootClock.now();
         let has_budget = self.shared.state().retries.allows(&self.target_pool, now);
         has_budget && self.choose().is_ok()
     }
@@ -310,10 +330,7 @@
             match sent {
                 Ok(mut incoming) if incoming.response.status().is_success() => {
                     incoming.guard.record_answer_start();
-                    return Some(EventReader {
-                        incoming,
-                        splitter: EventSplitter::new(last),
-                    });
+                    return Some(EventReader::new(incoming, last));
                 }
                 Ok(mut incoming) => incoming.guard.set_outcome(RequestOutcome::Failed),
                 Err(failure) => {
@@ -333,10 +350,7 @@
             "request: id={} route={} stream {end} runs={runs} last={last:?} ms={}",
             self.metadata.id,
             self.route.name,
-            eelgrasshill_ports::BootClock
-                .now()
-                .since(self.arrived_at)
-                .as_millis()
+            BootClock.now().since(self.arrived_at).as_millis()
         );
     }
 }
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -143,6 +143,11 @@
     metrics::counter!("eelgrasshill_orders_total", "end" => end.to_owned()).increment(1);
 }
 
+/// Counts an answer in which an engine says that it is leaving or asks for rest.
+pub(crate) fn count_upstream_signal(signal: &'static str) {
+    metrics::counter!("eelgrasshill_upstream_signals_total", "signal" => signal).increment(1);
+}
+
 /// Counts a call to the store by topic and end.
 pub(crate) fn count_store_call(topic: crate::codec::Topic, end: &'static str) {
     metrics::counter!("eelgrasshill_store_calls_total", "topic" => topic.to_string(), "end" => end)
--- a/crates/eelgrasshill_ports/src/pool.rs
+++ b/crates/eelgrasshill_ports/src/pool.rs
@@ -14,7 +14,7 @@
 use eelgrasshill_domain::{FastMap, Moment};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -152,11 +152,10 @@
         &mut self,
         request: Request<Full<Bytes>>,
         max_bytes: usize,
-    ) -> Result<(StatusCode, Bytes), CallError> {
-        let response = self.send(request).await?;
-        let status = response.status();
-        let body = read_response_body(self.address, response.into_body(), max_bytes).await?;
-        Ok((status, body))
+    ) -> Result<Response<Bytes>, CallError> {
+        let (head, body) = self.send(request).await?.into_parts();
+        let body = read_response_body(self.address, body, max_bytes).await?;
+        Ok(Response::from_parts(head, body))
     }
 }
 
@@ -236,7 +235,7 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
         max_bytes: usize,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<Response<Bytes>, CallError> {
         with_timeout(address, timeout, async {
             let mut connection = self.take(address, timeout).await?;
             let answer = connection.send_and_read(request, max_bytes).await?;
@@ -260,7 +259,7 @@
     request: Request<Full<Bytes>>,
     timeout: Duration,
     max_bytes: usize,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     with_timeout(address, timeout, async {
         let mut connection = HttpConnection::open_with(address, timeout, true).await?;
         connection.send_and_read(request, max_bytes).await
--- a/crates/eelgrasshill_relay/src/events.rs
+++ b/crates/eelgrasshill_relay/src/events.rs
@@ -72,6 +72,16 @@
     }
 }
 
+/// Returns whether whole events contain more than comments.
+///
+/// A stalled engine may keep sending comments, which its stream does not need.
+#[must_use]
+pub fn has_content(events: &[u8]) -> bool {
+    events
+        .split(|byte| *byte == b'\n')
+        .any(|line| !matches!(line.first(), None | Some(b':')))
+}
+
 /// Returns the id of the last event in `whole` that has one.
 fn last_id(whole: &[u8]) -> Option<u64> {
     let lines = whole.rsplit(|byte| *byte == b'\n');
--- a/crates/eelgrasshill_relay/src/known_upstreams.rs
+++ b/crates/eelgrasshill_relay/src/known_upstreams.rs
@@ -1,7 +1,8 @@
 //! The upstreams that may get requests.
 //!
 //! Built from the upstreams' registry entries and from the lease holder's updates on what engines
-//! hold. A leaving upstream gets no more requests at once. An entry that disappears while the
+//! hold. A leaving upstream gets no more requests at once, whether its entry or one of its answers
+//! says that it leaves. An entry that disappears while the
 //! store is unstable may only have expired, so the upstream is used for a short time more; if it is
 //! alive, its entry returns in that time.
 
@@ -10,10 +11,10 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::{
-    AdapterName, FastMap, HostName, ModelName, Moment, PoolName, ZoneName, record,
+    AdapterName, FastMap, HostName, ModelName, Moment, Offset, PoolName, ZoneName, record,
 };
 
-use crate::HoldingsUpdate;
+use crate::{HoldingsUpdate, LeavingNotice, LeavingNotices};
 
 /// How long an upstream is used after its entry lapsed.
 ///
@@ -97,7 +98,8 @@
 pub struct KnownUpstreams {
     entries: FastMap<HostName, Entry>,
     received: FastMap<HostName, ReceivedUpdate>,
-    /// Updates accepted since the start.
+    notices: LeavingNotices,
+    /// Updates and notices accepted since the start.
     update_count: u64,
 }
 
@@ -163,7 +165,37 @@
             .map(|received| &received.update)
     }
 
-    /// Returns the number of updates accepted since the start.
+    /// Stores the notice that an engine is leaving; returns whether it was new.
+    pub fn note_leaving(&mut self, notice: LeavingNotice, now: Moment) -> bool {
+        let is_new = self.notices.note(notice, self.update_count + 1, now);
+        if is_new {
+            self.update_count += 1;
+        }
+        is_new
+    }
+
+    /// Ends the notice that an engine is leaving, if its entry disproves it.
+    ///
+    /// Returns whether it did. `offset` is that of the entry's record.
+    pub fn check_notice(&mut self, upstream: &Upstream, offset: Offset) -> bool {
+        self.notices.apply_entry(upstream, offset)
+    }
+
+    /// Notes that all records of the registry before `end` were read by the given moment.
+    pub fn confirm_registry(&mut self, end: Offset, confirmed_at: Moment) {
+        self.notices.confirm(end, confirmed_at);
+    }
+
+    /// Returns the recent notices after the first `known_count` updates, to be forwarded.
+    pub fn recent_notices(
+        &self,
+        known_count: u64,
+        now: Moment,
+    ) -> impl Iterator<Item = &LeavingNotice> {
+        self.notices.recent(known_count, now)
+    }
+
+    /// Returns the number of updates and notices accepted since the start.
     #[must_use]
     pub fn update_count(&self) -> u64 {
         self.update_count
@@ -193,6 +225,8 @@
                 .lapsed
                 .is_none_or(|since| now.since(since) < LAPSED_TTL)
         });
+        let entries = &self.entries;
+        self.notices.expire(|id| entries.contains_key(id), now);
     }
 
     /// Returns an upstream, even one that is leaving.
@@ -211,7 +245,7 @@
                     .is_none_or(|since| now.since(since) < LAPSED_TTL)
             })
             .map(|entry| &entry.upstream)
-            .filter(|upstream| !upstream.leaving)
+            .filter(|upstream| !upstream.leaving && !self.notices.is_leaving(upstream))
     }
 
     /// Returns whether no upstream is known.
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -4,12 +4,14 @@
 //! placement on engines. The crate does no I/O: time, randomness and outside events are arguments.
 
 mod demand;
+mod engine_rests;
 mod events;
 mod health;
 mod key_age;
 mod keyed;
 mod known_upstreams;
 mod lease;
+mod leaving_notices;
 mod placement;
 mod rate_limiter;
 mod retries;
@@ -20,19 +22,21 @@
 mod upstream_loads;
 
 pub use demand::{ModelKey, SmoothedDemand};
-pub use events::EventSplitter;
+pub use engine_rests::EngineRests;
+pub use events::{EventSplitter, has_content};
 pub use health::{RequestOutcome, UpstreamHealth};
 pub use key_age::MaxKeyAge;
 pub use keyed::{KeyedRecord, KeyedTopic};
 pub use known_upstreams::{KnownUpstreams, ResidentModel, Upstream};
 pub use lease::{Lease, LeaseRecord, LeaseWrite};
+pub use leaving_notices::{LeavingNotice, LeavingNotices};
 pub use placement::{
     Action, Availability, EngineReport, EngineState, HoldingsUpdate, NextCall, OrderOutcome,
     PlacementPlanner,
 };
 pub use rate_limiter::{HostCounts, RateExceeded, RateLimiter, SpentTokens};
 pub use retries::{RetryBudget, RetrySettings};
-pub use selection::{Candidate, SelectionSettings, UpstreamQuery, UpstreamSelector};
+pub use selection::{Candidate, NoUpstream, SelectionSettings, UpstreamQuery, UpstreamSelector};
 pub use tables::{
     CallerBounds, EnginePool, Model, Organisation, Repeat, Route, Tables, WeightedPool,
 };
--- a/crates/eelgrasshill_relay/src/selection.rs
+++ b/crates/eelgrasshill_relay/src/selection.rs
@@ -15,7 +15,7 @@
     AdapterName, FastSet, HostName, ModelName, Moment, PoolName, ZoneName, record,
 };
 
-use crate::{KnownUpstreams, Upstream, UpstreamHealth, UpstreamLoads};
+use crate::{EngineRests, KnownUpstreams, Upstream, UpstreamHealth, UpstreamLoads};
 
 /// Number of slots to which the cost of running requests is scaled.
 ///
@@ -84,6 +84,18 @@
     cost: u64,
 }
 
+/// Reason why no upstream can take a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoUpstream {
+    /// No upstream that is left holds the model.
+    NotHeld,
+    /// All that hold the model asked this host for rest.
+    Resting {
+        /// Time until the first of them takes requests again.
+        remaining: Duration,
+    },
+}
+
 /// Selects upstreams from the state at one moment.
 #[derive(Clone, Copy, Debug)]
 pub struct UpstreamSelector<'a> {
@@ -93,6 +105,8 @@
     pub loads: &'a UpstreamLoads,
     /// Recent outcomes of each upstream.
     pub health: &'a UpstreamHealth,
+    /// Upstreams that asked for rest.
+    pub rests: &'a EngineRests,
     /// Zone of this host.
     pub zone: &'a ZoneName,
     /// Cost factors of the comparison.
@@ -102,35 +116,54 @@
 impl UpstreamSelector<'_> {
     /// Returns the better of two random candidates that hold the model.
     ///
-    /// Ejected and suspected upstreams are used only if no other candidate is left. `draw` returns
-    /// a random index below its argument.
-    #[must_use]
+    /// Ejected and suspected upstreams are used only if no other candidate is left, resting ones
+    /// never. `draw` returns a random index below its argument.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoUpstream`] if there is no candidate.
     pub fn choose(
         &self,
         query: &UpstreamQuery<'_>,
         draw: impl FnMut(usize) -> usize,
         now: Moment,
-    ) -> Option<Candidate> {
-        let all = self.candidates(query, now);
+    ) -> Result<Candidate, NoUpstream> {
+        let (all, first_rest) = self.candidates(query, now);
         let is_healthy = |one: &&Candidate| {
             let id = &one.upstream.id;
             !self.health.is_ejected(id, now) && !self.loads.is_suspected(id)
         };
         let healthy: Vec<_> = all.iter().filter(is_healthy).cloned().collect();
-        better_of_two(if healthy.is_empty() { all } else { healthy }, draw)
+        let found = better_of_two(if healthy.is_empty() { all } else { healthy }, draw);
+        found.ok_or(match first_rest {
+            Some(remaining) => NoUpstream::Resting { remaining },
+            None => NoUpstream::NotHeld,
+        })
     }
 
-    fn candidates(&self, query: &UpstreamQuery<'_>, now: Moment) -> Vec<Candidate> {
+    /// Returns the candidates, and the shortest rest of the upstreams left out for it.
+    fn candidates(
+        &self,
+        query: &UpstreamQuery<'_>,
+        now: Moment,
+    ) -> (Vec<Candidate>, Option<Duration>) {
         let mut found = Vec::new();
+        let mut first_rest: Option<Duration> = None;
         for upstream in self.upstreams.available(now) {
             let holds = query
                 .model
                 .is_none_or(|model| upstream.holds(model, query.adapter));
-            if upstream.pool == *query.pool && holds && !query.tried.contains(&upstream.id) {
-                found.push(self.candidate(upstream, query.rank, now));
+            if upstream.pool != *query.pool || !holds || query.tried.contains(&upstream.id) {
+                continue;
+            }
+            match self.rests.remaining(upstream, now) {
+                Some(rest) => {
+                    first_rest = Some(first_rest.map_or(rest, |first| first.min(rest)));
+                }
+                None => found.push(self.candidate(upstream, query.rank, now)),
             }
         }
-        found
+        (found, first_rest)
     }
 
     fn candidate(&self, upstream: &Arc<Upstream>, rank: u8, now: Moment) -> Candidate {
--- a/crates/eelgrasshill_relay/tests/records.rs
+++ b/crates/eelgrasshill_relay/tests/records.rs
@@ -7,9 +7,9 @@
     FastMap, FastSet, HostName, Incarnation, ModelName, Moment, Offset, PoolName, ZoneName,
 };
 use eelgrasshill_relay::{
-    EventSplitter, HoldingsUpdate, KeyedRecord, KeyedTopic, KnownUpstreams, MaxKeyAge, Peer, RANKS,
-    RequestOutcome, ResidentModel, RetryBudget, RetrySettings, SelectionSettings, Tree, Upstream,
-    UpstreamHealth, UpstreamLoad, UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    EngineRests, EventSplitter, HoldingsUpdate, KeyedRecord, KeyedTopic, KnownUpstreams, MaxKeyAge,
+    Peer, RANKS, RequestOutcome, ResidentModel, RetryBudget, RetrySettings, SelectionSettings,
+    Tree, Upstream, UpstreamHealth, UpstreamLoad, UpstreamLoads, UpstreamQuery, UpstreamSelector,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -321,6 +321,7 @@
                 upstreams: &upstreams,
                 loads,
                 health,
+                rests: &EngineRests::default(),
                 zone: &zone,
                 settings: &settings,
             };
