Read the store once for a fleet also at its start and when a root is gone

Cause: at the start of all hosts each read all three topics at once, before any had registered, so none knew another, and all took themselves for the first root and polled for seconds; each wrote its registration again every second until it had come back along the tree. Later, hosts two levels below a root were due to read the entries themselves at an age of 1.3 s, which three rounds of the tree nearly take, whatever the platform's bound allows.

Change: a host that starts with all others registers before it reads the registrations, and takes the other records from its parent; a restarted one reads the registrations (1 call), is mostly registered still, and waits 0.3 s for its parent. A written registration is awaited by its offset. Hosts without children stay registered over a restart. The age at which a host reads itself and the pause of the first root follow from the platform's bounds and grow with the level in the tree. Only the first root removes hosts that are gone.

--- a/crates/eelgrasshill_gateway/src/exchange.rs
+++ b/crates/eelgrasshill_gateway/src/exchange.rs
@@ -31,6 +31,9 @@
 /// Time between rounds. Some changes must reach all hosts within half a second, over two rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time between rounds of a host that has no records yet.
+const START_ROUND_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Timeout for a peer's answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -110,8 +113,16 @@
         let working_links = futures_util::future::join_all(calls).await;
         links = working_links.into_iter().flatten().collect();
         let now = BootClock.now();
-        shared.state().finish_round(now);
-        tokio::time::sleep(ROUND_INTERVAL.saturating_sub(now.since(round_start))).await;
+        let interval = {
+            let mut state = shared.state();
+            state.finish_round(now);
+            if state.has_records() {
+                ROUND_INTERVAL
+            } else {
+                START_ROUND_INTERVAL
+            }
+        };
+        tokio::time::sleep(interval.saturating_sub(now.since(round_start))).await;
     }
 }
 
--- a/crates/eelgrasshill_gateway/src/follow.rs
+++ b/crates/eelgrasshill_gateway/src/follow.rs
@@ -8,6 +8,8 @@
 
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::BootClock;
+use eelgrasshill_relay::{ReadPolicy, ReadState};
+use eelgrasshill_settings::GatewayBounds;
 
 use crate::codec::{PlatformCodec, StoreClient, StoreError, Topic, TopicPage, page_current_at};
 use crate::shared::Shared;
@@ -30,15 +32,92 @@
 /// Time between checks whether the records from the parent are too old.
 const STALENESS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// How often and how a topic is read.
+/// Time between these checks while the host has just started.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How long a read of the configuration by the first root waits for a change.
+///
+/// A quarter of the time for which keys are accepted without a new read.
+const CONFIG_READ_WAIT: Duration = Duration::from_millis(1_200);
+
+/// Part of the time for which keys are accepted, in percent, at which a root reads the keys itself.
+const CONFIG_AGE_PERCENT: u32 = 40;
+
+/// Pause between two reads of the upstreams' entries, in percent of the leaving delay.
+const UPSTREAM_PAUSE_PERCENT: u32 = 20;
+
+/// Age of the upstreams' entries at which a root reads them itself, in percent of the leaving delay.
+const UPSTREAM_AGE_PERCENT: u32 = 65;
+
+/// Part of the leaving delay that is left for a read of the upstreams' entries.
+const UPSTREAM_READ_TIME: Duration = Duration::from_millis(400);
+
+/// Pause between reads of the hosts' registrations.
+const HOST_READ_PAUSE: Duration = Duration::from_secs(2);
+
+/// Age at which a root reads the registrations from the store itself.
+const HOST_AGE: Duration = Duration::from_secs(10);
+
+/// Age that is added for each level below the roots: a round of the exchange.
+const LEVEL_AGE: Duration = Duration::from_millis(250);
+
+/// How long a host that restarts waits for its parent, while callers send requests.
+const RESTART_PATIENCE: Duration = Duration::from_millis(300);
+
+/// How long a host waits for its parent when all start for the first time.
+///
+/// Long enough for the weakest hosts to start, and far less than the time until callers come.
+const FIRST_START_PATIENCE: Duration = Duration::from_secs(4);
+
+/// How a topic is read from the store.
 #[derive(Clone, Copy, Debug)]
-pub struct FollowSettings {
+struct FollowSettings {
     /// How long a read by the first root waits for a new record.
-    pub wait: Duration,
+    wait: Duration,
     /// Pause between reads.
-    pub pause: Duration,
-    /// Age of the records at which any host starts to read the store itself.
-    pub max_age: Duration,
+    pause: Duration,
+    policy: ReadPolicy,
+}
+
+impl FollowSettings {
+    fn new(topic: Topic, bounds: &GatewayBounds, is_first_start: bool) -> Self {
+        let patience = if is_first_start {
+            FIRST_START_PATIENCE
+        } else {
+            RESTART_PATIENCE
+        };
+        let (wait, pause, root_age, max_age) = match topic {
+            Topic::Config => (
+                CONFIG_READ_WAIT.min(bounds.max_key_age / 4),
+                Duration::ZERO,
+                bounds.max_key_age * CONFIG_AGE_PERCENT / 100,
+                bounds.max_key_age * CONFIG_AGE_PERCENT / 100 + LEVEL_AGE * 2,
+            ),
+            Topic::Upstreams => (
+                Duration::ZERO,
+                bounds.leaving_delay * UPSTREAM_PAUSE_PERCENT / 100,
+                bounds.leaving_delay * UPSTREAM_AGE_PERCENT / 100,
+                bounds.leaving_delay.saturating_sub(UPSTREAM_READ_TIME),
+            ),
+            // The lease is not followed.
+            Topic::Hosts | Topic::Lease => (
+                Duration::ZERO,
+                HOST_READ_PAUSE,
+                HOST_AGE,
+                HOST_AGE + LEVEL_AGE * 2,
+            ),
+        };
+        Self {
+            wait,
+            pause,
+            policy: ReadPolicy {
+                root_age,
+                level_age: LEVEL_AGE,
+                max_age,
+                patience,
+            },
+        }
+    }
 }
 
 /// Follows a keyed topic until the host stops.
@@ -46,22 +125,28 @@
     shared: Arc<Shared<C>>,
     store: S,
     topic: Topic,
-    settings: FollowSettings,
 ) {
     let mut follower = Follower {
         shared,
         store,
         topic,
-        settings,
         is_failing: false,
         pause: MIN_RETRY_PAUSE,
     };
-    let mut needs_newest = true;
+    let mut expired = false;
     while !follower.shared.is_stopped() {
-        if !needs_newest && !follower.should_read() {
-            tokio::time::sleep(STALENESS_CHECK_INTERVAL).await;
+        // Records from the parent are a start as good as those from the store.
+        let is_known = follower.confirmed_at().is_some();
+        if !follower.should_read() {
+            tokio::time::sleep(if is_known {
+                STALENESS_CHECK_INTERVAL
+            } else {
+                START_CHECK_INTERVAL
+            })
+            .await;
             continue;
         }
+        let needs_newest = expired || !is_known;
         let result = if needs_newest {
             follower.read_newest().await
         } else {
@@ -69,17 +154,17 @@
         };
         match result {
             Ok(()) => {
-                needs_newest = false;
+                expired = false;
                 follower.record_recovery();
                 follower.pause = MIN_RETRY_PAUSE;
-                tokio::time::sleep(settings.pause).await;
+                tokio::time::sleep(follower.settings().pause).await;
             }
             Err(StoreError::Expired) => {
                 log::info!(
                     "store: topic={topic} records expired before they were read, \
                      reading the newest of each key"
                 );
-                needs_newest = true;
+                expired = true;
             }
             Err(error) => {
                 follower.record_failure(&error);
@@ -93,23 +178,40 @@
     shared: Arc<Shared<C>>,
     store: S,
     topic: Topic,
-    settings: FollowSettings,
     is_failing: bool,
     pause: Duration,
 }
 
 impl<C: PlatformCodec, S: StoreClient> Follower<C, S> {
+    fn settings(&self) -> FollowSettings {
+        let is_first_start = self.shared.settings.is_first_start;
+        FollowSettings::new(self.topic, &self.shared.bounds(), is_first_start)
+    }
+
+    fn confirmed_at(&self) -> Option<Moment> {
+        let mut state = self.shared.state();
+        state.topic(self.topic)?.confirmed_at()
+    }
+
     /// Returns whether to read the store: as the first root, or because the records are too old.
     fn should_read(&self) -> bool {
         let now = BootClock.now();
-        if self.is_first_root(now) {
-            return true;
+        let confirmed_at = self.confirmed_at();
+        // Only the registrations tell a host its position.
+        if self.topic == Topic::Hosts && confirmed_at.is_none() {
+            return self.shared.may_read_hosts(now);
         }
         let mut state = self.shared.state();
-        let confirmed_at = state
-            .topic(self.topic)
-            .and_then(|topic_records| topic_records.confirmed_at());
-        confirmed_at.is_none_or(|confirmed_at| now.since(confirmed_at) >= self.settings.max_age)
+        let position = state.tree.position(now);
+        let read_state = ReadState {
+            started_at: self.shared.started_at,
+            has_position: state.hosts.confirmed_at().is_some(),
+            is_first_root: position.reads_store,
+            level: position.level,
+            confirmed_at,
+        };
+        drop(state);
+        self.settings().policy.should_read(&read_state, now)
     }
 
     /// Returns the pause after a failed read, which doubles unless other hosts depend on this one.
@@ -146,7 +248,7 @@
         let requested_at = BootClock.now();
         // A host that reads because its records are too old needs the answer at once.
         let wait = if self.is_first_root(requested_at) {
-            self.settings.wait
+            self.settings().wait
         } else {
             Duration::ZERO
         };
--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -283,6 +283,12 @@
         }
     }
 
+    /// Returns whether the host has the records of all topics that it follows.
+    pub(crate) fn has_records(&self) -> bool {
+        let topics = [&self.config, &self.upstreams_topic, &self.hosts];
+        topics.iter().all(|topic| topic.confirmed_at().is_some())
+    }
+
     /// Returns the totals of this host's subtree, for its parent or the roots of other zones.
     pub(crate) fn totals_for_parent(&mut self, now: Moment) -> Totals {
         let mut own = self.own_totals(now);
--- a/crates/eelgrasshill_gateway/src/register.rs
+++ b/crates/eelgrasshill_gateway/src/register.rs
@@ -1,14 +1,14 @@
 //! Registers this host in the store and removes hosts that are gone.
 //!
-//! Hosts find each other by these registrations. The root of a zone removes a host that was in
-//! none of the totals it received for a while, for example after the host's machine was lost.
+//! Hosts find each other by these registrations. The first root removes a host that was in none of
+//! the totals it received for a while, for example after the host's machine was lost.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastMap, HostName, Moment};
+use eelgrasshill_domain::{FastMap, HostName, Moment, Offset};
 use eelgrasshill_ports::BootClock;
-use eelgrasshill_relay::HostHash;
+use eelgrasshill_relay::{HostHash, Peer};
 
 use crate::codec::{PlatformCodec, StoreClient, Topic};
 use crate::shared::Shared;
@@ -16,11 +16,17 @@
 /// Time between checks of the registrations.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between these checks until the host knows the registrations.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long a host must be missing from all totals before it is removed.
 ///
 /// Longer than a restart takes.
 const MAX_HOST_SILENCE: Duration = Duration::from_secs(20);
 
+/// How long a written registration may take to come back along the tree.
+const MAX_RETURN_TIME: Duration = Duration::from_secs(10);
+
 /// Keeps this host registered until it stops.
 pub(crate) async fn register<C: PlatformCodec, S: StoreClient>(shared: Arc<Shared<C>>, store: S) {
     let mut silent_since = FastMap::default();
@@ -31,10 +37,15 @@
             return;
         }
     };
+    let mut written = None;
     while !shared.is_stopped() {
-        let name = &shared.settings.name;
-        if shared.leaving().is_none() && !is_registered(&shared, &value) {
-            write_registration(&store, name, &value).await;
+        let now = BootClock.now();
+        if shared.leaving().is_none() && needs_registration(&shared, written, now) {
+            let name = &shared.settings.name;
+            written = write_registration(&store, name, &value)
+                .await
+                .map(|offset| (offset, now));
+            shared.set_registered();
         }
         for host in silent_hosts(&shared, &mut silent_since, BootClock.now()) {
             log::info!(
@@ -43,35 +54,81 @@
             );
             write_registration(&store, &host, &[]).await;
         }
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        let is_placed = shared.state().hosts.confirmed_at().is_some();
+        tokio::time::sleep(if is_placed {
+            CHECK_INTERVAL
+        } else {
+            START_CHECK_INTERVAL
+        })
+        .await;
     }
 }
 
-/// Removes this host's registration.
+/// Removes this host's registration, if other hosts would look for it.
+///
+/// Most hosts only call others, and most return within seconds. The first root removes those that
+/// do not.
 pub(crate) async fn unregister<C: PlatformCodec, S: StoreClient>(shared: &Shared<C>, store: &S) {
+    if !shared.state().tree.position(BootClock.now()).serves_peers {
+        return;
+    }
     write_registration(store, &shared.settings.name, &[]).await;
 }
 
-async fn write_registration<S: StoreClient>(store: &S, host: &HostName, value: &[u8]) {
-    if let Err(error) = store.append(Topic::Hosts, host.as_str(), value, None).await {
-        log::info!("hosts: host={host} registration not written: {error}");
+/// Writes a registration, or removes it if the value is empty; returns its offset.
+async fn write_registration<S: StoreClient>(
+    store: &S,
+    host: &HostName,
+    value: &[u8],
+) -> Option<Offset> {
+    match store.append(Topic::Hosts, host.as_str(), value, None).await {
+        Ok(offset) => Some(offset),
+        Err(error) => {
+            log::info!("hosts: host={host} registration not written: {error}");
+            None
+        }
     }
 }
 
-fn is_registered<C: PlatformCodec>(shared: &Shared<C>, value: &[u8]) -> bool {
+/// Returns whether this host must write its registration.
+///
+/// `written` is the offset and time of the last one that the store accepted.
+fn needs_registration<C: PlatformCodec>(
+    shared: &Shared<C>,
+    written: Option<(Offset, Moment)>,
+    now: Moment,
+) -> bool {
     let state = shared.state();
+    if let Some((offset, at)) = written
+        && state.hosts.end() <= offset
+        && now.since(at) < MAX_RETURN_TIME
+    {
+        return false;
+    }
+    if state.hosts.confirmed_at().is_none() {
+        return shared.settings.is_first_start;
+    }
     let known = state.hosts.get(shared.settings.name.as_str());
-    known.is_some_and(|record| &*record.value == value)
+    let known = known.and_then(|record| serde_json::from_slice::<Peer>(&record.value).ok());
+    // Other hosts need no new record only because the process has restarted.
+    !known.is_some_and(|known| {
+        let incarnation = known.incarnation;
+        let own = Peer {
+            incarnation,
+            ..shared.self_peer.clone()
+        };
+        known == own
+    })
 }
 
-/// Returns the registered hosts that are gone; none unless this host is the root of its zone.
+/// Returns the registered hosts that are gone; none unless this host is the first root.
 fn silent_hosts<C: PlatformCodec>(
     shared: &Shared<C>,
     silent_since: &mut FastMap<HostName, Moment>,
     now: Moment,
 ) -> Vec<HostName> {
     let mut state = shared.state();
-    if state.tree.position(now).parent.is_some() {
+    if !state.tree.position(now).reads_store {
         silent_since.clear();
         return Vec::new();
     }
--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -18,39 +18,13 @@
 
 use crate::codec::{PlatformCodec, StoreClient, Topic};
 use crate::exchange::exchange_with_peers;
-use crate::follow::{FollowSettings, follow};
+use crate::follow::follow;
 use crate::orders::{dispatch_orders, release_lease};
 use crate::peers::serve_peers;
 use crate::register::{register, unregister};
 use crate::server::{serve_admin, serve_callers};
 use crate::shared::Shared;
 
-/// How long a read of the configuration waits for a change.
-///
-/// A quarter of the time for which keys are accepted without a new read.
-const CONFIG_READ_WAIT: Duration = Duration::from_millis(1_200);
-
-/// Pause between reads of the upstreams' entries.
-///
-/// Upstreams that leave must be avoided within two seconds.
-const UPSTREAM_READ_PAUSE: Duration = Duration::from_millis(400);
-
-/// Pause between reads of the hosts' registrations.
-const HOST_READ_PAUSE: Duration = Duration::from_secs(2);
-
-/// Age at which any host starts to read the configuration from the store itself.
-///
-/// Keys are accepted for some seconds without a new read.
-const MAX_CONFIG_AGE: Duration = Duration::from_secs(2);
-
-/// Age at which any host starts to read the upstreams' entries from the store itself.
-///
-/// Two exchange rounds and a read.
-const MAX_UPSTREAM_AGE: Duration = Duration::from_millis(1_300);
-
-/// Age at which any host starts to read the registrations from the store itself.
-const MAX_HOST_AGE: Duration = Duration::from_secs(10);
-
 /// Minimum duration of a drain.
 ///
 /// The load balancer needs two readiness checks, a second apart, and callers some time to leave.
@@ -166,28 +140,8 @@
 }
 
 fn start_followers<C: PlatformCodec, S: StoreClient>(shared: &Arc<Shared<C>>, store: &S) {
-    let follow_settings = [
-        (
-            Topic::Config,
-            CONFIG_READ_WAIT,
-            Duration::ZERO,
-            MAX_CONFIG_AGE,
-        ),
-        (
-            Topic::Upstreams,
-            Duration::ZERO,
-            UPSTREAM_READ_PAUSE,
-            MAX_UPSTREAM_AGE,
-        ),
-        (Topic::Hosts, Duration::ZERO, HOST_READ_PAUSE, MAX_HOST_AGE),
-    ];
-    for (topic, wait, pause, max_age) in follow_settings {
-        let settings = FollowSettings {
-            wait,
-            pause,
-            max_age,
-        };
-        actix_web::rt::spawn(follow(Arc::clone(shared), store.clone(), topic, settings));
+    for topic in [Topic::Config, Topic::Upstreams, Topic::Hosts] {
+        actix_web::rt::spawn(follow(Arc::clone(shared), store.clone(), topic));
     }
 }
 
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -5,6 +5,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use eelgrasshill_domain::{FastSet, HostName, Incarnation, Moment};
 use eelgrasshill_ports::{BootClock, lock};
@@ -18,6 +19,11 @@
 /// Added to the count of open requests when the host closes.
 const CLOSED_FLAG: u64 = 1 << 32;
 
+/// How long a starting host waits for its registration before it reads those of the others.
+///
+/// Some times the 4 ms that the store takes for an answer.
+const MAX_REGISTRATION_WAIT: Duration = Duration::from_millis(150);
+
 /// What a host needs to give orders to engines.
 #[derive(Debug)]
 pub struct OrderState {
@@ -58,6 +64,7 @@
     // Moment since which the host is leaving; 0 while it is not.
     leaving: AtomicU64,
     stopped: AtomicBool,
+    registered: AtomicBool,
 }
 
 /// Guard that counts a request as open until it is dropped.
@@ -94,6 +101,7 @@
             open_count: AtomicU64::new(0),
             leaving: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
+            registered: AtomicBool::new(false),
         }
     }
 
@@ -173,6 +181,22 @@
         self.stopped.load(Ordering::Relaxed)
     }
 
+    /// Notes that this host has tried to register itself.
+    pub fn set_registered(&self) {
+        self.registered.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether this host may read the registrations.
+    ///
+    /// When all hosts start for the first time, each writes its own before, so that they find each
+    /// other. A restarted host is mostly registered still.
+    #[must_use]
+    pub fn may_read_hosts(&self, now: Moment) -> bool {
+        !self.settings.is_first_start
+            || self.registered.load(Ordering::Relaxed)
+            || now.since(self.started_at) >= MAX_REGISTRATION_WAIT
+    }
+
     /// Returns whether the configuration is recent enough to accept callers' keys.
     #[must_use]
     pub fn accepts_keys(&self, state: &GatewayState<C>, now: Moment) -> bool {
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod leaving_notices;
 mod placement;
 mod rate_limiter;
+mod read_policy;
 mod retries;
 mod selection;
 mod tables;
@@ -35,6 +36,7 @@
     PlacementPlanner,
 };
 pub use rate_limiter::{HostCounts, RateExceeded, RateLimiter, SpentTokens};
+pub use read_policy::{ReadPolicy, ReadState};
 pub use retries::{RetryBudget, RetrySettings};
 pub use selection::{Candidate, NoUpstream, SelectionSettings, UpstreamQuery, UpstreamSelector};
 pub use tables::{
--- a/crates/eelgrasshill_relay/src/tree.rs
+++ b/crates/eelgrasshill_relay/src/tree.rs
@@ -65,6 +65,11 @@
         /// Whether this host is the first root, which reads the store for the others.
         #[serde(rename = "first")]
         pub reads_store: bool,
+        /// Number of steps to the root of the zone; 0 for the root.
+        pub level: u32,
+        /// Whether other hosts take state from this one.
+        #[serde(rename = "serves")]
+        pub serves_peers: bool,
     }
 }
 
@@ -183,8 +188,10 @@
             .position(|ranked| ranked.peer.host == self.me.host);
         let parent = match rank {
             None | Some(0) => None,
-            Some(rank) => Some(zone_hosts[(rank - 1) / MAX_CHILDREN].peer.clone()),
+            Some(rank) => Some(zone_hosts[parent_of(rank)].peer.clone()),
         };
+        let serves_peers =
+            rank.is_none_or(|rank| rank == 0 || rank * MAX_CHILDREN + 1 < zone_hosts.len());
         let zone_roots = if parent.is_none() {
             self.other_roots()
         } else {
@@ -196,6 +203,8 @@
             parent,
             zone_roots,
             reads_store,
+            level: rank.map_or(0, level_of),
+            serves_peers,
         }
     }
 
@@ -217,3 +226,17 @@
         self.peers.iter().filter(is_unsuspected).collect()
     }
 }
+
+/// Returns the rank of the parent of a host that is no root.
+fn parent_of(rank: usize) -> usize {
+    (rank - 1) / MAX_CHILDREN
+}
+
+/// Returns the number of steps from a rank to the root.
+fn level_of(rank: usize) -> u32 {
+    if rank == 0 {
+        0
+    } else {
+        1 + level_of(parent_of(rank))
+    }
+}
--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -57,6 +57,7 @@
 const DEFAULT_MAX_KEY_AGE_MS: u64 = 5_000;
 const DEFAULT_HEAD_TIMEOUT_MS: u64 = 5_000;
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 20_000;
+const DEFAULT_LEAVING_DELAY_MS: u64 = 2_000;
 const DEFAULT_TERMINATION_GRACE: Duration = Duration::from_secs(8);
 const DEFAULT_MAX_CONNECTIONS: u64 = 1_500;
 const DEFAULT_RETRIES_PER_THOUSAND: u64 = 200;
@@ -102,13 +103,15 @@
 /// The limits that a running gateway reloads when its settings change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[debug(
-    "GatewayBounds {{ key: {max_key_age:?}, grace: {termination_grace:?}, retries: {retries:?}, prefill: {prefill_tokens_per_ms:?} }}"
+    "GatewayBounds {{ key: {max_key_age:?}, grace: {termination_grace:?}, drain: {leaving_delay:?}, retries: {retries:?}, prefill: {prefill_tokens_per_ms:?} }}"
 )]
 pub struct GatewayBounds {
     /// How long a key is accepted without confirmation that it is still valid.
     pub max_key_age: Duration,
     /// The time between SIGTERM and SIGKILL.
     pub termination_grace: Duration,
+    /// How long requests may go to an upstream after its entry said that it is leaving.
+    pub leaving_delay: Duration,
     /// The maximum number of retries of the whole fleet.
     pub retries: RetryBounds,
     /// Prompt tokens that an engine processes per millisecond.
@@ -118,7 +121,7 @@
 /// The validated settings of one gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[debug(
-    "GatewaySettings {{ name: {name:?}, zone: {zone:?}, listen: {caller_address:?}, ready: {ready_address:?}, peer: {peer_address:?}, metrics: {metrics_address:?}, capacity: {capacity:?}, store: {store_address:?}, bounds: {bounds:?}, arrival: {head_timeout:?}, idle: {idle_timeout:?}, connections: {max_connections:?}, orders: {orders:?} }}"
+    "GatewaySettings {{ name: {name:?}, zone: {zone:?}, listen: {caller_address:?}, ready: {ready_address:?}, peer: {peer_address:?}, metrics: {metrics_address:?}, capacity: {capacity:?}, first-start: {is_first_start:?}, store: {store_address:?}, bounds: {bounds:?}, arrival: {head_timeout:?}, idle: {idle_timeout:?}, connections: {max_connections:?}, orders: {orders:?} }}"
 )]
 pub struct GatewaySettings {
     /// The name of the host.
@@ -138,6 +141,8 @@
     /// It is the lower of its processor share in percent of one processor and its link rate in
     /// Mbit/s, so 1 % of a processor counts as much as 1 Mbit/s.
     pub capacity: u32,
+    /// Whether all hosts start for the first time, before any caller comes.
+    pub is_first_start: bool,
     /// The address of the platform's store.
     pub store_address: SocketAddr,
     /// The limits that are reloaded at run time.
@@ -222,10 +227,12 @@
             peer_address: host.peer_address,
             metrics_address: host.metrics_address,
             capacity: host.capacity,
+            is_first_start: host.is_first_start,
             store_address,
             bounds: GatewayBounds {
                 max_key_age: bounds.max_key_age,
                 termination_grace: bounds.termination_grace,
+                leaving_delay: bounds.leaving_delay,
                 retries,
                 prefill_tokens_per_ms,
             },
@@ -246,6 +253,7 @@
     peer_address: SocketAddr,
     metrics_address: SocketAddr,
     capacity: u32,
+    is_first_start: bool,
 }
 
 /// The default of both parts of the capacity: one processor in percent, or a link of 100 Mbit/s.
@@ -267,6 +275,7 @@
         MIN_PROCESSORS..=MAX_PROCESSORS,
     );
     let link_mbps = reader.quantity("link-mbps", LINK_HINT, 1.0..=MAX_LINK_MBPS);
+    let is_first_start = reader.optional("first-start", "true or false");
     reader.report_unknown_fields();
     let default = f64::from(DEFAULT_CAPACITY);
     let processor_percent = processors.map_or(default, |share| share * PERCENT_PER_PROCESSOR);
@@ -281,12 +290,14 @@
         capacity: u32::try_from(to_integer(capacity.round()))
             .unwrap_or(u32::MAX)
             .max(MIN_CAPACITY),
+        is_first_start: is_first_start.unwrap_or(false),
     })
 }
 
 struct BoundsSection {
     max_key_age: Duration,
     termination_grace: Duration,
+    leaving_delay: Duration,
     head_timeout: Duration,
     idle_timeout: Duration,
     max_connections: usize,
@@ -302,6 +313,7 @@
     let max_key_age = millis("key-ms", DEFAULT_MAX_KEY_AGE_MS);
     let head_timeout = millis("arrival-ms", DEFAULT_HEAD_TIMEOUT_MS);
     let idle_timeout = millis("idle-ms", DEFAULT_IDLE_TIMEOUT_MS);
+    let leaving_delay = millis("drain-ms", DEFAULT_LEAVING_DELAY_MS);
     let termination_grace = reader.quantity("grace-s", GRACE_HINT, 0.0..=MAX_SECONDS);
     let max_connections = reader.number(
         "connections",
@@ -314,6 +326,7 @@
         max_key_age,
         termination_grace: termination_grace
             .map_or(DEFAULT_TERMINATION_GRACE, Duration::from_secs_f64),
+        leaving_delay,
         head_timeout,
         idle_timeout,
         max_connections: usize::try_from(max_connections).unwrap_or(usize::MAX),
