Load adapters beside a further copy of their model

Cause: a model that was being loaded anywhere counted as the availability of its adapters, so for the whole time of the load no engine that held the model got an adapter, and callers were told to wait for the load.

Change: a missed adapter is looked for on engines that hold it, then ordered at one that holds its model, then announced for the end of that engine's order, and only then for the end of a load. A load that takes longer than expected is announced for its next report instead of four times 60 ms.

Tests: two in placement.rs, seen red (3.6 s instead of 24 ms; "later").

--- a/crates/eelgrasshill_relay/src/placement.rs
+++ b/crates/eelgrasshill_relay/src/placement.rs
@@ -64,6 +64,9 @@
 /// Time until an order that is due has been sent and answered.
 const ORDER_LATENCY: Duration = Duration::from_millis(10);
 
+/// Time from the decision to load an adapter until requests may be sent for it.
+const ADAPTER_READY_TIME: Duration = ORDER_LATENCY.saturating_add(ADAPTER_LOAD_TIME);
+
 /// Time in which the requests on a withdrawn copy usually finish.
 const UNLOAD_LATENCY: Duration = Duration::from_millis(800);
 
@@ -223,73 +226,88 @@
 
     /// Returns when a model or adapter is available, and plans a load if necessary.
     pub fn resolve_miss(&mut self, model_key: &ModelKey, now: Moment) -> Availability {
-        if let Some(found) = self.availability(model_key, now) {
+        if let Some(found) = self.held_availability(model_key, now) {
             return found;
         }
         self.misses.insert(model_key.clone(), now);
-        // An adapter of a model that an engine keeps needs no plan, and most misses are of that kind.
-        let mut found = self.adapter_availability(model_key);
-        if found.is_none() {
+        let found = match &model_key.adapter {
+            // An adapter of a model that an engine keeps needs no plan, and most misses are of
+            // that kind.
+            Some(_adapter) => self.adapter_availability(model_key, now),
+            None => None,
+        };
+        let found = found.or_else(|| self.loading_availability(model_key, now));
+        found.unwrap_or_else(|| {
             self.plan(now);
-            found = self
-                .availability(model_key, now)
-                .or_else(|| self.planned_availability(model_key, now));
-        }
-        found.unwrap_or(Availability::Later {
-            after: DEFAULT_RETRY_DELAY,
+            let planned = self.planned_availability(model_key, now);
+            planned.unwrap_or(Availability::Later {
+                after: DEFAULT_RETRY_DELAY,
+            })
         })
     }
 
     /// Returns the availability of an adapter whose model an engine keeps.
-    fn adapter_availability(&self, model_key: &ModelKey) -> Option<Availability> {
-        model_key.adapter.as_ref()?;
-        let engine = self.best_adapter_engine(&model_key.pool, &model_key.model)?;
-        Some(Availability::Ready {
-            engine: engine.clone(),
-            after: ORDER_LATENCY + ADAPTER_LOAD_TIME,
+    ///
+    /// An engine that carries out another order takes this one after it.
+    fn adapter_availability(&self, model_key: &ModelKey, now: Moment) -> Option<Availability> {
+        if let Some(engine) = self.best_adapter_engine(&model_key.pool, &model_key.model) {
+            return Some(Availability::Ready {
+                engine: engine.clone(),
+                after: ADAPTER_READY_TIME,
+            });
+        }
+        self.soonest(&model_key.pool, |state| {
+            let after = state.order_ends_after(now)?;
+            let will_take = state.keeps(&model_key.model) && !state.is_down();
+            will_take.then_some(after + ADAPTER_READY_TIME)
         })
     }
 
-    /// Returns the availability that the next orders will lead to.
-    fn planned_availability(&self, model_key: &ModelKey, now: Moment) -> Option<Availability> {
-        let pool = self.pools.get(&model_key.pool)?;
-        let model = pool.model(&model_key.model)?;
-        self.engines
-            .iter()
-            .filter(|(_id, state)| state.pool == model_key.pool)
-            .filter_map(|(id, state)| {
-                let room_delay = state.planned_load_room_delay(&model_key.model, now)?;
-                let after = room_delay + ORDER_LATENCY + state.load_time(model) + REPORT_SLACK;
-                Some((after, id))
-            })
-            .min()
-            .map(|(after, id)| Availability::Ready {
-                engine: id.clone(),
-                after,
-            })
+    /// Returns the availability of a model or adapter that an engine holds.
+    fn held_availability(&self, model_key: &ModelKey, now: Moment) -> Option<Availability> {
+        self.soonest(&model_key.pool, |state| {
+            state.held_after(&model_key.model, model_key.adapter.as_ref(), now)
+        })
     }
 
-    fn availability(&self, model_key: &ModelKey, now: Moment) -> Option<Availability> {
-        let engines = self
-            .engines
-            .iter()
-            .filter(|(_id, state)| state.pool == model_key.pool);
-        let mut soonest: Option<(Duration, &HostName)> = None;
-        for (id, state) in engines {
-            let Some(after) = state.ready_after(&model_key.model, model_key.adapter.as_ref(), now)
-            else {
-                continue;
-            };
-            if soonest.is_none_or(|(best, _id)| after < best) {
-                soonest = Some((after, id));
-            }
-        }
-        soonest.map(|(after, id)| Availability::Ready {
+    /// Returns the availability of a model that is being loaded, or of its adapter after that.
+    fn loading_availability(&self, model_key: &ModelKey, now: Moment) -> Option<Availability> {
+        let adapter_time = match &model_key.adapter {
+            Some(_adapter) => ADAPTER_READY_TIME,
+            None => Duration::ZERO,
+        };
+        self.soonest(&model_key.pool, |state| {
+            let after = state.loaded_after(&model_key.model, now)?;
+            Some(after + adapter_time)
+        })
+    }
+
+    /// Returns the engine of a pool with the shortest delay.
+    fn soonest(
+        &self,
+        pool: &PoolName,
+        delay: impl Fn(&EngineState) -> Option<Duration>,
+    ) -> Option<Availability> {
+        let engines = self.engines.iter();
+        let delays = engines
+            .filter(|(_id, state)| state.pool == *pool)
+            .filter_map(|(id, state)| Some((delay(state)?, id)));
+        delays.min().map(|(after, id)| Availability::Ready {
             engine: id.clone(),
             after,
         })
     }
 
+    /// Returns the availability that the next orders will lead to.
+    fn planned_availability(&self, model_key: &ModelKey, now: Moment) -> Option<Availability> {
+        let pool = self.pools.get(&model_key.pool)?;
+        let model = pool.model(&model_key.model)?;
+        self.soonest(&model_key.pool, |state| {
+            let room_delay = state.planned_load_room_delay(&model_key.model, now)?;
+            Some(room_delay + ORDER_LATENCY + state.load_time(model) + REPORT_SLACK)
+        })
+    }
+
     /// Returns the calls to make now; each engine has at most one pending call.
     pub fn next_calls(&mut self, now: Moment) -> Vec<(HostName, NextCall)> {
         if now.since(self.last_plan) >= PLAN_INTERVAL {
--- a/crates/eelgrasshill_relay/src/placement/engine_state.rs
+++ b/crates/eelgrasshill_relay/src/placement/engine_state.rs
@@ -265,38 +265,50 @@
                 .is_some_and(|planned_load| planned_load.evictions.contains(model))
     }
 
-    /// Returns the delay until the engine can serve a model and adapter.
-    ///
-    /// None if they are neither loaded nor being loaded.
-    pub(crate) fn ready_after(
+    /// Returns the delay until the engine can serve a model and adapter that it holds.
+    pub(crate) fn held_after(
         &self,
         model: &ModelName,
         adapter: Option<&AdapterName>,
         now: Moment,
     ) -> Option<Duration> {
-        if self.is_down() {
+        if self.is_down() || !self.keeps(model) {
             return None;
         }
-        if self.keeps(model) {
-            let Some(adapter) = adapter else {
-                return Some(Duration::ZERO);
-            };
-            let held = self.holding(model)?;
-            if !held.adapters.contains(adapter) {
-                return None;
-            }
-            let from = self.adapter_times.get(&(model.clone(), adapter.clone()));
-            return Some(from.map_or(Duration::ZERO, |from| from.since(now)));
+        let Some(adapter) = adapter else {
+            return Some(Duration::ZERO);
+        };
+        let held = self.holding(model)?;
+        if !held.adapters.contains(adapter) {
+            return None;
         }
-        // Adapters are ordered only after their model is loaded.
+        let from = self.adapter_times.get(&(model.clone(), adapter.clone()));
+        Some(from.map_or(Duration::ZERO, |from| from.since(now)))
+    }
+
+    /// Returns the delay until the engine has loaded a model that is being loaded.
+    pub(crate) fn loaded_after(&self, model: &ModelName, now: Moment) -> Option<Duration> {
         match &self.running_order {
-            Some(RunningOrder::Loading { model: new, until }) if new == model => {
-                Some(until.since(now) + REPORT_SLACK)
+            Some(RunningOrder::Loading { model: new, .. })
+                if new == model && !self.keeps(model) && !self.is_down() =>
+            {
+                self.order_ends_after(now)
             }
             _ => None,
         }
     }
 
+    /// Returns the delay until a report can show the end of the running order.
+    pub(crate) fn order_ends_after(&self, now: Moment) -> Option<Duration> {
+        match self.running_order.as_ref()? {
+            // A load that takes longer than expected is looked at again in each report.
+            RunningOrder::Loading { until, .. } if now >= *until => Some(REPORT_INTERVAL),
+            RunningOrder::Loading { until, .. } => Some(until.since(now) + REPORT_SLACK),
+            RunningOrder::Unloading { .. } => Some(UNLOAD_LATENCY),
+            RunningOrder::Foreign => Some(REPORT_INTERVAL),
+        }
+    }
+
     /// Returns the delay until a model that is planned for this engine has room.
     pub(crate) fn planned_load_room_delay(
         &self,
--- a/crates/eelgrasshill_relay/src/placement/planned_load.rs
+++ b/crates/eelgrasshill_relay/src/placement/planned_load.rs
@@ -306,7 +306,7 @@
             let Some(adapter) = &model_key.adapter else {
                 continue;
             };
-            if !state.keeps(&model_key.model) || self.availability(model_key, now).is_some() {
+            if !state.keeps(&model_key.model) || self.held_availability(model_key, now).is_some() {
                 continue;
             }
             if self.best_adapter_engine(&model_key.pool, &model_key.model) != Some(id) {
--- a/crates/eelgrasshill_relay/tests/engine_simulation/mod.rs
+++ b/crates/eelgrasshill_relay/tests/engine_simulation/mod.rs
@@ -196,6 +196,21 @@
         self.engines.values().filter(holds).count()
     }
 
+    /// Returns a model whose only copy is on an engine that loads another model.
+    pub fn kept_beside_a_load(&self) -> Option<ModelName> {
+        let is_loading =
+            |engine: &&Engine| matches!(&engine.current_order, Some((_end, Action::Load(_model))));
+        let mut engines = self.engines.values().filter(is_loading);
+        engines.find_map(|engine| {
+            let mut held = engine.held.iter().map(|(name, _adapters)| name);
+            held.find(|name| {
+                let holds = |other: &&Engine| other.held.iter().any(|(held, _)| held == *name);
+                self.engines.values().filter(holds).count() == 1
+            })
+            .cloned()
+        })
+    }
+
     pub fn run(&mut self, duration_ms: u64, faults: FaultRates) {
         let end = self.now_ms + duration_ms;
         let mut restarts = faults.restarts;
--- a/crates/eelgrasshill_relay/tests/placement.rs
+++ b/crates/eelgrasshill_relay/tests/placement.rs
@@ -175,3 +175,76 @@
     );
     assert_eq!(Moment(now.0), now);
 }
+
+/// A busy model gets a further copy, which takes seconds to load, while its adapters are requested.
+///
+/// Requests for adapters waited for the new copy and its successors, and no engine that held the
+/// model got the adapter.
+#[test]
+fn adapter_is_loaded_while_another_copy_of_its_model_loads() {
+    let mut simulation = EngineSimulation::new(6, 12, 8);
+    simulation.set_demand(0, 2_700);
+    while simulation.loads == 0 {
+        simulation.run(10, FaultRates::default());
+    }
+    simulation.run(500, FaultRates::default());
+    assert_eq!(simulation.copies(0), 1, "the further copy is still loading");
+    let model_key = ModelKey {
+        pool: pool_name(),
+        model: model(0),
+        adapter: Some(engine_simulation::adapter(3)),
+    };
+    for (wait_ms, most_ms) in [(30, 40), (0, 20)] {
+        let now = simulation.now();
+        let availability = simulation.planner.resolve_miss(&model_key, now);
+        assert!(
+            matches!(
+                availability,
+                Availability::Ready { after, .. } if after < Duration::from_millis(most_ms)
+            ),
+            "expected the adapter to be ready within {most_ms} ms, got {availability:?}"
+        );
+        simulation.run(wait_ms, FaultRates::default());
+    }
+}
+
+/// The only engine with a model loads another model, and takes no order for an adapter meanwhile.
+#[test]
+fn adapter_of_a_busy_engine_is_announced_for_the_end_of_its_order() {
+    let mut simulation = EngineSimulation::new(2, 6, 9);
+    simulation.run(3_000, FaultRates::default());
+    let missing = (0..6)
+        .find(|number| simulation.copies(*number) == 0)
+        .expect("two engines hold at most four of six models");
+    let before = simulation.loads;
+    simulation.set_demand(missing, 900);
+    while simulation.loads == before {
+        simulation.run(10, FaultRates::default());
+    }
+    simulation.run(500, FaultRates::default());
+    let kept = simulation.kept_beside_a_load();
+    let model_key = ModelKey {
+        pool: pool_name(),
+        model: kept.expect("an engine loads a model beside one that it holds"),
+        adapter: Some(engine_simulation::adapter(3)),
+    };
+    let now = simulation.now();
+    let availability = simulation.planner.resolve_miss(&model_key, now);
+    let Availability::Ready { after, .. } = availability else {
+        panic!("expected the end of the load, got {availability:?}");
+    };
+    assert!(
+        after > Duration::from_secs(3) && after < Duration::from_secs(4),
+        "expected the end of a load of 4 s that began 0.5 s ago, got {after:?}"
+    );
+    simulation.run(3_700, FaultRates::default());
+    let now = simulation.now();
+    let availability = simulation.planner.resolve_miss(&model_key, now);
+    assert!(
+        matches!(
+            availability,
+            Availability::Ready { after, .. } if after < Duration::from_millis(40)
+        ),
+        "expected the adapter to be ready within 40 ms, got {availability:?}"
+    );
+}
