Learn the speed of engines from when their answers start

Cause: the expected wait at an engine and the work of a request rested on 38 prompt tokens per ms, the data sheet of two deployments.

Change: each host fits the time until a stream's first event over the prompt tokens processed until then, for each pool, with factors for engines and models; the setting counts where nothing is known. The choice of an engine, the refusal of what cannot start in time and the demand for models use it. Ruled out: factors taken out of the fit's answers; they absorbed what the fit should have learned (test at half of the speed: 76 ms instead of 105). Also: expired state was only removed on hosts that read the store themselves; now in each round (found by reading, no test of its own).

Metric eelgrasshill_prompt_tokens_per_ms.

--- a/crates/eelgrasshill_gateway/src/follow.rs
+++ b/crates/eelgrasshill_gateway/src/follow.rs
@@ -266,7 +266,6 @@
             let changes = topic_records.extend(page.records, page.end, Some(confirmed_at));
             state.apply(self.topic, &changes, now);
         }
-        state.remove_expired(now);
     }
 
     fn end(&self) -> eelgrasshill_domain::Offset {
--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -11,10 +11,10 @@
 
 use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset};
 use eelgrasshill_relay::{
-    Candidate, EngineRests, HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams,
-    ModelKey, NoUpstream, Peer, PeerRole, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings,
-    SelectionSettings, SmoothedDemand, Tables, Totals, TotalsSender, Tree, UpstreamHealth,
-    UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    Candidate, EngineRests, EngineSpeeds, HostCounts, HostHash, KeyedRecord, KeyedTopic,
+    KnownUpstreams, ModelKey, NoUpstream, Peer, PeerRole, RateLimiter, ReceivedTotals, RetryBudget,
+    RetrySettings, SelectionSettings, SmoothedDemand, Tables, Totals, TotalsSender, Tree,
+    UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
 };
 use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
 
@@ -79,6 +79,8 @@
     pub health: UpstreamHealth,
     /// Upstreams that asked this host for rest.
     pub rests: EngineRests,
+    /// Speeds of the upstreams, learned from their answers.
+    pub speeds: EngineSpeeds,
     /// Budget of retries for each target pool.
     pub retries: RetryBudget,
     /// Token rate limits of the organisations.
@@ -124,6 +126,7 @@
             loads: UpstreamLoads::default(),
             health: UpstreamHealth::default(),
             rests: EngineRests::default(),
+            speeds: EngineSpeeds::new(bounds.prefill_tokens_per_ms),
             retries: RetryBudget::new(retry_settings(bounds), HostCounts::UNKNOWN.registered),
             rate_limiter: RateLimiter::default(),
             store_failure: None,
@@ -138,10 +141,7 @@
             host_counts: HostCounts::UNKNOWN,
             is_first_root: false,
             logged_counts: HostCounts::UNKNOWN,
-            selection: SelectionSettings {
-                prefill_tokens_per_ms: bounds.prefill_tokens_per_ms,
-                ..SelectionSettings::default()
-            },
+            selection: SelectionSettings::default(),
             host_hash: HostHash::new(&settings.name),
             zone: settings.zone.clone(),
             codec: PhantomData,
@@ -151,7 +151,7 @@
     /// Applies changed settings for retries and the prefill rate.
     pub fn set_bounds(&mut self, bounds: &GatewayBounds) {
         self.retries.set_settings(retry_settings(bounds));
-        self.selection.prefill_tokens_per_ms = bounds.prefill_tokens_per_ms;
+        self.speeds.set_default(bounds.prefill_tokens_per_ms);
     }
 
     /// Returns the records of a topic; none for the lease, which is not kept by key.
@@ -357,8 +357,12 @@
     }
 
     /// Recomputes the totals once in a round of the exchange, and logs changed host counts.
+    ///
+    /// Also removes what has expired, since most hosts do not read the store themselves.
     pub fn finish_round(&mut self, now: Moment) {
         let before = self.logged_counts;
+        self.remove_expired(now);
+        crate::telemetry::set_engine_speeds(&self.speeds);
         self.refresh_totals(now);
         if before != self.host_counts {
             log::info!(
@@ -451,6 +455,7 @@
             loads: &self.loads,
             health: &self.health,
             rests: &self.rests,
+            speeds: &self.speeds,
             zone: &self.zone,
             settings: &self.selection,
         };
@@ -458,11 +463,12 @@
     }
 
     /// Removes the loads and outcomes of upstreams that no longer exist.
-    pub fn remove_expired(&mut self, now: Moment) {
+    fn remove_expired(&mut self, now: Moment) {
         self.upstreams.expire(now);
         self.rests.expire(now);
         let upstreams = &self.upstreams;
         self.loads.retain(|id| upstreams.get(id).is_some());
         self.health.retain(|id| upstreams.get(id).is_some());
+        self.speeds.retain(|id| upstreams.get(id).is_some());
     }
 }
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -215,11 +215,13 @@
     }
     state.retries.note_request(&target_pool, now);
     if let Some(model_key) = model_key(&metadata, &target_pool) {
-        state.demand.record_request(
-            model_key,
-            work_micros(&metadata, shared.bounds().prefill_tokens_per_ms),
-            now,
-        );
+        let model = Some(&model_key.model);
+        let prompt_tokens = metadata.prompt_tokens;
+        let prompt_time = state.speeds.prompt_time(&target_pool, model, prompt_tokens);
+        // The prefill of the prompt, and the request's part in the steps of its answer.
+        let prompt_micros = u64::try_from(prompt_time.as_micros()).unwrap_or(u64::MAX);
+        let work_micros = prompt_micros.saturating_add(ANSWER_WORK_MICROS);
+        state.demand.record_request(model_key, work_micros, now);
     }
     drop(state);
     let time_limit = metadata
@@ -260,13 +262,6 @@
     })
 }
 
-/// Returns the work of an engine for a request, in microseconds.
-///
-/// It consists of the prefill of the prompt and the request's part in the steps of its answer.
-fn work_micros(metadata: &RequestMetadata, prefill: u64) -> u64 {
-    metadata.prompt_tokens * 1_000 / prefill.max(1) + ANSWER_WORK_MICROS
-}
-
 /// Returns the organisation of a request's key; none if the route is open to all.
 fn authorise(
     tables: &Tables,
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -188,8 +188,10 @@
                 return Err(Refusal::new(RefusalCause::Resting).with_retry(after));
             }
         };
-        let prefill_time = Duration::from_micros(
-            self.metadata.prompt_tokens * 1_000 / self.shared.bounds().prefill_tokens_per_ms.max(1),
+        let prefill_time = state.speeds.prompt_time(
+            &self.target_pool,
+            self.metadata.model.as_ref(),
+            self.metadata.prompt_tokens,
         );
         // A prompt whose prefill takes most of the objective is late on any upstream.
         let max_wait = (self.route.objective * START_PERCENT / 100)
@@ -280,7 +282,7 @@
     ) -> Result<IncomingAnswer<C>, SendFailure> {
         let mut guard = LoadGuard::new(
             &self.shared,
-            &upstream.id,
+            upstream,
             self.rank(),
             self.metadata.prompt_tokens,
         );
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -7,9 +7,11 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastSet, HostName, Incarnation, Moment};
+use eelgrasshill_domain::{FastSet, HostName, Incarnation, ModelName, Moment};
 use eelgrasshill_ports::{BootClock, lock};
-use eelgrasshill_relay::{Capacity, Lease, MaxKeyAge, Peer, PlacementPlanner, RequestOutcome};
+use eelgrasshill_relay::{
+    AnswerStart, Capacity, Lease, MaxKeyAge, Peer, PlacementPlanner, RequestOutcome, Upstream,
+};
 use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
 use tokio::sync::Notify;
 
@@ -226,23 +228,37 @@
 #[derive(Debug)]
 pub struct LoadGuard<C: PlatformCodec> {
     shared: Arc<Shared<C>>,
-    // Id of the upstream.
-    id: HostName,
+    upstream: Arc<Upstream>,
     rank: u8,
     queued_tokens: u64,
+    sent_at: Moment,
+    // Prompt tokens that the upstream processes before those of this request.
+    tokens_ahead: u64,
     outcome: Option<RequestOutcome>,
 }
 
 impl<C: PlatformCodec> LoadGuard<C> {
     /// Counts a request that is about to be sent, with its prompt tokens as queued.
     #[must_use]
-    pub fn new(shared: &Arc<Shared<C>>, id: &HostName, rank: u8, prompt_tokens: u64) -> Self {
-        shared.state().loads.record_start(id, rank, prompt_tokens);
+    pub fn new(
+        shared: &Arc<Shared<C>>,
+        upstream: &Arc<Upstream>,
+        rank: u8,
+        prompt_tokens: u64,
+    ) -> Self {
+        let tokens_ahead = {
+            let loads = &mut shared.state().loads;
+            let tokens_ahead = loads.total(&upstream.id).tokens_ahead(rank);
+            loads.record_start(&upstream.id, rank, prompt_tokens);
+            tokens_ahead
+        };
         Self {
             rank,
             shared: Arc::clone(shared),
-            id: id.clone(),
+            upstream: Arc::clone(upstream),
             queued_tokens: prompt_tokens,
+            sent_at: BootClock.now(),
+            tokens_ahead,
             outcome: None,
         }
     }
@@ -253,7 +269,21 @@
         self.shared
             .state()
             .loads
-            .record_answer_start(&self.id, self.rank, queued_tokens);
+            .record_answer_start(&self.upstream.id, self.rank, queued_tokens);
+    }
+
+    /// Records the first event of a stream for a model, from which the upstream's speed is learned.
+    pub fn record_first_event(&mut self, model: Option<&ModelName>) {
+        if let Some(model) = model {
+            self.shared.state().speeds.record(&AnswerStart {
+                pool: &self.upstream.pool,
+                engine: &self.upstream.id,
+                model,
+                tokens: self.tokens_ahead + self.queued_tokens,
+                elapsed: BootClock.now().since(self.sent_at),
+            });
+        }
+        self.record_answer_start();
     }
 
     /// Sets the outcome, which is recorded once, when the guard is dropped.
@@ -267,12 +297,12 @@
         let mut state = self.shared.state();
         state
             .loads
-            .record_answer_start(&self.id, self.rank, self.queued_tokens);
-        state.loads.record_end(&self.id);
+            .record_answer_start(&self.upstream.id, self.rank, self.queued_tokens);
+        state.loads.record_end(&self.upstream.id);
         if let Some(outcome) = self.outcome {
             state
                 .health
-                .record_outcome(&self.id, outcome, BootClock.now());
+                .record_outcome(&self.upstream.id, outcome, BootClock.now());
         }
     }
 }
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -170,7 +170,10 @@
                 return Err((self, open_request, SendFailure::Lost(error)));
             }
         };
-        events.incoming.guard.record_answer_start();
+        events
+            .incoming
+            .guard
+            .record_first_event(self.metadata.model.as_ref());
         let now = BootClock.now();
         crate::telemetry::record_first_event(&self.route, now.since(self.arrived_at));
         let leaving = self.shared.leaving().is_some();
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -9,7 +9,7 @@
 
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::BootClock;
-use eelgrasshill_relay::Route;
+use eelgrasshill_relay::{EngineSpeeds, Route};
 
 use crate::refusal::RefusalCause;
 
@@ -148,6 +148,13 @@
     metrics::counter!("eelgrasshill_upstream_signals_total", "signal" => signal).increment(1);
 }
 
+/// Sets the learned speed of each pool's average engine, in prompt tokens per millisecond.
+pub(crate) fn set_engine_speeds(speeds: &EngineSpeeds) {
+    for (pool, speed) in speeds.pool_speeds() {
+        metrics::gauge!("eelgrasshill_prompt_tokens_per_ms", "pool" => pool.to_string()).set(speed);
+    }
+}
+
 /// Counts a call to the store by topic and end.
 pub(crate) fn count_store_call(topic: crate::codec::Topic, end: &'static str) {
     metrics::counter!("eelgrasshill_store_calls_total", "topic" => topic.to_string(), "end" => end)
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod demand;
 mod engine_rests;
+mod engine_speeds;
 mod events;
 mod health;
 mod key_age;
@@ -24,6 +25,7 @@
 
 pub use demand::{ModelKey, SmoothedDemand};
 pub use engine_rests::EngineRests;
+pub use engine_speeds::{AnswerStart, EngineSpeeds};
 pub use events::{EventSplitter, has_content};
 pub use health::{RequestOutcome, UpstreamHealth};
 pub use key_age::MaxKeyAge;
--- a/crates/eelgrasshill_relay/src/selection.rs
+++ b/crates/eelgrasshill_relay/src/selection.rs
@@ -15,7 +15,7 @@
     AdapterName, FastSet, HostName, ModelName, Moment, PoolName, ZoneName, record,
 };
 
-use crate::{EngineRests, KnownUpstreams, Upstream, UpstreamHealth, UpstreamLoads};
+use crate::{EngineRests, EngineSpeeds, KnownUpstreams, Upstream, UpstreamHealth, UpstreamLoads};
 
 /// Number of slots to which the cost of running requests is scaled.
 ///
@@ -26,9 +26,6 @@
     /// Cost factors for the comparison of upstreams.
     #[derive(Copy)]
     pub struct SelectionSettings {
-        /// Prompt tokens that an engine processes per millisecond.
-        #[serde(rename = "prefill")]
-        pub prefill_tokens_per_ms: u64,
         /// Cost of one running request, in microseconds of wait.
         #[serde(rename = "running")]
         pub running_cost: u64,
@@ -44,8 +41,6 @@
 impl Default for SelectionSettings {
     fn default() -> Self {
         Self {
-            // From the data sheet of the engines.
-            prefill_tokens_per_ms: 38,
             // Each request in a batch lengthens a decoding step of about 6 ms by 1 percent. The
             // cost is doubled, because running requests also announce further prompts.
             running_cost: 1_000,
@@ -107,6 +102,8 @@
     pub health: &'a UpstreamHealth,
     /// Upstreams that asked for rest.
     pub rests: &'a EngineRests,
+    /// Learned speeds of the upstreams.
+    pub speeds: &'a EngineSpeeds,
     /// Zone of this host.
     pub zone: &'a ZoneName,
     /// Cost factors of the comparison.
@@ -169,7 +166,10 @@
     fn candidate(&self, upstream: &Arc<Upstream>, rank: u8, now: Moment) -> Candidate {
         let load = self.loads.total(&upstream.id);
         let settings = self.settings;
-        let wait_us = load.tokens_ahead(rank) * 1_000 / settings.prefill_tokens_per_ms.max(1);
+        let wait = self
+            .speeds
+            .queue_time(&upstream.pool, &upstream.id, load.tokens_ahead(rank));
+        let wait_us = u64::try_from(wait.as_micros()).unwrap_or(u64::MAX);
         let zone_cost = if upstream.zone == *self.zone {
             0
         } else {
@@ -180,9 +180,11 @@
             / u64::from(upstream.slots.max(1));
         Candidate {
             upstream: Arc::clone(upstream),
-            wait: Duration::from_micros(wait_us),
+            wait,
             running: load.running,
-            cost: wait_us + running_cost + zone_cost + failures * settings.failure_cost / 1_000,
+            cost: wait_us
+                .saturating_add(running_cost + zone_cost)
+                .saturating_add(failures * settings.failure_cost / 1_000),
         }
     }
 }
--- a/crates/eelgrasshill_relay/tests/records.rs
+++ b/crates/eelgrasshill_relay/tests/records.rs
@@ -7,9 +7,10 @@
     FastMap, FastSet, HostName, Incarnation, ModelName, Moment, Offset, PoolName, ZoneName,
 };
 use eelgrasshill_relay::{
-    EngineRests, EventSplitter, HoldingsUpdate, KeyedRecord, KeyedTopic, KnownUpstreams, MaxKeyAge,
-    Peer, RANKS, RequestOutcome, ResidentModel, RetryBudget, RetrySettings, SelectionSettings,
-    Tree, Upstream, UpstreamHealth, UpstreamLoad, UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    EngineRests, EngineSpeeds, EventSplitter, HoldingsUpdate, KeyedRecord, KeyedTopic,
+    KnownUpstreams, MaxKeyAge, Peer, RANKS, RequestOutcome, ResidentModel, RetryBudget,
+    RetrySettings, SelectionSettings, Tree, Upstream, UpstreamHealth, UpstreamLoad, UpstreamLoads,
+    UpstreamQuery, UpstreamSelector,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -322,6 +323,7 @@
                 loads,
                 health,
                 rests: &EngineRests::default(),
+                speeds: &EngineSpeeds::new(38),
                 zone: &zone,
                 settings: &settings,
             };
--- a/crates/eelgrasshill_relay/tests/upstream_signals.rs
+++ b/crates/eelgrasshill_relay/tests/upstream_signals.rs
@@ -4,8 +4,9 @@
 
 use eelgrasshill_domain::{FastSet, HostName, ModelName, Moment, Offset, PoolName, ZoneName};
 use eelgrasshill_relay::{
-    EngineRests, KnownUpstreams, LeavingNotice, NoUpstream, RequestOutcome, ResidentModel,
-    SelectionSettings, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    EngineRests, EngineSpeeds, KnownUpstreams, LeavingNotice, NoUpstream, RequestOutcome,
+    ResidentModel, SelectionSettings, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery,
+    UpstreamSelector,
 };
 
 fn name(text: &str) -> HostName {
@@ -399,6 +400,7 @@
             loads: &UpstreamLoads::default(),
             health: &health,
             rests: &rests,
+            speeds: &EngineSpeeds::new(38),
             zone: &zone,
             settings: &SelectionSettings::default(),
         };
