Bring a configuration to every host in time when the first root loses the store

Cause: if the first root was cut off from the store but not from its peers, the other hosts read the configuration themselves only when theirs was 2 s old and more, whatever the platform's bound.

Test: a simulated fleet of 295 hosts with bounds of 2, 3 and 4 s, seen red with the old ages (2.06 s of 2 s). The tests of a start and of a lost first root also play the new ages.

--- a/crates/eelgrasshill_gateway/src/follow.rs
+++ b/crates/eelgrasshill_gateway/src/follow.rs
@@ -35,31 +35,14 @@
 /// Time between these checks while the host has just started.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// How long a read of the configuration by the first root waits for a change.
-///
-/// A quarter of the time for which keys are accepted without a new read.
-const CONFIG_READ_WAIT: Duration = Duration::from_millis(1_200);
-
-/// Part of the time for which keys are accepted, in percent, at which a root reads the keys itself.
-const CONFIG_AGE_PERCENT: u32 = 40;
-
-/// Pause between two reads of the upstreams' entries, in percent of the leaving delay.
-const UPSTREAM_PAUSE_PERCENT: u32 = 20;
-
-/// Age of the upstreams' entries at which a root reads them itself, in percent of the leaving delay.
-const UPSTREAM_AGE_PERCENT: u32 = 65;
-
-/// Part of the leaving delay that is left for a read of the upstreams' entries.
-const UPSTREAM_READ_TIME: Duration = Duration::from_millis(400);
+/// Time within which a new registration must reach every host.
+const HOST_BOUND: Duration = Duration::from_secs(20);
 
 /// Pause between reads of the hosts' registrations.
 const HOST_READ_PAUSE: Duration = Duration::from_secs(2);
 
-/// Age at which a root reads the registrations from the store itself.
-const HOST_AGE: Duration = Duration::from_secs(10);
-
-/// Age that is added for each level below the roots: a round of the exchange.
-const LEVEL_AGE: Duration = Duration::from_millis(250);
+/// Part of the time for which keys are accepted within which a new configuration must be known.
+const KEY_AGE_PERCENT: u32 = 80;
 
 /// How long a host that restarts waits for its parent, while callers send requests.
 const RESTART_PATIENCE: Duration = Duration::from_millis(300);
@@ -86,36 +69,25 @@
         } else {
             RESTART_PATIENCE
         };
-        let (wait, pause, root_age, max_age) = match topic {
-            Topic::Config => (
-                CONFIG_READ_WAIT.min(bounds.max_key_age / 4),
-                Duration::ZERO,
-                bounds.max_key_age * CONFIG_AGE_PERCENT / 100,
-                bounds.max_key_age * CONFIG_AGE_PERCENT / 100 + LEVEL_AGE * 2,
-            ),
-            Topic::Upstreams => (
-                Duration::ZERO,
-                bounds.leaving_delay * UPSTREAM_PAUSE_PERCENT / 100,
-                bounds.leaving_delay * UPSTREAM_AGE_PERCENT / 100,
-                bounds.leaving_delay.saturating_sub(UPSTREAM_READ_TIME),
-            ),
+        let bound = match topic {
+            Topic::Config => bounds
+                .config_delay
+                .min(bounds.max_key_age * KEY_AGE_PERCENT / 100),
+            Topic::Upstreams => bounds.leaving_delay,
             // The lease is not followed.
-            Topic::Hosts | Topic::Lease => (
-                Duration::ZERO,
-                HOST_READ_PAUSE,
-                HOST_AGE,
-                HOST_AGE + LEVEL_AGE * 2,
-            ),
+            Topic::Hosts | Topic::Lease => HOST_BOUND,
+        };
+        let policy = ReadPolicy::new(bound, patience);
+        let (wait, pause) = match topic {
+            // A changed configuration ends the wait.
+            Topic::Config => (policy.read_interval, Duration::ZERO),
+            Topic::Upstreams => (Duration::ZERO, policy.read_interval),
+            Topic::Hosts | Topic::Lease => (Duration::ZERO, HOST_READ_PAUSE),
         };
         Self {
             wait,
             pause,
-            policy: ReadPolicy {
-                root_age,
-                level_age: LEVEL_AGE,
-                max_age,
-                patience,
-            },
+            policy,
         }
     }
 }
--- a/crates/eelgrasshill_relay/tests/read_policy.rs
+++ b/crates/eelgrasshill_relay/tests/read_policy.rs
@@ -9,6 +9,7 @@
 use rand::{RngExt, SeedableRng};
 
 const POLICY: ReadPolicy = ReadPolicy {
+    read_interval: Duration::from_millis(800),
     root_age: Duration::from_millis(2_600),
     level_age: Duration::from_millis(250),
     max_age: Duration::from_secs(3),
@@ -93,7 +94,6 @@
 const ROUND_MS: u64 = 250;
 const START_ROUND_MS: u64 = 50;
 const HOST_READ_MS: u64 = 2_000;
-const RECORD_READ_MS: u64 = 800;
 const CHECK_MS: u64 = 200;
 /// Time after which a caller notices that its peer is gone.
 const PEER_TIMEOUT_MS: u64 = 400;
@@ -108,6 +108,8 @@
     started_at: u64,
     registered: bool,
     alive: bool,
+    /// Whether its calls to the store get no answer.
+    store_cut: bool,
     next_round: u64,
     next_host_read: u64,
     next_check: u64,
@@ -140,6 +142,7 @@
                 started_at: random.random_range(0..700),
                 registered: false,
                 alive: true,
+                store_cut: false,
                 next_round: 0,
                 next_host_read: 0,
                 next_check: 0,
@@ -193,8 +196,11 @@
             };
             if self.policy.should_read(&state, moment) {
                 host.calls += 1;
-                host.next_check = now + RECORD_READ_MS;
-                host.confirmed_at = Some(moment);
+                let interval = self.policy.read_interval.as_millis();
+                host.next_check = now + u64::try_from(interval).expect("an interval is short");
+                if !host.store_cut {
+                    host.confirmed_at = Some(moment);
+                }
             }
             if is_first || (position.reads_store && now >= host.next_host_read) {
                 host.calls += 1;
@@ -242,6 +248,16 @@
         }
     }
 
+    /// Returns the first root, once all hosts know each other.
+    fn first_root(&mut self, now: u64) -> &mut SimulatedHost {
+        let members = self.members.iter_mut();
+        let mut first = members.filter_map(|host| {
+            let reads = host.tree.position(Moment(now)).reads_store;
+            reads.then_some(host)
+        });
+        first.next().expect("there is a first root")
+    }
+
     fn calls(&self) -> usize {
         self.members.iter().map(|host| host.calls).sum()
     }
@@ -259,14 +275,22 @@
     }
 }
 
+fn seeds_and_policies() -> impl Iterator<Item = (u64, ReadPolicy)> {
+    let policies = [
+        POLICY,
+        ReadPolicy::new(Duration::from_secs(4), POLICY.patience),
+    ];
+    (0..4).flat_map(move |seed| policies.map(|policy| (seed, policy)))
+}
+
 /// Guards against a start of all hosts in which each reads every topic.
 ///
 /// Hosts that read the registrations before they wrote their own found nobody, and all took
 /// themselves for the first root.
 #[test]
 fn a_start_of_all_hosts_costs_two_calls_for_each() {
-    for seed in 0..4 {
-        let mut fleet = Fleet::new(POLICY, seed);
+    for (seed, policy) in seeds_and_policies() {
+        let mut fleet = Fleet::new(policy, seed);
         fleet.run(0, 6_000);
         for host in &fleet.members {
             assert_eq!(
@@ -293,18 +317,10 @@
 /// Guards against a fleet that reads the store because one host is gone.
 #[test]
 fn the_loss_of_the_first_root_makes_few_hosts_read() {
-    for seed in 0..4 {
-        let mut fleet = Fleet::new(POLICY, seed);
+    for (seed, policy) in seeds_and_policies() {
+        let mut fleet = Fleet::new(policy, seed);
         fleet.run(0, 6_000);
-        let first = fleet
-            .members
-            .iter_mut()
-            .find_map(|host| {
-                let reads = host.tree.position(Moment(6_000)).reads_store;
-                reads.then_some(&mut *host)
-            })
-            .expect("there is a first root");
-        first.alive = false;
+        fleet.first_root(6_000).alive = false;
         let before = fleet.calls();
         fleet.run(6_000, 11_000);
         let calls = fleet.calls() - before;
@@ -318,3 +334,42 @@
         );
     }
 }
+
+/// The first root loses its path to the store, but answers its peers.
+///
+/// The other hosts read only when their records were two seconds old, whatever the bound, so a
+/// configuration that must be in force within two seconds was not.
+#[test]
+fn records_reach_all_hosts_in_time_when_the_first_root_loses_the_store() {
+    for seed in 0..4 {
+        for bound_ms in [2_000, 3_000, 4_000] {
+            let policy = ReadPolicy::new(Duration::from_millis(bound_ms), POLICY.patience);
+            let mut fleet = Fleet::new(policy, seed);
+            fleet.run(0, 8_000);
+            let first = fleet.first_root(8_000);
+            first.store_cut = true;
+            let name = first.me.host.clone();
+            let before = fleet.calls();
+            let mut now = 8_000;
+            while now < 16_000 {
+                fleet.run(now, now + 100);
+                now += 100;
+                for host in fleet.members.iter().filter(|host| host.me.host != name) {
+                    let confirmed_at = host.confirmed_at.expect("the host has records");
+                    let age = Moment(now).since(confirmed_at);
+                    assert!(
+                        age <= Duration::from_millis(bound_ms),
+                        "seed {seed}: {} has records of {age:?}, {bound_ms} ms are allowed",
+                        host.me.host
+                    );
+                }
+            }
+            // The first root goes on, and the other roots take turns.
+            let calls = fleet.calls() - before;
+            assert!(
+                calls <= 150,
+                "seed {seed}, {bound_ms} ms: {calls} calls in 8 s"
+            );
+        }
+    }
+}
--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -58,6 +58,9 @@
 const DEFAULT_HEAD_TIMEOUT_MS: u64 = 5_000;
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 20_000;
 const DEFAULT_LEAVING_DELAY_MS: u64 = 2_000;
+
+/// The default of `config-ms`, the shortest delay that platforms ask for.
+const DEFAULT_CONFIG_DELAY_MS: u64 = 2_000;
 const DEFAULT_TERMINATION_GRACE: Duration = Duration::from_secs(8);
 const DEFAULT_MAX_CONNECTIONS: u64 = 1_500;
 const DEFAULT_RETRIES_PER_THOUSAND: u64 = 200;
@@ -103,7 +106,7 @@
 /// The limits that a running gateway reloads when its settings change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[debug(
-    "GatewayBounds {{ key: {max_key_age:?}, grace: {termination_grace:?}, drain: {leaving_delay:?}, retries: {retries:?}, prefill: {prefill_tokens_per_ms:?} }}"
+    "GatewayBounds {{ key: {max_key_age:?}, grace: {termination_grace:?}, drain: {leaving_delay:?}, config: {config_delay:?}, retries: {retries:?}, prefill: {prefill_tokens_per_ms:?} }}"
 )]
 pub struct GatewayBounds {
     /// How long a key is accepted without confirmation that it is still valid.
@@ -112,6 +115,8 @@
     pub termination_grace: Duration,
     /// How long requests may go to an upstream after its entry said that it is leaving.
     pub leaving_delay: Duration,
+    /// How long after it was accepted a configuration must be in force on every host.
+    pub config_delay: Duration,
     /// The maximum number of retries of the whole fleet.
     pub retries: RetryBounds,
     /// Prompt tokens that an engine processes per millisecond.
@@ -233,6 +238,7 @@
                 max_key_age: bounds.max_key_age,
                 termination_grace: bounds.termination_grace,
                 leaving_delay: bounds.leaving_delay,
+                config_delay: bounds.config_delay,
                 retries,
                 prefill_tokens_per_ms,
             },
@@ -298,6 +304,7 @@
     max_key_age: Duration,
     termination_grace: Duration,
     leaving_delay: Duration,
+    config_delay: Duration,
     head_timeout: Duration,
     idle_timeout: Duration,
     max_connections: usize,
@@ -314,6 +321,7 @@
     let head_timeout = millis("arrival-ms", DEFAULT_HEAD_TIMEOUT_MS);
     let idle_timeout = millis("idle-ms", DEFAULT_IDLE_TIMEOUT_MS);
     let leaving_delay = millis("drain-ms", DEFAULT_LEAVING_DELAY_MS);
+    let config_delay = millis("config-ms", DEFAULT_CONFIG_DELAY_MS);
     let termination_grace = reader.quantity("grace-s", GRACE_HINT, 0.0..=MAX_SECONDS);
     let max_connections = reader.number(
         "connections",
@@ -327,6 +335,7 @@
         termination_grace: termination_grace
             .map_or(DEFAULT_TERMINATION_GRACE, Duration::from_secs_f64),
         leaving_delay,
+        config_delay,
         head_timeout,
         idle_timeout,
         max_connections: usize::try_from(max_connections).unwrap_or(usize::MAX),
