Let one host pick the engine of each prompt for all hosts

Change: one host, the strongest by a hash, picks the engine of each prompt. Hosts ask it by datagrams and tell it when an answer starts and ends, so it knows what is under way. It bounds the prompts at an engine by the longest pause that the route accepts; further ones wait at their hosts, the earliest start first, or are rejected if they would start too late. Prompts that alone take longer than a pause go where they interrupt the fewest streams. Engines without a free slot are left out. Without an answer a host decides by itself, as before.

Ruled out: queue lengths from reports of engines (priced, some 100 ms old).

--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -9,17 +9,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset};
+use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, ZoneName};
 use eelgrasshill_relay::{
-    Candidate, EngineRests, EngineSpeeds, HostCounts, HostHash, KeyedRecord, KeyedTopic,
-    KnownUpstreams, ModelKey, NoUpstream, Peer, PeerRole, RateLimiter, ReceivedTotals, RetryBudget,
-    RetrySettings, SelectionSettings, SmoothedDemand, Tables, Totals, TotalsSender, Tree,
-    UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    Candidate, EnginePicker, EngineRests, EngineSpeeds, HostCounts, HostHash, KeyedRecord,
+    KeyedTopic, KnownUpstreams, ModelKey, NoUpstream, Peer, PeerRole, Pick, PickerHost,
+    RateLimiter, ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings, SmoothedDemand,
+    Tables, Ticket, Totals, TotalsSender, Tree, Upstream, UpstreamHealth, UpstreamLoads,
+    UpstreamQuery, UpstreamSelector,
 };
 use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
 
 use crate::codec::{PlatformCodec, Topic};
 use crate::compression::RecordCompressor;
+use crate::pick_socket::{HostQuery, PickProgress};
 
 /// How long a store failure counts as recent; live upstreams have registered again by then.
 const STORE_FAILURE_TTL: Duration = Duration::from_secs(3);
@@ -81,6 +83,11 @@
     pub rests: EngineRests,
     /// Speeds of the upstreams, learned from their answers.
     pub speeds: EngineSpeeds,
+    /// Prompts of all hosts, if this host picks their engines.
+    picker: EnginePicker,
+    picker_host: PickerHost,
+    // The picker of the last log line.
+    logged_picker: Option<HostName>,
     /// Budget of retries for each target pool.
     pub retries: RetryBudget,
     /// Token rate limits of the organisations.
@@ -108,7 +115,7 @@
     logged_counts: HostCounts,
     selection: SelectionSettings,
     host_hash: HostHash,
-    zone: eelgrasshill_domain::ZoneName,
+    zone: ZoneName,
     codec: PhantomData<C>,
 }
 
@@ -127,6 +134,9 @@
             health: UpstreamHealth::default(),
             rests: EngineRests::default(),
             speeds: EngineSpeeds::new(bounds.prefill_tokens_per_ms),
+            picker: EnginePicker::default(),
+            picker_host: PickerHost::default(),
+            logged_picker: None,
             retries: RetryBudget::new(retry_settings(bounds), HostCounts::UNKNOWN.registered),
             rate_limiter: RateLimiter::default(),
             store_failure: None,
@@ -450,16 +460,107 @@
     ///
     /// Returns [`NoUpstream`] if no upstream can serve it.
     pub fn choose(&self, query: &UpstreamQuery<'_>, now: Moment) -> Result<Candidate, NoUpstream> {
-        let selector = UpstreamSelector {
+        let selector = self.selector(&self.zone, &self.rests);
+        selector.choose(query, |count| rand::random_range(0..count), now)
+    }
+
+    fn selector<'a>(&'a self, zone: &'a ZoneName, rests: &'a EngineRests) -> UpstreamSelector<'a> {
+        UpstreamSelector {
             upstreams: &self.upstreams,
             loads: &self.loads,
             health: &self.health,
-            rests: &self.rests,
+            rests,
             speeds: &self.speeds,
-            zone: &self.zone,
+            zone,
             settings: &self.selection,
+        }
+    }
+
+    /// Picks the engine for a request of any host; returns none if this host knows none.
+    pub(crate) fn pick(&mut self, query: &HostQuery, now: Moment) -> Option<Pick> {
+        let upstream_query = UpstreamQuery {
+            pool: &query.prompt.pool,
+            model: Some(&query.prompt.model),
+            adapter: query.adapter.as_ref(),
+            rank: query.prompt.rank,
+            tried: &query.excluded,
         };
-        selector.choose(query, |count| rand::random_range(0..count), now)
+        // Engines rest for the hosts that they asked, and those exclude them.
+        let no_rests = EngineRests::default();
+        let selector = self.selector(&query.zone, &no_rests);
+        let candidates = selector.pick_candidates(&upstream_query, &query.holder, now);
+        let draw = |count| rand::random_range(0..count);
+        self.picker
+            .pick(&query.prompt, &candidates, &self.speeds, draw, now)
+    }
+
+    /// Applies a note on a request that this host picked an engine for.
+    ///
+    /// A failure at another host counts like one at this host.
+    pub(crate) fn note_pick(&mut self, ticket: Ticket, progress: PickProgress, now: Moment) {
+        match progress {
+            PickProgress::Answering { elapsed } => {
+                self.picker
+                    .note_answer(ticket, elapsed, now, &mut self.speeds);
+            }
+            PickProgress::Ended { outcome } => {
+                let engine = self.picker.note_end(ticket, now);
+                if let (Some(engine), Some(outcome)) = (engine, outcome) {
+                    self.health.record_outcome(&engine, outcome, now);
+                }
+            }
+        }
+    }
+
+    /// Returns the upstreams that hold a request's model and that this host does not use for it.
+    pub(crate) fn excluded(&self, query: &UpstreamQuery<'_>, now: Moment) -> FastSet<HostName> {
+        self.selector(&self.zone, &self.rests).excluded(query, now)
+    }
+
+    /// Returns an upstream if this host may send the request to it.
+    pub(crate) fn usable(
+        &self,
+        query: &UpstreamQuery<'_>,
+        id: &HostName,
+        now: Moment,
+    ) -> Option<Arc<Upstream>> {
+        self.selector(&self.zone, &self.rests)
+            .usable(query, id, now)
+    }
+
+    /// Returns the host that picks engines; none if none of those that could answers.
+    pub(crate) fn picker_host(&mut self, now: Moment) -> Option<Peer> {
+        self.hosts.confirmed_at()?;
+        let picker = self.picker_host.choose(&self.tree, &self.zone, now)?;
+        if self.logged_picker.as_ref() != Some(&picker.host) {
+            log::info!(
+                "picks: picker={} before={}",
+                picker.host,
+                self.logged_picker
+                    .as_ref()
+                    .map_or("-", |host| host.as_str())
+            );
+            self.logged_picker = Some(picker.host.clone());
+        }
+        Some(picker.clone())
+    }
+
+    /// Notes that the picker answered.
+    pub(crate) fn note_picker_answer(&mut self) {
+        self.picker_host.note_answer();
+    }
+
+    /// Leaves a picker out for a while, as it said that it does not pick.
+    pub(crate) fn avoid_picker(&mut self, host: &HostName, now: Moment) {
+        log::info!("picks: picker={host} does not pick now");
+        self.picker_host.avoid(host, now);
+    }
+
+    /// Notes that the picker did not answer.
+    pub(crate) fn note_picker_failure(&mut self, host: &HostName, now: Moment) {
+        if self.picker_host.note_failure(host, now) {
+            log::info!("picks: picker={host} did not answer and is left out");
+        }
     }
 
     /// Removes the loads and outcomes of upstreams that no longer exist.
@@ -470,5 +571,6 @@
         self.loads.retain(|id| upstreams.get(id).is_some());
         self.health.retain(|id| upstreams.get(id).is_some());
         self.speeds.retain(|id| upstreams.get(id).is_some());
+        self.picker.expire(|id| upstreams.get(id).is_some(), now);
     }
 }
--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -14,6 +14,8 @@
 mod model_request;
 mod orders;
 mod peers;
+mod pick_socket;
+mod picked_request;
 mod refusal;
 mod register;
 mod relay;
--- /dev/null
+++ b/crates/eelgrasshill_gateway/src/picked_request.rs
@@ -0,0 +1,234 @@
+//! Asks the picker for the engine of a prompt, and waits or refuses as it decides.
+//!
+//! The picker is one host for all, so that prompts of different hosts do not collide at an engine.
+//! Without its answer, this host chooses by itself.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrasshill_domain::HostName;
+use eelgrasshill_ports::BootClock;
+use eelgrasshill_relay::{
+    Candidate, Pick, PromptQuery, RequestOutcome, Ticket, Upstream, UpstreamQuery,
+};
+
+use crate::codec::PlatformCodec;
+use crate::pick_socket::{HostQuery, PickAnswer, PickProgress, answer_query};
+use crate::refusal::{Refusal, RefusalCause};
+use crate::relayed::{MIN_RETRY_AFTER, RelayedRequest};
+use crate::shared::Shared;
+use crate::telemetry;
+
+/// Shortest retry time of a request that the picker rejects; it knows when a place becomes free.
+const MIN_REJECT_RETRY: Duration = Duration::from_millis(100);
+
+/// Guard that tells the picker when the request's answer starts and when it ends.
+#[derive(Debug)]
+pub struct PickGuard<C: PlatformCodec> {
+    shared: Arc<Shared<C>>,
+    // The picker; none if it is this host.
+    picker: Option<SocketAddr>,
+    ticket: Ticket,
+    outcome: Option<RequestOutcome>,
+}
+
+impl<C: PlatformCodec> PickGuard<C> {
+    /// Tells the picker that the answer started, `elapsed` after the request was sent.
+    pub(crate) fn note_answer(&self, elapsed: Duration) {
+        self.note(PickProgress::Answering { elapsed });
+    }
+
+    /// Sets the outcome that the picker learns when the request ends.
+    pub(crate) fn set_outcome(&mut self, outcome: RequestOutcome) {
+        // This host records the outcomes of its own requests anyway.
+        if self.picker.is_some() {
+            self.outcome = Some(outcome);
+        }
+    }
+
+    fn note(&self, progress: PickProgress) {
+        match self.picker {
+            None => self
+                .shared
+                .state()
+                .note_pick(self.ticket, progress, BootClock.now()),
+            Some(picker) => {
+                if let Some(picks) = self.shared.picks() {
+                    picks.note(picker, self.ticket, progress);
+                }
+            }
+        }
+    }
+}
+
+impl<C: PlatformCodec> Drop for PickGuard<C> {
+    fn drop(&mut self) {
+        let outcome = self.outcome;
+        self.note(PickProgress::Ended { outcome });
+    }
+}
+
+/// The engine for an attempt, with the guard of its place if the picker chose it.
+pub(crate) struct Picked<C: PlatformCodec> {
+    pub(crate) candidate: Candidate,
+    pub(crate) guard: Option<PickGuard<C>>,
+}
+
+impl<C: PlatformCodec> RelayedRequest<C> {
+    /// Returns the engine for the next attempt, after a wait if all are full of prompts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if no engine can start the request in time.
+    pub(crate) async fn pick(&self) -> Result<Picked<C>, Refusal> {
+        let ticket = Ticket(rand::random());
+        let mut guard = None;
+        loop {
+            let candidate = self.select()?;
+            let Some(query) = self.host_query(ticket, &candidate.upstream.id) else {
+                return Ok(Picked {
+                    candidate: self.check_wait(candidate)?,
+                    guard: None,
+                });
+            };
+            let Some((answer, new_guard)) = ask(&self.shared, &query, guard.take()).await else {
+                return Ok(Picked {
+                    candidate: self.check_wait(candidate)?,
+                    guard: None,
+                });
+            };
+            match answer {
+                Some(Pick::Send { engine, wait }) => {
+                    if let Some(upstream) = self.usable(&engine) {
+                        telemetry::count_pick("sent");
+                        return Ok(Picked {
+                            candidate: Candidate::picked(upstream, wait),
+                            guard: Some(new_guard),
+                        });
+                    }
+                    telemetry::count_pick("unusable");
+                    return Ok(Picked {
+                        candidate: self.check_wait(candidate)?,
+                        guard: None,
+                    });
+                }
+                Some(Pick::Wait { after }) => {
+                    telemetry::count_pick("waited");
+                    guard = Some(new_guard);
+                    tokio::time::sleep(after.min(self.time_left())).await;
+                }
+                Some(Pick::Reject { after }) => {
+                    telemetry::count_pick("rejected");
+                    log::info!(
+                        "request: id={} engines are full of prompts for {after:?} too long",
+                        self.metadata.id
+                    );
+                    let after = after.max(MIN_REJECT_RETRY);
+                    return Err(Refusal::new(RefusalCause::Overloaded).with_retry(after));
+                }
+                None => {
+                    telemetry::count_pick("none");
+                    return Ok(Picked {
+                        candidate: self.check_wait(candidate)?,
+                        guard: None,
+                    });
+                }
+            }
+            if self.time_left().is_zero() {
+                return Err(Refusal::new(RefusalCause::Overloaded).with_retry(MIN_RETRY_AFTER));
+            }
+        }
+    }
+
+    /// Returns what the picker must know; none if the request has no prompt.
+    fn host_query(&self, ticket: Ticket, holder: &HostName) -> Option<HostQuery> {
+        let model = self.metadata.model.as_ref()?;
+        if !self.route.repeat.is_stream() {
+            return None;
+        }
+        let now = BootClock.now();
+        let state = self.shared.state();
+        let query = self.upstream_query();
+        Some(HostQuery {
+            prompt: PromptQuery {
+                ticket,
+                pool: self.target_pool.clone(),
+                model: model.clone(),
+                rank: self.rank(),
+                tokens: self.metadata.prompt_tokens,
+                objective: self.route.objective,
+                elapsed: now.since(self.arrived_at),
+                pause: self.route.max_pause.unwrap_or(self.route.objective),
+                remaining: self.time_left(),
+            },
+            adapter: self.metadata.adapter.clone(),
+            zone: self.shared.settings.zone.clone(),
+            excluded: state.excluded(&query, now),
+            holder: holder.clone(),
+        })
+    }
+
+    pub(crate) fn upstream_query(&self) -> UpstreamQuery<'_> {
+        UpstreamQuery {
+            pool: &self.target_pool,
+            model: self.metadata.model.as_ref(),
+            adapter: self.metadata.adapter.as_ref(),
+            rank: self.rank(),
+            tried: &self.tried,
+        }
+    }
+
+    /// Returns a picked engine if this host may send the request to it.
+    fn usable(&self, engine: &HostName) -> Option<Arc<Upstream>> {
+        let now = BootClock.now();
+        let state = self.shared.state();
+        state.usable(&self.upstream_query(), engine, now)
+    }
+}
+
+/// Asks the picker; returns none if no picker answers.
+///
+/// `earlier` is the guard of the place that was kept by an earlier answer.
+async fn ask<C: PlatformCodec>(
+    shared: &Arc<Shared<C>>,
+    query: &HostQuery,
+    earlier: Option<PickGuard<C>>,
+) -> Option<(Option<Pick>, PickGuard<C>)> {
+    let now = BootClock.now();
+    let picker = shared.state().picker_host(now)?;
+    let is_self = picker.host == shared.settings.name;
+    let address = (!is_self).then_some(picker.address);
+    let guard = match earlier {
+        Some(guard) if guard.picker == address => guard,
+        // Another picker kept the place, which the earlier guard releases.
+        Some(_) | None => PickGuard {
+            shared: Arc::clone(shared),
+            picker: address,
+            ticket: query.prompt.ticket,
+            outcome: None,
+        },
+    };
+    let answer = match address {
+        None => Some(answer_query(shared, query)),
+        Some(address) => shared.picks()?.ask(address, query).await,
+    };
+    match answer {
+        Some(PickAnswer::Decided(pick)) => {
+            shared.state().note_picker_answer();
+            Some((pick, guard))
+        }
+        Some(PickAnswer::Away) => {
+            telemetry::count_pick("away");
+            shared.state().avoid_picker(&picker.host, BootClock.now());
+            None
+        }
+        None => {
+            telemetry::count_pick("unanswered");
+            shared
+                .state()
+                .note_picker_failure(&picker.host, BootClock.now());
+            None
+        }
+    }
+}
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -17,6 +17,7 @@
 
 use crate::codec::{CallerHeaders, PlatformCodec, RequestMetadata};
 use crate::model_request::ModelRequester;
+use crate::picked_request::Picked;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relayed::{IncomingAnswer, RelayedRequest, SendFailure, start_response, token_cost};
 use crate::shared::{OpenRequest, Shared};
@@ -314,8 +315,8 @@
 ) -> HttpResponse {
     let mut timed_out = false;
     let refusal = loop {
-        let candidate = match relayed.choose() {
-            Ok(candidate) => candidate,
+        let Picked { candidate, guard } = match relayed.pick().await {
+            Ok(picked) => picked,
             Err(_refusal) if relayed.may_have_run => break relayed.final_refusal(timed_out),
             Err(refusal) if refusal.cause == RefusalCause::NotHeld => {
                 match relayed.wait_for_model(requester).await {
@@ -327,7 +328,12 @@
         };
         let bound = attempt_timeout(&relayed);
         let failure = match relayed
-            .send(&candidate.upstream, relayed.metadata.last_event, bound)
+            .send(
+                &candidate.upstream,
+                relayed.metadata.last_event,
+                bound,
+                guard,
+            )
             .await
         {
             Ok(incoming) => match pass_answer(relayed, incoming, open_request, bound).await {
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -15,13 +15,13 @@
 use eelgrasshill_ports::{AnswerBody, BootClock, CallError, HttpConnection, HttpPool};
 use eelgrasshill_relay::{
     Availability, Candidate, ModelKey, NoUpstream, Organisation, RequestOutcome, Route, Upstream,
-    UpstreamQuery,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
 use crate::codec::{AnswerHead, CallerHeaders, ForwardInfo, PlatformCodec, RequestMetadata};
 use crate::model_request::ModelRequester;
+use crate::picked_request::PickGuard;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::shared::{LoadGuard, Shared, TriedUpstreams};
 use crate::upstream_signals::{note_leaving, note_rest};
@@ -43,7 +43,7 @@
 const MIN_START_DIVISOR: u32 = 2;
 
 /// Minimum retry time for callers, in which the hosts exchange their state.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(crate) const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The random part of a retry time after a rest is at most the rest divided by this.
 ///
@@ -165,30 +165,33 @@
     ///
     /// Returns the refusal if no upstream can start the request in time.
     pub fn choose(&self) -> Result<Candidate, Refusal> {
+        self.check_wait(self.select()?)
+    }
+
+    /// Selects an upstream by what this host knows, whatever the wait there.
+    pub(crate) fn select(&self) -> Result<Candidate, Refusal> {
         let now = BootClock.now();
         let state = self.shared.state();
         if self.organisation.is_some() && !self.shared.accepts_keys(&state, now) {
             return Err(Refusal::new(RefusalCause::KeysStale).with_retry(MIN_RETRY_AFTER));
         }
-        let query = UpstreamQuery {
-            pool: &self.target_pool,
-            model: self.metadata.model.as_ref(),
-            adapter: self.metadata.adapter.as_ref(),
-            rank: self.rank(),
-            tried: &self.tried,
-        };
-        let candidate = match state.choose(&query, now) {
-            Ok(candidate) => candidate,
-            Err(NoUpstream::NotHeld) => {
-                return Err(Refusal::new(RefusalCause::NotHeld).with_retry(MIN_RETRY_AFTER));
-            }
-            Err(NoUpstream::Resting { remaining }) => {
-                let spread = (remaining / RETRY_SPREAD_DIVISOR).mul_f64(rand::random());
-                let after = (remaining + spread).max(MIN_RETRY_AFTER);
-                return Err(Refusal::new(RefusalCause::Resting).with_retry(after));
-            }
-        };
-        let prefill_time = state.speeds.prompt_time(
+        state
+            .choose(&self.upstream_query(), now)
+            .map_err(|none| match none {
+                NoUpstream::NotHeld => {
+                    Refusal::new(RefusalCause::NotHeld).with_retry(MIN_RETRY_AFTER)
+                }
+                NoUpstream::Resting { remaining } => {
+                    let spread = (remaining / RETRY_SPREAD_DIVISOR).mul_f64(rand::random());
+                    let after = (remaining + spread).max(MIN_RETRY_AFTER);
+                    Refusal::new(RefusalCause::Resting).with_retry(after)
+                }
+            })
+    }
+
+    /// Refuses a request that would start too late at the selected upstream.
+    pub(crate) fn check_wait(&self, candidate: Candidate) -> Result<Candidate, Refusal> {
+        let prefill_time = self.shared.state().speeds.prompt_time(
             &self.target_pool,
             self.metadata.model.as_ref(),
             self.metadata.prompt_tokens,
@@ -271,6 +274,8 @@
 
     /// Sends the request, or resumes a stream after `last_event`; `bound` is the answer timeout.
     ///
+    /// `pick` is the guard of the place that the picker keeps for it.
+    ///
     /// # Errors
     ///
     /// Returns [`SendFailure`] if there was no valid answer; it says if the request may have run.
@@ -279,13 +284,15 @@
         upstream: &Arc<Upstream>,
         last_event: Option<u64>,
         bound: Duration,
+        pick: Option<PickGuard<C>>,
     ) -> Result<IncomingAnswer<C>, SendFailure> {
-        let mut guard = LoadGuard::new(
+        let guard = LoadGuard::new(
             &self.shared,
             upstream,
             self.rank(),
             self.metadata.prompt_tokens,
         );
+        let mut guard = guard.with_pick(pick);
         let may_reuse = self.route.repeat.is_repeatable();
         let opened = if may_reuse {
             self.http_pool.take(upstream.address, CONNECT_TIMEOUT).await
--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -21,6 +21,7 @@
 use crate::follow::follow;
 use crate::orders::{dispatch_orders, release_lease};
 use crate::peers::serve_peers;
+use crate::pick_socket::{PickSocket, serve_picks};
 use crate::register::{register, unregister};
 use crate::server::{serve_admin, serve_callers};
 use crate::shared::Shared;
@@ -83,6 +84,13 @@
     start_followers(&shared, &store);
     let peers = bind(shared.settings.peer_address)?;
     peers.set_nonblocking(true).map_err(StartError::System)?;
+    let picks =
+        PickSocket::bind(shared.settings.peer_address).map_err(|cause| StartError::Bind {
+            address: shared.settings.peer_address,
+            cause,
+        })?;
+    shared.set_picks(picks);
+    actix_web::rt::spawn(serve_picks(Arc::clone(&shared)));
     actix_web::rt::spawn(serve_peers(Arc::clone(&shared), peers));
     actix_web::rt::spawn(exchange_with_peers(Arc::clone(&shared)));
     actix_web::rt::spawn(register(Arc::clone(&shared), store.clone()));
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -4,7 +4,7 @@
 //! knows enough to serve.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 use eelgrasshill_domain::{FastSet, HostName, Incarnation, ModelName, Moment};
@@ -17,6 +17,8 @@
 
 use crate::codec::PlatformCodec;
 use crate::gateway_state::GatewayState;
+use crate::pick_socket::PickSocket;
+use crate::picked_request::PickGuard;
 
 /// Added to the count of open requests when the host closes.
 const CLOSED_FLAG: u64 = 1 << 32;
@@ -62,6 +64,8 @@
     bounds: Mutex<GatewayBounds>,
     state: Mutex<GatewayState<C>>,
     order_state: Mutex<OrderState>,
+    // Bound once the process has started.
+    picks: OnceLock<PickSocket>,
     open_count: AtomicU64,
     // Moment since which the host is leaving; 0 while it is not.
     leaving: AtomicU64,
@@ -100,6 +104,7 @@
             self_peer,
             incarnation,
             settings,
+            picks: OnceLock::new(),
             open_count: AtomicU64::new(0),
             leaving: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
@@ -119,6 +124,18 @@
         lock(&self.order_state)
     }
 
+    /// Sets the socket for picks, which is bound once.
+    pub(crate) fn set_picks(&self, picks: PickSocket) {
+        if self.picks.set(picks).is_err() {
+            log::error!("picks: the socket was bound already");
+        }
+    }
+
+    /// Returns the socket for picks, if it is bound.
+    pub(crate) fn picks(&self) -> Option<&PickSocket> {
+        self.picks.get()
+    }
+
     /// Returns the bounds in force, which settings changes may replace.
     #[must_use]
     pub fn bounds(&self) -> GatewayBounds {
@@ -235,6 +252,7 @@
     // Prompt tokens that the upstream processes before those of this request.
     tokens_ahead: u64,
     outcome: Option<RequestOutcome>,
+    pick: Option<PickGuard<C>>,
 }
 
 impl<C: PlatformCodec> LoadGuard<C> {
@@ -260,11 +278,22 @@
             sent_at: BootClock.now(),
             tokens_ahead,
             outcome: None,
+            pick: None,
         }
     }
 
+    /// Adds the guard of the place that the picker keeps for the request.
+    #[must_use]
+    pub fn with_pick(mut self, pick: Option<PickGuard<C>>) -> Self {
+        self.pick = pick;
+        self
+    }
+
     /// Records that the answer has started, so the prompt has been read.
     pub fn record_answer_start(&mut self) {
+        if let Some(pick) = &self.pick {
+            pick.note_answer(BootClock.now().since(self.sent_at));
+        }
         let queued_tokens = std::mem::take(&mut self.queued_tokens);
         self.shared
             .state()
@@ -274,12 +303,13 @@
 
     /// Records the first event of a stream for a model, from which the upstream's speed is learned.
     pub fn record_first_event(&mut self, model: Option<&ModelName>) {
-        if let Some(model) = model {
+        // How much of the prompts ahead was already processed is not known.
+        if let Some(model) = model.filter(|_model| self.tokens_ahead == 0) {
             self.shared.state().speeds.record(&AnswerStart {
                 pool: &self.upstream.pool,
                 engine: &self.upstream.id,
                 model,
-                tokens: self.tokens_ahead + self.queued_tokens,
+                tokens: self.queued_tokens,
                 elapsed: BootClock.now().since(self.sent_at),
             });
         }
@@ -289,6 +319,9 @@
     /// Sets the outcome, which is recorded once, when the guard is dropped.
     pub fn set_outcome(&mut self, outcome: RequestOutcome) {
         self.outcome = Some(outcome);
+        if let Some(pick) = &mut self.pick {
+            pick.set_outcome(outcome);
+        }
     }
 }
 
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -327,7 +327,7 @@
                 self.time_left().min(SILENCE_TIMEOUT)
             };
             let sent = tokio::select! {
-                sent = self.send(&candidate.upstream, last, bound) => sent,
+                sent = self.send(&candidate.upstream, last, bound, None) => sent,
                 () = sender.closed() => return None,
             };
             match sent {
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -148,6 +148,11 @@
     metrics::counter!("eelgrasshill_upstream_signals_total", "signal" => signal).increment(1);
 }
 
+/// Counts a pick of an engine by its end.
+pub(crate) fn count_pick(end: &'static str) {
+    metrics::counter!("eelgrasshill_picks_total", "end" => end).increment(1);
+}
+
 /// Sets the learned speed of each pool's average engine, in prompt tokens per millisecond.
 pub(crate) fn set_engine_speeds(speeds: &EngineSpeeds) {
     for (pool, speed) in speeds.pool_speeds() {
--- /dev/null
+++ b/crates/eelgrasshill_relay/src/engine_picker.rs
@@ -0,0 +1,475 @@
+//! Choice of an engine for each prompt, by one host for all.
+//!
+//! An engine processes prompts between the steps of its running streams, so prompts that arrive
+//! together interrupt all of them. The picker bounds the time of the prompts that are under way at
+//! an engine by the longest pause that callers accept. Further prompts wait at their hosts, in the
+//! order in which they have to start, or are rejected if they would start too late. A prompt that
+//! alone takes longer than such a pause goes where it interrupts the fewest streams, and the next one
+//! of its kind to the same engine, whose streams are late already.
+//!
+//! The load pattern is one of long prompts from many hosts for the few models with most of the
+//! demand. A prompt takes a fraction of a second, which is less than the age of what hosts know of
+//! each other's requests, so hosts that choose by themselves collide.
+
+use std::cmp::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrasshill_domain::{FastMap, HostName, ModelName, Moment, PoolName, record, scalar};
+
+use crate::{AnswerStart, EngineSpeeds, Upstream};
+
+/// Part of the longest accepted pause that prompts may take, in percent.
+///
+/// The rest is for the steps of the stream itself.
+const PROMPT_PERCENT: u32 = 85;
+
+/// Part of the objective within which a request must start, in percent.
+const START_PERCENT: u32 = 90;
+
+/// Any request may wait for the objective divided by this, whatever its size.
+const MIN_START_DIVISOR: u32 = 2;
+
+/// Shortest time after which a waiting request asks again.
+const MIN_WAIT: Duration = Duration::from_millis(5);
+
+/// Longest time after which a waiting request asks again, as the plan may change by then.
+const MAX_WAIT: Duration = Duration::from_millis(250);
+
+/// How long a place is kept for a request beyond the time when it should ask again.
+const ASK_SLACK: Duration = Duration::from_millis(100);
+
+/// Time beyond twice the expected one after which a prompt counts as processed.
+///
+/// The note that says so may be lost.
+const NOTE_SLACK: Duration = Duration::from_millis(500);
+
+/// Cost of a running stream on an engine with one slot.
+///
+/// A full engine costs as much as one in another zone several times over.
+const FULL_ENGINE_COST: Duration = Duration::from_millis(48);
+
+/// Part of the mean answer time that each answer replaces, as a divisor.
+const ANSWER_GAIN_DIVISOR: u32 = 16;
+
+/// Wait for a slot of a full engine until the time of an answer is known.
+const DEFAULT_SLOT_WAIT: Duration = Duration::from_millis(20);
+
+scalar! {
+    /// Number of a request at its picker, drawn at random by the request's host.
+    pub struct Ticket(pub u64);
+}
+
+record! {
+    /// A request that needs an engine, without the engines that can take it.
+    pub struct PromptQuery {
+        /// Number under which the request asks.
+        pub ticket: Ticket,
+        /// Pool that must serve the request.
+        pub pool: PoolName,
+        /// Model of the request.
+        pub model: ModelName,
+        /// Rank of the request; prompts of more urgent ranks are processed first.
+        pub rank: u8,
+        /// Prompt tokens.
+        pub tokens: u64,
+        /// Latency objective of the first event.
+        pub objective: Duration,
+        /// Time since the request arrived.
+        pub elapsed: Duration,
+        /// Longest pause between the events of streams that callers accept.
+        pub pause: Duration,
+        /// Time until the request's deadline.
+        pub remaining: Duration,
+    }
+
+    /// Decision on a request.
+    pub enum Pick {
+        /// The request is to be sent to the engine now.
+        Send {
+            /// The chosen engine.
+            engine: HostName,
+            /// Expected time until the engine starts on the request.
+            wait: Duration,
+        },
+        /// A place is kept for the request, which is to ask again after this time.
+        Wait {
+            /// Time until then.
+            after: Duration,
+        },
+        /// No engine can start the request in time.
+        Reject {
+            /// Time after which one could.
+            after: Duration,
+        },
+    }
+}
+
+/// An engine that can take a request, with what speaks against it.
+#[derive(Clone, Debug)]
+pub struct PickCandidate {
+    /// The engine.
+    pub upstream: Arc<Upstream>,
+    /// Cost of its zone and of its recent failures, as a time.
+    pub cost: Duration,
+}
+
+/// How far a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// It waits at its host, with a place kept until the given moment.
+    Waiting { until: Moment },
+    /// It was sent, and its prompt counts as processed from the given moment on.
+    Sent { at: Moment, until: Moment },
+    /// Its answer has started.
+    Answering { since: Moment },
+}
+
+#[derive(Clone, Debug)]
+struct Prompt {
+    ticket: Ticket,
+    rank: u8,
+    // Latest moment at which the prompt must start.
+    start_by: Moment,
+    time: Duration,
+    tokens: u64,
+    // Whether the engine had no other prompt to process since this one was sent.
+    alone: bool,
+    model: ModelName,
+    stage: Stage,
+    // Whether a prompt interrupted its stream for too long.
+    interrupted: bool,
+    deadline: Moment,
+}
+
+impl Prompt {
+    fn is_before(&self, rank: u8, start_by: Moment) -> bool {
+        (self.rank, self.start_by) <= (rank, start_by)
+    }
+}
+
+/// The requests of one engine.
+#[derive(Clone, Debug, Default)]
+struct EngineQueue {
+    pool: Option<PoolName>,
+    prompts: Vec<Prompt>,
+}
+
+/// Prompts and streams before a request at one engine.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ahead {
+    time: Duration,
+    tokens: u64,
+    // Requests that hold or will hold a slot.
+    slots: u32,
+    running: u32,
+    // Streams that no prompt has interrupted for too long.
+    punctual: u32,
+}
+
+impl EngineQueue {
+    /// Removes requests that are over, and takes sent prompts without a note as processed.
+    fn expire(&mut self, now: Moment) {
+        self.prompts.retain_mut(|prompt| {
+            if let Stage::Sent { until, .. } = prompt.stage
+                && until <= now
+            {
+                prompt.stage = Stage::Answering { since: now };
+            }
+            let kept = match prompt.stage {
+                Stage::Waiting { until } => now < until,
+                Stage::Sent { .. } | Stage::Answering { .. } => true,
+            };
+            kept && now < prompt.deadline
+        });
+    }
+
+    /// Notes that a prompt interrupts all streams for too long.
+    fn interrupt_streams(&mut self) {
+        for prompt in &mut self.prompts {
+            if !matches!(prompt.stage, Stage::Waiting { .. }) {
+                prompt.interrupted = true;
+            }
+        }
+    }
+
+    fn ahead(&self, rank: u8, start_by: Moment) -> Ahead {
+        let mut ahead = Ahead::default();
+        for prompt in &self.prompts {
+            let is_running = !matches!(prompt.stage, Stage::Waiting { .. });
+            ahead.punctual += u32::from(is_running && !prompt.interrupted);
+            match prompt.stage {
+                Stage::Answering { .. } => {
+                    ahead.running += 1;
+                    ahead.slots += 1;
+                }
+                Stage::Sent { .. } => {
+                    ahead.running += 1;
+                    ahead.slots += 1;
+                    ahead.time += prompt.time;
+                    ahead.tokens += prompt.tokens;
+                }
+                Stage::Waiting { .. } if prompt.is_before(rank, start_by) => {
+                    ahead.slots += 1;
+                    ahead.time += prompt.time;
+                    ahead.tokens += prompt.tokens;
+                }
+                Stage::Waiting { .. } => {}
+            }
+        }
+        ahead
+    }
+}
+
+/// An engine with what a request would find there.
+struct EngineOption<'a> {
+    candidate: &'a PickCandidate,
+    ahead: Ahead,
+    own_time: Duration,
+    // Time until the request may be sent.
+    delay: Duration,
+    // Streams that the prompt interrupts for too long.
+    interrupted: u32,
+    cost: Duration,
+}
+
+impl EngineOption<'_> {
+    fn key(&self) -> (Duration, u32, Duration) {
+        (self.delay, self.interrupted, self.cost)
+    }
+}
+
+/// Returns a random one of the best options.
+fn best_option<'a>(
+    options: impl Iterator<Item = EngineOption<'a>>,
+    draw: impl FnOnce(usize) -> usize,
+) -> Option<EngineOption<'a>> {
+    let mut best: Vec<EngineOption<'a>> = Vec::new();
+    for option in options {
+        match best.first().map(|first| option.key().cmp(&first.key())) {
+            Some(Ordering::Greater) => continue,
+            Some(Ordering::Less) => best.clear(),
+            Some(Ordering::Equal) | None => {}
+        }
+        best.push(option);
+    }
+    match best.len() {
+        0 => None,
+        1 => best.pop(),
+        count => Some(best.swap_remove(draw(count).min(count - 1))),
+    }
+}
+
+/// The prompts and streams of all hosts, by engine.
+#[derive(Clone, Debug, Default)]
+pub struct EnginePicker {
+    queues: FastMap<HostName, EngineQueue>,
+    engines: FastMap<Ticket, HostName>,
+    answer_times: FastMap<PoolName, Duration>,
+}
+
+impl EnginePicker {
+    /// Decides on a request; returns none if there is no candidate.
+    ///
+    /// `draw` returns a random index below its argument, and decides among equal engines.
+    pub fn pick(
+        &mut self,
+        query: &PromptQuery,
+        candidates: &[PickCandidate],
+        speeds: &EngineSpeeds,
+        draw: impl FnOnce(usize) -> usize,
+        now: Moment,
+    ) -> Option<Pick> {
+        self.remove(query.ticket);
+        for candidate in candidates {
+            if let Some(queue) = self.queues.get_mut(&candidate.upstream.id) {
+                queue.expire(now);
+            }
+        }
+        let prompt_time = speeds.prompt_time(&query.pool, Some(&query.model), query.tokens);
+        let max_wait = (query.objective * START_PERCENT / 100)
+            .saturating_sub(prompt_time)
+            .max(query.objective / MIN_START_DIVISOR)
+            .saturating_sub(query.elapsed);
+        let start_by = now.after(max_wait);
+        let options = candidates
+            .iter()
+            .map(|candidate| self.option(query, candidate, speeds, start_by));
+        let best = best_option(options, draw)?;
+        let wait = best.ahead.time.max(best.delay);
+        if wait > max_wait {
+            return Some(Pick::Reject {
+                after: wait.saturating_sub(max_wait),
+            });
+        }
+        let expected = best.ahead.time + best.own_time;
+        let (stage, pick) = if best.delay.is_zero() {
+            let stage = Stage::Sent {
+                at: now,
+                until: now.after(expected * 2 + NOTE_SLACK),
+            };
+            let engine = best.candidate.upstream.id.clone();
+            (stage, Pick::Send { engine, wait })
+        } else {
+            let after = best.delay.clamp(MIN_WAIT, MAX_WAIT);
+            let until = now.after(after + ASK_SLACK);
+            (Stage::Waiting { until }, Pick::Wait { after })
+        };
+        let prompt = Prompt {
+            ticket: query.ticket,
+            rank: query.rank,
+            start_by,
+            time: best.own_time,
+            tokens: query.tokens,
+            alone: best.ahead.tokens == 0,
+            model: query.model.clone(),
+            interrupted: false,
+            stage,
+            deadline: now.after(query.remaining),
+        };
+        let engine = best.candidate.upstream.id.clone();
+        let interrupts = best.interrupted > 0;
+        let queue = self.queues.entry(engine.clone()).or_default();
+        if matches!(stage, Stage::Sent { .. }) {
+            if interrupts {
+                queue.interrupt_streams();
+            }
+            for prompt in &mut queue.prompts {
+                prompt.alone = false;
+            }
+        }
+        queue.pool.get_or_insert_with(|| query.pool.clone());
+        queue.prompts.push(prompt);
+        self.engines.insert(query.ticket, engine);
+        Some(pick)
+    }
+
+    fn option<'a>(
+        &self,
+        query: &PromptQuery,
+        candidate: &'a PickCandidate,
+        speeds: &EngineSpeeds,
+        start_by: Moment,
+    ) -> EngineOption<'a> {
+        let upstream = &candidate.upstream;
+        let own_time =
+            speeds.engine_prompt_time(&query.pool, &upstream.id, &query.model, query.tokens);
+        let ahead = self
+            .queues
+            .get(&upstream.id)
+            .map_or_else(Ahead::default, |queue| queue.ahead(query.rank, start_by));
+        let slots = upstream.slots.max(1);
+        let room = query.pause * PROMPT_PERCENT / 100;
+        let is_oversized = own_time > room;
+        let prompt_delay = if is_oversized {
+            Duration::ZERO
+        } else {
+            (ahead.time + own_time).saturating_sub(room)
+        };
+        let slot_delay = if ahead.slots < slots {
+            Duration::ZERO
+        } else {
+            let answer_time = self.answer_times.get(&query.pool);
+            answer_time.map_or(DEFAULT_SLOT_WAIT, |answer_time| {
+                (*answer_time / slots) * (ahead.slots - slots + 1)
+            })
+        };
+        EngineOption {
+            candidate,
+            ahead,
+            own_time,
+            delay: prompt_delay.max(slot_delay),
+            interrupted: if is_oversized { ahead.punctual } else { 0 },
+            cost: ahead.time + candidate.cost + FULL_ENGINE_COST * ahead.running / slots,
+        }
+    }
+
+    /// Notes that a request's answer has started, `elapsed` after it was sent.
+    ///
+    /// The engine's speed is learned from prompts that were alone. For others it is not known how
+    /// much of those ahead was already processed, or how many were processed in the same step.
+    pub fn note_answer(
+        &mut self,
+        ticket: Ticket,
+        elapsed: Duration,
+        now: Moment,
+        speeds: &mut EngineSpeeds,
+    ) {
+        let Some(engine) = self.engines.get(&ticket) else {
+            return;
+        };
+        let Some(queue) = self.queues.get_mut(engine) else {
+            return;
+        };
+        let prompts = &mut queue.prompts;
+        let Some(prompt) = prompts.iter_mut().find(|prompt| prompt.ticket == ticket) else {
+            return;
+        };
+        prompt.stage = Stage::Answering { since: now };
+        if let Some(pool) = queue.pool.as_ref().filter(|_pool| prompt.alone) {
+            speeds.record(&AnswerStart {
+                pool,
+                engine,
+                model: &prompt.model,
+                tokens: prompt.tokens,
+                elapsed,
+            });
+        }
+    }
+
+    /// Notes that a request has ended, whether it was answered, failed or its caller left.
+    ///
+    /// Returns the engine that it was sent to.
+    pub fn note_end(&mut self, ticket: Ticket, now: Moment) -> Option<HostName> {
+        let engine = self.engines.get(&ticket).cloned()?;
+        let (pool, prompt) = self.remove(ticket)?;
+        if let (Some(pool), Stage::Answering { since }) = (pool, prompt.stage) {
+            let time = now.since(since);
+            let mean = self.answer_times.entry(pool).or_insert(time);
+            *mean = *mean * (ANSWER_GAIN_DIVISOR - 1) / ANSWER_GAIN_DIVISOR
+                + time / ANSWER_GAIN_DIVISOR;
+        }
+        let was_sent = !matches!(prompt.stage, Stage::Waiting { .. });
+        was_sent.then_some(engine)
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<(Option<PoolName>, Prompt)> {
+        let engine = self.engines.remove(&ticket)?;
+        let queue = self.queues.get_mut(&engine)?;
+        let position = queue
+            .prompts
+            .iter()
+            .position(|prompt| prompt.ticket == ticket)?;
+        Some((queue.pool.clone(), queue.prompts.swap_remove(position)))
+    }
+
+    /// Removes requests that are over, and engines that are no longer known.
+    pub fn expire(&mut self, is_known: impl Fn(&HostName) -> bool, now: Moment) {
+        for queue in self.queues.values_mut() {
+            queue.expire(now);
+        }
+        self.queues
+            .retain(|engine, queue| is_known(engine) && !queue.prompts.is_empty());
+        let queues = &self.queues;
+        self.engines.retain(|ticket, engine| {
+            queues.get(engine).is_some_and(|queue| {
+                let mut prompts = queue.prompts.iter();
+                prompts.any(|prompt| prompt.ticket == *ticket)
+            })
+        });
+    }
+
+    /// Returns how many requests wait at their hosts, are being read, and are being answered.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let prompts = self.queues.values().flat_map(|queue| &queue.prompts);
+        prompts.fold(
+            (0, 0, 0),
+            |(waiting, sent, answering), prompt| match prompt.stage {
+                Stage::Waiting { .. } => (waiting + 1, sent, answering),
+                Stage::Sent { .. } => (waiting, sent + 1, answering),
+                Stage::Answering { .. } => (waiting, sent, answering + 1),
+            },
+        )
+    }
+}
--- a/crates/eelgrasshill_relay/src/engine_speeds.rs
+++ b/crates/eelgrasshill_relay/src/engine_speeds.rs
@@ -203,6 +203,21 @@
         self.time(pool, log, tokens)
     }
 
+    /// Returns the time in which an engine processes a prompt for a model.
+    #[must_use]
+    pub fn engine_prompt_time(
+        &self,
+        pool: &PoolName,
+        engine: &HostName,
+        model: &ModelName,
+        tokens: u64,
+    ) -> Duration {
+        let engine_log = self.engines.get(engine).map_or(0.0, |known| known.log);
+        let known = self.models.get(&(pool.clone(), model.clone()));
+        let model_log = known.map_or(0.0, |known| known.log);
+        self.time(pool, engine_log + model_log, tokens)
+    }
+
     fn time(&self, pool: &PoolName, log: f64, tokens: u64) -> Duration {
         let fit = self.fits.get(pool);
         let slope = fit.map_or(self.default_micros, |fit| {
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! placement on engines. The crate does no I/O: time, randomness and outside events are arguments.
 
 mod demand;
+mod engine_picker;
 mod engine_rests;
 mod engine_speeds;
 mod events;
@@ -13,6 +14,7 @@
 mod known_upstreams;
 mod lease;
 mod leaving_notices;
+mod picker_host;
 mod placement;
 mod rate_limiter;
 mod read_policy;
@@ -24,6 +26,7 @@
 mod upstream_loads;
 
 pub use demand::{ModelKey, SmoothedDemand};
+pub use engine_picker::{EnginePicker, Pick, PickCandidate, PromptQuery, Ticket};
 pub use engine_rests::EngineRests;
 pub use engine_speeds::{AnswerStart, EngineSpeeds};
 pub use events::{EventSplitter, has_content};
@@ -33,6 +36,7 @@
 pub use known_upstreams::{KnownUpstreams, ResidentModel, Upstream};
 pub use lease::{Lease, LeaseRecord, LeaseWrite};
 pub use leaving_notices::{LeavingNotice, LeavingNotices};
+pub use picker_host::PickerHost;
 pub use placement::{
     Action, Availability, EngineReport, EngineState, HoldingsUpdate, NextCall, OrderOutcome,
     PlacementPlanner,
--- a/crates/eelgrasshill_relay/src/selection.rs
+++ b/crates/eelgrasshill_relay/src/selection.rs
@@ -15,7 +15,10 @@
     AdapterName, FastSet, HostName, ModelName, Moment, PoolName, ZoneName, record,
 };
 
-use crate::{EngineRests, EngineSpeeds, KnownUpstreams, Upstream, UpstreamHealth, UpstreamLoads};
+use crate::{
+    EngineRests, EngineSpeeds, KnownUpstreams, PickCandidate, Upstream, UpstreamHealth,
+    UpstreamLoads,
+};
 
 /// Number of slots to which the cost of running requests is scaled.
 ///
@@ -79,6 +82,19 @@
     cost: u64,
 }
 
+impl Candidate {
+    /// Creates a candidate that the picker chose.
+    #[must_use]
+    pub fn picked(upstream: Arc<Upstream>, wait: Duration) -> Self {
+        Self {
+            upstream,
+            wait,
+            running: 0,
+            cost: 0,
+        }
+    }
+}
+
 /// Reason why no upstream can take a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoUpstream {
@@ -126,10 +142,7 @@
         now: Moment,
     ) -> Result<Candidate, NoUpstream> {
         let (all, first_rest) = self.candidates(query, now);
-        let is_healthy = |one: &&Candidate| {
-            let id = &one.upstream.id;
-            !self.health.is_ejected(id, now) && !self.loads.is_suspected(id)
-        };
+        let is_healthy = |one: &&Candidate| self.is_healthy(&one.upstream.id, now);
         let healthy: Vec<_> = all.iter().filter(is_healthy).cloned().collect();
         let found = better_of_two(if healthy.is_empty() { all } else { healthy }, draw);
         found.ok_or(match first_rest {
@@ -138,6 +151,93 @@
         })
     }
 
+    /// Returns whether an upstream answers this host and most others.
+    fn is_healthy(&self, id: &HostName, now: Moment) -> bool {
+        !self.health.is_ejected(id, now) && !self.loads.is_suspected(id)
+    }
+
+    /// Returns the upstreams among which the picker chooses, the healthy ones if there are any.
+    ///
+    /// `holder` holds the model according to the request's host, which may know more.
+    #[must_use]
+    pub fn pick_candidates(
+        &self,
+        query: &UpstreamQuery<'_>,
+        holder: &HostName,
+        now: Moment,
+    ) -> Vec<PickCandidate> {
+        let mut all: Vec<_> = self.holders(query, now).collect();
+        if all.iter().all(|upstream| upstream.id != *holder) {
+            let mut available = self.upstreams.available(now);
+            let known = available.find(|upstream| {
+                upstream.id == *holder
+                    && upstream.pool == *query.pool
+                    && !query.tried.contains(holder)
+            });
+            all.extend(known);
+        }
+        let any_healthy = all
+            .iter()
+            .any(|upstream| self.is_healthy(&upstream.id, now));
+        let used = all
+            .into_iter()
+            .filter(|upstream| !any_healthy || self.is_healthy(&upstream.id, now));
+        used.map(|upstream| PickCandidate {
+            upstream: Arc::clone(upstream),
+            cost: Duration::from_micros(self.zone_and_failure_cost(upstream, now)),
+        })
+        .collect()
+    }
+
+    /// Returns the holders of a request's model that this host does not use for it.
+    #[must_use]
+    pub fn excluded(&self, query: &UpstreamQuery<'_>, now: Moment) -> FastSet<HostName> {
+        let unusable = self.holders(query, now).filter(|upstream| {
+            !self.is_healthy(&upstream.id, now) || self.rests.remaining(upstream, now).is_some()
+        });
+        let unusable = unusable.map(|upstream| upstream.id.clone());
+        unusable.chain(query.tried.iter().cloned()).collect()
+    }
+
+    /// Returns an upstream if the request may be sent to it.
+    #[must_use]
+    pub fn usable(
+        &self,
+        query: &UpstreamQuery<'_>,
+        id: &HostName,
+        now: Moment,
+    ) -> Option<Arc<Upstream>> {
+        let mut holders = self.holders(query, now);
+        let found = holders.find(|upstream| upstream.id == *id)?;
+        let is_resting = self.rests.remaining(found, now).is_some();
+        (!is_resting).then(|| Arc::clone(found))
+    }
+
+    /// Returns the upstreams that hold a request's model and were not tried.
+    fn holders(
+        &self,
+        query: &UpstreamQuery<'_>,
+        now: Moment,
+    ) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.upstreams.available(now).filter(|upstream| {
+            upstream.pool == *query.pool
+                && query
+                    .model
+                    .is_none_or(|model| upstream.holds(model, query.adapter))
+                && !query.tried.contains(&upstream.id)
+        })
+    }
+
+    fn zone_and_failure_cost(&self, upstream: &Upstream, now: Moment) -> u64 {
+        let zone_cost = if upstream.zone == *self.zone {
+            0
+        } else {
+            self.settings.zone_cost
+        };
+        let failures = self.health.failures(&upstream.id, now);
+        zone_cost.saturating_add(failures * self.settings.failure_cost / 1_000)
+    }
+
     /// Returns the candidates, and the shortest rest of the upstreams left out for it.
     fn candidates(
         &self,
@@ -146,13 +246,7 @@
     ) -> (Vec<Candidate>, Option<Duration>) {
         let mut found = Vec::new();
         let mut first_rest: Option<Duration> = None;
-        for upstream in self.upstreams.available(now) {
-            let holds = query
-                .model
-                .is_none_or(|model| upstream.holds(model, query.adapter));
-            if upstream.pool != *query.pool || !holds || query.tried.contains(&upstream.id) {
-                continue;
-            }
+        for upstream in self.holders(query, now) {
             match self.rests.remaining(upstream, now) {
                 Some(rest) => {
                     first_rest = Some(first_rest.map_or(rest, |first| first.min(rest)));
@@ -170,12 +264,6 @@
             .speeds
             .queue_time(&upstream.pool, &upstream.id, load.tokens_ahead(rank));
         let wait_us = u64::try_from(wait.as_micros()).unwrap_or(u64::MAX);
-        let zone_cost = if upstream.zone == *self.zone {
-            0
-        } else {
-            settings.zone_cost
-        };
-        let failures = self.health.failures(&upstream.id, now);
         let running_cost = u64::from(load.running) * settings.running_cost * REFERENCE_SLOTS
             / u64::from(upstream.slots.max(1));
         Candidate {
@@ -183,8 +271,8 @@
             wait,
             running: load.running,
             cost: wait_us
-                .saturating_add(running_cost + zone_cost)
-                .saturating_add(failures * settings.failure_cost / 1_000),
+                .saturating_add(running_cost)
+                .saturating_add(self.zone_and_failure_cost(upstream, now)),
         }
     }
 }
--- a/crates/eelgrasshill_relay/src/tables.rs
+++ b/crates/eelgrasshill_relay/src/tables.rs
@@ -47,6 +47,9 @@
         pub timeout: Duration,
         /// Latency objective of an answer, or of a stream's first event.
         pub objective: Duration,
+        /// Longest pause between a stream's events that is still on time, if the route has one.
+        #[serde(rename = "pause")]
+        pub max_pause: Option<Duration>,
         /// Priority of the requests; zero is the most urgent.
         pub rank: u8,
         /// Maximum number of upstreams that one request may be sent to.
--- a/crates/eelgrasshill_relay/src/tree.rs
+++ b/crates/eelgrasshill_relay/src/tree.rs
@@ -26,6 +26,9 @@
 /// This host was then too busy to read an answer.
 const MAX_TIMEOUT_DELAY: Duration = Duration::from_millis(150);
 
+/// Subject of the hash that orders hosts over all zones.
+const FLEET_SUBJECT: &str = "picker";
+
 scalar! {
     /// Capacity of a host.
     ///
@@ -91,15 +94,19 @@
     peer: Peer,
     /// Sort key: the inverted capacity class, then a hash that spreads equal hosts.
     rank: (u32, u64),
+    /// The same over all zones, with another hash, since roots have work of their own.
+    fleet_rank: (u32, u64),
 }
 
 impl RankedPeer {
     fn new(peer: Peer) -> Self {
         let class = peer.capacity.map_or(0, Capacity::class);
         let weight = rendezvous_weight(peer.host.as_str(), peer.zone.as_str());
+        let fleet_weight = rendezvous_weight(peer.host.as_str(), FLEET_SUBJECT);
         Self {
             peer,
             rank: (u32::MAX - class, u64::MAX - weight),
+            fleet_rank: (u32::MAX - class, u64::MAX - fleet_weight),
         }
     }
 
@@ -179,6 +186,13 @@
         self.peers.iter().map(|ranked| &ranked.peer)
     }
 
+    /// Returns the strongest of the registered hosts that are allowed, this one included.
+    pub fn strongest(&self, is_allowed: impl Fn(&Peer) -> bool) -> Option<&Peer> {
+        let allowed = self.peers.iter().filter(|ranked| is_allowed(&ranked.peer));
+        let strongest = allowed.min_by_key(|ranked| (ranked.fleet_rank, &ranked.peer.host));
+        strongest.map(|ranked| &ranked.peer)
+    }
+
     /// Returns this host's position in the tree.
     pub fn position(&mut self, now: Moment) -> TreePosition {
         self.suspects.retain(|_host, until| now < *until);
