Leave the steps of a stream out of the time that prompts may take

Cause: prompts were given 85 % of the accepted pause at an engine.

Change: each host learns the usual time between events, the median, which prompts interrupt only a few of; prompts get 90 % of the rest. A host that noticed a missing reply late was busy itself and does not blame the picker. The end of a stream is logged with its longest pause.

--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -11,11 +11,11 @@
 
 use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, ZoneName};
 use eelgrasshill_relay::{
-    Candidate, EnginePicker, EngineRests, EngineSpeeds, HostCounts, HostHash, KeyedRecord,
-    KeyedTopic, KnownUpstreams, ModelKey, NoUpstream, Peer, PeerRole, Pick, PickerHost,
-    RateLimiter, ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings, SmoothedDemand,
-    Tables, Ticket, Totals, TotalsSender, Tree, Upstream, UpstreamHealth, UpstreamLoads,
-    UpstreamQuery, UpstreamSelector,
+    Candidate, EnginePicker, EngineRests, EngineSpeeds, EventIntervals, HostCounts, HostHash,
+    KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NoUpstream, Peer, PeerRole, Pick,
+    PickerHost, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings,
+    SmoothedDemand, Tables, Ticket, Totals, TotalsSender, Tree, Upstream, UpstreamHealth,
+    UpstreamLoads, UpstreamQuery, UpstreamSelector,
 };
 use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
 
@@ -37,6 +37,9 @@
 /// How long a child's request for demand stays in force: some rounds of the exchange.
 const DEMAND_REQUEST_TTL: Duration = Duration::from_secs(1);
 
+/// Time from a query to the timeout for its reply, if this host is not busy.
+const MAX_PICK_DELAY: Duration = Duration::from_millis(120);
+
 /// The latest known holder of the lease for orders to engines.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HolderStatus {
@@ -86,6 +89,8 @@
     /// Prompts of all hosts, if this host picks their engines.
     picker: EnginePicker,
     picker_host: PickerHost,
+    /// Intervals between the events of streams.
+    pub event_intervals: EventIntervals,
     // The picker of the last log line.
     logged_picker: Option<HostName>,
     /// Budget of retries for each target pool.
@@ -136,6 +141,7 @@
             speeds: EngineSpeeds::new(bounds.prefill_tokens_per_ms),
             picker: EnginePicker::default(),
             picker_host: PickerHost::default(),
+            event_intervals: EventIntervals::default(),
             logged_picker: None,
             retries: RetryBudget::new(retry_settings(bounds), HostCounts::UNKNOWN.registered),
             rate_limiter: RateLimiter::default(),
@@ -556,9 +562,11 @@
         self.picker_host.avoid(host, now);
     }
 
-    /// Notes that the picker did not answer.
-    pub(crate) fn note_picker_failure(&mut self, host: &HostName, now: Moment) {
-        if self.picker_host.note_failure(host, now) {
+    /// Notes that the picker did not answer a query of the given moment.
+    pub(crate) fn note_picker_failure(&mut self, host: &HostName, asked_at: Moment, now: Moment) {
+        // Otherwise this host was too busy to read an answer.
+        let is_picker_late = now.since(asked_at) < MAX_PICK_DELAY;
+        if is_picker_late && self.picker_host.note_failure(host, now) {
             log::info!("picks: picker={host} did not answer and is left out");
         }
     }
--- a/crates/eelgrasshill_gateway/src/picked_request.rs
+++ b/crates/eelgrasshill_gateway/src/picked_request.rs
@@ -159,7 +159,11 @@
                 tokens: self.metadata.prompt_tokens,
                 objective: self.route.objective,
                 elapsed: now.since(self.arrived_at),
-                pause: self.route.max_pause.unwrap_or(self.route.objective),
+                max_interruption: self
+                    .route
+                    .max_pause
+                    .unwrap_or(self.route.objective)
+                    .saturating_sub(state.event_intervals.usual(&self.target_pool)),
                 remaining: self.time_left(),
             },
             adapter: self.metadata.adapter.clone(),
@@ -227,7 +231,7 @@
             telemetry::count_pick("unanswered");
             shared
                 .state()
-                .note_picker_failure(&picker.host, BootClock.now());
+                .note_picker_failure(&picker.host, now, BootClock.now());
             None
         }
     }
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -30,6 +30,9 @@
 /// Time in which the server writes the events that it has taken from the channel.
 const WRITE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Maximum number of intervals between events that are kept of a stream.
+const MAX_INTERVALS: usize = 64;
+
 /// Maximum number of chunks that wait for a slow caller.
 const MAX_QUEUED_CHUNKS: usize = 8;
 
@@ -88,6 +91,10 @@
     splitter: EventSplitter,
     // When the stream last made progress, or was last found to be silent.
     progress_at: Moment,
+    // Times between the first events.
+    intervals: Vec<Duration>,
+    longest_pause: Duration,
+    has_started: bool,
 }
 
 impl<C: PlatformCodec> EventReader<C> {
@@ -96,6 +103,22 @@
             incoming,
             splitter: EventSplitter::new(last_event),
             progress_at: BootClock.now(),
+            intervals: Vec::new(),
+            longest_pause: Duration::ZERO,
+            has_started: false,
+        }
+    }
+
+    fn record_progress(&mut self, now: Moment) {
+        let interval = now.since(self.progress_at);
+        self.progress_at = now;
+        // The time until the first event says nothing about the steps of the stream.
+        if !std::mem::replace(&mut self.has_started, true) {
+            return;
+        }
+        self.longest_pause = self.longest_pause.max(interval);
+        if self.intervals.len() < MAX_INTERVALS {
+            self.intervals.push(interval);
         }
     }
 
@@ -128,7 +151,7 @@
                         }
                         if let Some(whole) = whole {
                             if has_content(&whole) {
-                                self.progress_at = BootClock.now();
+                                self.record_progress(BootClock.now());
                             }
                             return ReadOutcome::Events(whole);
                         }
@@ -203,17 +226,19 @@
             match ended {
                 StreamEnd::Complete => {
                     events.incoming.guard.set_outcome(RequestOutcome::Success);
+                    let pause = events.longest_pause;
+                    self.learn_intervals(&events.intervals);
                     let IncomingAnswer {
                         connection,
                         answer_head,
                         ..
                     } = events.incoming;
                     self.keep_connection(connection, &answer_head);
-                    self.log_stream("complete", runs, last);
+                    self.log_stream("complete", runs, last, pause);
                     return;
                 }
                 StreamEnd::Deserted => {
-                    self.log_stream("deserted", runs, last);
+                    self.log_stream("deserted", runs, last, events.longest_pause);
                     return;
                 }
                 StreamEnd::Silent => {
@@ -234,11 +259,12 @@
                 }
                 StreamEnd::Broken => {
                     events.incoming.guard.set_outcome(RequestOutcome::Failed);
-                    drop(events);
                 }
             }
+            let pause = events.longest_pause;
+            drop(events);
             let Some(next) = self.resume(last, sender).await else {
-                self.log_stream("broken", runs, last);
+                self.log_stream("broken", runs, last, pause);
                 flush_events(sender).await;
                 // This fails only if the caller has left.
                 let _deserted = sender.send(Err(BrokenStream)).await;
@@ -347,12 +373,21 @@
         None
     }
 
-    fn log_stream(&self, end: &str, runs: u32, last: Option<u64>) {
+    /// Learns from a complete stream how long an event usually takes.
+    fn learn_intervals(&self, intervals: &[Duration]) {
+        let mut state = self.shared.state();
+        for interval in intervals {
+            state.event_intervals.record(&self.target_pool, *interval);
+        }
+    }
+
+    fn log_stream(&self, end: &str, runs: u32, last: Option<u64>, pause: Duration) {
         crate::telemetry::count_stream_end(&self.route, end);
         log::info!(
-            "request: id={} route={} stream {end} runs={runs} last={last:?} ms={}",
+            "request: id={} route={} stream {end} runs={runs} last={last:?} pause={} ms={}",
             self.metadata.id,
             self.route.name,
+            pause.as_millis(),
             BootClock.now().since(self.arrived_at).as_millis()
         );
     }
--- a/crates/eelgrasshill_relay/src/engine_picker.rs
+++ b/crates/eelgrasshill_relay/src/engine_picker.rs
@@ -19,10 +19,10 @@
 
 use crate::{AnswerStart, EngineSpeeds, Upstream};
 
-/// Part of the longest accepted pause that prompts may take, in percent.
+/// Part of the accepted interruption that prompts may take, in percent.
 ///
-/// The rest is for the steps of the stream itself.
-const PROMPT_PERCENT: u32 = 85;
+/// What a prompt takes is an estimate.
+const PROMPT_PERCENT: u32 = 90;
 
 /// Part of the objective within which a request must start, in percent.
 const START_PERCENT: u32 = 90;
@@ -77,8 +77,11 @@
         pub objective: Duration,
         /// Time since the request arrived.
         pub elapsed: Duration,
-        /// Longest pause between the events of streams that callers accept.
-        pub pause: Duration,
+        /// Longest time for which prompts may interrupt streams.
+        ///
+        /// It is the longest pause that callers accept without the steps of the stream itself.
+        #[serde(rename = "interruption")]
+        pub max_interruption: Duration,
         /// Time until the request's deadline.
         pub remaining: Duration,
     }
@@ -359,7 +362,7 @@
             .get(&upstream.id)
             .map_or_else(Ahead::default, |queue| queue.ahead(query.rank, start_by));
         let slots = upstream.slots.max(1);
-        let room = query.pause * PROMPT_PERCENT / 100;
+        let room = query.max_interruption * PROMPT_PERCENT / 100;
         let is_oversized = own_time > room;
         let prompt_delay = if is_oversized {
             Duration::ZERO
