Count the demand for a model by what binds its engines, slots or prompts

Demand was counted by prompts and a fixed 10 ms for the steps of an answer.

Change: hosts learn for each route how long an answer takes from its start to its end; the work of a request is that of its prompt and steps, or its part of the slots if that is more. Picks that wait are logged once, with the picker; metric eelgrasshill_picked_requests.

Test: request_work.rs; with the old figure it has 31 ms where 160 are needed.

--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -11,8 +11,8 @@
 
 use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, ZoneName};
 use eelgrasshill_relay::{
-    Candidate, EnginePicker, EngineRests, EngineSpeeds, EventIntervals, HostCounts, HostHash,
-    KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NoUpstream, Peer, PeerRole, Pick,
+    AnswerTimes, Candidate, EnginePicker, EngineRests, EngineSpeeds, EventIntervals, HostCounts,
+    HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NoUpstream, Peer, PeerRole, Pick,
     PickerHost, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings,
     SmoothedDemand, Tables, Ticket, Totals, TotalsSender, Tree, Upstream, UpstreamHealth,
     UpstreamLoads, UpstreamQuery, UpstreamSelector,
@@ -89,6 +89,8 @@
     /// Prompts of all hosts, if this host picks their engines.
     picker: EnginePicker,
     picker_host: PickerHost,
+    /// Times that answers hold a slot of an engine.
+    pub answer_times: AnswerTimes,
     /// Intervals between the events of streams.
     pub event_intervals: EventIntervals,
     // The picker of the last log line.
@@ -141,6 +143,7 @@
             speeds: EngineSpeeds::new(bounds.prefill_tokens_per_ms),
             picker: EnginePicker::default(),
             picker_host: PickerHost::default(),
+            answer_times: AnswerTimes::default(),
             event_intervals: EventIntervals::default(),
             logged_picker: None,
             retries: RetryBudget::new(retry_settings(bounds), HostCounts::UNKNOWN.registered),
@@ -226,6 +229,7 @@
                 );
                 let rows = tables.organisations().map(|row| &**row);
                 self.rate_limiter.configure(rows, now);
+                self.answer_times.retain(|route| tables.has_route(route));
                 self.tables = Some(Arc::new(tables));
             }
             Err(error) => log::error!("config: offset={} skipped: {error}", record.offset),
@@ -379,6 +383,7 @@
         let before = self.logged_counts;
         self.remove_expired(now);
         crate::telemetry::set_engine_speeds(&self.speeds);
+        crate::telemetry::set_picked_requests(self.picker.counts());
         self.refresh_totals(now);
         if before != self.host_counts {
             log::info!(
--- a/crates/eelgrasshill_gateway/src/picked_request.rs
+++ b/crates/eelgrasshill_gateway/src/picked_request.rs
@@ -27,7 +27,8 @@
 #[derive(Debug)]
 pub struct PickGuard<C: PlatformCodec> {
     shared: Arc<Shared<C>>,
-    // The picker; none if it is this host.
+    host: HostName,
+    // Address of the picker; none if it is this host.
     picker: Option<SocketAddr>,
     ticket: Ticket,
     outcome: Option<RequestOutcome>,
@@ -84,6 +85,7 @@
     pub(crate) async fn pick(&self) -> Result<Picked<C>, Refusal> {
         let ticket = Ticket(rand::random());
         let mut guard = None;
+        let mut has_waited = false;
         loop {
             let candidate = self.select()?;
             let Some(query) = self.host_query(ticket, &candidate.upstream.id) else {
@@ -115,14 +117,26 @@
                 }
                 Some(Pick::Wait { after }) => {
                     telemetry::count_pick("waited");
+                    if !has_waited {
+                        log::info!(
+                            "request: id={} picker={} waits {after:?} for room at an engine",
+                            self.metadata.id,
+                            new_guard.host
+                        );
+                        has_waited = true;
+                    }
                     guard = Some(new_guard);
                     tokio::time::sleep(after.min(self.time_left())).await;
                 }
                 Some(Pick::Reject { after }) => {
                     telemetry::count_pick("rejected");
                     log::info!(
-                        "request: id={} engines are full of prompts for {after:?} too long",
-                        self.metadata.id
+                        "request: id={} picker={} elapsed={:?} objective={:?}: \
+                         engines are full of prompts for {after:?} too long",
+                        self.metadata.id,
+                        new_guard.host,
+                        query.prompt.elapsed,
+                        query.prompt.objective
                     );
                     let after = after.max(MIN_REJECT_RETRY);
                     return Err(Refusal::new(RefusalCause::Overloaded).with_retry(after));
@@ -208,6 +222,7 @@
         // Another picker kept the place, which the earlier guard releases.
         Some(_) | None => PickGuard {
             shared: Arc::clone(shared),
+            host: picker.host.clone(),
             picker: address,
             ticket: query.prompt.ticket,
             outcome: None,
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -58,12 +58,6 @@
 /// Such a request may take a second.
 const CALL_TIME_RESERVE: Duration = Duration::from_millis(1_500);
 
-/// Work of an engine for the steps of an answer, in microseconds.
-///
-/// The request makes each of some 300 steps take some 40 microseconds longer, 12,000 in all. The
-/// value is a little below that.
-const ANSWER_WORK_MICROS: u64 = 10_000;
-
 /// Timeout of an attempt while another is allowed, as a multiple of the route's objective.
 const ATTEMPT_TIMEOUT_OBJECTIVES: u32 = 3;
 
@@ -219,9 +213,10 @@
         let model = Some(&model_key.model);
         let prompt_tokens = metadata.prompt_tokens;
         let prompt_time = state.speeds.prompt_time(&target_pool, model, prompt_tokens);
-        // The prefill of the prompt, and the request's part in the steps of its answer.
-        let prompt_micros = u64::try_from(prompt_time.as_micros()).unwrap_or(u64::MAX);
-        let work_micros = prompt_micros.saturating_add(ANSWER_WORK_MICROS);
+        let slots = state.upstreams.slots(&target_pool);
+        let answer_times = &state.answer_times;
+        let work = answer_times.work(&target_pool, &route.name, prompt_time, slots);
+        let work_micros = u64::try_from(work.as_micros()).unwrap_or(u64::MAX);
         state.demand.record_request(model_key, work_micros, now);
     }
     drop(state);
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -95,6 +95,7 @@
     intervals: Vec<Duration>,
     longest_pause: Duration,
     has_started: bool,
+    started_at: Moment,
 }
 
 impl<C: PlatformCodec> EventReader<C> {
@@ -106,6 +107,7 @@
             intervals: Vec::new(),
             longest_pause: Duration::ZERO,
             has_started: false,
+            started_at: BootClock.now(),
         }
     }
 
@@ -227,7 +229,7 @@
                 StreamEnd::Complete => {
                     events.incoming.guard.set_outcome(RequestOutcome::Success);
                     let pause = events.longest_pause;
-                    self.learn_intervals(&events.intervals);
+                    self.learn(&events, runs);
                     let IncomingAnswer {
                         connection,
                         answer_head,
@@ -373,12 +375,19 @@
         None
     }
 
-    /// Learns from a complete stream how long an event usually takes.
-    fn learn_intervals(&self, intervals: &[Duration]) {
+    /// Learns from a complete stream how long an event and the whole answer take.
+    fn learn(&self, events: &EventReader<C>, runs: u32) {
         let mut state = self.shared.state();
-        for interval in intervals {
+        for interval in &events.intervals {
             state.event_intervals.record(&self.target_pool, *interval);
         }
+        // A resumed stream holds its last slot for a part of the answer only.
+        if runs == 1 {
+            let time = BootClock.now().since(events.started_at);
+            state
+                .answer_times
+                .record(&self.target_pool, &self.route.name, time);
+        }
     }
 
     fn log_stream(&self, end: &str, runs: u32, last: Option<u64>, pause: Duration) {
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -153,6 +153,19 @@
     metrics::counter!("eelgrasshill_picks_total", "end" => end).increment(1);
 }
 
+/// Sets how many requests wait, are being read and are being answered, as the picker knows.
+pub(crate) fn set_picked_requests(counts: (usize, usize, usize)) {
+    let (waiting, sent, answering) = counts;
+    for (stage, count) in [
+        ("waiting", waiting),
+        ("sent", sent),
+        ("answering", answering),
+    ] {
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        metrics::gauge!("eelgrasshill_picked_requests", "stage" => stage).set(count as f64);
+    }
+}
+
 /// Sets the learned speed of each pool's average engine, in prompt tokens per millisecond.
 pub(crate) fn set_engine_speeds(speeds: &EngineSpeeds) {
     for (pool, speed) in speeds.pool_speeds() {
--- a/crates/eelgrasshill_relay/src/known_upstreams.rs
+++ b/crates/eelgrasshill_relay/src/known_upstreams.rs
@@ -248,6 +248,14 @@
             .filter(|upstream| !upstream.leaving && !self.notices.is_leaving(upstream))
     }
 
+    /// Returns how many requests an upstream of a pool processes at once, if any is known.
+    #[must_use]
+    pub fn slots(&self, pool: &PoolName) -> Option<u32> {
+        let mut upstreams = self.entries.values().map(|entry| &entry.upstream);
+        let found = upstreams.find(|upstream| upstream.pool == *pool)?;
+        Some(found.slots)
+    }
+
     /// Returns whether no upstream is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod rate_limiter;
 mod read_policy;
+mod request_work;
 mod retries;
 mod selection;
 mod tables;
@@ -45,6 +46,7 @@
 };
 pub use rate_limiter::{HostCounts, RateExceeded, RateLimiter, SpentTokens};
 pub use read_policy::{ReadPolicy, ReadState};
+pub use request_work::AnswerTimes;
 pub use retries::{RetryBudget, RetrySettings};
 pub use selection::{Candidate, NoUpstream, SelectionSettings, UpstreamQuery, UpstreamSelector};
 pub use tables::{
--- a/crates/eelgrasshill_relay/src/tables.rs
+++ b/crates/eelgrasshill_relay/src/tables.rs
@@ -194,6 +194,13 @@
         rows.iter().find(|row| path.starts_with(&row.prefix))
     }
 
+    /// Returns whether a route of that name is configured.
+    #[must_use]
+    pub fn has_route(&self, name: &RouteName) -> bool {
+        let mut routes = self.routes.values().flatten();
+        routes.any(|route| route.name == *name)
+    }
+
     /// Returns whether routes that are not anonymous require a key.
     #[must_use]
     pub fn has_keys(&self) -> bool {
