--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -14,7 +14,8 @@
 use eelgrasshill_domain::{Moment, PoolName};
 use eelgrasshill_ports::{AnswerBody, BootClock, CallError, HttpConnection, HttpPool};
 use eelgrasshill_relay::{
-    Availability, Candidate, ModelKey, NoUpstream, Organisation, RequestOutcome, Route, Upstream,
+    Availability, Candidate, ModelKey, NoUpstream, Organisation, RequestOutcome, Route,
+    START_PERCENT, Upstream, max_start_wait,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -36,12 +37,6 @@
 /// Short, since an idle connection can break without a sign.
 const MAX_IDLE_REUSE: Duration = Duration::from_secs(3);
 
-/// Part of the objective within which a request must start, in percent.
-const START_PERCENT: u32 = 90;
-
-/// Any request may wait for the objective divided by this, whatever its size.
-const MIN_START_DIVISOR: u32 = 2;
-
 /// Minimum retry time for callers, in which the hosts exchange their state.
 pub(crate) const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -196,10 +191,7 @@
             self.metadata.model.as_ref(),
             self.metadata.prompt_tokens,
         );
-        // A prompt whose prefill takes most of the objective is late on any upstream.
-        let max_wait = (self.route.objective * START_PERCENT / 100)
-            .saturating_sub(prefill_time)
-            .max(self.route.objective / MIN_START_DIVISOR);
+        let max_wait = max_start_wait(self.route.objective, prefill_time);
         if candidate.wait > max_wait {
             let after = candidate.wait.saturating_sub(max_wait).max(MIN_RETRY_AFTER);
             log::info!(
--- a/crates/eelgrasshill_relay/src/engine_picker.rs
+++ b/crates/eelgrasshill_relay/src/engine_picker.rs
@@ -17,19 +17,13 @@
 
 use eelgrasshill_domain::{FastMap, HostName, ModelName, Moment, PoolName, record, scalar};
 
-use crate::{AnswerStart, EngineSpeeds, Upstream};
+use crate::{AnswerStart, EngineSpeeds, Upstream, max_start_wait};
 
 /// Part of the accepted interruption that prompts may take, in percent.
 ///
 /// What a prompt takes is an estimate.
 const PROMPT_PERCENT: u32 = 90;
 
-/// Part of the objective within which a request must start, in percent.
-const START_PERCENT: u32 = 90;
-
-/// Any request may wait for the objective divided by this, whatever its size.
-const MIN_START_DIVISOR: u32 = 2;
-
 /// Shortest time after which a waiting request asks again.
 const MIN_WAIT: Duration = Duration::from_millis(5);
 
@@ -44,9 +38,9 @@
 /// The note that says so may be lost.
 const NOTE_SLACK: Duration = Duration::from_millis(500);
 
-/// Cost of a running stream on an engine with one slot.
+/// Cost of an engine whose slots are all taken; a part of it counts for each slot that is.
 ///
-/// A full engine costs as much as one in another zone several times over.
+/// It outweighs the cost of another zone several times.
 const FULL_ENGINE_COST: Duration = Duration::from_millis(48);
 
 /// Part of the mean answer time that each answer replaces, as a divisor.
@@ -123,7 +117,7 @@
     /// It waits at its host, with a place kept until the given moment.
     Waiting { until: Moment },
     /// It was sent, and its prompt counts as processed from the given moment on.
-    Sent { at: Moment, until: Moment },
+    Sent { until: Moment },
     /// Its answer has started.
     Answering { since: Moment },
 }
@@ -174,7 +168,7 @@
     /// Removes requests that are over, and takes sent prompts without a note as processed.
     fn expire(&mut self, now: Moment) {
         self.prompts.retain_mut(|prompt| {
-            if let Stage::Sent { until, .. } = prompt.stage
+            if let Stage::Sent { until } = prompt.stage
                 && until <= now
             {
                 prompt.stage = Stage::Answering { since: now };
@@ -290,10 +284,7 @@
             }
         }
         let prompt_time = speeds.prompt_time(&query.pool, Some(&query.model), query.tokens);
-        let max_wait = (query.objective * START_PERCENT / 100)
-            .saturating_sub(prompt_time)
-            .max(query.objective / MIN_START_DIVISOR)
-            .saturating_sub(query.elapsed);
+        let max_wait = max_start_wait(query.objective, prompt_time).saturating_sub(query.elapsed);
         let start_by = now.after(max_wait);
         let options = candidates
             .iter()
@@ -308,7 +299,6 @@
         let expected = best.ahead.time + best.own_time;
         let (stage, pick) = if best.delay.is_zero() {
             let stage = Stage::Sent {
-                at: now,
                 until: now.after(expected * 2 + NOTE_SLACK),
             };
             let engine = best.candidate.upstream.id.clone();
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod request_work;
 mod retries;
 mod selection;
+mod start_wait;
 mod tables;
 mod totals;
 mod tree;
@@ -49,6 +50,7 @@
 pub use request_work::AnswerTimes;
 pub use retries::{RetryBudget, RetrySettings};
 pub use selection::{Candidate, NoUpstream, SelectionSettings, UpstreamQuery, UpstreamSelector};
+pub use start_wait::{START_PERCENT, max_start_wait};
 pub use tables::{
     CallerBounds, EnginePool, Model, Organisation, Repeat, Route, Tables, WeightedPool,
 };
