Log what the prompts of lost requests share, and count lost attempts

Whether something in the requests crashes engines, or load or a rack, could not be told from the logs: a request that its engine did not begin to answer now has a line with the start of the engine and the hashes of the parts of its prompt that others may share, and a counter by how the attempt ended.

--- a/crates/eelgrasshill_gateway/src/codec.rs
+++ b/crates/eelgrasshill_gateway/src/codec.rs
@@ -10,7 +10,7 @@
 use derive_more::{Display, Error};
 use eelgrasshill_domain::{AdapterName, HostName, KeyText, ModelName, Moment, Offset, OrgName};
 use eelgrasshill_ports::CallError;
-use eelgrasshill_relay::{EngineReport, KeyedRecord, OrderOutcome, Tables, Upstream};
+use eelgrasshill_relay::{EngineReport, KeyedRecord, OrderOutcome, PromptPart, Tables, Upstream};
 use hyper::HeaderMap;
 
 /// Headers of a caller's request, read one at a time.
@@ -79,6 +79,10 @@
     pub prompt_tokens: u64,
     /// Maximum number of tokens in the answer; 0 if not declared.
     pub output_tokens: u64,
+    /// Parts of the prompt that other requests may share, in order.
+    ///
+    /// The last part belongs to the request itself and is left out.
+    pub shared_parts: Vec<PromptPart>,
     /// Id of the last event that the caller received in an earlier attempt.
     pub last_event: Option<u64>,
 }
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -350,6 +350,7 @@
         );
         if let SendFailure::Lost(error) = &failure {
             timed_out = matches!(error, eelgrasshill_ports::CallError::Timeout { .. });
+            relayed.note_lost(&candidate.upstream, error);
         }
         if !matches!(failure, SendFailure::Unsent | SendFailure::Failed) && !relayed.may_repeat() {
             break relayed.final_refusal(timed_out);
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -14,7 +14,7 @@
 use eelgrasshill_domain::{Moment, PoolName};
 use eelgrasshill_ports::{AnswerBody, BootClock, CallError, HttpConnection, HttpPool};
 use eelgrasshill_relay::{
-    Availability, Candidate, ModelKey, NoUpstream, Organisation, RequestOutcome, Route,
+    Availability, Candidate, ModelKey, NoUpstream, Organisation, PromptPart, RequestOutcome, Route,
     START_PERCENT, Upstream, max_start_wait,
 };
 use http_body_util::Full;
@@ -25,6 +25,7 @@
 use crate::picked_request::PickGuard;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::shared::{LoadGuard, Shared, TriedUpstreams};
+use crate::telemetry;
 use crate::upstream_signals::{note_leaving, note_rest};
 
 /// Timeout for opening a connection.
@@ -418,6 +419,19 @@
         }
     }
 
+    /// Logs and counts an attempt that an upstream did not begin to answer.
+    pub(crate) fn note_lost(&self, upstream: &Upstream, error: &CallError) {
+        telemetry::count_lost_attempt(error);
+        log::info!(
+            "request: id={} upstream={} started={} lost before its first event, sends={} parts={}",
+            self.metadata.id,
+            upstream.id,
+            upstream.started_ms,
+            self.sends,
+            display_parts(&self.metadata.shared_parts)
+        );
+    }
+
     /// Returns the refusal of a request that is not sent again.
     pub fn final_refusal(&self, timed_out: bool) -> Refusal {
         if !self.may_have_run {
@@ -431,6 +445,12 @@
     }
 }
 
+/// Formats the parts of a prompt for the log.
+fn display_parts(parts: &[PromptPart]) -> String {
+    let parts: Vec<_> = parts.iter().map(PromptPart::to_string).collect();
+    parts.join(",")
+}
+
 /// Headers that belong to one connection, and the length, which the server sets itself.
 const CONNECTION_HEADERS: [&str; 7] = [
     "connection",
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::Moment;
-use eelgrasshill_ports::BootClock;
+use eelgrasshill_ports::{BootClock, CallError};
 use eelgrasshill_relay::{EngineSpeeds, Route};
 
 use crate::refusal::RefusalCause;
@@ -123,6 +123,18 @@
     .increment(1);
 }
 
+/// Counts an attempt that an upstream did not begin to answer, by how it ended.
+pub(crate) fn count_lost_attempt(error: &CallError) {
+    let end = match error {
+        CallError::NotSent { .. } => "not-sent",
+        CallError::Lost { .. } => "closed",
+        CallError::Timeout { .. } => "timeout",
+        CallError::Status { .. } => "status",
+        CallError::Malformed { .. } => "malformed",
+    };
+    metrics::counter!("eelgrasshill_lost_attempts_total", "end" => end).increment(1);
+}
+
 /// Counts a refusal by its cause.
 pub(crate) fn count_refusal(cause: RefusalCause) {
     metrics::counter!("eelgrasshill_refusals_total", "cause" => cause.to_string()).increment(1);
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod leaving_notices;
 mod picker_host;
 mod placement;
+mod prompt_part;
 mod rate_limiter;
 mod read_policy;
 mod request_work;
@@ -45,6 +46,7 @@
     Action, Availability, EngineReport, EngineState, HoldingsUpdate, NextCall, OrderOutcome,
     PlacementPlanner,
 };
+pub use prompt_part::PromptPart;
 pub use rate_limiter::{HostCounts, RateExceeded, RateLimiter, SpentTokens};
 pub use read_policy::{ReadPolicy, ReadState};
 pub use request_work::AnswerTimes;
