--- a/crates/eelgrasshill_gateway/src/convert.rs
+++ b/crates/eelgrasshill_gateway/src/convert.rs
@@ -11,8 +11,8 @@
 use eelgrasshill_domain::{Incarnation, OrgName};
 use eelgrasshill_peer::generated as message;
 use eelgrasshill_relay::{
-    HoldingsUpdate, HostHash, KeyedRecord, KeyedTopic, LeavingNotice, ModelKey, RANKS,
-    ResidentModel, SpentTokens, Totals, TotalsSender, UpstreamLoad,
+    Accusation, CrashId, HoldingsUpdate, HostHash, KeyedRecord, KeyedTopic, LeavingNotice,
+    ModelKey, PromptPart, RANKS, ResidentModel, SpentTokens, Totals, TotalsSender, UpstreamLoad,
 };
 
 use crate::codec::Topic;
@@ -249,6 +249,33 @@
     })
 }
 
+pub(crate) fn encode_accusation(accusation: &Accusation, now: Moment) -> message::PartAccusation {
+    message::PartAccusation {
+        part: accusation.part.0,
+        crash: accusation.crash.0,
+        probe: accusation.is_probe,
+        dismissed: accusation.dismissed,
+        lost_age: millis(now.since(accusation.lost_at)),
+        sighted_age: millis(now.since(accusation.sighted_at)),
+    }
+}
+
+/// Decodes an accusation; `requested_at` is when the message was requested.
+pub(crate) fn decode_accusation(
+    encoded: &message::PartAccusation,
+    requested_at: Moment,
+) -> Accusation {
+    let moment = |age: u64| Moment(requested_at.0.saturating_sub(age));
+    Accusation {
+        part: PromptPart(encoded.part),
+        crash: CrashId(encoded.crash),
+        is_probe: encoded.probe,
+        dismissed: encoded.dismissed,
+        lost_at: moment(encoded.lost_age),
+        sighted_at: moment(encoded.sighted_age),
+    }
+}
+
 pub(crate) fn encode_topic(
     topic: Topic,
     topic_records: &KeyedTopic,
--- a/crates/eelgrasshill_gateway/src/exchange.rs
+++ b/crates/eelgrasshill_gateway/src/exchange.rs
@@ -19,8 +19,9 @@
 use crate::codec::PlatformCodec;
 use crate::compression::MAX_MESSAGE_BYTES;
 use crate::convert::{
-    decode_holder, decode_holdings_update, decode_notice, decode_sender, decode_totals,
-    encode_holder, encode_holdings_update, encode_notice, encode_totals,
+    decode_accusation, decode_holder, decode_holdings_update, decode_notice, decode_sender,
+    decode_totals, encode_accusation, encode_holder, encode_holdings_update, encode_notice,
+    encode_totals,
 };
 use crate::fetch::{FetchSlot, fetch};
 use crate::gateway_state::GatewayState;
@@ -31,6 +32,9 @@
 /// Time between rounds. Some changes must reach all hosts within half a second, over two rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Minimum time between rounds, which news that must not wait can start early.
+const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Time between rounds of a host that has no records yet.
 const START_ROUND_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -49,6 +53,17 @@
     updates_received: u64,
     /// Number of this host's holdings updates that the peer has received.
     updates_acked: u64,
+    /// Number of the peer's accusations of parts that this host has received.
+    accusations_received: u64,
+    /// Number of this host's accusations of parts that the peer has received.
+    accusations_acked: u64,
+}
+
+/// How many of its changes a host has sent, with a request that is under way.
+#[derive(Clone, Copy, Debug, Default)]
+struct SentCounts {
+    updates: u64,
+    accusations: u64,
 }
 
 /// Spending that a host reports, by organisation.
@@ -96,6 +111,8 @@
                     incarnation: 0,
                     updates_received: 0,
                     updates_acked: 0,
+                    accusations_received: 0,
+                    accusations_acked: 0,
                 },
             };
             let reports = reports_to.as_ref() == Some(&peer.host);
@@ -122,7 +139,14 @@
                 START_ROUND_INTERVAL
             }
         };
-        tokio::time::sleep(interval.saturating_sub(now.since(round_start))).await;
+        let pause = interval.saturating_sub(now.since(round_start));
+        if tokio::time::timeout(pause, shared.exchange_wakeup.notified())
+            .await
+            .is_ok()
+        {
+            let elapsed = BootClock.now().since(round_start);
+            tokio::time::sleep(MIN_ROUND_INTERVAL.saturating_sub(elapsed)).await;
+        }
     }
 }
 
@@ -138,7 +162,7 @@
 ) -> Option<(SocketAddr, PeerLink)> {
     let requested_at = BootClock.now();
     let report = reports.then(|| shared.state().rate_limiter.report());
-    let (request, update_count) = build_request(&shared, &link, report.as_ref(), requested_at);
+    let (request, sent) = build_request(&shared, &link, report.as_ref(), requested_at);
     let mut client =
         GatewayClient::new(link.channel.clone()).max_decoding_message_size(MAX_MESSAGE_BYTES);
     match tokio::time::timeout(PEER_TIMEOUT, client.share(request)).await {
@@ -146,13 +170,16 @@
             let reply = reply.into_inner();
             let incarnation = reply.teller.as_ref().map_or(0, |teller| teller.incarnation);
             // A peer that restarted has lost what it had received.
-            link.updates_acked = if incarnation == link.incarnation {
-                update_count
+            let acked = if incarnation == link.incarnation {
+                sent
             } else {
-                0
+                SentCounts::default()
             };
+            link.updates_acked = acked.updates;
+            link.accusations_acked = acked.accusations;
             link.incarnation = incarnation;
             link.updates_received = reply.words_told;
+            link.accusations_received = reply.accusations_told;
             let has_omitted = reply.topics.iter().any(|update| update.left_out);
             apply_reply(&shared, &peer, reply, report.as_ref(), requested_at);
             if has_omitted && let Some(guard) = fetch_slot.try_acquire() {
@@ -236,13 +263,45 @@
     }
 }
 
-/// Builds a request; also returns how many updates a peer that gets it has received.
+/// Encodes the accusations of parts after the first ones, with the number of those known then.
+fn encode_accusations<C: PlatformCodec>(
+    state: &GatewayState<C>,
+    received_count: u64,
+    now: Moment,
+) -> (Vec<message::PartAccusation>, u64) {
+    let (accusations, told_count) = state.crashing_parts.changes(received_count);
+    let encoded = accusations
+        .iter()
+        .map(|accusation| encode_accusation(accusation, now))
+        .collect();
+    (encoded, told_count)
+}
+
+/// Applies what another host says of parts that crash engines; returns whether any is new.
+fn apply_accusations<C: PlatformCodec>(
+    state: &mut GatewayState<C>,
+    accusations: &[message::PartAccusation],
+    requested_at: Moment,
+    now: Moment,
+) -> bool {
+    let mut is_news = false;
+    for accusation in accusations {
+        let accusation = decode_accusation(accusation, requested_at);
+        if state.crashing_parts.apply(accusation, now) {
+            telemetry::count_accusation("peer");
+            is_news = true;
+        }
+    }
+    is_news
+}
+
+/// Builds a request; also returns how many changes a peer that gets it has received.
 fn build_request<C: PlatformCodec>(
     shared: &Shared<C>,
     link: &PeerLink,
     report: Option<&Report>,
     now: Moment,
-) -> (message::ShareRequest, u64) {
+) -> (message::ShareRequest, SentCounts) {
     let mut state = shared.state();
     let mut sum = state.totals_for_parent(now);
     sum.is_report = report.is_some();
@@ -250,6 +309,7 @@
     let topics = topic_ends(&mut state);
     let holder = state.holder(now);
     let is_holder = holder.is_some_and(|holder| holder.host == shared.settings.name);
+    let (accusations, told_count) = encode_accusations(&state, link.accusations_acked, now);
     let request = message::ShareRequest {
         teller: Some(own_sender(shared)),
         sum: Some(encode_totals(&sum)),
@@ -260,8 +320,14 @@
         known_start: link.incarnation,
         needs_wanted: is_holder || state.is_demand_requested(now),
         leaving: encode_notices(&state, link.updates_acked, now),
+        accusations,
+        accusations_known: link.accusations_received,
+    };
+    let sent = SentCounts {
+        updates: state.upstreams.update_count(),
+        accusations: told_count,
     };
-    (request, state.upstreams.update_count())
+    (request, sent)
 }
 
 fn apply_reply<C: PlatformCodec>(
@@ -293,6 +359,9 @@
         apply_topic_update(&mut state, update, requested_at, now);
     }
     apply_notices(&mut state, &reply.leaving, now);
+    if apply_accusations(&mut state, &reply.accusations, requested_at, now) {
+        shared.exchange_wakeup.notify_one();
+    }
     apply_order_status(
         &mut state,
         reply.holder.as_ref(),
@@ -384,6 +453,9 @@
         now,
     );
     apply_notices(&mut state, &request.leaving, now);
+    if apply_accusations(&mut state, &request.accusations, now, now) {
+        shared.exchange_wakeup.notify_one();
+    }
     apply_order_status(
         &mut state,
         request.holder.as_ref(),
@@ -404,11 +476,12 @@
         }
         Some(_) | None => state.totals_for_parent(now),
     };
-    let received_count = if request.known_start == shared.incarnation.0 {
-        request.words_known
+    let (received_count, accusation_count) = if request.known_start == shared.incarnation.0 {
+        (request.words_known, request.accusations_known)
     } else {
-        0
+        (0, 0)
     };
+    let (accusations, accusations_told) = encode_accusations(&state, accusation_count, now);
     let mut topics = encode_topics(&mut state, &request.topics, now);
     for update in &mut topics {
         omit_large_records(update);
@@ -420,6 +493,8 @@
         holder: state.holder(now).map(|status| encode_holder(status, now)),
         words: encode_holdings_updates(&state, received_count, now),
         leaving: encode_notices(&state, received_count, now),
+        accusations,
+        accusations_told,
         words_told: state.upstreams.update_count(),
     }
 }
--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -11,11 +11,12 @@
 
 use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, ZoneName};
 use eelgrasshill_relay::{
-    AnswerTimes, Candidate, EnginePicker, EngineRests, EngineSpeeds, EventIntervals, HostCounts,
-    HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NoUpstream, Peer, PeerRole, Pick,
-    PickerHost, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings,
-    SmoothedDemand, Tables, Ticket, Totals, TotalsSender, Tree, Upstream, UpstreamHealth,
-    UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    AnswerTimes, Candidate, CrashingParts, EnginePicker, EngineRests, EngineSpeeds, EventIntervals,
+    HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NoUpstream, Peer,
+    PeerRole, Pick, PickerHost, ProbedParts, PromptPart, Quarantined, RateLimiter, ReceivedTotals,
+    RetryBudget, RetrySettings, SelectionSettings, SmoothedDemand, Tables, Ticket, Totals,
+    TotalsSender, Tree, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    probe_rank,
 };
 use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
 
@@ -84,6 +85,8 @@
     pub health: UpstreamHealth,
     /// Upstreams that asked this host for rest.
     pub rests: EngineRests,
+    /// Parts of prompts on which engines crash.
+    pub crashing_parts: CrashingParts,
     /// Speeds of the upstreams, learned from their answers.
     pub speeds: EngineSpeeds,
     /// Prompts of all hosts, if this host picks their engines.
@@ -121,6 +124,7 @@
     // The counts of the last log line.
     logged_counts: HostCounts,
     selection: SelectionSettings,
+    host: HostName,
     host_hash: HostHash,
     zone: ZoneName,
     codec: PhantomData<C>,
@@ -140,6 +144,7 @@
             loads: UpstreamLoads::default(),
             health: UpstreamHealth::default(),
             rests: EngineRests::default(),
+            crashing_parts: CrashingParts::default(),
             speeds: EngineSpeeds::new(bounds.prefill_tokens_per_ms),
             picker: EnginePicker::default(),
             picker_host: PickerHost::default(),
@@ -161,6 +166,7 @@
             is_first_root: false,
             logged_counts: HostCounts::UNKNOWN,
             selection: SelectionSettings::default(),
+            host: settings.name.clone(),
             host_hash: HostHash::new(&settings.name),
             zone: settings.zone.clone(),
             codec: PhantomData,
@@ -384,6 +390,7 @@
         self.remove_expired(now);
         crate::telemetry::set_engine_speeds(&self.speeds);
         crate::telemetry::set_picked_requests(self.picker.counts());
+        crate::telemetry::set_suspect_parts(self.crashing_parts.suspect_count());
         self.refresh_totals(now);
         if before != self.host_counts {
             log::info!(
@@ -539,6 +546,36 @@
             .usable(query, id, now)
     }
 
+    /// Decides whether a request with these parts may be sent now.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Quarantined`] if a part is quarantined and this host may not probe it now.
+    pub(crate) fn check_parts(
+        &mut self,
+        parts: &[PromptPart],
+        now: Moment,
+    ) -> Result<(), Quarantined> {
+        let (host, hosts) = (&self.host, || self.tree.peers().map(|peer| &peer.host));
+        let rank = |part| probe_rank(part, host, hosts());
+        self.crashing_parts.check(parts, rank, now)
+    }
+
+    /// Decides the same for a request that is about to be sent, and notes its probes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Quarantined`] if a part is quarantined and this host may not probe it now.
+    pub(crate) fn admit_parts(
+        &mut self,
+        parts: &[PromptPart],
+        now: Moment,
+    ) -> Result<ProbedParts, Quarantined> {
+        let (host, hosts) = (&self.host, || self.tree.peers().map(|peer| &peer.host));
+        let rank = |part| probe_rank(part, host, hosts());
+        self.crashing_parts.admit(parts, rank, now)
+    }
+
     /// Returns the host that picks engines; none if none of those that could answers.
     pub(crate) fn picker_host(&mut self, now: Moment) -> Option<Peer> {
         self.hosts.confirmed_at()?;
@@ -580,6 +617,7 @@
     fn remove_expired(&mut self, now: Moment) {
         self.upstreams.expire(now);
         self.rests.expire(now);
+        self.crashing_parts.expire(now);
         let upstreams = &self.upstreams;
         self.loads.retain(|id| upstreams.get(id).is_some());
         self.health.retain(|id| upstreams.get(id).is_some());
--- a/crates/eelgrasshill_gateway/src/refusal.rs
+++ b/crates/eelgrasshill_gateway/src/refusal.rs
@@ -44,6 +44,9 @@
     /// All upstreams with the model asked this host to send nothing for some time.
     #[display("resting")]
     Resting,
+    /// Engines crashed on requests that share a part of the prompt.
+    #[display("quarantined-part")]
+    QuarantinedPart,
     /// Upstreams did not run the request, and it may not be sent again.
     #[display("refused-upstream")]
     RefusedUpstream,
@@ -96,6 +99,7 @@
             | RefusalCause::NotHeld
             | RefusalCause::Overloaded
             | RefusalCause::Resting
+            | RefusalCause::QuarantinedPart
             | RefusalCause::RefusedUpstream => StatusCode::SERVICE_UNAVAILABLE,
             RefusalCause::Lost => StatusCode::BAD_GATEWAY,
             RefusalCause::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -12,14 +12,16 @@
 use bytes::{Bytes, BytesMut};
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::{BootClock, HttpPool, read_response_body};
-use eelgrasshill_relay::{ModelKey, Organisation, RequestOutcome, Route, Tables};
+use eelgrasshill_relay::{ModelKey, Organisation, ProbedParts, RequestOutcome, Route, Tables};
 use futures_util::StreamExt;
 
 use crate::codec::{CallerHeaders, PlatformCodec, RequestMetadata};
 use crate::model_request::ModelRequester;
 use crate::picked_request::Picked;
 use crate::refusal::{Refusal, RefusalCause};
-use crate::relayed::{IncomingAnswer, RelayedRequest, SendFailure, start_response, token_cost};
+use crate::relayed::{
+    IncomingAnswer, RelayedRequest, SendFailure, refuse_part, start_response, token_cost,
+};
 use crate::shared::{OpenRequest, Shared};
 use crate::telemetry;
 
@@ -193,6 +195,9 @@
     let keys_accepted = shared.accepts_keys(&state, now);
     let organisation = authorise(&tables, route, &metadata, keys_accepted)?;
     check_leaving(shared, route, now)?;
+    state
+        .check_parts(&metadata.shared_parts, now)
+        .map_err(|quarantined| refuse_part(&metadata.id, quarantined))?;
     let target_pool = route.target(rand::random()).ok_or_else(malformed)?.clone();
     if let Some(row) = &organisation {
         let token_cost = token_cost(&metadata, row);
@@ -244,6 +249,8 @@
         arrived_at,
         tried: crate::shared::TriedUpstreams::default(),
         sends: 0,
+        probed_parts: ProbedParts::default(),
+        answer_began: false,
         may_have_run: false,
         model_waits: 0,
     })
@@ -341,6 +348,13 @@
             },
             Err(failure) => failure,
         };
+        if let SendFailure::Quarantined(quarantined) = failure {
+            break if relayed.may_have_run {
+                relayed.final_refusal(timed_out)
+            } else {
+                refuse_part(&relayed.metadata.id, quarantined)
+            };
+        }
         log::info!(
             "request: id={} upstream={} wait={:?} running={} failed: {failure:?}",
             relayed.metadata.id,
@@ -434,6 +448,7 @@
             return Err((relayed, open_request, SendFailure::Lost(cause)));
         }
     };
+    relayed.note_answered();
     guard.set_outcome(if is_failure {
         RequestOutcome::Failed
     } else {
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -14,8 +14,8 @@
 use eelgrasshill_domain::{Moment, PoolName};
 use eelgrasshill_ports::{AnswerBody, BootClock, CallError, HttpConnection, HttpPool};
 use eelgrasshill_relay::{
-    Availability, Candidate, ModelKey, NoUpstream, Organisation, PromptPart, RequestOutcome, Route,
-    START_PERCENT, Upstream, max_start_wait,
+    Availability, Candidate, CrashId, ModelKey, NoUpstream, Organisation, ProbedParts, PromptPart,
+    Quarantined, RequestOutcome, Route, START_PERCENT, Upstream, max_start_wait,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -88,6 +88,10 @@
     pub tried: TriedUpstreams,
     /// How often the request was sent.
     pub sends: u32,
+    /// Parts of the prompt that the last attempt probed.
+    pub probed_parts: ProbedParts,
+    /// Whether an answer went on after its first event, or was complete.
+    pub answer_began: bool,
     /// Whether an upstream may have run the request.
     pub may_have_run: bool,
     /// How often the request waited for a model or adapter.
@@ -112,6 +116,8 @@
 /// Reason why an attempt gave no answer to pass on.
 #[derive(Debug)]
 pub enum SendFailure {
+    /// The request was not sent, since a part of its prompt is quarantined.
+    Quarantined(Quarantined),
     /// The request did not reach the upstream.
     Unsent,
     /// The upstream says that it did not run the request.
@@ -279,13 +285,26 @@
         bound: Duration,
         pick: Option<PickGuard<C>>,
     ) -> Result<IncomingAnswer<C>, SendFailure> {
+        let admitted = self
+            .shared
+            .state()
+            .admit_parts(&self.metadata.shared_parts, BootClock.now());
+        self.probed_parts = admitted.map_err(SendFailure::Quarantined)?;
+        if !self.probed_parts.0.is_empty() {
+            log::info!(
+                "request: id={} upstream={} probes parts={}",
+                self.metadata.id,
+                upstream.id,
+                display_parts(&self.probed_parts.0)
+            );
+        }
         let guard = LoadGuard::new(
             &self.shared,
             upstream,
             self.rank(),
             self.metadata.prompt_tokens,
         );
-        let mut guard = guard.with_pick(pick);
+        let mut guard = guard.with_pick(pick).with_parts(self.probed_parts.clone());
         let may_reuse = self.route.repeat.is_repeatable();
         let opened = if may_reuse {
             self.http_pool.take(upstream.address, CONNECT_TIMEOUT).await
@@ -419,8 +438,25 @@
         }
     }
 
-    /// Logs and counts an attempt that an upstream did not begin to answer.
+    /// Notes that an answer went on after its first event, or was complete.
+    ///
+    /// No part of its prompt crashes engines.
+    pub(crate) fn note_answered(&mut self) {
+        if std::mem::replace(&mut self.answer_began, true) {
+            return;
+        }
+        let parts = &self.metadata.shared_parts;
+        let mut state = self.shared.state();
+        state.crashing_parts.note_answered(parts, BootClock.now());
+    }
+
+    /// Notes an attempt that an upstream did not begin to answer.
+    ///
+    /// A connection that ended may be that of a crashed engine, which accuses the prompt's parts.
     pub(crate) fn note_lost(&self, upstream: &Upstream, error: &CallError) {
+        if self.answer_began {
+            return;
+        }
         telemetry::count_lost_attempt(error);
         log::info!(
             "request: id={} upstream={} started={} lost before its first event, sends={} parts={}",
@@ -430,6 +466,19 @@
             self.sends,
             display_parts(&self.metadata.shared_parts)
         );
+        if !matches!(error, CallError::Lost { .. }) {
+            return;
+        }
+        let is_news = self.shared.state().crashing_parts.note_lost(
+            &self.metadata.shared_parts,
+            &self.probed_parts,
+            CrashId::new(upstream),
+            BootClock.now(),
+        );
+        if is_news {
+            telemetry::count_accusation("own");
+            self.shared.exchange_wakeup.notify_one();
+        }
     }
 
     /// Returns the refusal of a request that is not sent again.
@@ -445,6 +494,17 @@
     }
 }
 
+/// Refuses a request because of a part of its prompt; the callers' returns are spread.
+pub(crate) fn refuse_part(id: &str, quarantined: Quarantined) -> Refusal {
+    let after = quarantined.retry_after;
+    log::info!(
+        "request: id={id} part={} is quarantined, no probe for {after:?}",
+        quarantined.part
+    );
+    let spread = (after / RETRY_SPREAD_DIVISOR).mul_f64(rand::random());
+    Refusal::new(RefusalCause::QuarantinedPart).with_retry(after + spread)
+}
+
 /// Formats the parts of a prompt for the log.
 fn display_parts(parts: &[PromptPart]) -> String {
     let parts: Vec<_> = parts.iter().map(PromptPart::to_string).collect();
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -10,7 +10,8 @@
 use eelgrasshill_domain::{FastSet, HostName, Incarnation, ModelName, Moment};
 use eelgrasshill_ports::{BootClock, lock};
 use eelgrasshill_relay::{
-    AnswerStart, Capacity, Lease, MaxKeyAge, Peer, PlacementPlanner, RequestOutcome, Upstream,
+    AnswerStart, Capacity, Lease, MaxKeyAge, Peer, PlacementPlanner, ProbedParts, RequestOutcome,
+    Upstream,
 };
 use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
 use tokio::sync::Notify;
@@ -61,6 +62,8 @@
     pub started_at: Moment,
     /// Wakes the task that plans and sends orders.
     pub order_wakeup: Notify,
+    /// Starts the next round of the exchange early.
+    pub exchange_wakeup: Notify,
     bounds: Mutex<GatewayBounds>,
     state: Mutex<GatewayState<C>>,
     order_state: Mutex<OrderState>,
@@ -101,6 +104,7 @@
             order_state: Mutex::new(OrderState::new(&settings, incarnation)),
             started_at: BootClock.now(),
             order_wakeup: Notify::new(),
+            exchange_wakeup: Notify::new(),
             self_peer,
             incarnation,
             settings,
@@ -253,6 +257,7 @@
     tokens_ahead: u64,
     outcome: Option<RequestOutcome>,
     pick: Option<PickGuard<C>>,
+    probed_parts: ProbedParts,
 }
 
 impl<C: PlatformCodec> LoadGuard<C> {
@@ -279,9 +284,17 @@
             tokens_ahead,
             outcome: None,
             pick: None,
+            probed_parts: ProbedParts::default(),
         }
     }
 
+    /// Adds the parts that the request probes, which the guard ends.
+    #[must_use]
+    pub fn with_parts(mut self, probed_parts: ProbedParts) -> Self {
+        self.probed_parts = probed_parts;
+        self
+    }
+
     /// Adds the guard of the place that the picker keeps for the request.
     #[must_use]
     pub fn with_pick(mut self, pick: Option<PickGuard<C>>) -> Self {
@@ -332,6 +345,7 @@
             .loads
             .record_answer_start(&self.upstream.id, self.rank, self.queued_tokens);
         state.loads.record_end(&self.upstream.id);
+        state.crashing_parts.end_probes(&self.probed_parts);
         if let Some(outcome) = self.outcome {
             state
                 .health
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -95,6 +95,8 @@
     intervals: Vec<Duration>,
     longest_pause: Duration,
     has_started: bool,
+    // Whether the stream made progress after its first event.
+    goes_on: bool,
     started_at: Moment,
 }
 
@@ -107,6 +109,7 @@
             intervals: Vec::new(),
             longest_pause: Duration::ZERO,
             has_started: false,
+            goes_on: false,
             started_at: BootClock.now(),
         }
     }
@@ -118,6 +121,7 @@
         if !std::mem::replace(&mut self.has_started, true) {
             return;
         }
+        self.goes_on = true;
         self.longest_pause = self.longest_pause.max(interval);
         if self.intervals.len() < MAX_INTERVALS {
             self.intervals.push(interval);
@@ -277,7 +281,11 @@
         }
     }
 
-    async fn forward_events(&self, events: &mut EventReader<C>, sender: &BodySender) -> StreamEnd {
+    async fn forward_events(
+        &mut self,
+        events: &mut EventReader<C>,
+        sender: &BodySender,
+    ) -> StreamEnd {
         let silence_timeout = match self.route.repeat {
             Repeat::ResumableStream => SILENCE_TIMEOUT,
             Repeat::Idempotent | Repeat::Once | Repeat::Stream => self.time_left(),
@@ -289,11 +297,17 @@
             };
             match next {
                 ReadOutcome::Events(bytes) => {
+                    if events.goes_on {
+                        self.note_answered();
+                    }
                     if sender.send(Ok(bytes)).await.is_err() {
                         return StreamEnd::Deserted;
                     }
                 }
-                ReadOutcome::End => return StreamEnd::Complete,
+                ReadOutcome::End => {
+                    self.note_answered();
+                    return StreamEnd::Complete;
+                }
                 // A silent engine keeps the stream as long as no other could resume it.
                 ReadOutcome::Broken(CallError::Timeout { .. })
                     if !self.time_left().is_zero() && !self.can_resume() =>
@@ -307,6 +321,7 @@
                         events.incoming.upstream.id,
                         events.splitter.last()
                     );
+                    self.note_lost(&events.incoming.upstream, &error);
                     let is_silent = matches!(error, CallError::Timeout { .. });
                     return if is_silent && !self.time_left().is_zero() {
                         StreamEnd::Silent
@@ -369,6 +384,11 @@
                         "request: id={} resume failed: {failure:?}",
                         self.metadata.id
                     );
+                    match &failure {
+                        SendFailure::Quarantined(_) => return None,
+                        SendFailure::Lost(error) => self.note_lost(&candidate.upstream, error),
+                        SendFailure::Unsent | SendFailure::NotRun | SendFailure::Failed => {}
+                    }
                 }
             }
         }
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -135,6 +135,17 @@
     metrics::counter!("eelgrasshill_lost_attempts_total", "end" => end).increment(1);
 }
 
+/// Counts a new accusation of a part of a prompt, by the host that saw the crash.
+pub(crate) fn count_accusation(source: &'static str) {
+    metrics::counter!("eelgrasshill_part_accusations_total", "source" => source).increment(1);
+}
+
+/// Sets the number of parts of prompts that several crashes accuse.
+pub(crate) fn set_suspect_parts(count: usize) {
+    #[expect(clippy::cast_precision_loss, reason = "the number of parts is bounded")]
+    metrics::gauge!("eelgrasshill_suspect_parts").set(count as f64);
+}
+
 /// Counts a refusal by its cause.
 pub(crate) fn count_refusal(cause: RefusalCause) {
     metrics::counter!("eelgrasshill_refusals_total", "cause" => cause.to_string()).increment(1);
--- /dev/null
+++ b/crates/eelgrasshill_relay/src/crashing_parts.rs
@@ -0,0 +1,482 @@
+//! Parts of prompts on which engines crash, and who may still send requests with them.
+//!
+//! A lost answer accuses each part of its prompt that other requests share, and an answer that
+//! began clears them. What one host saw alone is forwarded to all, so that the accusations by
+//! different crashes add up. A part that several crashes accuse is quarantined: requests with it are
+//! refused, except for single probes that show whether it still crashes engines. Which host may
+//! probe follows from a hash, so that hosts that cannot reach each other do not all do so.
+//!
+//! The load pattern is a kind of request that crashes one engine after the other, on any host, next
+//! to sound requests that share all other parts with it. Many sound requests are in flight at each
+//! crash, and crashes have other causes too: a part is only quarantined while no answer to it has
+//! begun since, and not for crashes that another part explains. Parts that always came together are
+//! quarantined together; a request with only one of them shows which it is.
+
+use std::time::Duration;
+
+use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, record, rendezvous_weight, scalar};
+
+use crate::{PromptPart, Upstream};
+
+/// Number of crashes from which on a part is quarantined.
+const QUARANTINE_CRASHES: usize = 2;
+
+/// Time from which on the crashes of two probes count as separate evidence.
+const ROUND_TIME: Duration = Duration::from_secs(5);
+
+/// Time without a probe after the last crash: some rounds of the exchange.
+const MIN_PROBE_DELAY: Duration = Duration::from_secs(1);
+
+/// Time without a probe after a probe has crashed an engine.
+const CONFIRMED_PROBE_DELAY: Duration = Duration::from_secs(30);
+
+/// Factor by which that time rises with each further probe that crashes an engine.
+const PROBE_DELAY_FACTOR: u32 = 8;
+
+/// Maximum number of times that the factor applies.
+const MAX_DELAY_STEPS: u32 = 3;
+
+/// Time between the moments from which one host and the next may probe.
+///
+/// It covers a probe, and the rounds of the exchange that tell the others how it ended.
+const PROBE_STEP: Duration = Duration::from_secs(2);
+
+/// Time in which an answer that began speaks for a part, whatever other hosts lost.
+const ANSWERED_TTL: Duration = Duration::from_millis(1_500);
+
+/// Time for which answers are remembered, to clear parts that other hosts accuse late.
+const ANSWERED_MEMORY: Duration = Duration::from_secs(10);
+
+/// Time for which an accusation counts after the last request with the part.
+const ACCUSATION_TTL: Duration = Duration::from_mins(10);
+
+/// Time for which a dismissed accusation is kept, for hosts that do not know of the dismissal.
+const DISMISSED_TTL: Duration = Duration::from_secs(30);
+
+/// Age of the last known request with a part from which on a new one is reported.
+const MIN_SIGHTING_AGE: Duration = Duration::from_mins(2);
+
+/// Maximum number of accused parts; the one that was accused longest ago makes room.
+const MAX_PARTS: usize = 1_024;
+
+/// Maximum number of crashes that are kept for a part.
+const MAX_CRASHES_PER_PART: usize = 16;
+
+/// Maximum number of accusations in one message, some 15 KB.
+const MAX_FORWARDED: usize = 512;
+
+/// Maximum number of parts whose answers are remembered.
+const MAX_ANSWERED: usize = 8_192;
+
+scalar! {
+    /// Hash of one start of an engine, at which an answer was lost.
+    pub struct CrashId(pub u64);
+}
+
+impl CrashId {
+    /// Computes the hash of an engine's start.
+    #[must_use]
+    pub fn new(engine: &Upstream) -> Self {
+        let started = engine.started_ms.to_string();
+        Self(rendezvous_weight(engine.id.as_str(), &started))
+    }
+}
+
+record! {
+    /// What hosts tell each other about a part and a crash.
+    #[derive(Copy)]
+    pub struct Accusation {
+        /// Part of the prompt of a request that was lost.
+        pub part: PromptPart,
+        /// Crash at which it was lost.
+        pub crash: CrashId,
+        /// Whether the request was a probe of the quarantined part.
+        #[serde(rename = "probe")]
+        pub is_probe: bool,
+        /// Whether an answer to a request with the part began after the crash.
+        pub dismissed: bool,
+        /// When the answer was lost, by this host's clock.
+        #[serde(rename = "at")]
+        pub lost_at: Moment,
+        /// When a request with the part last arrived at any host.
+        #[serde(rename = "sighted")]
+        pub sighted_at: Moment,
+    }
+}
+
+/// Refusal of a request because of one part of its prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quarantined {
+    /// The part.
+    pub part: PromptPart,
+    /// Time until a host may probe the part.
+    pub retry_after: Duration,
+}
+
+/// The quarantined parts of a request that was sent as this host's probe of them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ProbedParts(pub Vec<PromptPart>);
+
+#[derive(Clone, Copy, Debug)]
+struct KnownAccusation {
+    accusation: Accusation,
+    learned_at: Moment,
+    // Position among all changes at this host.
+    sequence: u64,
+}
+
+/// How a quarantine came about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Quarantine {
+    // When this host learned of the last crash.
+    since: Moment,
+    // Time from then on without a probe.
+    probe_delay: Duration,
+}
+
+/// The accused parts, with the answers that speak for parts.
+#[derive(Clone, Debug, Default)]
+pub struct CrashingParts {
+    accused: FastMap<PromptPart, Vec<KnownAccusation>>,
+    answered: FastMap<PromptPart, Moment>,
+    probing: FastSet<PromptPart>,
+    /// Accusations, dismissals and sightings since the start.
+    change_count: u64,
+}
+
+impl CrashingParts {
+    /// Decides whether a request may be sent, and notes the probes that it would be.
+    ///
+    /// `rank` is the position of this host among those that may probe a part. A request that is
+    /// admitted ends its probes with [`Self::end_probes`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Quarantined`] if a part is quarantined and this host may not probe it now.
+    pub fn admit(
+        &mut self,
+        parts: &[PromptPart],
+        rank: impl Fn(PromptPart) -> u32,
+        now: Moment,
+    ) -> Result<ProbedParts, Quarantined> {
+        self.check(parts, rank, now)?;
+        let mut probed = ProbedParts::default();
+        for part in parts {
+            if self.quarantine(*part, parts, now).is_some() && self.probing.insert(*part) {
+                probed.0.push(*part);
+            }
+        }
+        Ok(probed)
+    }
+
+    /// Decides whether a request may be sent now.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Quarantined`] if a part is quarantined and this host may not probe it now.
+    pub fn check(
+        &mut self,
+        parts: &[PromptPart],
+        rank: impl Fn(PromptPart) -> u32,
+        now: Moment,
+    ) -> Result<(), Quarantined> {
+        for part in parts {
+            let Some(quarantine) = self.quarantine(*part, parts, now) else {
+                continue;
+            };
+            self.note_sighting(*part, now);
+            let elapsed = now.since(quarantine.since);
+            let has_turn = elapsed >= quarantine.probe_delay
+                && elapsed >= quarantine.probe_delay + PROBE_STEP * rank(*part);
+            if !has_turn || self.probing.contains(part) {
+                let next = quarantine.probe_delay.saturating_sub(elapsed);
+                return Err(Quarantined {
+                    part: *part,
+                    retry_after: next.max(MIN_PROBE_DELAY),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends the probes of a request that has been answered, lost or given up.
+    pub fn end_probes(&mut self, probed: &ProbedParts) {
+        for part in &probed.0 {
+            self.probing.remove(part);
+        }
+    }
+
+    /// Notes that a request's answer was lost before it had begun; returns whether that is news.
+    pub fn note_lost(
+        &mut self,
+        parts: &[PromptPart],
+        probed: &ProbedParts,
+        crash: CrashId,
+        now: Moment,
+    ) -> bool {
+        let mut is_news = false;
+        for part in parts {
+            if self.is_answered(*part, now) {
+                continue;
+            }
+            let accusation = Accusation {
+                part: *part,
+                crash,
+                is_probe: probed.0.contains(part),
+                dismissed: false,
+                lost_at: now,
+                sighted_at: now,
+            };
+            is_news |= self.apply(accusation, now);
+        }
+        is_news
+    }
+
+    /// Notes that an answer to a request with these parts has begun.
+    pub fn note_answered(&mut self, parts: &[PromptPart], now: Moment) {
+        for part in parts {
+            if self.answered.len() >= MAX_ANSWERED && !self.answered.contains_key(part) {
+                self.forget_answers(now);
+            }
+            self.answered.insert(*part, now);
+            self.dismiss(*part, now);
+        }
+    }
+
+    /// Dismisses the accusations of a part by the crashes until then.
+    fn dismiss(&mut self, part: PromptPart, answered_at: Moment) {
+        let Some(known) = self.accused.get_mut(&part) else {
+            return;
+        };
+        for known in known {
+            if !known.accusation.dismissed && known.accusation.lost_at <= answered_at {
+                self.change_count += 1;
+                known.accusation.dismissed = true;
+                known.sequence = self.change_count;
+                known.learned_at = answered_at;
+            }
+        }
+    }
+
+    /// Stores an accusation, dismissal or sighting of this or another host.
+    ///
+    /// Returns whether it is a new crash of the part that nothing known here dismisses.
+    pub fn apply(&mut self, accusation: Accusation, now: Moment) -> bool {
+        let part = accusation.part;
+        let entry = self.accused.entry(part).or_default();
+        let index = entry
+            .iter()
+            .position(|known| known.accusation.crash == accusation.crash);
+        let is_crash = index.is_none() && !accusation.dismissed;
+        let index = if let Some(index) = index {
+            if !update(&mut entry[index], &accusation, now) {
+                return false;
+            }
+            index
+        } else {
+            if entry.len() >= MAX_CRASHES_PER_PART {
+                entry.remove(0);
+            }
+            entry.push(KnownAccusation {
+                accusation,
+                learned_at: now,
+                sequence: 0,
+            });
+            entry.len() - 1
+        };
+        self.change_count += 1;
+        entry[index].sequence = self.change_count;
+        if self.accused.len() > MAX_PARTS {
+            self.evict(part);
+        }
+        match self.answered.get(&part) {
+            Some(answered_at) if is_crash && *answered_at >= accusation.lost_at => {
+                self.dismiss(part, *answered_at);
+                false
+            }
+            Some(_) | None => is_crash,
+        }
+    }
+
+    /// Removes the part, other than the given one, that was accused longest ago.
+    fn evict(&mut self, kept: PromptPart) {
+        let last_change =
+            |known: &Vec<KnownAccusation>| known.iter().map(|known| known.sequence).max();
+        let oldest = self
+            .accused
+            .iter()
+            .filter(|(part, _known)| **part != kept)
+            .min_by_key(|(_part, known)| {
+                let is_quarantined = open_crashes(known).count() >= QUARANTINE_CRASHES;
+                (is_quarantined, last_change(known))
+            });
+        if let Some(part) = oldest.map(|(part, _known)| *part) {
+            self.accused.remove(&part);
+        }
+    }
+
+    /// Reports a request with a quarantined part to the others, if they know of no recent one.
+    fn note_sighting(&mut self, part: PromptPart, now: Moment) {
+        let Some(known) = self.accused.get_mut(&part) else {
+            return;
+        };
+        for known in known {
+            let age = now.since(known.accusation.sighted_at);
+            if !known.accusation.dismissed && age >= MIN_SIGHTING_AGE {
+                self.change_count += 1;
+                known.accusation.sighted_at = now;
+                known.sequence = self.change_count;
+            }
+        }
+    }
+
+    /// Returns what changed after the first `known_count` changes, in that order.
+    ///
+    /// Also returns how many changes a host knows that gets them; a long list is cut off.
+    #[must_use]
+    pub fn changes(&self, known_count: u64) -> (Vec<Accusation>, u64) {
+        let known = self.accused.values().flatten();
+        let mut changed: Vec<_> = known.filter(|known| known.sequence > known_count).collect();
+        if changed.len() <= MAX_FORWARDED {
+            let accusations = changed.iter().map(|known| known.accusation).collect();
+            return (accusations, self.change_count);
+        }
+        changed.sort_unstable_by_key(|known| known.sequence);
+        changed.truncate(MAX_FORWARDED);
+        let told_count = changed.last().map_or(known_count, |known| known.sequence);
+        let accusations = changed.iter().map(|known| known.accusation).collect();
+        (accusations, told_count)
+    }
+
+    /// Returns the number of parts that several crashes accuse.
+    #[must_use]
+    pub fn suspect_count(&self) -> usize {
+        let accused = self.accused.values();
+        accused
+            .filter(|known| open_crashes(known).count() >= QUARANTINE_CRASHES)
+            .count()
+    }
+
+    /// Removes what is too old to count.
+    pub fn expire(&mut self, now: Moment) {
+        self.accused.retain(|_part, known| {
+            known.retain(|known| {
+                if known.accusation.dismissed {
+                    now.since(known.learned_at) < DISMISSED_TTL
+                } else {
+                    now.since(known.accusation.sighted_at) < ACCUSATION_TTL
+                }
+            });
+            !known.is_empty()
+        });
+        self.answered
+            .retain(|_part, at| now.since(*at) < ANSWERED_MEMORY);
+    }
+
+    /// Removes the older half of the remembered answers.
+    fn forget_answers(&mut self, now: Moment) {
+        let mut ages: Vec<_> = self.answered.values().map(|at| now.since(*at)).collect();
+        let middle = ages.len() / 2;
+        let (_younger, median, _older) = ages.select_nth_unstable(middle);
+        let median = *median;
+        self.answered.retain(|_part, at| now.since(*at) < median);
+    }
+
+    fn is_answered(&self, part: PromptPart, now: Moment) -> bool {
+        self.answered
+            .get(&part)
+            .is_some_and(|at| now.since(*at) < ANSWERED_TTL)
+    }
+
+    /// Returns the quarantine of a part in a request with the given parts, if it is in force.
+    fn quarantine(
+        &self,
+        part: PromptPart,
+        parts: &[PromptPart],
+        now: Moment,
+    ) -> Option<Quarantine> {
+        let known = self.accused.get(&part)?;
+        let count = open_crashes(known).count();
+        if count < QUARANTINE_CRASHES || self.is_answered(part, now) {
+            return None;
+        }
+        // Crashes under another part that was in more of them are that part's doing. So they are
+        // if it was in as many, but the request does not have it.
+        let is_explained = |crash: CrashId| {
+            self.accused.iter().any(|(other, known)| {
+                let other_count = open_crashes(known).count();
+                let is_likelier = other_count > count
+                    || (other_count == count && !parts.contains(other) && *other != part);
+                is_likelier
+                    && open_crashes(known).any(|known| known.accusation.crash == crash)
+                    && !self.is_answered(*other, now)
+            })
+        };
+        let own: Vec<_> = open_crashes(known)
+            .filter(|known| !is_explained(known.accusation.crash))
+            .collect();
+        if own.len() < QUARANTINE_CRASHES {
+            return None;
+        }
+        let since = own.iter().map(|known| known.learned_at).max()?;
+        let probes = own.iter().filter(|known| known.accusation.is_probe);
+        let mut probes: Vec<_> = probes.map(|known| known.accusation.lost_at).collect();
+        probes.sort_unstable();
+        let probe_delay = match count_rounds(&probes).checked_sub(1) {
+            None => MIN_PROBE_DELAY,
+            Some(steps) => {
+                CONFIRMED_PROBE_DELAY * PROBE_DELAY_FACTOR.pow(steps.min(MAX_DELAY_STEPS))
+            }
+        };
+        Some(Quarantine { since, probe_delay })
+    }
+}
+
+/// Returns the position of a host among those that may probe a part.
+#[must_use]
+pub fn probe_rank<'a>(
+    part: PromptPart,
+    host: &HostName,
+    hosts: impl Iterator<Item = &'a HostName>,
+) -> u32 {
+    let subject = part.to_string();
+    let own = rendezvous_weight(host.as_str(), &subject);
+    let before = hosts.filter(|other| rendezvous_weight(other.as_str(), &subject) > own);
+    u32::try_from(before.count()).unwrap_or(u32::MAX)
+}
+
+/// Returns the accusations that no answer has dismissed.
+fn open_crashes(known: &[KnownAccusation]) -> impl Iterator<Item = &KnownAccusation> {
+    known.iter().filter(|known| !known.accusation.dismissed)
+}
+
+/// Counts the sorted moments that are separate evidence.
+fn count_rounds(sorted: &[Moment]) -> u32 {
+    let mut rounds = 0;
+    let mut last: Option<Moment> = None;
+    for at in sorted {
+        if last.is_none_or(|last| at.since(last) >= ROUND_TIME) {
+            rounds += 1;
+            last = Some(*at);
+        }
+    }
+    rounds
+}
+
+/// Adds what another report says of the same part and crash; returns whether it is new.
+fn update(known: &mut KnownAccusation, report: &Accusation, now: Moment) -> bool {
+    let accusation = &mut known.accusation;
+    let is_dismissal = report.dismissed && !accusation.dismissed;
+    if is_dismissal {
+        accusation.dismissed = true;
+        known.learned_at = now;
+    }
+    // The ages of a sighting that came by two ways differ somewhat.
+    let is_sighting = report.sighted_at.since(accusation.sighted_at) >= MIN_SIGHTING_AGE / 2;
+    if is_sighting {
+        accusation.sighted_at = report.sighted_at;
+    }
+    let is_probe = report.is_probe && !accusation.is_probe;
+    accusation.is_probe |= report.is_probe;
+    is_dismissal || is_sighting || is_probe
+}
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -3,6 +3,7 @@
 //! Upstream selection, rate limits, retries, the exchange of state between hosts, and model
 //! placement on engines. The crate does no I/O: time, randomness and outside events are arguments.
 
+mod crashing_parts;
 mod demand;
 mod engine_picker;
 mod engine_rests;
@@ -29,6 +30,9 @@
 mod tree;
 mod upstream_loads;
 
+pub use crashing_parts::{
+    Accusation, CrashId, CrashingParts, ProbedParts, Quarantined, probe_rank,
+};
 pub use demand::{ModelKey, SmoothedDemand};
 pub use engine_picker::{EnginePicker, Pick, PickCandidate, PromptQuery, Ticket};
 pub use engine_rests::EngineRests;
--- /dev/null
+++ b/crates/eelgrasshill_relay/tests/crashing_parts.rs
@@ -0,0 +1,580 @@
+//! Tests which parts of prompts are quarantined, and how many requests it takes to know.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use eelgrasshill_domain::{HostName, Moment};
+use eelgrasshill_relay::{
+    Accusation, CrashId, CrashingParts, ProbedParts, PromptPart, Quarantined, probe_rank,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Rank of a host that is the first to probe any part.
+fn first(_part: PromptPart) -> u32 {
+    0
+}
+
+fn part(id: &str) -> PromptPart {
+    PromptPart::new(id)
+}
+
+/// What happens to a host's parts, at a second of the case.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// A request with these parts is lost at the engine of this number.
+    Lost(&'static [&'static str], u64),
+    /// As `Lost`, but the request is sent as a probe where it may be.
+    Probe(&'static [&'static str], u64),
+    /// An answer to a request with these parts begins.
+    Answered(&'static [&'static str]),
+}
+
+/// Events at one host, and which requests it then refuses.
+#[derive(Clone, Copy, Debug)]
+struct PartCase {
+    name: &'static str,
+    events: &'static [(f64, Event)],
+    // When requests are checked, and with which parts.
+    at: f64,
+    refused: &'static [&'static [&'static str]],
+    admitted: &'static [&'static [&'static str]],
+}
+
+const PART_CASES: [PartCase; 12] = [
+    PartCase {
+        name: "one crash proves nothing",
+        events: &[(0.0, Event::Lost(&["f", "dead"], 1))],
+        at: 0.1,
+        refused: &[],
+        admitted: &[&["f", "dead"], &["f"]],
+    },
+    PartCase {
+        name: "a second crash quarantines what no answer has cleared",
+        events: &[
+            (0.0, Event::Lost(&["f", "dead"], 1)),
+            (0.2, Event::Answered(&["f"])),
+            (0.3, Event::Lost(&["f", "dead"], 2)),
+        ],
+        at: 0.4,
+        refused: &[&["f", "dead"], &["dead"]],
+        admitted: &[&["f"], &["f", "other"]],
+    },
+    PartCase {
+        name: "a part is cleared by answers to others' requests with it",
+        events: &[
+            (0.0, Event::Lost(&["f", "m", "dead"], 1)),
+            (0.3, Event::Lost(&["f", "m", "dead"], 2)),
+            (0.5, Event::Answered(&["f", "m"])),
+        ],
+        at: 0.6,
+        refused: &[&["f", "m", "dead"]],
+        admitted: &[&["f", "m"]],
+    },
+    PartCase {
+        name: "parts that always came together are told apart by a request with one of them",
+        events: &[
+            (0.0, Event::Lost(&["m", "dead"], 1)),
+            (0.3, Event::Lost(&["m", "dead"], 2)),
+        ],
+        at: 0.4,
+        refused: &[&["m", "dead"]],
+        admitted: &[&["m"], &["dead"]],
+    },
+    PartCase {
+        name: "a rare part beside a crashing one is not condemned for the other's crashes",
+        events: &[
+            (0.0, Event::Lost(&["dead"], 1)),
+            (0.0, Event::Lost(&["rare"], 1)),
+            (0.3, Event::Lost(&["dead"], 2)),
+            (0.3, Event::Lost(&["rare"], 2)),
+            (0.6, Event::Lost(&["dead"], 3)),
+        ],
+        at: 0.7,
+        refused: &[&["dead"]],
+        admitted: &[&["rare"]],
+    },
+    PartCase {
+        name: "all engines crash together and return",
+        events: &[
+            (0.0, Event::Lost(&["f"], 1)),
+            (0.0, Event::Lost(&["f"], 2)),
+            (0.0, Event::Lost(&["f"], 3)),
+        ],
+        at: 1.1,
+        refused: &[],
+        admitted: &[&["f"]],
+    },
+    PartCase {
+        name: "a probe that crashes an engine condemns the part",
+        events: &[
+            (0.0, Event::Lost(&["dead"], 1)),
+            (0.3, Event::Lost(&["dead"], 2)),
+            (1.5, Event::Probe(&["dead"], 3)),
+        ],
+        at: 30.0,
+        refused: &[&["dead"]],
+        admitted: &[],
+    },
+    PartCase {
+        name: "a condemned part is probed again after half a minute",
+        events: &[
+            (0.0, Event::Lost(&["dead"], 1)),
+            (0.3, Event::Lost(&["dead"], 2)),
+            (1.5, Event::Probe(&["dead"], 3)),
+        ],
+        at: 32.0,
+        refused: &[],
+        admitted: &[&["dead"]],
+    },
+    PartCase {
+        name: "the time between probes rises",
+        events: &[
+            (0.0, Event::Lost(&["dead"], 1)),
+            (0.3, Event::Lost(&["dead"], 2)),
+            (1.5, Event::Probe(&["dead"], 3)),
+            (32.0, Event::Probe(&["dead"], 4)),
+        ],
+        at: 200.0,
+        refused: &[&["dead"]],
+        admitted: &[],
+    },
+    PartCase {
+        name: "a mended part is cleared by its probe",
+        events: &[
+            (0.0, Event::Lost(&["dead"], 1)),
+            (0.3, Event::Lost(&["dead"], 2)),
+            (1.5, Event::Probe(&["dead"], 3)),
+            (32.0, Event::Answered(&["dead"])),
+        ],
+        at: 60.0,
+        refused: &[],
+        admitted: &[&["dead"]],
+    },
+    PartCase {
+        name: "a part that turns bad after its answers",
+        events: &[
+            (0.0, Event::Answered(&["f"])),
+            (0.1, Event::Lost(&["f"], 1)),
+            (1.8, Event::Lost(&["f"], 2)),
+            (2.0, Event::Lost(&["f"], 3)),
+        ],
+        at: 2.1,
+        refused: &[&["f"]],
+        admitted: &[],
+    },
+    PartCase {
+        name: "two crashing parts, one after the other",
+        events: &[
+            (0.0, Event::Lost(&["dead-1"], 1)),
+            (0.3, Event::Lost(&["dead-1"], 2)),
+            (5.0, Event::Lost(&["dead-2"], 3)),
+            (5.3, Event::Lost(&["dead-2"], 4)),
+        ],
+        at: 5.4,
+        refused: &[&["dead-2"]],
+        admitted: &[&["dead-1"]],
+    },
+];
+
+/// Guards against sound parts that are condemned beside a crashing one, or by other crashes.
+#[test]
+fn only_parts_that_crash_engines_are_quarantined() {
+    for case in PART_CASES {
+        let mut parts = CrashingParts::default();
+        for (second, event) in case.events {
+            let now = moment(*second);
+            match event {
+                Event::Lost(ids, engine) => {
+                    let ids = parts_of(ids);
+                    parts.note_lost(&ids, &ProbedParts::default(), CrashId(*engine), now);
+                }
+                Event::Probe(ids, engine) => {
+                    let ids = parts_of(ids);
+                    let probed = parts.admit(&ids, first, now).expect(case.name);
+                    parts.note_lost(&ids, &probed, CrashId(*engine), now);
+                    parts.end_probes(&probed);
+                }
+                Event::Answered(ids) => parts.note_answered(&parts_of(ids), now),
+            }
+        }
+        let now = moment(case.at);
+        for ids in case.refused {
+            let checked = parts.check(&parts_of(ids), first, now);
+            assert!(checked.is_err(), "{}: {ids:?} was admitted", case.name);
+        }
+        for ids in case.admitted {
+            let checked = parts.check(&parts_of(ids), first, now);
+            assert_eq!(checked, Ok(()), "{}: {ids:?}", case.name);
+        }
+    }
+}
+
+fn parts_of(ids: &[&str]) -> Vec<PromptPart> {
+    ids.iter().map(|id| part(id)).collect()
+}
+
+fn moment(second: f64) -> Moment {
+    Moment(100_000).after(Duration::from_secs_f64(second))
+}
+
+/// Guards against several probes of a part at a time, by one host or by many.
+#[test]
+fn one_request_probes_a_part() {
+    let mut parts = CrashingParts::default();
+    let ids = [part("dead")];
+    for engine in 1..=2 {
+        parts.note_lost(&ids, &ProbedParts::default(), CrashId(engine), moment(0.0));
+    }
+    let probed = parts.admit(&ids, first, moment(1.5)).expect("a probe");
+    assert_eq!(probed, ProbedParts(vec![ids[0]]));
+    assert!(parts.admit(&ids, first, moment(1.6)).is_err());
+    parts.end_probes(&probed);
+    assert!(parts.check(&ids, first, moment(1.7)).is_ok());
+    // The next host waits until the first one's probe has ended and is known.
+    let refusal = parts.check(&ids, |_part| 1, moment(1.7));
+    let expected = Quarantined {
+        part: ids[0],
+        retry_after: Duration::from_secs(1),
+    };
+    assert_eq!(refusal, Err(expected));
+    assert!(parts.check(&ids, |_part| 1, moment(3.1)).is_ok());
+
+    let hosts: Vec<_> = (0..295)
+        .map(|number| HostName::new(&format!("front-{number}")).expect("a valid name"))
+        .collect();
+    let mut ranks: Vec<_> = hosts
+        .iter()
+        .map(|host| probe_rank(ids[0], host, hosts.iter()))
+        .collect();
+    ranks.sort_unstable();
+    assert!(ranks.iter().copied().eq(0..295), "each host has its rank");
+}
+
+/// Guards against state that grows with the parts that callers invent, and against losing a
+/// quarantine among them.
+#[test]
+fn invented_parts_do_not_displace_a_quarantine() {
+    let mut parts = CrashingParts::default();
+    let dead = [part("dead")];
+    for engine in 1..=2 {
+        parts.note_lost(&dead, &ProbedParts::default(), CrashId(engine), moment(0.0));
+    }
+    for number in 0..20_000_u64 {
+        let invented = [part(&format!("x{number}"))];
+        let crash = CrashId(100 + number % 7);
+        parts.note_lost(&invented, &ProbedParts::default(), crash, moment(0.1));
+        parts.note_answered(&[part(&format!("y{number}"))], moment(0.1));
+    }
+    assert!(parts.check(&dead, first, moment(0.2)).is_err());
+    let mut known = 0;
+    let mut told = 0;
+    loop {
+        let (accusations, told_count) = parts.changes(known);
+        if accusations.is_empty() {
+            break;
+        }
+        assert!(accusations.len() <= 512, "one message is bounded");
+        told += accusations.len();
+        known = told_count;
+    }
+    assert!(told <= 1_100, "{told} accusations are kept");
+}
+
+/// One engine of the simulation.
+#[derive(Clone, Copy, Debug, Default)]
+struct Engine {
+    start: u64,
+    down_until: u64,
+}
+
+/// A request that waits for its first event.
+#[derive(Clone, Debug)]
+struct Waiting {
+    host: usize,
+    engine: usize,
+    start: u64,
+    parts: Vec<PromptPart>,
+    probed: ProbedParts,
+    begins_at: u64,
+    sends: u32,
+}
+
+/// One deployment and what its callers send.
+#[derive(Clone, Copy, Debug)]
+struct Fleet {
+    hosts: usize,
+    engines: usize,
+    requests_per_s: u64,
+    crashing_permille: u32,
+    // Whether all engines crash at once for reasons of their own, as in a zone that loses power.
+    outage: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    crashes: usize,
+    late: usize,
+    sound_sent: usize,
+    sound_refused: usize,
+}
+
+const START_MS: u64 = 10_000;
+const OUTAGE_MS: u64 = 11_000;
+const STEP_MS: u64 = 10;
+const ROUND_MS: u64 = 250;
+const EARLY_ROUND_MS: u64 = 100;
+const PROMPT_MS: u64 = 150;
+const DOWN_MS: u64 = 3_500;
+const CHILDREN: usize = 16;
+
+/// The hosts of a fleet, which exchange their accusations along a tree.
+struct Simulation {
+    fleet: Fleet,
+    random: StdRng,
+    hosts: Vec<CrashingParts>,
+    names: Vec<HostName>,
+    // For each host and its parent, the changes that each has received of the other.
+    links: Vec<(u64, u64)>,
+    news: Vec<bool>,
+    last_rounds: Vec<u64>,
+    engines: Vec<Engine>,
+    waiting: Vec<Waiting>,
+    crash_times: Vec<u64>,
+    tally: Tally,
+}
+
+impl Simulation {
+    fn new(fleet: Fleet, seed: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let last_rounds = (0..fleet.hosts)
+            .map(|_host| random.random_range(0..ROUND_MS))
+            .collect();
+        Self {
+            random,
+            hosts: vec![CrashingParts::default(); fleet.hosts],
+            names: (0..fleet.hosts)
+                .map(|number| HostName::new(&format!("h{number}")).expect("a valid name"))
+                .collect(),
+            links: vec![(0, 0); fleet.hosts],
+            news: vec![false; fleet.hosts],
+            last_rounds,
+            engines: vec![Engine::default(); fleet.engines],
+            waiting: Vec::new(),
+            crash_times: Vec::new(),
+            tally: Tally::default(),
+            fleet,
+        }
+    }
+
+    fn run(mut self, duration: u64, contact_ms: u64) -> Tally {
+        for now in (START_MS..START_MS + duration).filter(|ms| ms.is_multiple_of(STEP_MS)) {
+            self.answer(now, contact_ms);
+            if self.fleet.outage && now == OUTAGE_MS {
+                for engine in 0..self.engines.len() {
+                    self.crash(engine, now);
+                }
+            }
+            self.send(now);
+            for host in 1..self.fleet.hosts {
+                let interval = if self.news[host] {
+                    EARLY_ROUND_MS
+                } else {
+                    ROUND_MS
+                };
+                if now - self.last_rounds[host] >= interval {
+                    self.exchange(host, now);
+                }
+            }
+        }
+        self.tally.crashes = self.crash_times.len();
+        self.tally
+    }
+
+    fn send(&mut self, now: u64) {
+        let expected = self.fleet.requests_per_s * STEP_MS;
+        let count =
+            expected / 1_000 + u64::from(self.random.random_range(0..1_000) < expected % 1_000);
+        for _request in 0..count {
+            let is_crashing = !self.fleet.outage
+                && self
+                    .random
+                    .random_ratio(self.fleet.crashing_permille, 1_000);
+            let organisation = self.random.random_range(0..5);
+            let topic = self.random.random_range(0..200);
+            let mut parts = vec![
+                part(&format!("f{organisation}")),
+                part(&format!("t{organisation}-{topic}")),
+            ];
+            if is_crashing {
+                parts = vec![part("f0"), part("t0-0"), part("dead")];
+            }
+            let host = self.random.random_range(0..self.fleet.hosts);
+            let is_sent = self.try_send(host, parts, now, 0);
+            // Nothing can be sent during the outage.
+            let counts = !self.fleet.outage || now > OUTAGE_MS + DOWN_MS + 2_000;
+            if !is_crashing && counts {
+                self.tally.sound_sent += 1;
+                self.tally.sound_refused += usize::from(!is_sent);
+            }
+        }
+    }
+
+    /// Sends a request to a random engine that is up; returns whether it was admitted.
+    fn try_send(&mut self, host: usize, parts: Vec<PromptPart>, now: u64, sends: u32) -> bool {
+        let up: Vec<_> = (0..self.engines.len())
+            .filter(|engine| self.engines[*engine].down_until <= now)
+            .collect();
+        let names = &self.names;
+        let rank = |part| probe_rank(part, &names[host], names.iter());
+        if up.is_empty() {
+            return self.hosts[host].check(&parts, rank, Moment(now)).is_ok();
+        }
+        let Ok(probed) = self.hosts[host].admit(&parts, rank, Moment(now)) else {
+            return false;
+        };
+        let engine = up[self.random.random_range(0..up.len())];
+        self.waiting.push(Waiting {
+            host,
+            engine,
+            start: self.engines[engine].start,
+            parts,
+            probed,
+            begins_at: now + PROMPT_MS,
+            sends: sends + 1,
+        });
+        true
+    }
+
+    fn crash(&mut self, engine: usize, now: u64) {
+        self.engines[engine].start += 1;
+        self.engines[engine].down_until = now + DOWN_MS;
+        let lost: Vec<_> = self
+            .waiting
+            .extract_if(.., |w| w.engine == engine)
+            .collect();
+        for request in lost {
+            let crash = CrashId(engine as u64 * 1_000 + request.start);
+            let parts = &mut self.hosts[request.host];
+            parts.end_probes(&request.probed);
+            if parts.note_lost(&request.parts, &request.probed, crash, Moment(now)) {
+                self.news[request.host] = true;
+            }
+            if request.sends < 2 {
+                self.try_send(request.host, request.parts, now, request.sends);
+            }
+        }
+    }
+
+    /// Lets answers begin; an engine crashes instead if it begins one to the crashing part.
+    fn answer(&mut self, now: u64, contact_ms: u64) {
+        let dead = part("dead");
+        while let Some(index) = self.waiting.iter().position(|w| w.begins_at <= now) {
+            if self.waiting[index].parts.contains(&dead) {
+                let sent_at = self.waiting[index].begins_at - PROMPT_MS;
+                let fifth = self.crash_times.get(4);
+                self.tally.late += usize::from(fifth.is_some_and(|at| sent_at > at + contact_ms));
+                self.crash_times.push(now);
+                self.crash(self.waiting[index].engine, now);
+            } else {
+                let request = self.waiting.swap_remove(index);
+                let parts = &mut self.hosts[request.host];
+                parts.end_probes(&request.probed);
+                parts.note_answered(&request.parts, Moment(now));
+            }
+        }
+    }
+
+    fn exchange(&mut self, host: usize, now: u64) {
+        self.last_rounds[host] = now;
+        self.news[host] = false;
+        let parent = (host - 1) / CHILDREN;
+        let (received, acked) = self.links[host];
+        let (upward, own_count) = self.hosts[host].changes(acked);
+        let (downward, parent_count) = self.hosts[parent].changes(received);
+        let apply = |parts: &mut CrashingParts, accusations: Vec<Accusation>| {
+            let news = accusations
+                .into_iter()
+                .filter(|accusation| parts.apply(*accusation, Moment(now)));
+            news.count() > 0
+        };
+        self.news[parent] |= apply(&mut self.hosts[parent], upward);
+        self.news[host] |= apply(&mut self.hosts[host], downward);
+        self.links[host] = (parent_count, own_count);
+    }
+}
+
+/// Guards against engines that crash one after the other until the requests stop, at each size.
+#[test]
+fn a_fleet_stops_sending_a_crashing_part_and_goes_on_with_sound_ones() {
+    struct Case {
+        name: &'static str,
+        fleet: Fleet,
+        contact_ms: u64,
+        max_refused_percent: usize,
+    }
+    let fleet = |hosts, engines, requests_per_s, crashing_permille, outage| Fleet {
+        hosts,
+        engines,
+        requests_per_s,
+        crashing_permille,
+        outage,
+    };
+    let cases = [
+        Case {
+            name: "20 hosts",
+            fleet: fleet(20, 12, 75, 50, false),
+            contact_ms: 3_000,
+            max_refused_percent: 5,
+        },
+        Case {
+            name: "20 hosts, every fifth request",
+            fleet: fleet(20, 12, 75, 200, false),
+            contact_ms: 3_000,
+            max_refused_percent: 5,
+        },
+        Case {
+            name: "127 hosts",
+            fleet: fleet(127, 112, 275, 50, false),
+            contact_ms: 4_000,
+            max_refused_percent: 5,
+        },
+        Case {
+            name: "295 hosts",
+            fleet: fleet(295, 204, 552, 20, false),
+            contact_ms: 5_000,
+            max_refused_percent: 5,
+        },
+        Case {
+            name: "127 hosts, all engines crash at once for another reason",
+            fleet: fleet(127, 112, 275, 0, true),
+            contact_ms: 4_000,
+            max_refused_percent: 5,
+        },
+    ];
+    for case in cases {
+        let mut seen = BTreeMap::new();
+        for seed in 0..10 {
+            let tally = Simulation::new(case.fleet, seed).run(25_000, case.contact_ms);
+            assert!(
+                tally.late <= 3,
+                "{} seed {seed}: {} late requests, {} crashes",
+                case.name,
+                tally.late,
+                tally.crashes
+            );
+            assert!(
+                tally.sound_refused * 100 <= tally.sound_sent * case.max_refused_percent,
+                "{} seed {seed}: {} of {} sound requests refused",
+                case.name,
+                tally.sound_refused,
+                tally.sound_sent
+            );
+            seen.insert(seed, (tally.crashes, tally.late, tally.sound_refused));
+        }
+        println!(
+            "{}: crashes, late, sound refused by seed: {seen:?}",
+            case.name
+        );
+    }
+}
