Use no engine by an odd entry of the registry

Another writer's entry under an engine's id left the engine's earlier entry in use, and one with absurd slots (1e30), start or port 0 counted as an engine: its slots drew every prompt of its models. The platform says that such an entry names no engine.

Cause: an entry that could not be decoded was skipped, and figures were not checked for what they can be. The newest entry now decides: if it cannot be used, its engine is out until its next sound entry.

--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -278,7 +278,14 @@
                 }
                 self.upstreams.insert(upstream, now);
             }
-            Err(error) => log::warn!("upstreams: offset={} skipped: {error}", record.offset),
+            Err(error) => {
+                // The newest entry of an upstream counts, and this one names none.
+                log::warn!(
+                    "upstreams: id={id} offset={} is not used: {error}",
+                    record.offset
+                );
+                self.upstreams.remove(&id, false, now);
+            }
         }
     }
 
