Take requests late in a planned stop only if they end before it

Callers whose requests came late in the grace time of a stopping host had their connections cut without an answer, also for requests that may not be repeated: in the test a booking sent 2.74 s after SIGTERM, with 5 s of grace and an engine that takes 2 s.

Cause: the two periods of admission were fixed times, 2.8 s for streams and all but the last 1.5 s for other requests, whatever a request's time limit and the grace time were. What has no answer shortly before the host closes gets 502, which promises nothing, instead of a cut connection.

--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -12,7 +12,9 @@
 use bytes::{Bytes, BytesMut};
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::{BootClock, HttpPool, read_response_body};
-use eelgrasshill_relay::{ModelKey, Organisation, ProbedParts, RequestOutcome, Route, Tables};
+use eelgrasshill_relay::{
+    ModelKey, Organisation, ProbedParts, RequestOutcome, Route, Tables, is_admitted_late,
+};
 use futures_util::StreamExt;
 
 use crate::codec::{CallerHeaders, PlatformCodec, RequestMetadata};
@@ -50,16 +52,6 @@
 /// Retry time for callers of a host that has no recent configuration or is leaving.
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Time after SIGTERM in which new streams are still accepted.
-///
-/// A later stream would surely be cut off at the end of the grace time.
-const STREAM_ADMISSION_PERIOD: Duration = Duration::from_millis(2_800);
-
-/// Time before the end of the grace time in which non-streaming requests are refused.
-///
-/// Such a request may take a second.
-const CALL_TIME_RESERVE: Duration = Duration::from_millis(1_500);
-
 /// Timeout of an attempt while another is allowed, as a multiple of the route's objective.
 const ATTEMPT_TIMEOUT_OBJECTIVES: u32 = 3;
 
@@ -83,7 +75,16 @@
     let arrived_at = BootClock.now();
     let leaving = shared.leaving().is_some();
     let mut response = match prepare(&shared, &pool, &request, payload, arrived_at).await {
-        Ok(relayed) => serve(relayed, &requester, open_request).await,
+        Ok(relayed) => {
+            let (id, route) = (relayed.metadata.id.clone(), Arc::clone(&relayed.route));
+            tokio::select! {
+                response = serve(relayed, &requester, open_request) => response,
+                // Whether the request ran is not known, and nobody will be there to pass it on.
+                () = shared.closing() => {
+                    refuse(&id, Some(&route), Refusal::new(RefusalCause::Lost), arrived_at)
+                }
+            }
+        }
         Err((id, refusal)) => refuse(&id, None, refusal, arrived_at),
     };
     if leaving {
@@ -194,7 +195,11 @@
     };
     let keys_accepted = shared.accepts_keys(&state, now);
     let organisation = authorise(&tables, route, &metadata, keys_accepted)?;
-    check_leaving(shared, route, now)?;
+    let time_limit = metadata
+        .deadline
+        .unwrap_or(route.timeout)
+        .min(route.timeout);
+    check_leaving(shared, time_limit, now)?;
     state
         .check_parts(&metadata.shared_parts, now)
         .map_err(|quarantined| refuse_part(&metadata.id, quarantined))?;
@@ -225,10 +230,6 @@
         state.demand.record_request(model_key, work_micros, now);
     }
     drop(state);
-    let time_limit = metadata
-        .deadline
-        .unwrap_or(route.timeout)
-        .min(route.timeout);
     let path = request
         .uri()
         .path_and_query()
@@ -289,21 +290,16 @@
 /// Refuses a request that a leaving host could not finish.
 fn check_leaving<C: PlatformCodec>(
     shared: &Shared<C>,
-    route: &Route,
+    time_limit: Duration,
     now: Moment,
 ) -> Result<(), Refusal> {
     let Some(since) = shared.leaving() else {
         return Ok(());
     };
-    let admission_period = if route.repeat.is_stream() {
-        STREAM_ADMISSION_PERIOD
-    } else {
-        shared
-            .bounds()
-            .termination_grace
-            .saturating_sub(CALL_TIME_RESERVE)
-    };
-    if now.since(since) > admission_period {
+    let elapsed = now.since(since);
+    let grace = shared.bounds().termination_grace;
+    let until_close = shared.max_drain_time().saturating_sub(elapsed);
+    if !is_admitted_late(elapsed, grace, until_close, time_limit) {
         return Err(Refusal::new(RefusalCause::Leaving).with_retry(SHORT_RETRY_AFTER));
     }
     Ok(())
--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -31,8 +31,10 @@
 /// The load balancer needs two readiness checks, a second apart, and callers some time to leave.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(3_200);
 
-/// Part of the grace time that is reserved for the process to exit.
-const EXIT_TIME: Duration = Duration::from_millis(350);
+/// Time before the host closes in which requests without an answer are ended.
+///
+/// It lets their last answers reach the callers.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 
 /// Time between checks whether a draining host has open requests.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -161,13 +163,16 @@
         shared.settings.name,
         shared.open_requests()
     );
-    let max_drain_time = shared.bounds().termination_grace.saturating_sub(EXIT_TIME);
+    let max_drain_time = shared.max_drain_time();
     loop {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         let elapsed = BootClock.now().since(drain_start);
         if elapsed >= MIN_DRAIN_TIME && shared.close_if_empty() {
             break;
         }
+        if elapsed >= max_drain_time.saturating_sub(LAST_ANSWERS_TIME) {
+            shared.end_requests();
+        }
         if elapsed >= max_drain_time {
             shared.close();
             break;
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -24,6 +24,9 @@
 /// Added to the count of open requests when the host closes.
 const CLOSED_FLAG: u64 = 1 << 32;
 
+/// Part of the grace time that is reserved for the process to exit.
+const EXIT_TIME: Duration = Duration::from_millis(350);
+
 /// How long a starting host waits for its registration before it reads those of the others.
 ///
 /// Some times the 4 ms that the store takes for an answer.
@@ -70,6 +73,8 @@
     // Bound once the process has started.
     picks: OnceLock<PickSocket>,
     open_count: AtomicU64,
+    // Wakes the requests without an answer when the host is about to close.
+    closing: Notify,
     // Moment since which the host is leaving; 0 while it is not.
     leaving: AtomicU64,
     stopped: AtomicBool,
@@ -110,6 +115,7 @@
             settings,
             picks: OnceLock::new(),
             open_count: AtomicU64::new(0),
+            closing: Notify::new(),
             leaving: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
             registered: AtomicBool::new(false),
@@ -168,6 +174,21 @@
         closed.is_ok()
     }
 
+    /// Returns how long after it began to leave the host closes, whether or not requests are open.
+    pub(crate) fn max_drain_time(&self) -> Duration {
+        self.bounds().termination_grace.saturating_sub(EXIT_TIME)
+    }
+
+    /// Ends the requests without an answer, which then get one that promises nothing.
+    pub(crate) fn end_requests(&self) {
+        self.closing.notify_waiters();
+    }
+
+    /// Waits until the host is about to close.
+    pub(crate) async fn closing(&self) {
+        self.closing.notified().await;
+    }
+
     /// Closes the host even if requests are open.
     pub fn close(&self) {
         self.open_count.fetch_add(CLOSED_FLAG, Ordering::AcqRel);
