Share one amount of memory among the answers that a host holds

An engine that answers without end, asked by many callers at once, made their host run out of memory: 48 callers of a plain service took 934 MB where the smallest hosts have 112 MB; the requests of all other callers there end with it.

Cause: each answer was bounded by itself (16 MB), and its buffer grew by doubling. What answers and unfinished events hold beyond their first 64 KB now comes from 16 MB for the whole host; an answer that finds none left fails with 502, while small answers need none of it. Large bodies are kept in blocks and not copied as they grow. A head was bounded before.

--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -4,18 +4,20 @@
 //! the organisation's rate limit, or comes too late on a leaving host. After that it is sent, to
 //! several upstreams if need be, until there is an answer or another attempt is not allowed.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_web::body::SizedStream;
 use actix_web::web::{Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
 use bytes::{Bytes, BytesMut};
 use eelgrasshill_domain::Moment;
-use eelgrasshill_ports::{BootClock, HttpPool, read_response_body};
+use eelgrasshill_ports::{BootClock, CountedBody, HttpPool, read_counted_body};
 use eelgrasshill_relay::{
     ModelKey, Organisation, ProbedParts, RequestOutcome, Route, Tables, is_admitted_late,
 };
-use futures_util::StreamExt;
+use futures_util::{Stream, StreamExt};
 
 use crate::codec::{CallerHeaders, PlatformCodec, RequestMetadata};
 use crate::model_request::ModelRequester;
@@ -427,7 +429,8 @@
         mut guard,
     } = incoming;
     let (head, body) = response.into_parts();
-    let read = read_response_body(upstream.address, body, MAX_ANSWER_BYTES);
+    let lease = relayed.shared.answer_memory.lease();
+    let read = read_counted_body(upstream.address, body, MAX_ANSWER_BYTES, lease);
     let time_left = relayed.time_left();
     let body = match tokio::time::timeout(time_left, read).await {
         Ok(Ok(body)) => body,
@@ -463,5 +466,20 @@
         relayed.sends,
         now.since(relayed.arrived_at).as_millis()
     );
-    Ok(start_response(head.status, &head.headers).body(body))
+    let mut response = start_response(head.status, &head.headers);
+    Ok(response.body(counted_body(body)))
+}
+
+/// Returns the body of an answer whose memory is counted until the caller has got it.
+fn counted_body(body: CountedBody) -> SizedStream<impl Stream<Item = Result<Bytes, Infallible>>> {
+    let CountedBody {
+        blocks,
+        length,
+        lease,
+    } = body;
+    let blocks = futures_util::stream::iter(blocks).map(move |block| {
+        let _kept = &lease;
+        Ok(block)
+    });
+    SizedStream::new(u64::try_from(length).unwrap_or(u64::MAX), blocks)
 }
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::{FastSet, HostName, Incarnation, ModelName, Moment};
-use eelgrasshill_ports::{BootClock, lock};
+use eelgrasshill_ports::{AnswerMemory, BootClock, lock};
 use eelgrasshill_relay::{
     AnswerStart, Capacity, Lease, MaxKeyAge, Peer, PlacementPlanner, ProbedParts, RequestOutcome,
     Upstream,
@@ -24,6 +24,11 @@
 /// Added to the count of open requests when the host closes.
 const CLOSED_FLAG: u64 = 1 << 32;
 
+/// Memory for answers, beyond the first part of each.
+///
+/// The buffers grow by doubling, so this is a sixth of the memory of the smallest hosts.
+const ANSWER_MEMORY_BYTES: usize = 16 << 20;
+
 /// Part of the grace time that is reserved for the process to exit.
 const EXIT_TIME: Duration = Duration::from_millis(350);
 
@@ -63,6 +68,8 @@
     pub self_peer: Peer,
     /// When this state was created, at the start of the process.
     pub started_at: Moment,
+    /// Memory for answers that are not passed on yet.
+    pub answer_memory: AnswerMemory,
     /// Wakes the task that plans and sends orders.
     pub order_wakeup: Notify,
     /// Starts the next round of the exchange early.
@@ -108,6 +115,7 @@
             state: Mutex::new(GatewayState::new(&settings, self_peer.clone())),
             order_state: Mutex::new(OrderState::new(&settings, incarnation)),
             started_at: BootClock.now(),
+            answer_memory: AnswerMemory::new(ANSWER_MEMORY_BYTES),
             order_wakeup: Notify::new(),
             exchange_wakeup: Notify::new(),
             self_peer,
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use eelgrasshill_domain::Moment;
-use eelgrasshill_ports::{BootClock, CallError};
+use eelgrasshill_ports::{BootClock, CallError, MemoryLease};
 use eelgrasshill_relay::{EventSplitter, Repeat, RequestOutcome, has_content};
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
@@ -89,6 +89,8 @@
 struct EventReader<C: PlatformCodec> {
     incoming: IncomingAnswer<C>,
     splitter: EventSplitter,
+    // Memory of the event that is not complete.
+    memory: MemoryLease,
     // When the stream last made progress, or was last found to be silent.
     progress_at: Moment,
     // Times between the first events.
@@ -101,9 +103,10 @@
 }
 
 impl<C: PlatformCodec> EventReader<C> {
-    fn new(incoming: IncomingAnswer<C>, last_event: Option<u64>) -> Self {
+    fn new(incoming: IncomingAnswer<C>, last_event: Option<u64>, memory: MemoryLease) -> Self {
         Self {
             incoming,
+            memory,
             splitter: EventSplitter::new(last_event),
             progress_at: BootClock.now(),
             intervals: Vec::new(),
@@ -141,6 +144,12 @@
                 cause,
             })
         };
+        let malformed = |cause: String| {
+            ReadOutcome::Broken(CallError::Malformed {
+                address: address.to_string(),
+                cause,
+            })
+        };
         let read = async {
             loop {
                 match self.incoming.response.body_mut().frame().await {
@@ -153,7 +162,10 @@
                         };
                         let whole = self.splitter.push(&bytes);
                         if self.splitter.is_overlong() {
-                            return lost("too many bytes without a further event".to_owned());
+                            return malformed("too many bytes without a further event".to_owned());
+                        }
+                        if let Err(error) = self.memory.resize(self.splitter.partial_bytes()) {
+                            return malformed(error.to_string());
                         }
                         if let Some(whole) = whole {
                             if has_content(&whole) {
@@ -187,7 +199,11 @@
         first_bound: Duration,
     ) -> Result<HttpResponse, (Self, OpenRequest<C>, SendFailure)> {
         let mut response = start_response(incoming.response.status(), incoming.response.headers());
-        let mut events = EventReader::new(incoming, self.metadata.last_event);
+        let mut events = EventReader::new(
+            incoming,
+            self.metadata.last_event,
+            self.shared.answer_memory.lease(),
+        );
         let first = match events.next(first_bound.min(self.time_left())).await {
             ReadOutcome::Events(bytes) => bytes,
             ReadOutcome::End => Bytes::new(),
@@ -376,7 +392,8 @@
             match sent {
                 Ok(mut incoming) if incoming.response.status().is_success() => {
                     incoming.guard.record_answer_start();
-                    return Some(EventReader::new(incoming, last));
+                    let memory = self.shared.answer_memory.lease();
+                    return Some(EventReader::new(incoming, last, memory));
                 }
                 Ok(mut incoming) => incoming.guard.set_outcome(RequestOutcome::Failed),
                 Err(failure) => {
--- a/crates/eelgrasshill_ports/src/lib.rs
+++ b/crates/eelgrasshill_ports/src/lib.rs
@@ -4,6 +4,7 @@
 //! the log, the host list or an upstream therefore takes one new file here. The gateway does not
 //! use the traits; its platform is described by the platform crate.
 
+mod answer_memory;
 mod bounded;
 mod client;
 mod clock;
@@ -16,6 +17,7 @@
 mod plain;
 mod pool;
 
+pub use answer_memory::{AnswerMemory, MemoryLease, MemoryUsedUp};
 pub use bounded::AnswerBody;
 pub use client::{HttpClient, HttpClientSettings};
 pub use clock::BootClock;
@@ -31,4 +33,6 @@
     AppendBody, AppendReply, HttpLog, LogClient, NewRecord, Page, ReadQuery, StoredRecord,
 };
 pub use plain::{HttpPlain, PlainCall, PlainClient, PlainReply};
-pub use pool::{HttpConnection, HttpPool, call_unpooled, read_response_body};
+pub use pool::{
+    CountedBody, HttpConnection, HttpPool, call_unpooled, read_counted_body, read_response_body,
+};
--- a/crates/eelgrasshill_ports/src/pool.rs
+++ b/crates/eelgrasshill_ports/src/pool.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::Debug;
 use eelgrasshill_domain::{FastMap, Moment};
 use http_body_util::{BodyExt, Full, Limited};
@@ -21,7 +21,7 @@
 
 use crate::bounded::{AnswerBody, BoundedStream, ByteBudget};
 use crate::error::with_timeout;
-use crate::{BootClock, CallError};
+use crate::{BootClock, CallError, MemoryLease};
 
 /// How long [`HttpPool::call`] keeps an idle connection; servers close theirs after 10 s.
 const IDLE_TTL: Duration = Duration::from_secs(5);
@@ -37,6 +37,9 @@
 /// Maximum number of bytes until the body is read, with all informational answers and read ahead.
 const MAX_BYTES_BEFORE_BODY: usize = MAX_HEAD_BYTES + MAX_BYTES_BEFORE_DATA;
 
+/// Size from which on a body is kept in several blocks.
+const BLOCK_BYTES: usize = 64 << 10;
+
 /// Aborts the task that drives a connection when the connection is dropped.
 #[derive(Debug)]
 struct AbortOnDrop(JoinHandle<()>);
@@ -284,3 +287,62 @@
     })?;
     Ok(collected.to_bytes())
 }
+
+/// Complete body of an answer, in blocks, with its counted memory.
+#[derive(Debug)]
+pub struct CountedBody {
+    /// The blocks, in order.
+    pub blocks: Vec<Bytes>,
+    /// Number of bytes of all blocks.
+    pub length: usize,
+    /// Memory of the blocks, to be kept as long as they are.
+    pub lease: MemoryLease,
+}
+
+/// Reads a complete body of at most `max_bytes` bytes, whose memory is counted.
+///
+/// # Errors
+///
+/// Returns [`CallError::Lost`] when the body was truncated, and [`CallError::Malformed`] when it is
+/// longer than that or too little memory is left.
+pub async fn read_counted_body(
+    address: SocketAddr,
+    mut body: AnswerBody,
+    max_bytes: usize,
+    mut lease: MemoryLease,
+) -> Result<CountedBody, CallError> {
+    let malformed = |cause: String| CallError::Malformed {
+        address: address.to_string(),
+        cause,
+    };
+    let mut blocks = Vec::new();
+    let mut block = BytesMut::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| CallError::Lost {
+            address: address.to_string(),
+            cause: error.to_string(),
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        length += data.len();
+        if length > max_bytes {
+            return Err(malformed(format!("a body of more than {max_bytes} bytes")));
+        }
+        lease
+            .resize(length)
+            .map_err(|error| malformed(error.to_string()))?;
+        // A large body is not copied again while it grows.
+        if !block.is_empty() && block.len() + data.len() > BLOCK_BYTES {
+            blocks.push(block.split().freeze());
+        }
+        block.extend_from_slice(&data);
+    }
+    blocks.push(block.freeze());
+    Ok(CountedBody {
+        blocks,
+        length,
+        lease,
+    })
+}
--- a/crates/eelgrasshill_relay/src/events.rs
+++ b/crates/eelgrasshill_relay/src/events.rs
@@ -59,6 +59,12 @@
         self.last
     }
 
+    /// Returns the number of bytes of the event that is not complete.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns whether the buffer holds part of an event.
     #[must_use]
     pub fn has_partial(&self) -> bool {
