Take an unframed stream that ends before its first event as broken off

Callers got an empty stream that looked complete when an engine sent a head with neither length nor chunks and closed its connection before the first event, as a crash may look like. No engine ends a stream that it has not begun, so the request is sent again or answered 502.

--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -14,6 +14,7 @@
 use eelgrasshill_ports::{BootClock, CallError, MemoryLease};
 use eelgrasshill_relay::{EventSplitter, Repeat, RequestOutcome, has_content};
 use http_body_util::BodyExt;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -97,6 +98,8 @@
     intervals: Vec<Duration>,
     longest_pause: Duration,
     has_started: bool,
+    // Whether only the end of the connection ends the stream.
+    is_unframed: bool,
     // Whether the stream made progress after its first event.
     goes_on: bool,
     started_at: Moment,
@@ -104,8 +107,12 @@
 
 impl<C: PlatformCodec> EventReader<C> {
     fn new(incoming: IncomingAnswer<C>, last_event: Option<u64>, memory: MemoryLease) -> Self {
+        let headers = incoming.response.headers();
+        let is_unframed =
+            !headers.contains_key(TRANSFER_ENCODING) && !headers.contains_key(CONTENT_LENGTH);
         Self {
             incoming,
+            is_unframed,
             memory,
             splitter: EventSplitter::new(last_event),
             progress_at: BootClock.now(),
@@ -154,6 +161,10 @@
             loop {
                 match self.incoming.response.body_mut().frame().await {
                     None if self.splitter.has_partial() => return lost("event cut off".to_owned()),
+                    // No engine ends a stream that it has not begun.
+                    None if self.is_unframed && !self.has_started => {
+                        return lost("closed before the first event".to_owned());
+                    }
                     None => return ReadOutcome::End,
                     Some(Err(error)) => return lost(error.to_string()),
                     Some(Ok(frame)) => {
