--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -32,5 +32,5 @@
     AnswerHead, CallerHeaders, DecodeError, EngineOrder, EngineRequest, ForwardInfo, HeaderError,
     PlatformCodec, RequestMetadata, StoreAddress, StoreClient, StoreError, Topic, TopicPage,
 };
-pub use run::{StartError, run};
+pub use run::{HostSignals, StartError, run};
 pub use telemetry::start_log;
--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -59,6 +59,27 @@
     System(#[error(source)] io::Error),
 }
 
+/// The signals that a gateway handles.
+#[derive(Debug)]
+pub struct HostSignals {
+    terminate: Signal,
+    hangup: Signal,
+}
+
+impl HostSignals {
+    /// Starts to handle the signals; until then each of them ends the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError::System`] if the system refuses a handler.
+    pub fn listen() -> Result<Self, StartError> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).map_err(StartError::System)?,
+            hangup: signal(SignalKind::hangup()).map_err(StartError::System)?,
+        })
+    }
+}
+
 /// Runs a gateway until it has drained.
 ///
 /// `problems` are those mistakes in the settings file for which the defaults are used.
@@ -67,6 +88,7 @@
 ///
 /// Returns [`StartError`] if it could not start.
 pub async fn run<C: PlatformCodec, S: StoreClient>(
+    signals: HostSignals,
     settings: GatewaySettings,
     problems: Problems,
     path: &Path,
@@ -79,8 +101,10 @@
             None
         }
     };
-    let mut term = signal(SignalKind::terminate()).map_err(StartError::System)?;
-    let hangup = signal(SignalKind::hangup()).map_err(StartError::System)?;
+    let HostSignals {
+        mut terminate,
+        hangup,
+    } = signals;
     let shared = Arc::new(Shared::<C>::new(settings));
     let callers = start_servers(&shared, metrics)?;
     start_followers(&shared, &store);
@@ -111,7 +135,7 @@
         shared.settings.caller_address,
         shared.settings.peer_address
     );
-    term.recv().await;
+    terminate.recv().await;
     shared.start_leaving(BootClock.now());
     release_lease(&shared, &store).await;
     drain(&shared).await;
