--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -12,11 +12,11 @@
 use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, ZoneName};
 use eelgrasshill_relay::{
     AnswerTimes, Candidate, CrashingParts, EnginePicker, EngineRests, EngineSpeeds, EventIntervals,
-    HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NoUpstream, Peer,
-    PeerRole, Pick, PickerHost, ProbedParts, PromptPart, Quarantined, RateLimiter, ReceivedTotals,
-    RetryBudget, RetrySettings, SelectionSettings, SmoothedDemand, Tables, Ticket, Totals,
-    TotalsSender, Tree, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
-    probe_rank,
+    HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NoUpstream,
+    PartRefusal, Peer, PeerRole, Pick, PickerHost, ProbedParts, PromptPart, RateLimiter,
+    ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings, SmoothedDemand, Tables, Ticket,
+    Totals, TotalsSender, Tree, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery,
+    UpstreamSelector, probe_rank,
 };
 use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
 
@@ -557,12 +557,12 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Quarantined`] if a part is quarantined and this host may not probe it now.
+    /// Returns [`PartRefusal`] if a part is quarantined and this host may not probe it now.
     pub(crate) fn check_parts(
         &mut self,
         parts: &[PromptPart],
         now: Moment,
-    ) -> Result<(), Quarantined> {
+    ) -> Result<(), PartRefusal> {
         let (host, hosts) = (&self.host, || self.tree.peers().map(|peer| &peer.host));
         let rank = |part| probe_rank(part, host, hosts());
         self.crashing_parts.check(parts, rank, now)
@@ -572,12 +572,12 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Quarantined`] if a part is quarantined and this host may not probe it now.
+    /// Returns [`PartRefusal`] if a part is quarantined and this host may not probe it now.
     pub(crate) fn admit_parts(
         &mut self,
         parts: &[PromptPart],
         now: Moment,
-    ) -> Result<ProbedParts, Quarantined> {
+    ) -> Result<ProbedParts, PartRefusal> {
         let (host, hosts) = (&self.host, || self.tree.peers().map(|peer| &peer.host));
         let rank = |part| probe_rank(part, host, hosts());
         self.crashing_parts.admit(parts, rank, now)
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -14,8 +14,8 @@
 use eelgrasshill_domain::{Moment, PoolName};
 use eelgrasshill_ports::{AnswerBody, BootClock, CallError, HttpConnection, HttpPool};
 use eelgrasshill_relay::{
-    Availability, Candidate, CrashId, ModelKey, NoUpstream, Organisation, ProbedParts, PromptPart,
-    Quarantined, RequestOutcome, Route, START_PERCENT, Upstream, max_start_wait,
+    Availability, Candidate, CrashId, ModelKey, NoUpstream, Organisation, PartRefusal, ProbedParts,
+    PromptPart, RequestOutcome, Route, START_PERCENT, Upstream, max_start_wait,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -117,7 +117,7 @@
 #[derive(Debug)]
 pub enum SendFailure {
     /// The request was not sent, since a part of its prompt is quarantined.
-    Quarantined(Quarantined),
+    Quarantined(PartRefusal),
     /// The request did not reach the upstream.
     Unsent,
     /// The upstream says that it did not run the request.
@@ -304,7 +304,7 @@
             self.rank(),
             self.metadata.prompt_tokens,
         );
-        let mut guard = guard.with_pick(pick).with_parts(self.probed_parts.clone());
+        let mut guard = guard.with_pick(pick).with_probes(self.probed_parts.clone());
         let may_reuse = self.route.repeat.is_repeatable();
         let opened = if may_reuse {
             self.http_pool.take(upstream.address, CONNECT_TIMEOUT).await
@@ -495,7 +495,7 @@
 }
 
 /// Refuses a request because of a part of its prompt; the callers' returns are spread.
-pub(crate) fn refuse_part(id: &str, quarantined: Quarantined) -> Refusal {
+pub(crate) fn refuse_part(id: &str, quarantined: PartRefusal) -> Refusal {
     let after = quarantined.retry_after;
     log::info!(
         "request: id={id} part={} is quarantined, no probe for {after:?}",
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -319,7 +319,7 @@
 
     /// Adds the parts that the request probes, which the guard ends.
     #[must_use]
-    pub fn with_parts(mut self, probed_parts: ProbedParts) -> Self {
+    pub fn with_probes(mut self, probed_parts: ProbedParts) -> Self {
         self.probed_parts = probed_parts;
         self
     }
--- a/crates/eelgrasshill_relay/src/crashing_parts.rs
+++ b/crates/eelgrasshill_relay/src/crashing_parts.rs
@@ -106,7 +106,7 @@
 
 /// Refusal of a request because of one part of its prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Quarantined {
+pub struct PartRefusal {
     /// The part.
     pub part: PromptPart,
     /// Time until a host may probe the part.
@@ -152,13 +152,13 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Quarantined`] if a part is quarantined and this host may not probe it now.
+    /// Returns [`PartRefusal`] if a part is quarantined and this host may not probe it now.
     pub fn admit(
         &mut self,
         parts: &[PromptPart],
         rank: impl Fn(PromptPart) -> u32,
         now: Moment,
-    ) -> Result<ProbedParts, Quarantined> {
+    ) -> Result<ProbedParts, PartRefusal> {
         self.check(parts, rank, now)?;
         let mut probed = ProbedParts::default();
         for part in parts {
@@ -173,13 +173,13 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Quarantined`] if a part is quarantined and this host may not probe it now.
+    /// Returns [`PartRefusal`] if a part is quarantined and this host may not probe it now.
     pub fn check(
         &mut self,
         parts: &[PromptPart],
         rank: impl Fn(PromptPart) -> u32,
         now: Moment,
-    ) -> Result<(), Quarantined> {
+    ) -> Result<(), PartRefusal> {
         for part in parts {
             let Some(quarantine) = self.quarantine(*part, parts, now) else {
                 continue;
@@ -190,7 +190,7 @@
                 && elapsed >= quarantine.probe_delay + PROBE_STEP * rank(*part);
             if !has_turn || self.probing.contains(part) {
                 let next = quarantine.probe_delay.saturating_sub(elapsed);
-                return Err(Quarantined {
+                return Err(PartRefusal {
                     part: *part,
                     retry_after: next.max(MIN_PROBE_DELAY),
                 });
@@ -269,7 +269,7 @@
             .position(|known| known.accusation.crash == accusation.crash);
         let is_crash = index.is_none() && !accusation.dismissed;
         let index = if let Some(index) = index {
-            if !update(&mut entry[index], &accusation, now) {
+            if !merge_report(&mut entry[index], &accusation, now) {
                 return false;
             }
             index
@@ -307,7 +307,7 @@
             .iter()
             .filter(|(part, _known)| **part != kept)
             .min_by_key(|(_part, known)| {
-                let is_quarantined = open_crashes(known).count() >= QUARANTINE_CRASHES;
+                let is_quarantined = undismissed(known).count() >= QUARANTINE_CRASHES;
                 (is_quarantined, last_change(known))
             });
         if let Some(part) = oldest.map(|(part, _known)| *part) {
@@ -353,7 +353,7 @@
     pub fn suspect_count(&self) -> usize {
         let accused = self.accused.values();
         accused
-            .filter(|known| open_crashes(known).count() >= QUARANTINE_CRASHES)
+            .filter(|known| undismissed(known).count() >= QUARANTINE_CRASHES)
             .count()
     }
 
@@ -396,7 +396,7 @@
         now: Moment,
     ) -> Option<Quarantine> {
         let known = self.accused.get(&part)?;
-        let count = open_crashes(known).count();
+        let count = undismissed(known).count();
         if count < QUARANTINE_CRASHES || self.is_answered(part, now) {
             return None;
         }
@@ -404,15 +404,15 @@
         // if it was in as many, but the request does not have it.
         let is_explained = |crash: CrashId| {
             self.accused.iter().any(|(other, known)| {
-                let other_count = open_crashes(known).count();
+                let other_count = undismissed(known).count();
                 let is_likelier = other_count > count
                     || (other_count == count && !parts.contains(other) && *other != part);
                 is_likelier
-                    && open_crashes(known).any(|known| known.accusation.crash == crash)
+                    && undismissed(known).any(|known| known.accusation.crash == crash)
                     && !self.is_answered(*other, now)
             })
         };
-        let own: Vec<_> = open_crashes(known)
+        let own: Vec<_> = undismissed(known)
             .filter(|known| !is_explained(known.accusation.crash))
             .collect();
         if own.len() < QUARANTINE_CRASHES {
@@ -446,7 +446,7 @@
 }
 
 /// Returns the accusations that no answer has dismissed.
-fn open_crashes(known: &[KnownAccusation]) -> impl Iterator<Item = &KnownAccusation> {
+fn undismissed(known: &[KnownAccusation]) -> impl Iterator<Item = &KnownAccusation> {
     known.iter().filter(|known| !known.accusation.dismissed)
 }
 
@@ -464,7 +464,7 @@
 }
 
 /// Adds what another report says of the same part and crash; returns whether it is new.
-fn update(known: &mut KnownAccusation, report: &Accusation, now: Moment) -> bool {
+fn merge_report(known: &mut KnownAccusation, report: &Accusation, now: Moment) -> bool {
     let accusation = &mut known.accusation;
     let is_dismissal = report.dismissed && !accusation.dismissed;
     if is_dismissal {
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -32,7 +32,7 @@
 mod upstream_loads;
 
 pub use crashing_parts::{
-    Accusation, CrashId, CrashingParts, ProbedParts, Quarantined, probe_rank,
+    Accusation, CrashId, CrashingParts, PartRefusal, ProbedParts, probe_rank,
 };
 pub use demand::{ModelKey, SmoothedDemand};
 pub use engine_picker::{EnginePicker, Pick, PickCandidate, PromptQuery, Ticket};
--- a/crates/eelgrasshill_relay/tests/crashing_parts.rs
+++ b/crates/eelgrasshill_relay/tests/crashing_parts.rs
@@ -5,7 +5,7 @@
 
 use eelgrasshill_domain::{HostName, Moment};
 use eelgrasshill_relay::{
-    Accusation, CrashId, CrashingParts, ProbedParts, PromptPart, Quarantined, probe_rank,
+    Accusation, CrashId, CrashingParts, PartRefusal, ProbedParts, PromptPart, probe_rank,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -233,7 +233,7 @@
     assert!(parts.check(&ids, first, moment(1.7)).is_ok());
     // The next host waits until the first one's probe has ended and is known.
     let refusal = parts.check(&ids, |_part| 1, moment(1.7));
-    let expected = Quarantined {
+    let expected = PartRefusal {
         part: ids[0],
         retry_after: Duration::from_secs(1),
     };
