--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -38,7 +38,7 @@
         ""
     };
     format!(
-        r#"{{"version":3,"routes":[{}],"services":[{{"name":"adstod","health_path":"/health","max_connections":822{engine}}},{{"name":"utkall","health_path":"/health","max_connections":244}}],"tenants":[{{"name":"hule930","api_keys":["{KEY}"],"rate_per_s":0,"burst":0,"plain_tokens":200}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":20000}}}}"#,
+        r#"{{"version":3,"routes":[{}],"services":[{{"name":"adstod","health_path":"/health","max_connections":822{engine}}},{{"name":"utkall","health_path":"/health","max_connections":244}}],"tenants":[{{"name":"hule930","api_keys":["{KEY}"],"rate_per_s":0,"burst":0,"plain_tokens":200}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
         routes.join(",")
     )
 }
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -99,7 +99,7 @@
     fn register(&self) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst);
         let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":1,"slots":64,"state":"ready","cold_remaining_ms":0,"sequence":{sequence},"born":{},"stage":"colocated","models":{}}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"sequence":{sequence},"born":{},"stage":"colocated","models":{}}}"#,
             self.service,
             self.address,
             self.zone,
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -66,24 +66,7 @@
         }
         let path: PathBuf = folder.join(format!("{name}.ini"));
         std::fs::write(&path, text).expect("the settings can be written");
-        let log = std::fs::File::create(folder.join(format!("{name}.log")));
-        let log = log.expect("the log can be written");
-        let errors = log.try_clone().expect("a file can be shared");
-        let mut command = Command::new(PROGRAM);
-        command
-            .env("EELGRASSHILL_SETTINGS", &path)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors);
-        // The gateway must not outlive this program, however that ends.
-        // SAFETY: prctl may be called between fork and exec.
-        unsafe {
-            command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
-                Ok(())
-            });
-        }
-        let child = command.spawn().expect("the gateway is built");
+        let child = spawn(&path);
         note!("gateway {name} zone={zone} front={front} started");
         Self {
             name: name.to_owned(),
@@ -138,6 +121,31 @@
     }
 }
 
+/// Starts the program; its log goes beside its settings.
+fn spawn(settings: &Path) -> Child {
+    let log = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(settings.with_extension("log"))
+        .expect("the log can be written");
+    let errors = log.try_clone().expect("a file can be shared");
+    let mut command = Command::new(PROGRAM);
+    command
+        .env("EELGRASSHILL_SETTINGS", settings)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(errors);
+    // The gateway must not outlive this program, however that ends.
+    // SAFETY: prctl may be called between fork and exec.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+            Ok(())
+        });
+    }
+    command.spawn().expect("the gateway is built")
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         let _ended = self.child.kill();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,10 +8,12 @@
 mod engine;
 mod gateway;
 mod net;
+mod promise;
 mod record;
 mod resumed;
 mod stopping;
 mod store;
+mod uploads;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -62,8 +64,10 @@
 
 fn run(case: &str, trouble: bool, folder: &Path) -> Verdict {
     match case {
+        "promise" => promise::run(trouble, folder),
         "resumed" => resumed::run(trouble, folder),
         "stopping" => stopping::run(trouble, folder),
+        "uploads" => uploads::run(trouble, folder),
         _ => {
             eprintln!("unknown case {case}");
             Verdict::CannotRun
