--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -22,7 +22,9 @@
 /// Writes one line, with the time.
 pub fn write(line: &str) {
     if let Some((start, file)) = RECORD.get() {
-        let mut file = file.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut file = file
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
         let _full = writeln!(file, "{:8.3} {line}", start.elapsed().as_secs_f64());
     }
 }
--- a/review/standin/resumed.rs
+++ b/review/standin/resumed.rs
@@ -69,14 +69,15 @@
             service: "adstod",
             zone: "sudvestur-a",
             models: Some(&["m1"]),
-            address: None,
         };
         Engine::start(
             &setup,
             &store,
-            Arc::new(move |engine: &Engine, request: &Request, stream: &mut TcpStream| {
-                answer(trouble, &runs, engine, request, stream)
-            }),
+            Arc::new(
+                move |engine: &Engine, request: &Request, stream: &mut TcpStream| {
+                    answer(trouble, &runs, engine, request, stream)
+                },
+            ),
         );
     }
     let gateway = Gateway::start("front-1", "sudvestur-a", store_address, folder);
@@ -113,7 +114,10 @@
     let id = request.header("eelgrasshill-request-id").to_owned();
     let resumes = !request.header("last-event-id").is_empty();
     let from = request.header("last-event-id").parse().unwrap_or(0);
-    note!("server {} gets request {id}, to go on after event {from}", engine.id);
+    note!(
+        "server {} gets request {id}, to go on after event {from}",
+        engine.id
+    );
     if !wait_open(stream, PROMPT_TIME) {
         return false;
     }
@@ -128,13 +132,20 @@
         });
         runs.len() - 1
     };
-    note!("server {} begins to run request {id} after event {from}", engine.id);
+    note!(
+        "server {} begins to run request {id} after event {from}",
+        engine.id
+    );
     let is_lost = trouble && resumes;
     let is_whole = write_events(engine, request, stream, from, !resumes, is_lost);
     note!(
         "server {} ends its run of request {id}: {}{}",
         engine.id,
-        if is_whole { "all events made" } else { "its connection was closed" },
+        if is_whole {
+            "all events made"
+        } else {
+            "its connection was closed"
+        },
         if is_lost { ", its answer is lost" } else { "" }
     );
     if let Some(run) = runs.lock().expect("no holder panicked").get_mut(&id) {
