Pass on no status that promises what its engine did not state

What callers saw: a booking whose server failed it with 503 after it had run came back as 503.

Cause: 408, 421, 429 and 503 state towards callers what only the header and 421 state on the engine's side. The gateway decoded the header for its own decisions and then passed any other status on unchanged.

Evidence: each such request has one line `upstream=.. status=503 sends=1` and no `refused`, its answer has the engine's seal, and no id reached two servers. So it was neither a refusal of the gateway's own nor a repeat.

Fix: the codec decides what an answer states (not run, unproven, may have run). An unproven answer is repeated elsewhere where the route allows it, and otherwise becomes a 502 without a seal, which promises nothing. A success that states not to have run was taken for a refusal and became a 503; it counts as unproven as well.

--- a/crates/eelgrasshill_gateway/src/codec.rs
+++ b/crates/eelgrasshill_gateway/src/codec.rs
@@ -11,7 +11,7 @@
 use eelgrasshill_domain::{AdapterName, HostName, KeyText, ModelName, Moment, Offset, OrgName};
 use eelgrasshill_ports::CallError;
 use eelgrasshill_relay::{EngineReport, KeyedRecord, OrderOutcome, PromptPart, Tables, Upstream};
-use hyper::HeaderMap;
+use hyper::{HeaderMap, StatusCode};
 
 /// Headers of a caller's request, read one at a time.
 #[derive(Clone, Copy, Debug)]
@@ -102,6 +102,21 @@
     pub last_event: Option<u64>,
 }
 
+/// What an upstream's answer states about whether it ran the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunStatement {
+    /// The upstream did not run the request and never will.
+    ///
+    /// Another upstream than the expected one does not, nor one without the model.
+    NotRun,
+    /// The answer must not be passed on, since callers would take it for more than it states.
+    ///
+    /// Either only its status says that the request did not run, or it contradicts itself.
+    Unproven,
+    /// The upstream may have run the request.
+    MayHaveRun,
+}
+
 /// What the status and headers of an upstream's answer say.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AnswerHead {
@@ -109,10 +124,8 @@
     pub id: Option<String>,
     /// Whether the upstream signed the answer as its own.
     pub signed: bool,
-    /// Whether the upstream did not run the request and never will.
-    ///
-    /// Another upstream than the expected one does not, nor one without the model.
-    pub not_run: bool,
+    /// What the answer states about whether the request ran.
+    pub run: RunStatement,
     /// Whether the upstream says that it is leaving.
     pub leaving: bool,
     /// Time for which a full upstream wants no requests from this host.
@@ -172,7 +185,7 @@
     fn forwarded_headers(headers: CallerHeaders<'_>, forward: &ForwardInfo<'_>) -> HeaderMap;
 
     /// Parses the status and headers of an upstream's answer.
-    fn parse_answer_head(status: u16, headers: &HeaderMap) -> AnswerHead;
+    fn parse_answer_head(status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
     /// Decodes a configuration from the value of its record.
     ///
--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -30,7 +30,8 @@
 
 pub use codec::{
     AnswerHead, CallerHeaders, DecodeError, EngineOrder, EngineRequest, ForwardInfo, HeaderError,
-    PlatformCodec, RequestMetadata, StoreAddress, StoreClient, StoreError, Topic, TopicPage,
+    PlatformCodec, RequestMetadata, RunStatement, StoreAddress, StoreClient, StoreError, Topic,
+    TopicPage,
 };
 pub use run::{HostSignals, StartError, run};
 pub use telemetry::start_log;
--- a/crates/eelgrasshill_gateway/src/orders.rs
+++ b/crates/eelgrasshill_gateway/src/orders.rs
@@ -472,11 +472,11 @@
 
     /// Returns the status and body, after noting whether the engine says that it is leaving.
     fn read_answer(&self, response: Response<Bytes>, answered: &str) -> (u16, Bytes) {
-        let status = response.status().as_u16();
+        let status = response.status();
         if C::parse_answer_head(status, response.headers()).leaving {
             note_leaving(&self.shared, &self.engine, answered);
         }
-        (status, response.into_body())
+        (status.as_u16(), response.into_body())
     }
 
     async fn call(&self, method: Method, call: EngineRequest) -> Result<(u16, Bytes), CallError> {
--- a/crates/eelgrasshill_gateway/src/refusal.rs
+++ b/crates/eelgrasshill_gateway/src/refusal.rs
@@ -50,6 +50,9 @@
     /// Upstreams did not run the request, and it may not be sent again.
     #[display("refused-upstream")]
     RefusedUpstream,
+    /// The upstream failed the request with a status that would say that it did not run.
+    #[display("unproven")]
+    Unproven,
     /// The upstream's answer was lost, and the request may have run.
     #[display("lost")]
     Lost,
@@ -101,7 +104,7 @@
             | RefusalCause::Resting
             | RefusalCause::QuarantinedPart
             | RefusalCause::RefusedUpstream => StatusCode::SERVICE_UNAVAILABLE,
-            RefusalCause::Lost => StatusCode::BAD_GATEWAY,
+            RefusalCause::Unproven | RefusalCause::Lost => StatusCode::BAD_GATEWAY,
             RefusalCause::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -13,7 +13,7 @@
 use actix_web::{HttpRequest, HttpResponse};
 use bytes::{Bytes, BytesMut};
 use eelgrasshill_domain::Moment;
-use eelgrasshill_ports::{BootClock, CountedBody, HttpPool, read_counted_body};
+use eelgrasshill_ports::{BootClock, CallError, CountedBody, HttpPool, read_counted_body};
 use eelgrasshill_relay::{
     ModelKey, Organisation, ProbedParts, RequestOutcome, Route, Tables, is_admitted_late,
 };
@@ -313,11 +313,12 @@
     requester: &ModelRequester,
     mut open_request: OpenRequest<C>,
 ) -> HttpResponse {
-    let mut timed_out = false;
+    // Why the last attempt that may have run gave no answer.
+    let mut lost_cause = RefusalCause::Lost;
     let refusal = loop {
         let Picked { candidate, guard } = match relayed.pick().await {
             Ok(picked) => picked,
-            Err(_refusal) if relayed.may_have_run => break relayed.final_refusal(timed_out),
+            Err(_refusal) if relayed.may_have_run => break relayed.final_refusal(lost_cause),
             Err(refusal) if refusal.cause == RefusalCause::NotHeld => {
                 match relayed.wait_for_model(requester).await {
                     Ok(()) => continue,
@@ -348,7 +349,7 @@
         };
         if let SendFailure::Quarantined(quarantined) = failure {
             break if relayed.may_have_run {
-                relayed.final_refusal(timed_out)
+                relayed.final_refusal(lost_cause)
             } else {
                 refuse_part(&relayed.metadata.id, quarantined)
             };
@@ -360,15 +361,33 @@
             candidate.wait,
             candidate.running
         );
-        if let SendFailure::Lost(error) = &failure {
-            timed_out = matches!(error, eelgrasshill_ports::CallError::Timeout { .. });
-            relayed.note_lost(&candidate.upstream, error);
+        match &failure {
+            SendFailure::Lost(error) => {
+                lost_cause = match error {
+                    CallError::Timeout { .. } => RefusalCause::Timeout,
+                    _ => RefusalCause::Lost,
+                };
+                relayed.note_lost(&candidate.upstream, error);
+            }
+            SendFailure::Unproven(status) => {
+                lost_cause = RefusalCause::Unproven;
+                log::info!(
+                    "request: id={} upstream={} status={} does not prove that nothing ran",
+                    relayed.metadata.id,
+                    candidate.upstream.id,
+                    status.as_u16()
+                );
+            }
+            SendFailure::Quarantined(_)
+            | SendFailure::Unsent
+            | SendFailure::NotRun
+            | SendFailure::Failed => {}
         }
         if !matches!(failure, SendFailure::Unsent | SendFailure::Failed) && !relayed.may_repeat() {
-            break relayed.final_refusal(timed_out);
+            break relayed.final_refusal(lost_cause);
         }
         if relayed.time_left().is_zero() {
-            break relayed.final_refusal(true);
+            break relayed.final_refusal(RefusalCause::Timeout);
         }
     };
     if !relayed.may_have_run
@@ -440,7 +459,7 @@
         }
         Err(_elapsed) => {
             guard.set_outcome(RequestOutcome::Unreachable);
-            let cause = eelgrasshill_ports::CallError::Timeout {
+            let cause = CallError::Timeout {
                 address: upstream.address.to_string(),
                 timeout: time_left,
             };
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -20,7 +20,9 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
-use crate::codec::{AnswerHead, CallerHeaders, ForwardInfo, PlatformCodec, RequestMetadata};
+use crate::codec::{
+    AnswerHead, CallerHeaders, ForwardInfo, PlatformCodec, RequestMetadata, RunStatement,
+};
 use crate::model_request::ModelRequester;
 use crate::picked_request::PickGuard;
 use crate::refusal::{Refusal, RefusalCause};
@@ -126,6 +128,10 @@
     Lost(CallError),
     /// The upstream answered with a server error, and a retry was taken from the budget.
     Failed,
+    /// The upstream answered with this status, which may not be passed on.
+    ///
+    /// The request may have run, but callers take the status for a statement that it did not.
+    Unproven(StatusCode),
 }
 
 /// Returns the number of tokens that a request takes from the organisation's rate limit.
@@ -359,7 +365,7 @@
         connection: HttpConnection,
         mut guard: LoadGuard<C>,
     ) -> Result<IncomingAnswer<C>, SendFailure> {
-        let answer_head = C::parse_answer_head(response.status().as_u16(), response.headers());
+        let answer_head = C::parse_answer_head(response.status(), response.headers());
         if answer_head.leaving {
             note_leaving(&self.shared, upstream, &self.metadata.id);
         }
@@ -375,21 +381,30 @@
         if let Some(asked) = answer_head.rest {
             note_rest(&self.shared, upstream, asked, &self.metadata.id);
         }
-        if answer_head.not_run {
-            // An upstream that asks for rest works, and gets no requests for that time anyway.
-            if answer_head.rest.is_none() {
-                guard.set_outcome(RequestOutcome::Full);
+        match answer_head.run {
+            RunStatement::NotRun => {
+                // An upstream that asks for rest works, and gets no requests for that time anyway.
+                if answer_head.rest.is_none() {
+                    guard.set_outcome(RequestOutcome::Full);
+                }
+                Err(SendFailure::NotRun)
+            }
+            RunStatement::Unproven => {
+                self.may_have_run = true;
+                guard.set_outcome(RequestOutcome::Failed);
+                Err(SendFailure::Unproven(response.status()))
+            }
+            RunStatement::MayHaveRun => {
+                self.may_have_run = true;
+                Ok(IncomingAnswer {
+                    upstream: Arc::clone(upstream),
+                    response,
+                    answer_head,
+                    connection,
+                    guard,
+                })
             }
-            return Err(SendFailure::NotRun);
         }
-        self.may_have_run = true;
-        Ok(IncomingAnswer {
-            upstream: Arc::clone(upstream),
-            response,
-            answer_head,
-            connection,
-            guard,
-        })
     }
 
     /// Returns why an answer is not accepted for this request; none if it is.
@@ -482,15 +497,13 @@
     }
 
     /// Returns the refusal of a request that is not sent again.
-    pub fn final_refusal(&self, timed_out: bool) -> Refusal {
+    ///
+    /// `cause` is that of the last attempt that may have run.
+    pub fn final_refusal(&self, cause: RefusalCause) -> Refusal {
         if !self.may_have_run {
             return Refusal::new(RefusalCause::RefusedUpstream).with_retry(MIN_RETRY_AFTER);
         }
-        Refusal::new(if timed_out {
-            RefusalCause::Timeout
-        } else {
-            RefusalCause::Lost
-        })
+        Refusal::new(cause)
     }
 }
 
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -415,7 +415,10 @@
                     match &failure {
                         SendFailure::Quarantined(_) => return None,
                         SendFailure::Lost(error) => self.note_lost(&candidate.upstream, error),
-                        SendFailure::Unsent | SendFailure::NotRun | SendFailure::Failed => {}
+                        SendFailure::Unsent
+                        | SendFailure::NotRun
+                        | SendFailure::Failed
+                        | SendFailure::Unproven(_) => {}
                     }
                 }
             }
