Answer no request that may have run with 429 or 503 on our own interface

What callers saw: an answer that broke off and could not be resumed ended with 429 or 503 and Retry-After, and said `unknown` only in the header. Whoever goes by the status asks again for something that may have run.

Cause: the status followed from the code alone, also where the error of a later attempt was changed to `unknown`.

Fix: with `unknown` both become 502, and no time to come back is named. `after_run` turns the error of a later attempt into that of the whole request.

--- a/crates/eelgrasshill_entry/src/answer/mod.rs
+++ b/crates/eelgrasshill_entry/src/answer/mod.rs
@@ -291,11 +291,7 @@
                 let version = (from_token > 0).then(|| self.request.generate.version.clone());
                 self.wait_for_upstream(avoid, version, deadline)
                     .await
-                    .map_err(|mut error| {
-                        // An earlier attempt may have run.
-                        error.run = crate::RunStatus::Unknown;
-                        error
-                    })?
+                    .map_err(ApiError::after_run)?
             }
         };
         stream.begin_attempt(host, BootClock.now());
--- a/crates/eelgrasshill_entry/src/api_error.rs
+++ b/crates/eelgrasshill_entry/src/api_error.rs
@@ -116,6 +116,14 @@
         self
     }
 
+    /// Turns the error of a later attempt into that of a request whose earlier attempt may have run.
+    #[must_use]
+    pub fn after_run(mut self) -> Self {
+        self.run = RunStatus::Unknown;
+        self.retry_after = None;
+        self
+    }
+
     /// Returns the JSON body, which is also the data of a stream's error event.
     #[must_use]
     pub fn body(&self) -> Value {
@@ -127,9 +135,10 @@
     }
 }
 
-impl ResponseError for ApiError {
-    fn status_code(&self) -> StatusCode {
-        match self.code {
+impl Code {
+    /// Returns the HTTP status for a request that did not run.
+    fn status(self) -> StatusCode {
+        match self {
             Code::BadRequest | Code::CostTooLarge => StatusCode::BAD_REQUEST,
             Code::Unauthorized | Code::KeyWithdrawn => StatusCode::UNAUTHORIZED,
             Code::Forbidden => StatusCode::FORBIDDEN,
@@ -146,6 +155,23 @@
             Code::AnswerTimeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
+}
+
+impl ResponseError for ApiError {
+    /// Returns the status of the code, or 502 where that would say that nothing ran.
+    ///
+    /// Callers that do not read the header [`RUN_HEADER`] take 429 and 503 for that statement.
+    fn status_code(&self) -> StatusCode {
+        let status = self.code.status();
+        let is_promise = matches!(
+            status,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+        );
+        match self.run {
+            RunStatus::Unknown if is_promise => StatusCode::BAD_GATEWAY,
+            RunStatus::Unknown | RunStatus::NotRun => status,
+        }
+    }
 
     fn error_response(&self) -> HttpResponse {
         let mut response = HttpResponse::build(self.status_code());
