Report a call as not run only if none of its attempts may have run

What callers saw: on our own interface, a repeatable call ran, its answer was lost, no upstream was left for the next attempt, and the caller was told `not-run` with status 503.

Cause: each attempt reported what it knew of itself; a refusal before the second send is true of that attempt only.

Evidence: the stand-in counts a run of the call that is reported as not run; the log shows the first attempt's lost answer.

Fix: once an attempt may have run, every later error of the call says `unknown`.

Test: call_without_an_upstream_for_its_retry_is_not_reported_as_not_run; red before (503, not-run).

--- a/crates/eelgrasshill_entry/src/plain_request.rs
+++ b/crates/eelgrasshill_entry/src/plain_request.rs
@@ -41,8 +41,20 @@
         let mut reservation = self.admit(shared).await?;
         shared.with_retry_budget(RetryBudget::record_call);
         let mut failed_hosts = Vec::new();
+        let mut may_have_run = false;
+        // What the last attempt says does not hold for the call if an earlier one may have run.
+        let refuse = |error: ApiError, may_have_run| {
+            if may_have_run {
+                error.after_run()
+            } else {
+                error
+            }
+        };
         loop {
-            let (guard, host) = self.wait_for_upstream(shared, failed_hosts.clone()).await?;
+            let (guard, host) = self
+                .wait_for_upstream(shared, failed_hosts.clone())
+                .await
+                .map_err(|error| refuse(error, may_have_run))?;
             // The type of the call shows whether bytes were sent, which decides whether a
             // retry is safe.
             let unsent_call = Call::new(self.grant.route.repeat);
@@ -65,8 +77,9 @@
                     unsent_call.send().retry(budget, now)
                 }
             });
+            may_have_run |= !error.is_unsent();
             if retry.is_err() {
-                return Err(upstream_error(&error));
+                return Err(refuse(upstream_error(&error), may_have_run));
             }
             failed_hosts.push(host);
         }
--- a/crates/eelgrasshill_entry/tests/plain.rs
+++ b/crates/eelgrasshill_entry/tests/plain.rs
@@ -180,3 +180,25 @@
     }
     fleet.stop();
 }
+
+/// Guards against telling a caller that its call did not run, when its first attempt ran and no
+/// upstream was left for the second.
+#[actix_web::test]
+async fn call_without_an_upstream_for_its_retry_is_not_reported_as_not_run() {
+    let mut fleet = Fleet::start(1);
+    let key = fleet.issue_key("crew-1", "crew");
+    let lose = FaultSet {
+        lost_answers_permille: ALL_ANSWERS,
+        ..FaultSet::default()
+    };
+    fleet.plain.handle.faults().set(lose);
+    let reply = post(&fleet.url(0, "/yard/pole-3"), key.reveal(), None, "").await;
+    let runs = fleet.plain.handle.runs().total;
+    assert!(runs > 0, "the call should have run: {reply:?}");
+    assert_eq!(
+        (reply.status, reply.run.as_str()),
+        (502, "unknown"),
+        "{reply:?}"
+    );
+    fleet.stop();
+}
