State `unknown` beside the failure of a plain service

What callers saw: on our own interface, the 503 or 429 of a service came without Eelgrasshill-Run, so that it could not be told from a refusal of the host's own that promises that nothing ran.

Cause: only the host's own errors had the header; the answers of services and recorded answers had none.

Fix: a 4xx or 5xx of a service bears `unknown`. The status stays: this interface forwards calls unchanged.

Test: failure_status_of_an_upstream_is_passed_on_as_unknown, with and without an idempotency key and for a recorded answer; red before (503, no header).

--- a/crates/eelgrasshill_entry/src/http/plain.rs
+++ b/crates/eelgrasshill_entry/src/http/plain.rs
@@ -16,7 +16,7 @@
 use crate::idempotent_call::run_once;
 use crate::plain_request::PlainRequest;
 use crate::telemetry::{Labels, count_refusal};
-use crate::{ApiError, BootClock, Code, Shared};
+use crate::{ApiError, BootClock, Code, RUN_HEADER, RunStatus, Shared};
 
 /// Request header that identifies a call that must run at most once.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -160,6 +160,10 @@
 fn respond(id: String, reply: PlainReply) -> HttpResponse {
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = HttpResponse::build(status);
+    // The service states nothing about the run, but callers may read its status as a statement.
+    if status.is_client_error() || status.is_server_error() {
+        response.insert_header((RUN_HEADER, RunStatus::Unknown.to_string()));
+    }
     if let Some(content) = reply.content_type {
         response.content_type(content);
     }
--- a/crates/eelgrasshill_entry/tests/plain.rs
+++ b/crates/eelgrasshill_entry/tests/plain.rs
@@ -202,3 +202,27 @@
     );
     fleet.stop();
 }
+
+/// Guards against a failure of an upstream that callers take for the statement that nothing ran.
+#[actix_web::test]
+async fn failure_status_of_an_upstream_is_passed_on_as_unknown() {
+    let mut fleet = Fleet::start(1);
+    let key = fleet.issue_key("crew-1", "crew");
+    let unavailable = FaultSet::new(Mode::Unavailable);
+    fleet.plain.handle.faults().set(unavailable);
+    for (path, idempotency) in [
+        ("/yard/pole-4", None),
+        ("/bookings/4", None),
+        ("/bookings/4", Some("failed")),
+        // The recorded answer of the claimed call.
+        ("/bookings/4", Some("failed")),
+    ] {
+        let reply = post(&fleet.url(0, path), key.reveal(), idempotency, "").await;
+        assert_eq!(
+            (reply.status, reply.run.as_str()),
+            (503, "unknown"),
+            "{path} {idempotency:?}: {reply:?}"
+        );
+    }
+    fleet.stop();
+}
