Quarantine a request that crashes engines and comes again under other ids

Cause: only parts that several requests share were suspects. The last part, the request's own, was left out, but the request itself comes again with a new id at another host, so each crash counted as the first.

Evidence: a trial that logs the headers of lost requests: ten lost requests agree in method, path, body, model, token counts and all parts, and differ in id and deadline; their shared parts are answered elsewhere in between.

Fix: the whole request is one more suspect, with its own verdict and in the same bounded state. It waits after two crashes, is probed by one host at a time, and condemned for 10 minutes after the third. News of a crash go to all hosts by datagram, since a caller comes again within milliseconds.

--- a/crates/eelgrasshill_domain/src/digest.rs
+++ b/crates/eelgrasshill_domain/src/digest.rs
@@ -144,6 +144,17 @@
     hex(&Sha256::digest(bytes))
 }
 
+/// Returns a hash of several fields, which also depends on where each of them ends.
+#[must_use]
+pub fn fields_hash(fields: &[&[u8]]) -> u64 {
+    let mut sha = Sha256::new();
+    for field in fields {
+        sha.update((field.len() as u64).to_be_bytes());
+        sha.update(field);
+    }
+    leading_number(sha.finalize().into())
+}
+
 /// Returns the rendezvous hash weight of a member for a subject.
 #[must_use]
 pub fn rendezvous_weight(member: &str, subject: &str) -> u64 {
@@ -151,12 +162,15 @@
     sha.update(member.as_bytes());
     sha.update([0]);
     sha.update(subject.as_bytes());
-    let bytes: [u8; DIGEST_BYTES] = sha.finalize().into();
-    // The weight is the first eight bytes, as a big-endian number.
+    leading_number(sha.finalize().into())
+}
+
+/// Returns the first eight bytes as a big-endian number.
+fn leading_number(bytes: [u8; DIGEST_BYTES]) -> u64 {
     bytes
         .iter()
         .take(8)
-        .fold(0, |weight, byte| (weight << 8) | u64::from(*byte))
+        .fold(0, |number, byte| (number << 8) | u64::from(*byte))
 }
 
 /// Sorts members by descending rendezvous weight for a subject.
--- a/crates/eelgrasshill_domain/src/lib.rs
+++ b/crates/eelgrasshill_domain/src/lib.rs
@@ -12,7 +12,7 @@
 pub use collections::{FastMap, FastSet};
 pub use config::{ConfigRecord, Edit, EditOutcome, KeyGrant, Rejection, RowChange};
 pub use digest::{
-    KeyDigest, KeyText, KeyTextError, digest_hex, rendezvous_order, rendezvous_weight,
+    KeyDigest, KeyText, KeyTextError, digest_hex, fields_hash, rendezvous_order, rendezvous_weight,
 };
 pub use name::{
     AdapterName, AppendId, HostName, KeyId, ModelName, NameError, OrgName, PoolName, RequestId,
--- a/crates/eelgrasshill_gateway/src/codec.rs
+++ b/crates/eelgrasshill_gateway/src/codec.rs
@@ -83,6 +83,10 @@
     ///
     /// The last part belongs to the request itself and is left out.
     pub shared_parts: Vec<PromptPart>,
+    /// What the request declares of its prompt, which each of its repeats declares as well.
+    ///
+    /// None if it declares no parts: then a repeat cannot be told from another request.
+    pub declared_prompt: Option<String>,
     /// Id of the last event that the caller received in an earlier attempt.
     pub last_event: Option<u64>,
 }
--- a/crates/eelgrasshill_gateway/src/exchange.rs
+++ b/crates/eelgrasshill_gateway/src/exchange.rs
@@ -278,7 +278,7 @@
 }
 
 /// Applies what another host says of parts that crash engines; returns whether any is new.
-fn apply_accusations<C: PlatformCodec>(
+pub(crate) fn apply_accusations<C: PlatformCodec>(
     state: &mut GatewayState<C>,
     accusations: &[message::PartAccusation],
     requested_at: Moment,
--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -12,11 +12,11 @@
 use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, ZoneName};
 use eelgrasshill_relay::{
     AnswerTimes, Candidate, CrashingParts, EnginePicker, EngineRests, EngineSpeeds, EventIntervals,
-    HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NoUpstream,
-    PartRefusal, Peer, PeerRole, Pick, PickerHost, ProbedParts, PromptPart, RateLimiter,
+    HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NewsLimit, NoUpstream,
+    PartRefusal, Peer, PeerRole, Pick, PickerHost, ProbeTurn, ProbedParts, PromptPart, RateLimiter,
     ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings, SmoothedDemand, Tables, Ticket,
     Totals, TotalsSender, Tree, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery,
-    UpstreamSelector, probe_rank,
+    UpstreamSelector,
 };
 use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
 
@@ -87,6 +87,8 @@
     pub rests: EngineRests,
     /// Parts of prompts on which engines crash.
     pub crashing_parts: CrashingParts,
+    /// Limit on the news of crashes that are sent to all hosts.
+    pub crash_news: NewsLimit,
     /// Speeds of the upstreams, learned from their answers.
     pub speeds: EngineSpeeds,
     /// Prompts of all hosts, if this host picks their engines.
@@ -145,6 +147,7 @@
             health: UpstreamHealth::default(),
             rests: EngineRests::default(),
             crashing_parts: CrashingParts::default(),
+            crash_news: NewsLimit::default(),
             speeds: EngineSpeeds::new(bounds.prefill_tokens_per_ms),
             picker: EnginePicker::default(),
             picker_host: PickerHost::default(),
@@ -564,8 +567,8 @@
         now: Moment,
     ) -> Result<(), PartRefusal> {
         let (host, hosts) = (&self.host, || self.tree.peers().map(|peer| &peer.host));
-        let rank = |part| probe_rank(part, host, hosts());
-        self.crashing_parts.check(parts, rank, now)
+        let turn = |part| ProbeTurn::new(part, host, hosts());
+        self.crashing_parts.check(parts, turn, now)
     }
 
     /// Decides the same for a request that is about to be sent, and notes its probes.
@@ -579,8 +582,8 @@
         now: Moment,
     ) -> Result<ProbedParts, PartRefusal> {
         let (host, hosts) = (&self.host, || self.tree.peers().map(|peer| &peer.host));
-        let rank = |part| probe_rank(part, host, hosts());
-        self.crashing_parts.admit(parts, rank, now)
+        let turn = |part| ProbeTurn::new(part, host, hosts());
+        self.crashing_parts.admit(parts, turn, now)
     }
 
     /// Returns the host that picks engines; none if none of those that could answers.
--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod codec;
 mod compression;
 mod convert;
+mod crash_news;
 mod exchange;
 mod fetch;
 mod follow;
--- a/crates/eelgrasshill_gateway/src/pick_socket.rs
+++ b/crates/eelgrasshill_gateway/src/pick_socket.rs
@@ -1,8 +1,9 @@
-//! Datagrams by which hosts ask one of them for the engine of each prompt.
+//! Datagrams by which hosts ask one of them for the engine of each prompt, and tell all of a crash.
 //!
 //! A query gets one reply. Notes say when the answer starts and when the request ends, so that the
 //! picker knows what is under way at each engine. Any datagram may be lost: a query without a reply
-//! is decided by its own host, and a lost note is made up for by the picker's expectation.
+//! is decided by its own host, a lost note is made up for by the picker's expectation, and news of a
+//! crash come again with the exchange.
 
 use std::io;
 use std::net::SocketAddr;
@@ -11,6 +12,7 @@
 
 use eelgrasshill_domain::{FastMap, FastSet, HostName, NameError, ZoneName};
 use eelgrasshill_peer::generated as message;
+use eelgrasshill_peer::generated::PartAccusation;
 use eelgrasshill_peer::generated::pick_datagram::Kind;
 use eelgrasshill_ports::{BootClock, lock};
 use eelgrasshill_relay::{Pick, PromptQuery, RequestOutcome, Ticket};
@@ -20,6 +22,7 @@
 
 use crate::codec::PlatformCodec;
 use crate::convert::{decode_model_key, encode_model_key, millis};
+use crate::exchange::apply_accusations;
 use crate::shared::Shared;
 use crate::telemetry;
 
@@ -111,6 +114,14 @@
         self.send(picker, Kind::Note(encode_note(ticket, progress)));
     }
 
+    /// Tells other hosts of crashes.
+    pub(crate) fn tell_crashes(&self, hosts: &[SocketAddr], accusations: Vec<PartAccusation>) {
+        let news = Kind::Crashes(message::CrashNews { accusations });
+        for host in hosts {
+            self.send(*host, news.clone());
+        }
+    }
+
     fn send(&self, to: SocketAddr, kind: Kind) {
         let datagram = message::PickDatagram { kind: Some(kind) }.encode_to_vec();
         if let Err(error) = self.socket.try_send_to(&datagram, to) {
@@ -161,6 +172,14 @@
                 let _timed_out = sender.send(reply);
             }
         }
+        Kind::Crashes(news) => {
+            let now = BootClock.now();
+            let is_news = apply_accusations(&mut shared.state(), &news.accusations, now, now);
+            log::debug!(
+                "peers: {} accusations from {from}, news={is_news}",
+                news.accusations.len()
+            );
+        }
         Kind::Note(note) => {
             let progress = decode_note(&note);
             shared
--- a/crates/eelgrasshill_gateway/src/refusal.rs
+++ b/crates/eelgrasshill_gateway/src/refusal.rs
@@ -47,6 +47,9 @@
     /// Engines crashed on requests that share a part of the prompt.
     #[display("quarantined-part")]
     QuarantinedPart,
+    /// Engines crashed on earlier requests that were the same as a whole.
+    #[display("quarantined-request")]
+    QuarantinedRequest,
     /// Upstreams did not run the request, and it may not be sent again.
     #[display("refused-upstream")]
     RefusedUpstream,
@@ -103,6 +106,7 @@
             | RefusalCause::Overloaded
             | RefusalCause::Resting
             | RefusalCause::QuarantinedPart
+            | RefusalCause::QuarantinedRequest
             | RefusalCause::RefusedUpstream => StatusCode::SERVICE_UNAVAILABLE,
             RefusalCause::Unproven | RefusalCause::Lost => StatusCode::BAD_GATEWAY,
             RefusalCause::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -15,7 +15,8 @@
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::{BootClock, CallError, CountedBody, HttpPool, read_counted_body};
 use eelgrasshill_relay::{
-    ModelKey, Organisation, ProbedParts, RequestOutcome, Route, Tables, is_admitted_late,
+    ModelKey, Organisation, ProbedParts, PromptPart, RequestOutcome, Route, Tables,
+    is_admitted_late,
 };
 use futures_util::{Stream, StreamExt};
 
@@ -202,8 +203,9 @@
         .unwrap_or(route.timeout)
         .min(route.timeout);
     check_leaving(shared, time_limit, now)?;
+    let suspects = suspects(request, &metadata, &body);
     state
-        .check_parts(&metadata.shared_parts, now)
+        .check_parts(&suspects, now)
         .map_err(|quarantined| refuse_part(&metadata.id, quarantined))?;
     let target_pool = route.target(rand::random()).ok_or_else(malformed)?.clone();
     if let Some(row) = &organisation {
@@ -252,6 +254,7 @@
         arrived_at,
         tried: crate::shared::TriedUpstreams::default(),
         sends: 0,
+        suspects,
         probed_parts: ProbedParts::default(),
         answer_began: false,
         may_have_run: false,
@@ -259,6 +262,23 @@
     })
 }
 
+/// Returns what engines may crash on: the shared parts of the prompt, and the request as a whole.
+fn suspects(request: &HttpRequest, metadata: &RequestMetadata, body: &Bytes) -> Vec<PromptPart> {
+    let mut suspects = metadata.shared_parts.clone();
+    if let Some(prompt) = &metadata.declared_prompt {
+        let host = request.headers().get("host");
+        let path = request.uri().path_and_query();
+        suspects.push(PromptPart::whole(&[
+            request.method().as_str().as_bytes(),
+            host.map_or(b"", |host| host.as_bytes()),
+            path.map_or("/", |path| path.as_str()).as_bytes(),
+            prompt.as_bytes(),
+            body,
+        ]));
+    }
+    suspects
+}
+
 /// Returns the model and adapter that a request needs, if it declares a model.
 fn model_key(metadata: &RequestMetadata, pool: &eelgrasshill_domain::PoolName) -> Option<ModelKey> {
     Some(ModelKey {
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -23,6 +23,7 @@
 use crate::codec::{
     AnswerHead, CallerHeaders, ForwardInfo, PlatformCodec, RequestMetadata, RunStatement,
 };
+use crate::crash_news::tell_crashes;
 use crate::model_request::ModelRequester;
 use crate::picked_request::PickGuard;
 use crate::refusal::{Refusal, RefusalCause};
@@ -90,7 +91,9 @@
     pub tried: TriedUpstreams,
     /// How often the request was sent.
     pub sends: u32,
-    /// Parts of the prompt that the last attempt probed.
+    /// Shared parts of the prompt, and the request as a whole: what engines may crash on.
+    pub suspects: Vec<PromptPart>,
+    /// Which of the suspects the last attempt probed.
     pub probed_parts: ProbedParts,
     /// Whether an answer went on after its first event, or was complete.
     pub answer_began: bool,
@@ -294,7 +297,7 @@
         let admitted = self
             .shared
             .state()
-            .admit_parts(&self.metadata.shared_parts, BootClock.now());
+            .admit_parts(&self.suspects, BootClock.now());
         self.probed_parts = admitted.map_err(SendFailure::Quarantined)?;
         if !self.probed_parts.0.is_empty() {
             log::info!(
@@ -460,7 +463,7 @@
         if std::mem::replace(&mut self.answer_began, true) {
             return;
         }
-        let parts = &self.metadata.shared_parts;
+        let parts = &self.suspects;
         let mut state = self.shared.state();
         state.crashing_parts.note_answered(parts, BootClock.now());
     }
@@ -479,13 +482,13 @@
             upstream.id,
             upstream.started_ms,
             self.sends,
-            display_parts(&self.metadata.shared_parts)
+            display_parts(&self.suspects)
         );
         if !matches!(error, CallError::Lost { .. }) {
             return;
         }
         let is_news = self.shared.state().crashing_parts.note_lost(
-            &self.metadata.shared_parts,
+            &self.suspects,
             &self.probed_parts,
             CrashId::new(upstream),
             BootClock.now(),
@@ -493,6 +496,7 @@
         if is_news {
             telemetry::count_accusation("own");
             self.shared.exchange_wakeup.notify_one();
+            tell_crashes(&self.shared, &self.metadata.id, &self.suspects);
         }
     }
 
@@ -507,7 +511,7 @@
     }
 }
 
-/// Refuses a request because of a part of its prompt; the callers' returns are spread.
+/// Refuses a request on which engines crash; the callers' returns are spread.
 pub(crate) fn refuse_part(id: &str, quarantined: PartRefusal) -> Refusal {
     let after = quarantined.retry_after;
     log::info!(
@@ -515,7 +519,12 @@
         quarantined.part
     );
     let spread = (after / RETRY_SPREAD_DIVISOR).mul_f64(rand::random());
-    Refusal::new(RefusalCause::QuarantinedPart).with_retry(after + spread)
+    let cause = if quarantined.part.is_whole() {
+        RefusalCause::QuarantinedRequest
+    } else {
+        RefusalCause::QuarantinedPart
+    };
+    Refusal::new(cause).with_retry(after + spread)
 }
 
 /// Formats the parts of a prompt for the log.
--- a/crates/eelgrasshill_relay/src/crashing_parts.rs
+++ b/crates/eelgrasshill_relay/src/crashing_parts.rs
@@ -1,7 +1,7 @@
-//! Parts of prompts on which engines crash, and who may still send requests with them.
+//! Parts of prompts and whole requests on which engines crash, and who may still send them.
 //!
-//! A lost answer accuses each part of its prompt that other requests share, and an answer that
-//! began clears them. What one host saw alone is forwarded to all, so that the accusations by
+//! A lost answer accuses each part of its prompt that other requests share and the request as a whole,
+//! which may come again under another id. An answer that began clears them. What one host saw alone is forwarded to all, so that the accusations by
 //! different crashes add up. A part that several crashes accuse is quarantined: requests with it are
 //! refused, except for single probes that show whether it still crashes engines. Which host may
 //! probe follows from a hash, so that hosts that cannot reach each other do not all do so.
@@ -11,6 +11,9 @@
 //! crash, and crashes have other causes too: a part is only quarantined while no answer to it has
 //! begun since, and not for crashes that another part explains. Parts that always came together are
 //! quarantined together; a request with only one of them shows which it is.
+//!
+//! A whole request is judged beside its parts: they were in all of its crashes and explain none of
+//! them. From the third crash on it is condemned, and nobody probes it for a long time.
 
 use std::time::Duration;
 
@@ -21,6 +24,14 @@
 /// Number of crashes from which on a part is quarantined.
 const QUARANTINE_CRASHES: usize = 2;
 
+/// Number of crashes from which on a whole request is condemned.
+const CONDEMNING_CRASHES: usize = 3;
+
+/// Time without a probe of a condemned request.
+///
+/// A request that was only in flight at the crashes is cleared by that probe.
+const CONDEMNED_PROBE_DELAY: Duration = Duration::from_mins(10);
+
 /// Time from which on the crashes of two probes count as separate evidence.
 const ROUND_TIME: Duration = Duration::from_secs(5);
 
@@ -36,10 +47,19 @@
 /// Maximum number of times that the factor applies.
 const MAX_DELAY_STEPS: u32 = 3;
 
-/// Time between the moments from which one host and the next may probe.
+/// Time between the moments from which one host and the next may probe a part.
+///
+/// It covers most probes, and the rounds of the exchange that tell the others how they ended.
+const PART_PROBE_STEP: Duration = Duration::from_secs(1);
+
+/// Time for which it is a host's turn to probe a whole request.
+const WHOLE_PROBE_STEP: Duration = Duration::from_secs(2);
+
+/// Time in each step in which the host whose turn it is may probe a whole request.
 ///
-/// It covers a probe, and the rounds of the exchange that tell the others how it ended.
-const PROBE_STEP: Duration = Duration::from_secs(2);
+/// The rest of the step covers the probe and the news of how it ended, so that the next host does
+/// not send the same request while another engine may be crashing on it.
+const WHOLE_PROBE_TIME: Duration = Duration::from_secs(1);
 
 /// Time in which an answer that began speaks for a part, whatever other hosts lost.
 const ANSWERED_TTL: Duration = Duration::from_millis(1_500);
@@ -147,7 +167,7 @@
 impl CrashingParts {
     /// Decides whether a request may be sent, and notes the probes that it would be.
     ///
-    /// `rank` is the position of this host among those that may probe a part. A request that is
+    /// `turn` is the turn of this host among those that may probe a part. A request that is
     /// admitted ends its probes with [`Self::end_probes`].
     ///
     /// # Errors
@@ -156,10 +176,10 @@
     pub fn admit(
         &mut self,
         parts: &[PromptPart],
-        rank: impl Fn(PromptPart) -> u32,
+        turn: impl Fn(PromptPart) -> ProbeTurn,
         now: Moment,
     ) -> Result<ProbedParts, PartRefusal> {
-        self.check(parts, rank, now)?;
+        self.check(parts, turn, now)?;
         let mut probed = ProbedParts::default();
         for part in parts {
             if self.quarantine(*part, parts, now).is_some() && self.probing.insert(*part) {
@@ -177,7 +197,7 @@
     pub fn check(
         &mut self,
         parts: &[PromptPart],
-        rank: impl Fn(PromptPart) -> u32,
+        turn: impl Fn(PromptPart) -> ProbeTurn,
         now: Moment,
     ) -> Result<(), PartRefusal> {
         for part in parts {
@@ -186,8 +206,9 @@
             };
             self.note_sighting(*part, now);
             let elapsed = now.since(quarantine.since);
-            let has_turn = elapsed >= quarantine.probe_delay
-                && elapsed >= quarantine.probe_delay + PROBE_STEP * rank(*part);
+            let has_turn = elapsed
+                .checked_sub(quarantine.probe_delay)
+                .is_some_and(|elapsed| turn(*part).has_come(*part, elapsed));
             if !has_turn || self.probing.contains(part) {
                 let next = quarantine.probe_delay.saturating_sub(elapsed);
                 return Err(PartRefusal {
@@ -348,6 +369,19 @@
         (accusations, told_count)
     }
 
+    /// Returns at most `max` accusations of these parts, of the last ones first.
+    ///
+    /// Those that were dismissed are left out.
+    #[must_use]
+    pub fn accusations(&self, parts: &[PromptPart], max: usize) -> Vec<Accusation> {
+        let known = parts.iter().rev().filter_map(|part| self.accused.get(part));
+        known
+            .flat_map(|known| undismissed(known))
+            .map(|known| known.accusation)
+            .take(max)
+            .collect()
+    }
+
     /// Returns the number of parts that several crashes accuse.
     #[must_use]
     pub fn suspect_count(&self) -> usize {
@@ -405,8 +439,12 @@
         let is_explained = |crash: CrashId| {
             self.accused.iter().any(|(other, known)| {
                 let other_count = undismissed(known).count();
-                let is_likelier = other_count > count
-                    || (other_count == count && !parts.contains(other) && *other != part);
+                let is_own = parts.contains(other) || *other == part;
+                let is_likelier = if part.is_whole() {
+                    other_count > count && !is_own
+                } else {
+                    other_count > count || (other_count == count && !is_own)
+                };
                 is_likelier
                     && undismissed(known).any(|known| known.accusation.crash == crash)
                     && !self.is_answered(*other, now)
@@ -419,6 +457,15 @@
             return None;
         }
         let since = own.iter().map(|known| known.learned_at).max()?;
+        let further = own.len().checked_sub(CONDEMNING_CRASHES);
+        if let Some(further) = further.filter(|_count| part.is_whole()) {
+            let steps = u32::try_from(further).unwrap_or(MAX_DELAY_STEPS);
+            return Some(Quarantine {
+                since,
+                probe_delay: CONDEMNED_PROBE_DELAY
+                    * PROBE_DELAY_FACTOR.pow(steps.min(MAX_DELAY_STEPS)),
+            });
+        }
         let probes = own.iter().filter(|known| known.accusation.is_probe);
         let mut probes: Vec<_> = probes.map(|known| known.accusation.lost_at).collect();
         probes.sort_unstable();
@@ -432,17 +479,46 @@
     }
 }
 
-/// Returns the position of a host among those that may probe a part.
-#[must_use]
-pub fn probe_rank<'a>(
-    part: PromptPart,
-    host: &HostName,
-    hosts: impl Iterator<Item = &'a HostName>,
-) -> u32 {
-    let subject = part.to_string();
-    let own = rendezvous_weight(host.as_str(), &subject);
-    let before = hosts.filter(|other| rendezvous_weight(other.as_str(), &subject) > own);
-    u32::try_from(before.count()).unwrap_or(u32::MAX)
+/// When a host may probe a part, among all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProbeTurn {
+    /// Number of hosts that come before it.
+    pub rank: u32,
+    /// Number of hosts.
+    pub hosts: u32,
+}
+
+impl ProbeTurn {
+    /// Computes the turn of a host; `hosts` are all hosts that it knows.
+    #[must_use]
+    pub fn new<'a>(
+        part: PromptPart,
+        host: &HostName,
+        hosts: impl Iterator<Item = &'a HostName>,
+    ) -> Self {
+        let subject = part.to_string();
+        let own = rendezvous_weight(host.as_str(), &subject);
+        let mut turn = Self { rank: 0, hosts: 1 };
+        for other in hosts.filter(|other| *other != host) {
+            turn.hosts += 1;
+            turn.rank += u32::from(rendezvous_weight(other.as_str(), &subject) > own);
+        }
+        turn
+    }
+
+    /// Returns whether the host may probe, that long after the first one could.
+    ///
+    /// A part stays open to each host from its turn on, so that one of them soon gets a request
+    /// with it. A whole request is open to one host at a time, in a circle.
+    fn has_come(self, part: PromptPart, elapsed: Duration) -> bool {
+        if !part.is_whole() {
+            return elapsed >= PART_PROBE_STEP * self.rank;
+        }
+        let step = elapsed.as_millis() / WHOLE_PROBE_STEP.as_millis();
+        let in_step = elapsed.as_millis() % WHOLE_PROBE_STEP.as_millis();
+        step % u128::from(self.hosts.max(1)) == u128::from(self.rank)
+            && in_step < WHOLE_PROBE_TIME.as_millis()
+    }
 }
 
 /// Returns the accusations that no answer has dismissed.
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod late_admission;
 mod lease;
 mod leaving_notices;
+mod news_limit;
 mod picker_host;
 mod placement;
 mod prompt_part;
@@ -31,9 +32,7 @@
 mod tree;
 mod upstream_loads;
 
-pub use crashing_parts::{
-    Accusation, CrashId, CrashingParts, PartRefusal, ProbedParts, probe_rank,
-};
+pub use crashing_parts::{Accusation, CrashId, CrashingParts, PartRefusal, ProbeTurn, ProbedParts};
 pub use demand::{ModelKey, SmoothedDemand};
 pub use engine_picker::{EnginePicker, Pick, PickCandidate, PromptQuery, Ticket};
 pub use engine_rests::EngineRests;
@@ -47,6 +46,7 @@
 pub use late_admission::is_admitted_late;
 pub use lease::{Lease, LeaseRecord, LeaseWrite};
 pub use leaving_notices::{LeavingNotice, LeavingNotices};
+pub use news_limit::NewsLimit;
 pub use picker_host::PickerHost;
 pub use placement::{
     Action, Availability, EngineReport, EngineState, HoldingsUpdate, NextCall, OrderOutcome,
--- a/crates/eelgrasshill_relay/tests/crashing_parts.rs
+++ b/crates/eelgrasshill_relay/tests/crashing_parts.rs
@@ -5,18 +5,27 @@
 
 use eelgrasshill_domain::{HostName, Moment};
 use eelgrasshill_relay::{
-    Accusation, CrashId, CrashingParts, PartRefusal, ProbedParts, PromptPart, probe_rank,
+    Accusation, CrashId, CrashingParts, NewsLimit, PartRefusal, ProbeTurn, ProbedParts, PromptPart,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-/// Rank of a host that is the first to probe any part.
-fn first(_part: PromptPart) -> u32 {
-    0
+/// Turn of a host that is the only one to probe any part.
+fn first(_part: PromptPart) -> ProbeTurn {
+    ProbeTurn { rank: 0, hosts: 1 }
 }
 
+/// Turn of the second of two hosts.
+fn second(_part: PromptPart) -> ProbeTurn {
+    ProbeTurn { rank: 1, hosts: 2 }
+}
+
+/// Ids that begin with `=` are those of whole requests.
 fn part(id: &str) -> PromptPart {
-    PromptPart::new(id)
+    match id.strip_prefix('=') {
+        Some(id) => PromptPart::whole(&[id.as_bytes()]),
+        None => PromptPart::new(id),
+    }
 }
 
 /// What happens to a host's parts, at a second of the case.
@@ -41,7 +50,7 @@
     admitted: &'static [&'static [&'static str]],
 }
 
-const PART_CASES: [PartCase; 12] = [
+const PART_CASES: [PartCase; 21] = [
     PartCase {
         name: "one crash proves nothing",
         events: &[(0.0, Event::Lost(&["f", "dead"], 1))],
@@ -175,6 +184,111 @@
         refused: &[&["dead-2"]],
         admitted: &[&["dead-1"]],
     },
+    PartCase {
+        name: "a request that crashed two engines waits, though its parts are sound",
+        events: &[
+            (0.0, Event::Lost(&["f", "=dead"], 1)),
+            (0.1, Event::Answered(&["f"])),
+            (0.2, Event::Lost(&["f", "=dead"], 2)),
+            (0.3, Event::Answered(&["f"])),
+        ],
+        at: 0.5,
+        refused: &[&["f", "=dead"]],
+        admitted: &[&["f"], &["f", "=other"]],
+    },
+    PartCase {
+        name: "the verdict on a request does not wait for one on its parts",
+        events: &[
+            (0.0, Event::Lost(&["f", "=other"], 1)),
+            (0.0, Event::Lost(&["f", "=dead"], 2)),
+            (0.2, Event::Lost(&["f", "=dead"], 3)),
+            // A probe shows that the part is sound; the request is refused all the same.
+            (1.3, Event::Answered(&["f"])),
+        ],
+        at: 1.1,
+        refused: &[&["f", "=dead"], &["=dead"]],
+        admitted: &[],
+    },
+    PartCase {
+        name: "the verdict on a part does not wait for one on a request",
+        events: &[
+            (0.0, Event::Lost(&["dead", "=a"], 1)),
+            (0.2, Event::Lost(&["dead", "=b"], 2)),
+        ],
+        at: 0.4,
+        refused: &[&["dead", "=c"]],
+        admitted: &[&["=a"], &["=b"]],
+    },
+    PartCase {
+        name: "a request that crashed three engines gets no probe for minutes",
+        events: &[
+            (0.0, Event::Lost(&["=dead"], 1)),
+            (0.2, Event::Lost(&["=dead"], 2)),
+            (1.4, Event::Probe(&["=dead"], 3)),
+        ],
+        at: 590.0,
+        refused: &[&["=dead"]],
+        admitted: &[&["=other"]],
+    },
+    PartCase {
+        name: "three crashes condemn a request, also without a probe",
+        events: &[
+            (0.0, Event::Lost(&["=dead"], 1)),
+            (0.1, Event::Lost(&["=dead"], 2)),
+            (0.2, Event::Lost(&["=dead"], 3)),
+        ],
+        at: 60.0,
+        refused: &[&["=dead"]],
+        admitted: &[],
+    },
+    PartCase {
+        name: "a sound request that was in flight at three crashes is cleared by a late probe",
+        events: &[
+            (0.0, Event::Lost(&["=rare"], 1)),
+            (0.1, Event::Lost(&["=rare"], 2)),
+            (0.2, Event::Lost(&["=rare"], 3)),
+            (600.5, Event::Answered(&["=rare"])),
+        ],
+        at: 603.0,
+        refused: &[],
+        admitted: &[&["=rare"]],
+    },
+    PartCase {
+        name: "an answer clears a request at once",
+        events: &[
+            (0.0, Event::Lost(&["=rare"], 1)),
+            (0.1, Event::Lost(&["=rare"], 2)),
+            (0.3, Event::Answered(&["=rare"])),
+        ],
+        at: 0.4,
+        refused: &[],
+        admitted: &[&["=rare"]],
+    },
+    PartCase {
+        name: "a sound request beside one that crashes engines is not condemned for its crashes",
+        events: &[
+            (0.0, Event::Lost(&["=dead"], 1)),
+            (0.0, Event::Lost(&["=rare"], 1)),
+            (0.3, Event::Lost(&["=dead"], 2)),
+            (0.3, Event::Lost(&["=rare"], 2)),
+            (1.6, Event::Lost(&["=dead"], 3)),
+        ],
+        at: 1.8,
+        refused: &[&["=dead"]],
+        admitted: &[&["=rare"]],
+    },
+    PartCase {
+        name: "two requests that crashed the same engines are both held back",
+        events: &[
+            (0.0, Event::Lost(&["=dead"], 1)),
+            (0.0, Event::Lost(&["=rare"], 1)),
+            (0.3, Event::Lost(&["=dead"], 2)),
+            (0.3, Event::Lost(&["=rare"], 2)),
+        ],
+        at: 0.5,
+        refused: &[&["=dead"], &["=rare"]],
+        admitted: &[],
+    },
 ];
 
 /// Guards against sound parts that are condemned beside a crashing one, or by other crashes.
@@ -232,20 +346,20 @@
     parts.end_probes(&probed);
     assert!(parts.check(&ids, first, moment(1.7)).is_ok());
     // The next host waits until the first one's probe has ended and is known.
-    let refusal = parts.check(&ids, |_part| 1, moment(1.7));
+    let refusal = parts.check(&ids, second, moment(1.7));
     let expected = PartRefusal {
         part: ids[0],
         retry_after: Duration::from_secs(1),
     };
     assert_eq!(refusal, Err(expected));
-    assert!(parts.check(&ids, |_part| 1, moment(3.1)).is_ok());
+    assert!(parts.check(&ids, second, moment(3.1)).is_ok());
 
     let hosts: Vec<_> = (0..295)
         .map(|number| HostName::new(&format!("front-{number}")).expect("a valid name"))
         .collect();
     let mut ranks: Vec<_> = hosts
         .iter()
-        .map(|host| probe_rank(ids[0], host, hosts.iter()))
+        .map(|host| ProbeTurn::new(ids[0], host, hosts.iter()).rank)
         .collect();
     ranks.sort_unstable();
     assert!(ranks.iter().copied().eq(0..295), "each host has its rank");
@@ -309,12 +423,16 @@
     crashing_permille: u32,
     // Whether all engines crash at once for reasons of their own, as in a zone that loses power.
     outage: bool,
+    // Number of different crashing requests; 0 if no two are alike and share a crashing part.
+    repeated: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Tally {
     crashes: usize,
     late: usize,
+    // Sends of a crashing request after the third crash under it.
+    after_third: usize,
     sound_sent: usize,
     sound_refused: usize,
 }
@@ -330,6 +448,12 @@
 const PROMPT_MS: u64 = 150;
 const DOWN_MS: u64 = 3_500;
 const CHILDREN: usize = 16;
+/// Datagrams that are lost.
+const LOST_PERMILLE: u32 = 10;
+/// Accusations that fit into a datagram.
+const MAX_ACCUSATIONS: usize = 32;
+/// Time after which a caller comes again: an engine's prompt, its crash and a round trip.
+const RETURN_MS: u64 = PROMPT_MS + 10;
 
 /// The hosts of a fleet, which exchange their accusations along a tree.
 struct Simulation {
@@ -339,11 +463,16 @@
     names: Vec<HostName>,
     // For each host and its parent, the changes that each has received of the other.
     links: Vec<(u64, u64)>,
+    limits: Vec<NewsLimit>,
     news: Vec<bool>,
     last_rounds: Vec<u64>,
     engines: Vec<Engine>,
     waiting: Vec<Waiting>,
     crash_times: Vec<u64>,
+    // For each crashing request, how many engines have crashed under it.
+    crashes_under: BTreeMap<PromptPart, usize>,
+    // Callers that come again at another host, with the moment.
+    returning: Vec<(u64, Vec<PromptPart>)>,
     tally: Tally,
 }
 
@@ -360,11 +489,14 @@
                 .map(|number| HostName::new(&format!("h{number}")).expect("a valid name"))
                 .collect(),
             links: vec![(0, 0); fleet.hosts],
+            limits: vec![NewsLimit::default(); fleet.hosts],
             news: vec![false; fleet.hosts],
             last_rounds,
             engines: vec![Engine::default(); fleet.engines],
             waiting: Vec::new(),
             crash_times: Vec::new(),
+            crashes_under: BTreeMap::new(),
+            returning: Vec::new(),
             tally: Tally::default(),
             fleet,
         }
@@ -379,6 +511,7 @@
                 }
             }
             self.send(now);
+            self.send_again(now);
             for host in 1..self.fleet.hosts {
                 let interval = if self.news[host] {
                     EARLY_ROUND_MS
@@ -397,7 +530,7 @@
     fn send(&mut self, now: u64) {
         let expected = self.fleet.requests_per_s * STEP_MS;
         let count =
-            expected / 1_000 + u64::from(self.random.random_range(0..1_000) < expected % 1_000);
+            expected / 1_000 + u64::from(self.random.random_range(0..1_000_u64) < expected % 1_000);
         for _request in 0..count {
             let is_crashing = !self.fleet.outage
                 && self
@@ -411,8 +544,18 @@
             ];
             if is_crashing {
                 parts = vec![part("f0"), part("t0-0"), part("dead")];
+                if let Some(kind) = self
+                    .random
+                    .random_range(0..1_000_u64)
+                    .checked_rem(self.fleet.repeated)
+                {
+                    parts[2] = part(&format!("=dead-{kind}"));
+                }
             }
             let host = self.random.random_range(0..self.fleet.hosts);
+            if is_crashing && self.fleet.repeated > 0 {
+                self.returning.push((now + RETURN_MS, parts.clone()));
+            }
             let is_sent = self.try_send(host, parts, now, 0);
             // Nothing can be sent during the outage.
             let counts = !self.fleet.outage || now > OUTAGE_MS + DOWN_MS + 2_000;
@@ -429,14 +572,20 @@
             .filter(|engine| self.engines[*engine].down_until <= now)
             .collect();
         let names = &self.names;
-        let rank = |part| probe_rank(part, &names[host], names.iter());
+        let turn = |part| ProbeTurn::new(part, &names[host], names.iter());
         if up.is_empty() {
-            return self.hosts[host].check(&parts, rank, Moment(now)).is_ok();
+            return self.hosts[host].check(&parts, turn, Moment(now)).is_ok();
         }
-        let Ok(probed) = self.hosts[host].admit(&parts, rank, Moment(now)) else {
+        let Ok(probed) = self.hosts[host].admit(&parts, turn, Moment(now)) else {
             return false;
         };
         let engine = up[self.random.random_range(0..up.len())];
+        let is_condemned = |part| {
+            self.crashes_under
+                .get(part)
+                .is_some_and(|count| *count >= 3)
+        };
+        self.tally.after_third += usize::from(parts.iter().any(is_condemned));
         self.waiting.push(Waiting {
             host,
             engine,
@@ -449,6 +598,18 @@
         true
     }
 
+    /// Lets callers repeat their requests.
+    fn send_again(&mut self, now: u64) {
+        let due: Vec<_> = self
+            .returning
+            .extract_if(.., |(at, _)| *at <= now)
+            .collect();
+        for (_at, parts) in due {
+            let host = self.random.random_range(0..self.fleet.hosts);
+            self.try_send(host, parts, now, 0);
+        }
+    }
+
     fn crash(&mut self, engine: usize, now: u64) {
         self.engines[engine].start += 1;
         self.engines[engine].down_until = now + DOWN_MS;
@@ -462,6 +623,7 @@
             parts.end_probes(&request.probed);
             if parts.note_lost(&request.parts, &request.probed, crash, Moment(now)) {
                 self.news[request.host] = true;
+                self.spread(request.host, &request.parts, now);
             }
             if request.sends < 2 {
                 self.try_send(request.host, request.parts, now, request.sends);
@@ -469,11 +631,34 @@
         }
     }
 
+    /// Tells all hosts of the crashes of a request, by datagrams of which few are lost.
+    fn spread(&mut self, host: usize, parts: &[PromptPart], now: u64) {
+        if !self.limits[host].admit(Moment(now)) {
+            return;
+        }
+        let accusations = self.hosts[host].accusations(parts, MAX_ACCUSATIONS);
+        for other in (0..self.fleet.hosts).filter(|other| *other != host) {
+            if self.random.random_ratio(LOST_PERMILLE, 1_000) {
+                continue;
+            }
+            for accusation in &accusations {
+                self.hosts[other].apply(*accusation, Moment(now));
+            }
+        }
+    }
+
     /// Lets answers begin; an engine crashes instead if it begins one to the crashing part.
     fn answer(&mut self, now: u64, contact_ms: u64) {
         let dead = part("dead");
+        let crashes_engine = |part: &&PromptPart| part.is_whole() || **part == dead;
         while let Some(index) = self.waiting.iter().position(|w| w.begins_at <= now) {
-            if self.waiting[index].parts.contains(&dead) {
+            let crashing = self.waiting[index]
+                .parts
+                .iter()
+                .find(crashes_engine)
+                .copied();
+            if let Some(crashing) = crashing {
+                *self.crashes_under.entry(crashing).or_default() += 1;
                 let sent_at = self.waiting[index].begins_at - PROMPT_MS;
                 let fifth = self.crash_times.get(4);
                 self.tally.late += usize::from(fifth.is_some_and(|at| sent_at > at + contact_ms));
@@ -522,6 +707,7 @@
         requests_per_s,
         crashing_permille,
         outage,
+        repeated: 0,
     };
     let cases = [
         Case {
@@ -581,3 +767,58 @@
         );
     }
 }
+
+/// Guards against a request that comes again at any host and crashes a fourth engine.
+#[test]
+fn a_request_under_which_three_engines_crashed_is_sent_to_no_other() {
+    struct Case {
+        name: &'static str,
+        fleet: Fleet,
+    }
+    let fleet = |hosts, engines, requests_per_s, crashing_permille, repeated| Fleet {
+        hosts,
+        engines,
+        requests_per_s,
+        crashing_permille,
+        outage: false,
+        repeated,
+    };
+    let cases = [
+        Case {
+            name: "15 hosts, one request",
+            fleet: fleet(15, 12, 75, 10, 1),
+        },
+        Case {
+            name: "20 hosts, three requests",
+            fleet: fleet(20, 12, 75, 30, 3),
+        },
+        Case {
+            name: "127 hosts, three requests",
+            fleet: fleet(127, 112, 275, 10, 3),
+        },
+        Case {
+            name: "295 hosts, one request",
+            fleet: fleet(295, 204, 552, 5, 1),
+        },
+    ];
+    for case in cases {
+        let mut seen = BTreeMap::new();
+        for seed in 0..SEEDS {
+            let tally = Simulation::new(case.fleet, seed).run(25_000, 0);
+            seen.insert(seed, (tally.crashes, tally.after_third));
+            assert!(
+                tally.sound_refused * 100 <= tally.sound_sent * 5,
+                "{} seed {seed}: {} of {} sound requests refused",
+                case.name,
+                tally.sound_refused,
+                tally.sound_sent
+            );
+        }
+        println!(
+            "{}: crashes, sent after the third, by seed: {seen:?}",
+            case.name
+        );
+        let sent: usize = seen.values().map(|(_crashes, sent)| *sent).sum();
+        assert_eq!(sent, 0, "{}: {seen:?}", case.name);
+    }
+}
