Take a 101 for no answer

What callers would have seen: an engine that answers 101, Switching Protocols, had that status passed on with its seal, and the client takes its connection for one of another protocol. Found while answers that stop within their head were tested.

Cause: the HTTP client reads over informational answers except 101, which it returns as if it were final.

Fix: the client that gateway and entry host share calls it an answer that cannot be read: 502, as the request may have run.

--- a/crates/eelgrasshill_ports/src/pool.rs
+++ b/crates/eelgrasshill_ports/src/pool.rs
@@ -126,7 +126,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`CallError::Lost`] when the connection ended first; the request may have run.
+    /// Returns [`CallError::Lost`] when the connection ended first, and [`CallError::Malformed`] for an
+    /// answer that is not final; the request may have run.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -138,6 +139,11 @@
             cause: error.to_string(),
         };
         match self.sender.try_send_request(request).await {
+            // Passed on, the switch to another protocol would leave the caller without an answer.
+            Ok(response) if response.status().is_informational() => Err(CallError::Malformed {
+                address: address.to_string(),
+                cause: format!("status {} instead of an answer", response.status().as_u16()),
+            }),
             Ok(response) => Ok(response
                 .map(|body| AnswerBody::new(body, self.budget.clone(), MAX_BYTES_BEFORE_DATA))),
             Err(mut error) => match error.take_message() {
--- a/crates/eelgrasshill_ports/tests/cut.rs
+++ b/crates/eelgrasshill_ports/tests/cut.rs
@@ -130,3 +130,25 @@
         "each connection must be reset; after an orderly close data may still arrive late"
     );
 }
+
+/// Guards against passing on the switch to another protocol, which no caller asked for, as an answer.
+#[actix_web::test]
+async fn answer_that_is_not_final_is_malformed() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _from) = listener.accept().unwrap();
+        let read = stream.read(&mut [0; 4096]).unwrap();
+        assert!(read > 0, "the server received no request");
+        let head = "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n";
+        stream.write_all(head.as_bytes()).unwrap();
+    });
+    let body = http_body_util::Full::new(bytes::Bytes::from_static(b"order"));
+    let request = hyper::Request::post("/order").body(body).unwrap();
+    let reply = call_unpooled(address, request, Duration::from_secs(20), 1_000).await;
+    assert!(
+        matches!(reply, Err(CallError::Malformed { .. })),
+        "expected CallError::Malformed, got {reply:?}"
+    );
+    server.join().unwrap();
+}
