--- a/crates/eelgrasshill_relay/src/crashing_parts.rs
+++ b/crates/eelgrasshill_relay/src/crashing_parts.rs
@@ -1,10 +1,11 @@
 //! Parts of prompts and whole requests on which engines crash, and who may still send them.
 //!
-//! A lost answer accuses each part of its prompt that other requests share and the request as a whole,
-//! which may come again under another id. An answer that began clears them. What one host saw alone is forwarded to all, so that the accusations by
-//! different crashes add up. A part that several crashes accuse is quarantined: requests with it are
-//! refused, except for single probes that show whether it still crashes engines. Which host may
-//! probe follows from a hash, so that hosts that cannot reach each other do not all do so.
+//! A lost answer accuses each part of its prompt that other requests share and the request as a
+//! whole, which may come again under another id. An answer that began clears them. What one host saw
+//! alone is forwarded to all, so that the accusations by different crashes add up. A part that
+//! several crashes accuse is quarantined: requests with it are refused, except for single probes that
+//! show whether it still crashes engines. Which host may probe follows from a hash, so that hosts
+//! that cannot reach each other do not all do so.
 //!
 //! The load pattern is a kind of request that crashes one engine after the other, on any host, next
 //! to sound requests that share all other parts with it. Many sound requests are in flight at each
