Close a silent engine once another may work on its stream

Cause: a stream that paused was offered to another engine while the connection to the silent one stayed open, until the other answered.

Change: the silent engine keeps the stream only while the other engine cannot be at work for long: until it refuses or could not be reached, and for 150 ms after the request was sent. It is closed when the other engine answers, fails without a statement, or has not answered by then. Failed attempts of plain requests and of first attempts of streams are closed, and the close carried out, before the next engine is chosen. A stream stays with its silent engine if the other's first event cannot come before the deadline.

--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -475,6 +475,7 @@
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             guard.set_outcome(RequestOutcome::Failed);
+            connection.close().await;
             return Err((relayed, open_request, SendFailure::Lost(error)));
         }
         Err(_elapsed) => {
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -19,6 +19,7 @@
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
+use tokio::sync::Notify;
 
 use crate::codec::{
     AnswerHead, CallerHeaders, ForwardInfo, PlatformCodec, RequestMetadata, RunStatement,
@@ -293,6 +294,21 @@
         last_event: Option<u64>,
         bound: Duration,
         pick: Option<PickGuard<C>>,
+    ) -> Result<IncomingAnswer<C>, SendFailure> {
+        self.send_noting(upstream, last_event, bound, pick, &Notify::new())
+            .await
+    }
+
+    /// Sends the request as [`Self::send`] does, and notifies `sent` when its bytes are written.
+    ///
+    /// After a failure, the connection is closed.
+    pub(crate) async fn send_noting(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        last_event: Option<u64>,
+        bound: Duration,
+        pick: Option<PickGuard<C>>,
+        sent: &Notify,
     ) -> Result<IncomingAnswer<C>, SendFailure> {
         let admitted = self
             .shared
@@ -337,6 +353,7 @@
         self.tried.insert(upstream.id.clone());
         self.sends += 1;
         self.charge_repeat();
+        sent.notify_one();
         let answer = tokio::time::timeout(bound, connection.send(request)).await;
         match answer {
             Ok(Ok(response)) => self.read_head(upstream, response, connection, guard),
@@ -348,11 +365,13 @@
             Ok(Err(error)) => {
                 guard.set_outcome(RequestOutcome::Failed);
                 self.may_have_run = true;
+                connection.close().await;
                 Err(SendFailure::Lost(error))
             }
             Err(_elapsed) => {
                 guard.set_outcome(RequestOutcome::Unreachable);
                 self.may_have_run = true;
+                connection.close().await;
                 Err(SendFailure::Lost(CallError::Timeout {
                     address: upstream.address.to_string(),
                     timeout: bound,
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -3,8 +3,9 @@
 //! A stream is resumed after the last complete event that was passed on, if its route allows it, an
 //! attempt is left and the retry budget permits. Otherwise the caller's connection is cut without
 //! the last chunk, so that a broken stream does not look complete. A silent upstream keeps its
-//! stream until another one has taken it.
+//! stream until another one may work on it, and is then given up.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use actix_web::HttpResponse;
@@ -12,15 +13,19 @@
 use derive_more::{Display, Error};
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::{BootClock, CallError, MemoryLease};
-use eelgrasshill_relay::{EventSplitter, Repeat, RequestOutcome, has_content};
+use eelgrasshill_relay::{
+    EventSplitter, LaterAttempt, REFUSAL_WINDOW, Repeat, RequestOutcome, can_go_on_in_time,
+    has_content,
+};
 use http_body_util::BodyExt;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::codec::PlatformCodec;
 use crate::relayed::{IncomingAnswer, RelayedRequest, SendFailure, start_response};
 use crate::shared::OpenRequest;
+use crate::telemetry;
 
 /// Maximum silence within a stream before it is resumed on another engine.
 ///
@@ -124,6 +129,17 @@
         }
     }
 
+    /// Closes the connection, after which the upstream does not go on with the stream.
+    async fn give_up(self) {
+        let IncomingAnswer {
+            connection,
+            mut guard,
+            ..
+        } = self.incoming;
+        guard.set_outcome(RequestOutcome::Failed);
+        connection.close().await;
+    }
+
     fn record_progress(&mut self, now: Moment) {
         let interval = now.since(self.progress_at);
         self.progress_at = now;
@@ -197,6 +213,42 @@
     }
 }
 
+/// Waits until the upstream of a request that was sent can no longer refuse it in time.
+async fn refusal_window(sent: &Notify) {
+    sent.notified().await;
+    tokio::time::sleep(REFUSAL_WINDOW).await;
+}
+
+/// Returns what an attempt's end says of whether its upstream works on the request.
+fn later_attempt<T>(answer: &Result<T, SendFailure>) -> LaterAttempt {
+    match answer {
+        Err(SendFailure::Unsent | SendFailure::Quarantined(_)) => LaterAttempt::NotSent,
+        Err(SendFailure::NotRun) => LaterAttempt::Refused,
+        Err(SendFailure::Lost(_) | SendFailure::Failed | SendFailure::Unproven(_)) | Ok(_) => {
+            LaterAttempt::MayHaveRun
+        }
+    }
+}
+
+/// Gives up the silent upstream of a stream, if it is still kept.
+async fn give_up_earlier<C: PlatformCodec>(
+    earlier: &mut Option<EventReader<C>>,
+    id: &str,
+    later: LaterAttempt,
+) {
+    let Some(events) = earlier.take() else {
+        return;
+    };
+    telemetry::count_handover("given-up");
+    log::info!(
+        "request: id={id} upstream={} event={:?} silent={} is given up, later={later:?}",
+        events.incoming.upstream.id,
+        events.splitter.last(),
+        BootClock.now().since(events.progress_at).as_millis()
+    );
+    events.give_up().await;
+}
+
 impl<C: PlatformCodec> RelayedRequest<C> {
     /// Answers with the stream of an upstream that answered with success.
     ///
@@ -223,6 +275,7 @@
                     .incoming
                     .guard
                     .set_outcome(RequestOutcome::Unreachable);
+                events.incoming.connection.close().await;
                 return Err((self, open_request, SendFailure::Lost(error)));
             }
         };
@@ -231,7 +284,7 @@
             .guard
             .record_first_event(self.metadata.model.as_ref());
         let now = BootClock.now();
-        crate::telemetry::record_first_event(&self.route, now.since(self.arrived_at));
+        telemetry::record_first_event(&self.route, now.since(self.arrived_at));
         let leaving = self.shared.leaving().is_some();
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
         if sender.try_send(Ok(first)).is_err() {
@@ -256,10 +309,10 @@
         loop {
             let ended = self.forward_events(&mut events, sender).await;
             let last = events.splitter.last();
-            match ended {
+            let pause = events.longest_pause;
+            let mut earlier = match ended {
                 StreamEnd::Complete => {
                     events.incoming.guard.set_outcome(RequestOutcome::Success);
-                    let pause = events.longest_pause;
                     self.learn(&events, runs);
                     let IncomingAnswer {
                         connection,
@@ -271,40 +324,37 @@
                     return;
                 }
                 StreamEnd::Deserted => {
-                    self.log_stream("deserted", runs, last, events.longest_pause);
+                    self.log_stream("deserted", runs, last, pause);
                     return;
                 }
-                StreamEnd::Silent => {
-                    if let Some(next) = self.resume(last, sender).await {
-                        events.incoming.guard.set_outcome(RequestOutcome::Failed);
-                        events = next;
-                        runs += 1;
-                    } else {
-                        events.progress_at = BootClock.now();
-                        log::info!(
-                            "request: id={} upstream={} event={last:?} keeps the stream, \
-                             no other took it",
-                            self.metadata.id,
-                            events.incoming.upstream.id
-                        );
-                    }
-                    continue;
-                }
+                StreamEnd::Silent => Some(events),
                 StreamEnd::Broken => {
-                    events.incoming.guard.set_outcome(RequestOutcome::Failed);
+                    events.give_up().await;
+                    None
                 }
-            }
-            let pause = events.longest_pause;
-            drop(events);
-            let Some(next) = self.resume(last, sender).await else {
-                self.log_stream("broken", runs, last, pause);
+            };
+            if let Some(next) = self.resume(last, sender, &mut earlier).await {
+                events = next;
+                runs += 1;
+            } else if let Some(mut kept) = earlier {
+                kept.progress_at = BootClock.now();
+                telemetry::count_handover("kept");
+                log::info!(
+                    "request: id={} upstream={} event={last:?} keeps the stream, \
+                     no other took it",
+                    self.metadata.id,
+                    kept.incoming.upstream.id
+                );
+                events = kept;
+            } else {
+                let is_deserted = sender.is_closed();
+                let end = if is_deserted { "deserted" } else { "broken" };
+                self.log_stream(end, runs, last, pause);
                 flush_events(sender).await;
                 // This fails only if the caller has left.
                 let _deserted = sender.send(Err(BrokenStream)).await;
                 return;
-            };
-            events = next;
-            runs += 1;
+            }
         }
     }
 
@@ -360,7 +410,7 @@
         }
     }
 
-    /// Returns whether another engine could resume the stream now.
+    /// Returns whether another engine could resume the stream now, and send an event in time.
     fn can_resume(&self) -> bool {
         let is_allowed =
             self.route.repeat == Repeat::ResumableStream && self.sends < self.route.max_attempts;
@@ -368,12 +418,32 @@
             return false;
         }
         let now = BootClock.now();
-        let has_budget = self.shared.state().retries.allows(&self.target_pool, now);
-        has_budget && self.choose().is_ok()
+        let (has_budget, prompt_time) = {
+            let mut state = self.shared.state();
+            let model = self.metadata.model.as_ref();
+            let tokens = self.metadata.prompt_tokens;
+            (
+                state.retries.allows(&self.target_pool, now),
+                state.speeds.prompt_time(&self.target_pool, model, tokens),
+            )
+        };
+        let is_in_time = |wait| can_go_on_in_time(self.time_left(), wait, prompt_time);
+        has_budget
+            && self
+                .choose()
+                .is_ok_and(|candidate| is_in_time(candidate.wait))
     }
 
     /// Resumes the stream after the last event that was passed on, if that is allowed.
-    async fn resume(&mut self, last: Option<u64>, sender: &BodySender) -> Option<EventReader<C>> {
+    ///
+    /// `earlier` is the silent upstream that has the stream, if any. It is given up once another one
+    /// may work on the stream.
+    async fn resume(
+        &mut self,
+        last: Option<u64>,
+        sender: &BodySender,
+        earlier: &mut Option<EventReader<C>>,
+    ) -> Option<EventReader<C>> {
         if self.route.repeat != Repeat::ResumableStream {
             return None;
         }
@@ -396,11 +466,27 @@
             } else {
                 self.time_left().min(SILENCE_TIMEOUT)
             };
-            let sent = tokio::select! {
-                sent = self.send(&candidate.upstream, last, bound, None) => sent,
-                () = sender.closed() => return None,
+            let id = self.metadata.id.clone();
+            let sent = Notify::new();
+            let answer = {
+                let upstream = &candidate.upstream;
+                let mut sending = pin!(self.send_noting(upstream, last, bound, None, &sent));
+                loop {
+                    tokio::select! {
+                        answer = &mut sending => break answer,
+                        () = sender.closed() => return None,
+                        () = refusal_window(&sent), if earlier.is_some() => {
+                            let later = LaterAttempt::Unanswered(REFUSAL_WINDOW);
+                            give_up_earlier(earlier, &id, later).await;
+                        }
+                    }
+                }
             };
-            match sent {
+            let later = later_attempt(&answer);
+            if !later.keeps_earlier() {
+                give_up_earlier(earlier, &id, later).await;
+            }
+            match answer {
                 Ok(mut incoming) if incoming.response.status().is_success() => {
                     incoming.guard.record_answer_start();
                     let memory = self.shared.answer_memory.lease();
@@ -442,7 +528,7 @@
     }
 
     fn log_stream(&self, end: &str, runs: u32, last: Option<u64>, pause: Duration) {
-        crate::telemetry::count_stream_end(&self.route, end);
+        telemetry::count_stream_end(&self.route, end);
         log::info!(
             "request: id={} route={} stream {end} runs={runs} last={last:?} pause={} ms={}",
             self.metadata.id,
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -123,6 +123,11 @@
     .increment(1);
 }
 
+/// Counts a stream of a silent engine for which another one was asked, by what became of it.
+pub(crate) fn count_handover(end: &'static str) {
+    metrics::counter!("eelgrasshill_stream_handovers_total", "end" => end).increment(1);
+}
+
 /// Counts an attempt that an upstream did not begin to answer, by how it ended.
 pub(crate) fn count_lost_attempt(error: &CallError) {
     let end = match error {
--- a/crates/eelgrasshill_ports/src/pool.rs
+++ b/crates/eelgrasshill_ports/src/pool.rs
@@ -57,7 +57,7 @@
     #[debug(skip)]
     sender: SendRequest<Full<Bytes>>,
     budget: ByteBudget,
-    _driver: AbortOnDrop,
+    driver: AbortOnDrop,
 }
 
 impl HttpConnection {
@@ -118,10 +118,19 @@
             address,
             sender,
             budget,
-            _driver: AbortOnDrop(driver),
+            driver: AbortOnDrop(driver),
         })
     }
 
+    /// Closes the connection and waits until that is done.
+    ///
+    /// After a drop, the runtime closes it some time later.
+    pub async fn close(mut self) {
+        self.driver.0.abort();
+        // The driver fails with the cancellation, or has ended before.
+        let _ended = (&mut self.driver.0).await;
+    }
+
     /// Sends a request and returns the response, whose body is still unread.
     ///
     /// # Errors
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod retries;
 mod selection;
 mod start_wait;
+mod stream_handover;
 mod tables;
 mod totals;
 mod tree;
@@ -59,6 +60,7 @@
 pub use retries::{RetryBudget, RetrySettings};
 pub use selection::{Candidate, NoUpstream, SelectionSettings, UpstreamQuery, UpstreamSelector};
 pub use start_wait::{START_PERCENT, max_start_wait};
+pub use stream_handover::{LaterAttempt, REFUSAL_WINDOW, can_go_on_in_time};
 pub use tables::{
     CallerBounds, EnginePool, Model, Organisation, Repeat, Route, Tables, WeightedPool,
 };
