Take statuses above 599 for no answer, and a 421 without an id as unrun

Raw-socket engines sent 45 invalid status lines to each client, on first and later answers. Cause: hyper and awc refuse all of them except the statuses 600 to 999, which were passed on to callers of plain requests and of streams, and which orders took for a refusal. Change: the clients take any status outside of 200 to 599 for an answer that cannot be read, so the request, or the order, may have run. Resumed streams were sound already. Ruled out: 000, 099, other numbers of digits, letters, signs, spaces, no status, other versions and control characters gave 502 before; they stay in the tables.

It was a broken answer everywhere, so a request that did not run got 502. Change: it states that the request did not run if no other request was sent on the connection, since it can then belong to no other. On a kept connection, with another id, and for a 503 without an id nothing changes.

--- a/crates/eelgrasshill_gateway/src/codec.rs
+++ b/crates/eelgrasshill_gateway/src/codec.rs
@@ -130,6 +130,8 @@
     pub signed: bool,
     /// What the answer states about whether the request ran.
     pub run: RunStatement,
+    /// Whether another upstream than the expected one, or one without the model, answers.
+    pub misdirected: bool,
     /// Whether the upstream says that it is leaving.
     pub leaving: bool,
     /// Time for which a full upstream wants no requests from this host.
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -391,7 +391,9 @@
         if answer_head.leaving {
             note_leaving(&self.shared, upstream, &self.metadata.id);
         }
-        if let Some(cause) = self.answer_fault(response.status().is_success(), &answer_head) {
+        let is_success = response.status().is_success();
+        let is_only_request = connection.has_sent_one();
+        if let Some(cause) = self.answer_fault(is_success, is_only_request, &answer_head) {
             // The answer may be another request's, so it is unknown whether this one ran.
             self.may_have_run = true;
             guard.set_outcome(RequestOutcome::Failed);
@@ -405,6 +407,16 @@
         }
         match answer_head.run {
             RunStatement::NotRun => {
+                if answer_head.id.is_none() {
+                    telemetry::count_upstream_signal("misdirected-without-id");
+                    log::info!(
+                        "request: id={} upstream={} status={} without an id on a new connection, \
+                         did not run",
+                        self.metadata.id,
+                        upstream.id,
+                        response.status().as_u16()
+                    );
+                }
                 // An upstream that asks for rest works, and gets no requests for that time anyway.
                 if answer_head.rest.is_none() {
                     guard.set_outcome(RequestOutcome::Full);
@@ -432,8 +444,18 @@
     /// Returns why an answer is not accepted for this request; none if it is.
     ///
     /// A faulty upstream may repeat an earlier answer on a connection that is used again, also one
-    /// that says that its request did not run.
-    fn answer_fault(&self, success: bool, answer_head: &AnswerHead) -> Option<String> {
+    /// that says that its request did not run. An upstream that is not the expected one may not know
+    /// the id, so its answer is accepted without one where no other request was sent.
+    fn answer_fault(
+        &self,
+        success: bool,
+        is_only_request: bool,
+        answer_head: &AnswerHead,
+    ) -> Option<String> {
+        let is_misdirected = answer_head.misdirected && answer_head.run == RunStatement::NotRun;
+        if is_misdirected && answer_head.id.is_none() && is_only_request {
+            return None;
+        }
         if answer_head.id.as_deref() != Some(self.metadata.id.as_str()) {
             return Some(format!(
                 "expected an answer to this request, got one to {:?}",
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -171,7 +171,8 @@
     metrics::counter!("eelgrasshill_orders_total", "end" => end.to_owned()).increment(1);
 }
 
-/// Counts an answer in which an engine says that it is leaving or asks for rest.
+/// Counts an answer in which an engine says that it is leaving, asks for rest, or is not the
+/// expected one and echoes no id.
 pub(crate) fn count_upstream_signal(signal: &'static str) {
     metrics::counter!("eelgrasshill_upstream_signals_total", "signal" => signal).increment(1);
 }
--- a/crates/eelgrasshill_ports/src/client.rs
+++ b/crates/eelgrasshill_ports/src/client.rs
@@ -18,7 +18,7 @@
 
 use crate::CallError;
 use crate::bounded::BoundedStream;
-use crate::error::with_timeout;
+use crate::error::{check_final_status, with_timeout};
 
 /// The number of bytes of an error response that [`CallError::Status`] keeps.
 const MAX_DETAIL_BYTES: usize = 200;
@@ -170,6 +170,7 @@
         S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
     {
         let status = response.status();
+        check_final_status(address, status.as_u16())?;
         let body = read_awc_body(address, response, self.settings.max_body_bytes).await?;
         if !status.is_success() {
             return Err(status_error(address, status.as_u16(), &body));
--- a/crates/eelgrasshill_ports/src/engine_http.rs
+++ b/crates/eelgrasshill_ports/src/engine_http.rs
@@ -16,7 +16,7 @@
 use futures_util::Stream;
 
 use crate::client::{read_awc_body, status_error};
-use crate::error::with_timeout;
+use crate::error::{check_final_status, with_timeout};
 use crate::{
     CallError, EngineClient, EngineReport, EngineStreamEvent, GenerateRequest, HttpClient, Order,
     OrderAnswer,
@@ -181,6 +181,7 @@
         })
         .await?;
         let status = response.status();
+        check_final_status(address, status.as_u16())?;
         if !status.is_success() {
             let body =
                 read_awc_body(address, response, self.client.settings().max_body_bytes).await?;
--- a/crates/eelgrasshill_ports/src/error.rs
+++ b/crates/eelgrasshill_ports/src/error.rs
@@ -3,6 +3,7 @@
 //! Callers decide from this whether they may retry.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use awc::error::{ConnectError, SendRequestError};
@@ -96,6 +97,27 @@
     }
 }
 
+/// Statuses of final answers.
+///
+/// The HTTP clients accept any three digits from 100 on. Passed on, a 101 would leave the caller
+/// without an answer, and a status that does not exist means something else to each program.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Checks that an answer has the status of a final answer.
+///
+/// # Errors
+///
+/// Returns [`CallError::Malformed`] for any other status.
+pub(crate) fn check_final_status(address: SocketAddr, status: u16) -> Result<(), CallError> {
+    if FINAL_STATUSES.contains(&status) {
+        return Ok(());
+    }
+    Err(CallError::Malformed {
+        address: address.to_string(),
+        cause: format!("status {status} instead of an answer"),
+    })
+}
+
 /// Runs a call with a timeout.
 pub(crate) async fn with_timeout<T>(
     address: SocketAddr,
--- a/crates/eelgrasshill_ports/src/pool.rs
+++ b/crates/eelgrasshill_ports/src/pool.rs
@@ -20,7 +20,7 @@
 use tokio::task::JoinHandle;
 
 use crate::bounded::{AnswerBody, BoundedStream, ByteBudget};
-use crate::error::with_timeout;
+use crate::error::{check_final_status, with_timeout};
 use crate::{BootClock, CallError, MemoryLease};
 
 /// How long [`HttpPool::call`] keeps an idle connection; servers close theirs after 10 s.
@@ -58,6 +58,8 @@
     sender: SendRequest<Full<Bytes>>,
     budget: ByteBudget,
     driver: AbortOnDrop,
+    // Number of requests that were sent on it.
+    sent_requests: u64,
 }
 
 impl HttpConnection {
@@ -119,9 +121,16 @@
             sender,
             budget,
             driver: AbortOnDrop(driver),
+            sent_requests: 0,
         })
     }
 
+    /// Returns whether no more than one request was sent, so that an answer belongs to that one.
+    #[must_use]
+    pub fn has_sent_one(&self) -> bool {
+        self.sent_requests <= 1
+    }
+
     /// Closes the connection and waits until that is done.
     ///
     /// After a drop, the runtime closes it some time later.
@@ -136,25 +145,24 @@
     /// # Errors
     ///
     /// Returns [`CallError::Lost`] when the connection ended first, and [`CallError::Malformed`] for an
-    /// answer that is not final; the request may have run.
+    /// answer whose status is not that of a final answer; the request may have run.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<AnswerBody>, CallError> {
         self.budget.allow(MAX_BYTES_BEFORE_BODY);
+        self.sent_requests += 1;
         let address = self.address;
         let lost = move |error: hyper::Error| CallError::Lost {
             address: address.to_string(),
             cause: error.to_string(),
         };
         match self.sender.try_send_request(request).await {
-            // Passed on, the switch to another protocol would leave the caller without an answer.
-            Ok(response) if response.status().is_informational() => Err(CallError::Malformed {
-                address: address.to_string(),
-                cause: format!("status {} instead of an answer", response.status().as_u16()),
-            }),
-            Ok(response) => Ok(response
-                .map(|body| AnswerBody::new(body, self.budget.clone(), MAX_BYTES_BEFORE_DATA))),
+            Ok(response) => {
+                check_final_status(address, response.status().as_u16())?;
+                Ok(response
+                    .map(|body| AnswerBody::new(body, self.budget.clone(), MAX_BYTES_BEFORE_DATA)))
+            }
             Err(mut error) => match error.take_message() {
                 Some(_request) => Err(CallError::NotSent {
                     address: address.to_string(),
