--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -19,6 +19,7 @@
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
+use tokio::sync::Notify;
 
 use crate::codec::{
     AnswerHead, CallerHeaders, ForwardInfo, PlatformCodec, RequestMetadata, RunStatement,
@@ -293,6 +294,21 @@
         last_event: Option<u64>,
         bound: Duration,
         pick: Option<PickGuard<C>>,
+    ) -> Result<IncomingAnswer<C>, SendFailure> {
+        self.send_noting(upstream, last_event, bound, pick, &Notify::new())
+            .await
+    }
+
+    /// Sends the request as [`Self::send`] does, and notifies `sent` when its bytes are written.
+    ///
+    /// After a failure, the connection is closed.
+    pub(crate) async fn send_noting(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        last_event: Option<u64>,
+        bound: Duration,
+        pick: Option<PickGuard<C>>,
+        sent: &Notify,
     ) -> Result<IncomingAnswer<C>, SendFailure> {
         let admitted = self
             .shared
@@ -337,6 +353,7 @@
         self.tried.insert(upstream.id.clone());
         self.sends += 1;
         self.charge_repeat();
+        sent.notify_one();
         let answer = tokio::time::timeout(bound, connection.send(request)).await;
         match answer {
             Ok(Ok(response)) => self.read_head(upstream, response, connection, guard),
@@ -348,11 +365,13 @@
             Ok(Err(error)) => {
                 guard.set_outcome(RequestOutcome::Failed);
                 self.may_have_run = true;
+                connection.close().await;
                 Err(SendFailure::Lost(error))
             }
             Err(_elapsed) => {
                 guard.set_outcome(RequestOutcome::Unreachable);
                 self.may_have_run = true;
+                connection.close().await;
                 Err(SendFailure::Lost(CallError::Timeout {
                     address: upstream.address.to_string(),
                     timeout: bound,
@@ -372,7 +391,9 @@
         if answer_head.leaving {
             note_leaving(&self.shared, upstream, &self.metadata.id);
         }
-        if let Some(cause) = self.answer_fault(response.status().is_success(), &answer_head) {
+        let is_success = response.status().is_success();
+        let is_only_request = connection.has_sent_one();
+        if let Some(cause) = self.answer_fault(is_success, is_only_request, &answer_head) {
             // The answer may be another request's, so it is unknown whether this one ran.
             self.may_have_run = true;
             guard.set_outcome(RequestOutcome::Failed);
@@ -386,6 +407,16 @@
         }
         match answer_head.run {
             RunStatement::NotRun => {
+                if answer_head.id.is_none() {
+                    telemetry::count_upstream_signal("misdirected-without-id");
+                    log::info!(
+                        "request: id={} upstream={} status={} without an id on a new connection, \
+                         did not run",
+                        self.metadata.id,
+                        upstream.id,
+                        response.status().as_u16()
+                    );
+                }
                 // An upstream that asks for rest works, and gets no requests for that time anyway.
                 if answer_head.rest.is_none() {
                     guard.set_outcome(RequestOutcome::Full);
@@ -413,8 +444,18 @@
     /// Returns why an answer is not accepted for this request; none if it is.
     ///
     /// A faulty upstream may repeat an earlier answer on a connection that is used again, also one
-    /// that says that its request did not run.
-    fn answer_fault(&self, success: bool, answer_head: &AnswerHead) -> Option<String> {
+    /// that says that its request did not run. An upstream that is not the expected one may not know
+    /// the id, so its answer is accepted without one where no other request was sent.
+    fn answer_fault(
+        &self,
+        success: bool,
+        is_only_request: bool,
+        answer_head: &AnswerHead,
+    ) -> Option<String> {
+        let is_misdirected = answer_head.misdirected && answer_head.run == RunStatement::NotRun;
+        if is_misdirected && answer_head.id.is_none() && is_only_request {
+            return None;
+        }
         if answer_head.id.as_deref() != Some(self.metadata.id.as_str()) {
             return Some(format!(
                 "expected an answer to this request, got one to {:?}",
