Do not quarantine sound parts when engines crash together

Cause: the verdict "two crashes with no answer since" takes crashes as independent. Engines that crash together for another reason lose all their requests, so a shared part is in two crashes at once. Ruled out: probes that the exchange keeps putting off (the refusals end).

Change: crashes of a part within 300 ms count once at most, and by the part's share, if other engines crashed around them without it. Two crashes within 100 ms take effect 50 ms later, when others are known. The crash of a probe is kept before others; a part with more than 16 crashes forgot it and was probed again a second later.

--- a/crates/eelgrasshill_relay/src/crashing_parts.rs
+++ b/crates/eelgrasshill_relay/src/crashing_parts.rs
@@ -13,6 +13,10 @@
 //! begun since, and not for crashes that another part explains. Parts that always came together are
 //! quarantined together; a request with only one of them shows which it is.
 //!
+//! Engines that crash together for another reason, such as a loss of power, lose many requests with
+//! popular parts. So crashes of a part count in full only if few other engines crashed around them
+//! without it. Otherwise they count at most once, and less if the part was in few of the crashes.
+//!
 //! A whole request is judged beside its parts: they were in all of its crashes and explain none of
 //! them. From the third crash on it is condemned, and nobody probes it for a long time.
 
@@ -25,6 +29,33 @@
 /// Number of crashes from which on a part is quarantined.
 const QUARANTINE_CRASHES: usize = 2;
 
+/// Time after the first crash of a part in which further ones belong to the same group.
+const GROUP_TIME: Duration = Duration::from_millis(300);
+
+/// Time before the first crash of a group in which other crashes count as simultaneous.
+const BEFORE_GROUP: Duration = Duration::from_millis(250);
+
+/// Time after the last crash of a group in which other crashes count as simultaneous.
+///
+/// It is short, so that later crashes of other engines do not end a quarantine.
+const AFTER_GROUP: Duration = Duration::from_millis(50);
+
+/// Number of a part's crashes to each simultaneous crash without it, at which all count in full.
+///
+/// An engine that crashes by chance beside a part that crashes many of them changes nothing.
+const OWN_TO_OTHERS: usize = 4;
+
+/// Time within which two crashes may be the first ones of an outage that is not known yet.
+const TOGETHER_TIME: Duration = Duration::from_millis(100);
+
+/// Time for which a part is not refused for two such crashes alone, until others are known.
+///
+/// A third crash ends it. Without it, 4 of 400,000 sound requests were refused in simulated outages.
+const OUTAGE_NEWS_TIME: Duration = Duration::from_millis(50);
+
+/// Maximum number of crashes whose times are kept; the oldest makes room.
+const MAX_CRASHES: usize = 1_024;
+
 /// Number of crashes from which on a whole request is condemned.
 const CONDEMNING_CRASHES: usize = 3;
 
@@ -161,6 +192,8 @@
     accused: FastMap<PromptPart, Vec<KnownAccusation>>,
     answered: FastMap<PromptPart, Moment>,
     probing: FastSet<PromptPart>,
+    // All known crashes, whatever they accuse, in the order of their times.
+    crashes: Vec<(Moment, CrashId)>,
     /// Accusations, dismissals and sightings since the start.
     change_count: u64,
 }
@@ -285,6 +318,7 @@
     /// Returns whether it is a new crash of the part that nothing known here dismisses.
     pub fn apply(&mut self, accusation: Accusation, now: Moment) -> bool {
         let part = accusation.part;
+        self.note_crash(accusation.crash, accusation.lost_at);
         let entry = self.accused.entry(part).or_default();
         let index = entry
             .iter()
@@ -320,6 +354,61 @@
         }
     }
 
+    /// Stores the time of a crash.
+    fn note_crash(&mut self, crash: CrashId, lost_at: Moment) {
+        if self.crashes.iter().any(|(_at, known)| *known == crash) {
+            return;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        let index = self.crashes.partition_point(|(at, _crash)| *at <= lost_at);
+        self.crashes.insert(index, (lost_at, crash));
+    }
+
+    /// Returns what the crashes of a part weigh, where a crash that it must have caused weighs 1.
+    fn evidence<'a>(
+        &self,
+        part: PromptPart,
+        crashes: impl Iterator<Item = &'a KnownAccusation>,
+    ) -> f64 {
+        let mut moments: Vec<_> = crashes.map(|known| known.accusation.lost_at).collect();
+        if part.is_whole() {
+            return ratio(moments.len(), 1);
+        }
+        moments.sort_unstable();
+        let is_full = moments.len() >= MAX_CRASHES_PER_PART;
+        let mut evidence = 0.0;
+        let mut rest = moments.as_slice();
+        while let Some(first) = rest.first() {
+            let size = rest.partition_point(|at| at.since(*first) < GROUP_TIME);
+            let (group, later) = rest.split_at(size);
+            rest = later;
+            let last = group.last().unwrap_or(first);
+            let from = self
+                .crashes
+                .partition_point(|(at, _crash)| at.after(BEFORE_GROUP) < *first);
+            let to = self
+                .crashes
+                .partition_point(|(at, _crash)| *at <= last.after(AFTER_GROUP));
+            let all = to.saturating_sub(from).max(size);
+            evidence += if (all - size) * OWN_TO_OTHERS <= size {
+                ratio(size, 1)
+            } else if is_full {
+                // Further crashes of the part are not kept, so its share of them is not known.
+                1.0
+            } else {
+                ratio(size * size, all).min(1.0)
+            };
+        }
+        evidence
+    }
+
+    fn is_suspect(&self, part: PromptPart, known: &[KnownAccusation]) -> bool {
+        undismissed(known).count() >= QUARANTINE_CRASHES
+            && self.evidence(part, undismissed(known)) >= ratio(QUARANTINE_CRASHES, 1)
+    }
+
     /// Removes the part, other than the given one, that was accused longest ago.
     fn evict(&mut self, kept: PromptPart) {
         let last_change =
@@ -328,10 +417,7 @@
             .accused
             .iter()
             .filter(|(part, _known)| **part != kept)
-            .min_by_key(|(_part, known)| {
-                let is_quarantined = undismissed(known).count() >= QUARANTINE_CRASHES;
-                (is_quarantined, last_change(known))
-            });
+            .min_by_key(|(part, known)| (self.is_suspect(**part, known), last_change(known)));
         if let Some(part) = oldest.map(|(part, _known)| *part) {
             self.accused.remove(&part);
         }
@@ -386,9 +472,9 @@
     /// Returns the number of parts that several crashes accuse.
     #[must_use]
     pub fn suspect_count(&self) -> usize {
-        let accused = self.accused.values();
+        let accused = self.accused.iter();
         accused
-            .filter(|known| undismissed(known).count() >= QUARANTINE_CRASHES)
+            .filter(|(part, known)| self.is_suspect(**part, known))
             .count()
     }
 
@@ -406,6 +492,8 @@
         });
         self.answered
             .retain(|_part, at| now.since(*at) < ANSWERED_MEMORY);
+        self.crashes
+            .retain(|(at, _crash)| now.since(*at) < ACCUSATION_TTL);
     }
 
     /// Removes the older half of the remembered answers.
@@ -431,30 +519,41 @@
         now: Moment,
     ) -> Option<Quarantine> {
         let known = self.accused.get(&part)?;
-        let count = undismissed(known).count();
-        if count < QUARANTINE_CRASHES || self.is_answered(part, now) {
+        if !self.is_suspect(part, known) || self.is_answered(part, now) {
             return None;
         }
+        let evidence = self.evidence(part, undismissed(known));
         // Crashes under another part that was in more of them are that part's doing. So they are
         // if it was in as many, but the request does not have it.
         let is_explained = |crash: CrashId| {
             self.accused.iter().any(|(other, known)| {
-                let other_count = undismissed(known).count();
+                if !undismissed(known).any(|known| known.accusation.crash == crash) {
+                    return false;
+                }
+                let other_evidence = self.evidence(*other, undismissed(known));
                 let is_own = parts.contains(other) || *other == part;
                 let is_likelier = if part.is_whole() {
-                    other_count > count && !is_own
+                    other_evidence > evidence && !is_own
                 } else {
-                    other_count > count || (other_count == count && !is_own)
+                    other_evidence > evidence || (other_evidence >= evidence && !is_own)
                 };
-                is_likelier
-                    && undismissed(known).any(|known| known.accusation.crash == crash)
-                    && !self.is_answered(*other, now)
+                is_likelier && !self.is_answered(*other, now)
             })
         };
         let own: Vec<_> = undismissed(known)
             .filter(|known| !is_explained(known.accusation.crash))
             .collect();
-        if own.len() < QUARANTINE_CRASHES {
+        if self.evidence(part, own.iter().copied()) < ratio(QUARANTINE_CRASHES, 1) {
+            return None;
+        }
+        let moments = own.iter().map(|known| known.accusation.lost_at);
+        let first = moments.clone().min()?;
+        let last = moments.max()?;
+        if !part.is_whole()
+            && own.len() == QUARANTINE_CRASHES
+            && last.since(first) <= TOGETHER_TIME
+            && now.since(last) < OUTAGE_NEWS_TIME
+        {
             return None;
         }
         let since = own.iter().map(|known| known.learned_at).max()?;
@@ -522,6 +621,14 @@
     }
 }
 
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "crashes are far fewer than 2^52"
+)]
+fn ratio(count: usize, of: usize) -> f64 {
+    count as f64 / of as f64
+}
+
 /// Returns the accusations that no answer has dismissed.
 fn undismissed(known: &[KnownAccusation]) -> impl Iterator<Item = &KnownAccusation> {
     known.iter().filter(|known| !known.accusation.dismissed)
@@ -535,8 +642,16 @@
     if known.len() < MAX_CRASHES_PER_PART {
         return true;
     }
-    // Dismissed crashes go first.
-    let rank = |accusation: &Accusation| (accusation.dismissed, accusation.crash);
+    // Dismissed crashes go first, those of probes last: they put off the next probe.
+    let rank = |accusation: &Accusation| {
+        let Accusation {
+            dismissed,
+            is_probe,
+            crash,
+            ..
+        } = *accusation;
+        (dismissed, !is_probe, crash)
+    };
     let ranks = known.iter().map(|known| rank(&known.accusation));
     let Some((index, worst)) = ranks.enumerate().max_by_key(|(_index, rank)| *rank) else {
         return true;
