Cut no answer that a caller still reads in a planned stop

Cause: the guard that counts a request as open ended when the handler returned the answer, or when the last event of a stream was queued. The drain found no open request, and `stop(false)` dropped the connections that the server was writing. What the system had taken was left to it, which goes on sending only as long as the machine's network exists.

Change: the answer's body holds the guard, at one place for answers, streams and refusals. The stop then waits until the system's send queues to callers are empty (/proc/self/net/tcp, no new descriptor), stops the server gracefully and waits for its connections and the queues again, all within the grace time less the exit. The exit logs how many requests it cuts, with at most 32 ids, and counts them. The removal of the registration, which could take 0.8 s after the end of the drain, is bounded by the time left. A reload during a stop no longer changes the grace time.

Ruled out: the end of the grace time (the exit came 4.4 s earlier). Only moving the guard is not enough: before the change the process also ended while 256 KB of an answer were in the system's buffers.

--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod gateway_state;
 mod model_request;
+mod open_requests;
 mod orders;
 mod peers;
 mod pick_socket;
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -13,7 +13,9 @@
 use actix_web::{HttpRequest, HttpResponse};
 use bytes::{Bytes, BytesMut};
 use eelgrasshill_domain::Moment;
-use eelgrasshill_ports::{BootClock, CallError, CountedBody, HttpPool, read_counted_body};
+use eelgrasshill_ports::{
+    BootClock, CallError, CountedBody, HttpPool, guard_body, read_counted_body,
+};
 use eelgrasshill_relay::{
     ModelKey, Organisation, ProbedParts, PromptPart, RequestOutcome, Route, Tables,
     is_admitted_late,
@@ -27,7 +29,7 @@
 use crate::relayed::{
     IncomingAnswer, RelayedRequest, SendFailure, refuse_part, start_response, token_cost,
 };
-use crate::shared::{OpenRequest, Shared};
+use crate::shared::Shared;
 use crate::telemetry;
 
 /// Maximum size of a body until a configuration is known.
@@ -70,31 +72,43 @@
     payload: Payload,
 ) -> HttpResponse {
     let shared = shared.into_inner();
-    let Some(open_request) = shared.open_request() else {
-        return Refusal::new(RefusalCause::Leaving)
-            .with_retry(SHORT_RETRY_AFTER)
-            .respond();
+    let Some(open_request) = shared.open_request(request.peer_addr()) else {
+        let refusal = Refusal::new(RefusalCause::Leaving).with_retry(SHORT_RETRY_AFTER);
+        return close_connection(refusal.respond());
     };
     let arrived_at = BootClock.now();
-    let leaving = shared.leaving().is_some();
-    let mut response = match prepare(&shared, &pool, &request, payload, arrived_at).await {
+    let response = match prepare(&shared, &pool, &request, payload, arrived_at).await {
         Ok(relayed) => {
             let (id, route) = (relayed.metadata.id.clone(), Arc::clone(&relayed.route));
+            open_request.set_id(&id);
             tokio::select! {
-                response = serve(relayed, &requester, open_request) => response,
+                response = serve(relayed, &requester) => response,
                 // Whether the request ran is not known, and nobody will be there to pass it on.
                 () = shared.closing() => {
                     refuse(&id, Some(&route), Refusal::new(RefusalCause::Lost), arrived_at)
                 }
             }
         }
-        Err((id, refusal)) => refuse(&id, None, refusal, arrived_at),
+        Err((id, refusal)) => {
+            open_request.set_id(&id);
+            refuse(&id, None, refusal, arrived_at)
+        }
     };
-    if leaving {
+    let is_leaving = shared.leaving().is_some();
+    // The request stays open until its answer, also a refusal, has been passed on in full.
+    let response = guard_body(response, open_request);
+    if is_leaving {
+        close_connection(response)
+    } else {
         response
-            .head_mut()
-            .set_connection_type(actix_web::http::ConnectionType::Close);
     }
+}
+
+/// Makes the server close the connection after this answer.
+fn close_connection(mut response: HttpResponse) -> HttpResponse {
+    response
+        .head_mut()
+        .set_connection_type(actix_web::http::ConnectionType::Close);
     response
 }
 
@@ -331,7 +345,6 @@
 async fn serve<C: PlatformCodec>(
     mut relayed: RelayedRequest<C>,
     requester: &ModelRequester,
-    mut open_request: OpenRequest<C>,
 ) -> HttpResponse {
     // Why the last attempt that may have run gave no answer.
     let mut lost_cause = RefusalCause::Lost;
@@ -357,11 +370,10 @@
             )
             .await
         {
-            Ok(incoming) => match pass_answer(relayed, incoming, open_request, bound).await {
+            Ok(incoming) => match pass_answer(relayed, incoming, bound).await {
                 Ok(response) => return response,
-                Err((returned, returned_open, failure)) => {
+                Err((returned, failure)) => {
                     relayed = returned;
-                    open_request = returned_open;
                     failure
                 }
             },
@@ -441,23 +453,22 @@
     }
 }
 
-type FailedAttempt<C> = (RelayedRequest<C>, OpenRequest<C>, SendFailure);
+type FailedAttempt<C> = (RelayedRequest<C>, SendFailure);
 
 /// Passes an upstream's answer on to the caller, or returns the request for another attempt.
 async fn pass_answer<C: PlatformCodec>(
     mut relayed: RelayedRequest<C>,
     mut incoming: IncomingAnswer<C>,
-    open_request: OpenRequest<C>,
     bound: Duration,
 ) -> Result<HttpResponse, FailedAttempt<C>> {
     let status = incoming.response.status();
     let is_failure = status.is_server_error();
     if is_failure && relayed.route.repeat.is_repeatable() && relayed.may_repeat() {
         incoming.guard.set_outcome(RequestOutcome::Failed);
-        return Err((relayed, open_request, SendFailure::Failed));
+        return Err((relayed, SendFailure::Failed));
     }
     if relayed.route.repeat.is_stream() && status.is_success() {
-        return relayed.stream(incoming, open_request, bound).await;
+        return relayed.stream(incoming, bound).await;
     }
     incoming.guard.record_answer_start();
     let IncomingAnswer {
@@ -475,7 +486,7 @@
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             guard.set_outcome(RequestOutcome::Failed);
-            return Err((relayed, open_request, SendFailure::Lost(error)));
+            return Err((relayed, SendFailure::Lost(error)));
         }
         Err(_elapsed) => {
             guard.set_outcome(RequestOutcome::Unreachable);
@@ -483,7 +494,7 @@
                 address: upstream.address.to_string(),
                 timeout: time_left,
             };
-            return Err((relayed, open_request, SendFailure::Lost(cause)));
+            return Err((relayed, SendFailure::Lost(cause)));
         }
     };
     relayed.note_answered();
--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -1,8 +1,8 @@
 //! Starts a gateway, applies changed settings and drains it on SIGTERM.
 //!
 //! A draining host shows that it is not ready, releases its lease and goes on serving. It closes
-//! once no request is open and the load balancer has had time to notice, or at the end of the grace
-//! time.
+//! once callers have got all answers and the load balancer has had time to notice, or at the end of
+//! the grace time.
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -10,8 +10,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_web::dev::ServerHandle;
 use derive_more::{Display, Error};
-use eelgrasshill_ports::BootClock;
+use eelgrasshill_ports::{BootClock, unsent_peers};
 use eelgrasshill_settings::{GatewaySettings, Problems};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -39,6 +40,20 @@
 /// Time between checks whether a draining host has open requests.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time between reads of the system's send queues.
+///
+/// The system lists all connections of the machine, which takes some milliseconds for thousands.
+const SEND_QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Minimum time for the removal of the registration.
+///
+/// The store answers within 4 ms. Together with the rest of the exit it fits in the time that is
+/// reserved for that.
+const MIN_UNREGISTER_TIME: Duration = Duration::from_millis(150);
+
+/// Maximum number of ids of cut requests in the log.
+const MAX_LOGGED_IDS: usize = 32;
+
 /// Time between reads of the settings file without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -138,10 +153,20 @@
     terminate.recv().await;
     shared.start_leaving(BootClock.now());
     release_lease(&shared, &store).await;
-    drain(&shared).await;
-    unregister(&shared, &store).await;
+    let is_drained = drain(&shared).await;
+    if !is_drained {
+        log_cut(&shared).await;
+    }
+    let unregister_time = drain_time_left(&shared).max(MIN_UNREGISTER_TIME);
+    let unregistered = tokio::time::timeout(unregister_time, unregister(&shared, &store)).await;
+    if unregistered.is_err() {
+        log::info!("hosts: registration not removed within {unregister_time:?}");
+    }
     shared.stop();
-    callers.stop(false).await;
+    if is_drained {
+        close_connections(&shared, &callers).await;
+        log_cut(&shared).await;
+    }
     log::info!("host: name={} stopped", shared.settings.name);
     Ok(())
 }
@@ -153,7 +178,7 @@
 fn start_servers<C: PlatformCodec>(
     shared: &Arc<Shared<C>>,
     metrics: Option<PrometheusHandle>,
-) -> Result<actix_web::dev::ServerHandle, StartError> {
+) -> Result<ServerHandle, StartError> {
     let settings = &shared.settings;
     let listeners = [
         bind(settings.ready_address)?,
@@ -179,34 +204,87 @@
     }
 }
 
-/// Waits until all open requests have ended or the grace time is over, then closes the host.
-async fn drain<C: PlatformCodec>(shared: &Arc<Shared<C>>) {
-    let drain_start = shared.leaving().unwrap_or_else(|| BootClock.now());
+/// Waits until callers have got all answers or the grace time is over, then closes the host.
+///
+/// Returns whether callers have got all answers.
+async fn drain<C: PlatformCodec>(shared: &Arc<Shared<C>>) -> bool {
     log::info!(
         "host: name={} leaves, open={}",
         shared.settings.name,
         shared.open_requests()
     );
-    let max_drain_time = shared.max_drain_time();
-    loop {
+    let drain_start = shared.leaving().unwrap_or_else(|| BootClock.now());
+    let mut queues_read_at = drain_start;
+    let is_drained = loop {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-        let elapsed = BootClock.now().since(drain_start);
-        if elapsed >= MIN_DRAIN_TIME && shared.close_if_empty() {
-            break;
+        let now = BootClock.now();
+        let time_left = drain_time_left(shared);
+        if time_left.is_zero() {
+            shared.close();
+            break false;
         }
-        if elapsed >= max_drain_time.saturating_sub(LAST_ANSWERS_TIME) {
+        if time_left <= LAST_ANSWERS_TIME {
             shared.end_requests();
         }
-        if elapsed >= max_drain_time {
-            shared.close();
-            break;
+        let may_close = now.since(drain_start) >= MIN_DRAIN_TIME && shared.open_requests() == 0;
+        if may_close && now.since(queues_read_at) >= SEND_QUEUE_CHECK_INTERVAL {
+            queues_read_at = now;
+            if read_unsent_peers(shared).await.is_empty() && shared.close_if_empty() {
+                break true;
+            }
         }
-    }
+    };
     log::info!(
-        "host: name={} drained, open={}",
+        "host: name={} drained={is_drained} open={}",
         shared.settings.name,
         shared.open_requests()
     );
+    is_drained
+}
+
+/// Returns the time until a leaving host closes, whether or not requests are open.
+fn drain_time_left<C: PlatformCodec>(shared: &Shared<C>) -> Duration {
+    let leaving_since = shared.leaving().unwrap_or_else(|| BootClock.now());
+    let elapsed = BootClock.now().since(leaving_since);
+    shared.max_drain_time().saturating_sub(elapsed)
+}
+
+/// Closes the connections of a drained host, once their last bytes, such as refusals, are sent.
+async fn close_connections<C: PlatformCodec>(shared: &Arc<Shared<C>>, callers: &ServerHandle) {
+    // The server checks only each second whether all connections have ended, so this is not awaited.
+    let _stopping = callers.stop(true);
+    while !drain_time_left(shared).is_zero() {
+        if shared.open_connections() == 0 && read_unsent_peers(shared).await.is_empty() {
+            return;
+        }
+        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+    }
+}
+
+/// Returns the callers that have not got all bytes which the system has taken.
+async fn read_unsent_peers<C: PlatformCodec>(shared: &Shared<C>) -> Vec<SocketAddr> {
+    let address = shared.settings.caller_address;
+    let read = actix_web::rt::task::spawn_blocking(move || unsent_peers(address)).await;
+    let read = read.unwrap_or_else(|panicked| Err(io::Error::other(panicked)));
+    read.unwrap_or_else(|error| {
+        log::warn!("host: the system's send queues cannot be read: {error}");
+        Vec::new()
+    })
+}
+
+/// Logs how many requests the exit cuts, with the ids of the first of them.
+async fn log_cut<C: PlatformCodec>(shared: &Shared<C>) {
+    let unsent_peers = read_unsent_peers(shared).await;
+    let ids = shared.undelivered_ids(&unsent_peers);
+    let shown = ids.get(..MAX_LOGGED_IDS).unwrap_or(&ids);
+    crate::telemetry::count_cut_requests(ids.len());
+    log::info!(
+        "host: name={} cut={} connections={} ids={}",
+        shared.settings.name,
+        ids.len(),
+        shared.open_connections(),
+        shown.join(",")
+    );
 }
 
 /// Reads the settings again on SIGHUP and when the file changes.
@@ -263,7 +341,7 @@
 ) {
     if new.bounds != current.bounds {
         shared.set_bounds(new.bounds);
-        log::info!("host: settings changed, in force: {:?}", new.bounds);
+        log::info!("host: settings changed, in force: {:?}", shared.bounds());
     }
     let restart_settings = GatewaySettings {
         bounds: current.bounds,
--- a/crates/eelgrasshill_gateway/src/server.rs
+++ b/crates/eelgrasshill_gateway/src/server.rs
@@ -25,6 +25,7 @@
 ) -> io::Result<Server> {
     let data = Data::from(Arc::clone(shared));
     let settings = &shared.settings;
+    let connections = Arc::clone(shared);
     let server = HttpServer::new(move || {
         App::new()
             .app_data(data.clone())
@@ -33,6 +34,9 @@
             .default_service(web::to(relay::<C>))
     })
     .workers(1)
+    .on_connect(move |_stream, data| {
+        data.insert(connections.open_connection());
+    })
     .backlog(ACCEPT_BACKLOG)
     .max_connections(settings.max_connections)
     .client_request_timeout(settings.head_timeout)
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -3,7 +3,8 @@
 //! Tracks open requests, so that a leaving host closes only when none is left, and whether the host
 //! knows enough to serve.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 
 use crate::codec::PlatformCodec;
 use crate::gateway_state::GatewayState;
+use crate::open_requests::OpenRequests;
 use crate::pick_socket::PickSocket;
 use crate::picked_request::PickGuard;
 
@@ -80,6 +82,8 @@
     // Bound once the process has started.
     picks: OnceLock<PickSocket>,
     open_count: AtomicU64,
+    open_requests: Mutex<OpenRequests>,
+    connection_count: AtomicUsize,
     // Wakes the requests without an answer when the host is about to close.
     closing: Notify,
     // Moment since which the host is leaving; 0 while it is not.
@@ -90,11 +94,32 @@
 
 /// Guard that counts a request as open until it is dropped.
 #[derive(Debug)]
-pub struct OpenRequest<C: PlatformCodec>(Arc<Shared<C>>);
+pub struct OpenRequest<C: PlatformCodec> {
+    shared: Arc<Shared<C>>,
+    number: u64,
+}
+
+impl<C: PlatformCodec> OpenRequest<C> {
+    /// Sets the request's id, by which it is logged if it is cut.
+    pub(crate) fn set_id(&self, id: &str) {
+        lock(&self.shared.open_requests).set_id(self.number, id);
+    }
+}
 
 impl<C: PlatformCodec> Drop for OpenRequest<C> {
     fn drop(&mut self) {
-        self.0.open_count.fetch_sub(1, Ordering::AcqRel);
+        lock(&self.shared.open_requests).remove(self.number);
+        self.shared.open_count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Guard that counts a caller's connection until the server has flushed and closed it.
+#[derive(Debug)]
+pub(crate) struct OpenConnection<C: PlatformCodec>(Arc<Shared<C>>);
+
+impl<C: PlatformCodec> Drop for OpenConnection<C> {
+    fn drop(&mut self) {
+        self.0.connection_count.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -123,6 +148,8 @@
             settings,
             picks: OnceLock::new(),
             open_count: AtomicU64::new(0),
+            open_requests: Mutex::default(),
+            connection_count: AtomicUsize::new(0),
             closing: Notify::new(),
             leaving: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
@@ -161,18 +188,44 @@
     }
 
     /// Replaces the bounds. Requests in progress keep the bounds that they started with.
-    pub fn set_bounds(&self, bounds: GatewayBounds) {
-        *lock(&self.bounds) = bounds;
+    ///
+    /// A leaving host keeps its grace time, since its SIGKILL follows the one at its SIGTERM.
+    pub fn set_bounds(&self, mut bounds: GatewayBounds) {
+        let mut current = lock(&self.bounds);
+        if self.leaving().is_some() {
+            bounds.termination_grace = current.termination_grace;
+        }
+        *current = bounds;
+        drop(current);
         self.state().set_bounds(&bounds);
     }
 
     /// Counts a request as open; returns none if the host has closed.
-    pub fn open_request(self: &Arc<Self>) -> Option<OpenRequest<C>> {
+    pub fn open_request(self: &Arc<Self>, peer: Option<SocketAddr>) -> Option<OpenRequest<C>> {
         let before = self.open_count.fetch_add(1, Ordering::AcqRel);
-        let opened = OpenRequest(Arc::clone(self));
+        let opened = OpenRequest {
+            shared: Arc::clone(self),
+            number: lock(&self.open_requests).insert(peer),
+        };
         (before < CLOSED_FLAG).then_some(opened)
     }
 
+    /// Returns the ids of the open requests, and of those whose answers these callers have not got.
+    pub(crate) fn undelivered_ids(&self, unsent_peers: &[SocketAddr]) -> Vec<String> {
+        lock(&self.open_requests).undelivered_ids(unsent_peers)
+    }
+
+    /// Counts a caller's connection.
+    pub(crate) fn open_connection(self: &Arc<Self>) -> OpenConnection<C> {
+        self.connection_count.fetch_add(1, Ordering::AcqRel);
+        OpenConnection(Arc::clone(self))
+    }
+
+    /// Returns how many callers' connections the server has not closed.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.connection_count.load(Ordering::Acquire)
+    }
+
     /// Closes the host if no request is open. Later requests are refused.
     #[must_use]
     pub fn close_if_empty(&self) -> bool {
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -20,7 +20,6 @@
 
 use crate::codec::PlatformCodec;
 use crate::relayed::{IncomingAnswer, RelayedRequest, SendFailure, start_response};
-use crate::shared::OpenRequest;
 
 /// Maximum silence within a stream before it is resumed on another engine.
 ///
@@ -206,9 +205,8 @@
     pub async fn stream(
         mut self,
         incoming: IncomingAnswer<C>,
-        open_request: OpenRequest<C>,
         first_bound: Duration,
-    ) -> Result<HttpResponse, (Self, OpenRequest<C>, SendFailure)> {
+    ) -> Result<HttpResponse, (Self, SendFailure)> {
         let mut response = start_response(incoming.response.status(), incoming.response.headers());
         let mut events = EventReader::new(
             incoming,
@@ -223,7 +221,7 @@
                     .incoming
                     .guard
                     .set_outcome(RequestOutcome::Unreachable);
-                return Err((self, open_request, SendFailure::Lost(error)));
+                return Err((self, SendFailure::Lost(error)));
             }
         };
         events
@@ -242,7 +240,6 @@
         }
         actix_web::rt::spawn(async move {
             self.forward_stream(events, &sender).await;
-            drop(open_request);
         });
         if leaving {
             response.force_close();
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -146,6 +146,11 @@
     metrics::gauge!("eelgrasshill_suspect_parts").set(count as f64);
 }
 
+/// Counts requests whose answers the exit of this host cuts.
+pub(crate) fn count_cut_requests(count: usize) {
+    metrics::counter!("eelgrasshill_cut_requests_total").increment(count as u64);
+}
+
 /// Counts a refusal by its cause.
 pub(crate) fn count_refusal(cause: RefusalCause) {
     metrics::counter!("eelgrasshill_refusals_total", "cause" => cause.to_string()).increment(1);
--- a/crates/eelgrasshill_ports/src/lib.rs
+++ b/crates/eelgrasshill_ports/src/lib.rs
@@ -11,11 +11,13 @@
 mod engine;
 mod engine_http;
 mod error;
+mod guarded_body;
 mod host_list;
 mod lock;
 mod log_service;
 mod plain;
 mod pool;
+mod send_queue;
 
 pub use answer_memory::{AnswerMemory, MemoryLease, MemoryUsedUp};
 pub use bounded::AnswerBody;
@@ -27,6 +29,7 @@
 };
 pub use engine_http::{AnswerEvents, HttpEngine};
 pub use error::{AppendError, CallError, ReadError};
+pub use guarded_body::guard_body;
 pub use host_list::{HostList, HostRole, HostState, HttpHostList, ListedHost};
 pub use lock::lock;
 pub use log_service::{
@@ -36,3 +39,4 @@
 pub use pool::{
     CountedBody, HttpConnection, HttpPool, call_unpooled, read_counted_body, read_response_body,
 };
+pub use send_queue::{parse_unsent_peers, unsent_peers};
