--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -24,7 +24,6 @@
 
 use crate::codec::PlatformCodec;
 use crate::relayed::{IncomingAnswer, RelayedRequest, SendFailure, start_response};
-use crate::shared::OpenRequest;
 use crate::telemetry;
 
 /// Maximum silence within a stream before it is resumed on another engine.
@@ -258,9 +257,8 @@
     pub async fn stream(
         mut self,
         incoming: IncomingAnswer<C>,
-        open_request: OpenRequest<C>,
         first_bound: Duration,
-    ) -> Result<HttpResponse, (Self, OpenRequest<C>, SendFailure)> {
+    ) -> Result<HttpResponse, (Self, SendFailure)> {
         let mut response = start_response(incoming.response.status(), incoming.response.headers());
         let mut events = EventReader::new(
             incoming,
@@ -276,7 +274,7 @@
                     .guard
                     .set_outcome(RequestOutcome::Unreachable);
                 events.incoming.connection.close().await;
-                return Err((self, open_request, SendFailure::Lost(error)));
+                return Err((self, SendFailure::Lost(error)));
             }
         };
         events
@@ -295,7 +293,6 @@
         }
         actix_web::rt::spawn(async move {
             self.forward_stream(events, &sender).await;
-            drop(open_request);
         });
         if leaving {
             response.force_close();
