Charge bodies to one account of memory and wait for them by the limits

Cause of the exhaustion by bodies: each body was collected in a buffer of its own that grew by doubling, with no limit on all of them together. Chunks of one byte cost more than their bytes: the HTTP server reads up to 128 KiB at once and queues each chunk as an entry of 32 bytes, and the queue never shrinks while its body is open.

An account now holds what callers' bodies and answers take, with limits on the host (3/8 of the new setting memory-mb), on each address and on each connection. A body is copied into blocks of 64 KiB; the blocks and the server's queue are charged before they are used. A full account gives 503 memory-full with Retry-After. The largest body of the configuration always fits in calm.

BODY_TIMEOUT (5 s, then 400) goes. A body is ended after idle_timeout_ms without progress or at the time limit of its request, with 408 body-timeout, since the request has not run. After a refusal during a body the connection is closed within a second; before, the server waited without a limit for the rest of a body in chunks.

--- a/crates/eelgrasshill_gateway/src/refusal.rs
+++ b/crates/eelgrasshill_gateway/src/refusal.rs
@@ -11,12 +11,18 @@
 /// Reason why the gateway refuses a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
 pub enum RefusalCause {
-    /// The request's headers or body cannot be parsed, or the body took too long.
+    /// The request's headers or body cannot be parsed.
     #[display("malformed")]
     Malformed,
     /// The body is larger than allowed.
     #[display("too-large")]
     TooLarge,
+    /// The body made no progress, or was not complete within the request's time limit.
+    #[display("body-timeout")]
+    BodyTimeout,
+    /// The host's memory for requests is used up.
+    #[display("memory-full")]
+    MemoryFull,
     /// The host has not read a configuration yet.
     #[display("no-tables")]
     NoTables,
@@ -96,10 +102,12 @@
         match self.cause {
             RefusalCause::Malformed => StatusCode::BAD_REQUEST,
             RefusalCause::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RefusalCause::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             RefusalCause::NoRoute => StatusCode::NOT_FOUND,
             RefusalCause::UnknownKey => StatusCode::UNAUTHORIZED,
             RefusalCause::RateLimited => StatusCode::TOO_MANY_REQUESTS,
-            RefusalCause::NoTables
+            RefusalCause::MemoryFull
+            | RefusalCause::NoTables
             | RefusalCause::KeysStale
             | RefusalCause::Leaving
             | RefusalCause::NotHeld
@@ -113,6 +121,11 @@
         }
     }
 
+    /// Returns the text of the answer's body.
+    pub(crate) fn text(cause: RefusalCause) -> String {
+        format!("{cause}\n")
+    }
+
     /// Builds the HTTP answer, with the cause as its body.
     #[must_use]
     pub fn respond(&self) -> HttpResponse {
@@ -120,6 +133,6 @@
         if let Some(after) = self.retry_after {
             response.insert_header(("retry-after", format!("{:.3}", after.as_secs_f64())));
         }
-        response.body(format!("{}\n", self.cause))
+        response.body(Self::text(self.cause))
     }
 }
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -11,9 +11,13 @@
 use actix_web::body::SizedStream;
 use actix_web::web::{Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use derive_more::{Display, Error};
 use eelgrasshill_domain::Moment;
-use eelgrasshill_ports::{BootClock, CallError, CountedBody, HttpPool, read_counted_body};
+use eelgrasshill_ports::{
+    BodyError, BodyLimits, BootClock, CallError, CallerBody, ConnectionMemory, CountedBody,
+    HttpPool, read_caller_body, read_counted_body,
+};
 use eelgrasshill_relay::{
     ModelKey, Organisation, ProbedParts, PromptPart, RequestOutcome, Route, Tables,
     is_admitted_late,
@@ -33,8 +37,22 @@
 /// Maximum size of a body until a configuration is known.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
 
-/// Timeout for a request's body to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time that a body may make no progress until a configuration is known.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Time limit of a body whose request has neither a route nor a time limit of its own.
+const DEFAULT_BODY_TIME: Duration = Duration::from_secs(15);
+
+/// Retry time for callers of a host whose memory for requests is used up.
+///
+/// Most requests end within a second, and with them their memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time for which a connection stays open after a refusal during its body.
+///
+/// The caller may still be sending. If the connection were closed at once, the reset could destroy
+/// the answer before the caller has read it.
+const REFUSED_BODY_LINGER: Duration = Duration::from_secs(1);
 
 /// Maximum size of an answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -88,7 +106,18 @@
                 }
             }
         }
-        Err((id, refusal)) => refuse(&id, None, refusal, arrived_at),
+        Err(Unprepared {
+            id,
+            refusal,
+            body_ended,
+        }) => {
+            let response = refuse(&id, None, refusal, arrived_at);
+            if body_ended {
+                response
+            } else {
+                end_connection(response, refusal.cause)
+            }
+        }
     };
     if leaving {
         response
@@ -112,32 +141,118 @@
     refusal.respond()
 }
 
-/// Reads a request's body and resolves the request; errors carry the request's id.
+/// Refusal of a request before it was sent.
+struct Unprepared {
+    id: String,
+    refusal: Refusal,
+    // Whether the body was read to its end.
+    body_ended: bool,
+}
+
+/// Makes the server close the connection shortly after the caller has got a refusal.
+///
+/// The server itself waits without a limit for the rest of a body in chunks.
+fn end_connection(mut response: HttpResponse, cause: RefusalCause) -> HttpResponse {
+    response
+        .head_mut()
+        .set_connection_type(actix_web::http::ConnectionType::Close);
+    let text = Refusal::text(cause);
+    let length = u64::try_from(text.len()).unwrap_or(u64::MAX);
+    let end = futures_util::stream::once(async {
+        tokio::time::sleep(REFUSED_BODY_LINGER).await;
+        Err(BodyRefused)
+    });
+    let parts = futures_util::stream::iter([Ok(Bytes::from(text))]).chain(end);
+    response.set_body(actix_web::body::BoxBody::new(SizedStream::new(
+        length, parts,
+    )))
+}
+
+/// Error that ends a connection whose body was refused.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("the rest of the body is not read")]
+struct BodyRefused;
+
+/// Reads a request's body and resolves the request.
 async fn prepare<C: PlatformCodec>(
     shared: &Arc<Shared<C>>,
     pool: &HttpPool,
     request: &HttpRequest,
     payload: Payload,
     arrived_at: Moment,
-) -> Result<RelayedRequest<C>, (String, Refusal)> {
-    let max_bytes = shared
-        .state()
-        .tables
+) -> Result<RelayedRequest<C>, Unprepared> {
+    let metadata = C::parse_request(CallerHeaders(request.headers()));
+    let deadline = metadata
         .as_ref()
-        .map_or(DEFAULT_MAX_BODY_BYTES, |tables| tables.bounds().body_bytes);
+        .ok()
+        .and_then(|metadata| metadata.deadline);
+    let limits = body_limits(shared, request, deadline);
+    let connection = request.conn_data::<ConnectionMemory>().cloned();
+    let charge = shared.memory.charge(
+        request.peer_addr().map(|address| address.ip()),
+        &connection.unwrap_or_default(),
+        limits.max_bytes,
+    );
     // The body is read first, so that a refusal does not reset the connection while it arrives.
-    let body = read_body(payload, max_bytes).await;
-    let metadata = match C::parse_request(CallerHeaders(request.headers())) {
+    let body = read_caller_body(payload, limits, charge).await;
+    let body_ended = body.is_ok();
+    let unprepared = |id: &str, refusal: Refusal| Unprepared {
+        id: id.to_owned(),
+        refusal,
+        body_ended,
+    };
+    let metadata = match metadata {
         Ok(metadata) => metadata,
         Err(error) => {
             log::info!("request: id=- malformed: {error}");
-            return Err(("-".to_owned(), Refusal::new(RefusalCause::Malformed)));
+            return Err(unprepared("-", Refusal::new(RefusalCause::Malformed)));
         }
     };
     let id = metadata.id.clone();
-    let body = body.map_err(|cause| (id.clone(), Refusal::new(cause)))?;
+    let body = body.map_err(|error| {
+        log::info!("request: id={id} held={} {error}", shared.memory.held());
+        unprepared(&id, refuse_body(&error))
+    })?;
     wait_for_startup(shared, arrived_at).await;
-    resolve(shared, pool, request, metadata, body, arrived_at).map_err(|refusal| (id, refusal))
+    resolve(shared, pool, request, metadata, body, arrived_at)
+        .map_err(|refusal| unprepared(&id, refusal))
+}
+
+/// Returns the limits of a request's body, from the configuration and the request's time limit.
+fn body_limits<C: PlatformCodec>(
+    shared: &Shared<C>,
+    request: &HttpRequest,
+    deadline: Option<Duration>,
+) -> BodyLimits {
+    let tables = shared.state().tables.clone();
+    let Some(tables) = tables else {
+        return BodyLimits {
+            max_bytes: DEFAULT_MAX_BODY_BYTES,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            time_limit: deadline.unwrap_or(DEFAULT_BODY_TIME),
+        };
+    };
+    let route = tables.route(host_name(request), request.uri().path());
+    let time_limit = [deadline, route.map(|route| route.timeout)]
+        .into_iter()
+        .flatten()
+        .min();
+    BodyLimits {
+        max_bytes: tables.bounds().body_bytes,
+        idle_timeout: tables.bounds().idle_timeout,
+        time_limit: time_limit.unwrap_or(DEFAULT_BODY_TIME),
+    }
+}
+
+fn refuse_body(error: &BodyError) -> Refusal {
+    match error {
+        BodyError::Unreadable(_) => Refusal::new(RefusalCause::Malformed),
+        BodyError::TooLarge { .. } => Refusal::new(RefusalCause::TooLarge),
+        BodyError::MemoryFull(_) => {
+            Refusal::new(RefusalCause::MemoryFull).with_retry(MEMORY_RETRY_AFTER)
+        }
+        BodyError::Idle { .. } | BodyError::Late { .. } => Refusal::new(RefusalCause::BodyTimeout),
+    }
 }
 
 /// Waits until a host that has just started can serve, up to the maximum wait.
@@ -153,25 +268,13 @@
     }
 }
 
-async fn read_body(mut payload: Payload, max_bytes: usize) -> Result<Bytes, RefusalCause> {
-    let whole = async {
-        let mut body = BytesMut::new();
-        while let Some(part) = payload.next().await {
-            let part = part.map_err(|error| {
-                log::info!("request: the body cannot be read: {error}");
-                RefusalCause::Malformed
-            })?;
-            if body.len() + part.len() > max_bytes {
-                return Err(RefusalCause::TooLarge);
-            }
-            body.extend_from_slice(&part);
-        }
-        Ok(body.freeze())
-    };
-    let timed_out = |_elapsed| Err(RefusalCause::Malformed);
-    tokio::time::timeout(BODY_TIMEOUT, whole)
-        .await
-        .unwrap_or_else(timed_out)
+/// Returns the name in the header `host`, without the port.
+fn host_name(request: &HttpRequest) -> &str {
+    let host = request
+        .headers()
+        .get("host")
+        .and_then(|host| host.to_str().ok());
+    host.map_or("", |host| host.split(':').next().unwrap_or(host))
 }
 
 fn resolve<C: PlatformCodec>(
@@ -179,21 +282,20 @@
     pool: &HttpPool,
     request: &HttpRequest,
     metadata: RequestMetadata,
-    body: Bytes,
+    body: CallerBody,
     arrived_at: Moment,
 ) -> Result<RelayedRequest<C>, Refusal> {
+    let CallerBody {
+        bytes: body,
+        charge,
+    } = body;
     let malformed = || Refusal::new(RefusalCause::Malformed);
     let now = BootClock.now();
     let mut state = shared.state();
     let Some(tables) = state.tables.clone() else {
         return Err(Refusal::new(RefusalCause::NoTables).with_retry(SHORT_RETRY_AFTER));
     };
-    let host = request
-        .headers()
-        .get("host")
-        .and_then(|host| host.to_str().ok());
-    let host = host.map_or("", |host| host.split(':').next().unwrap_or(host));
-    let Some(route) = tables.route(host, request.uri().path()) else {
+    let Some(route) = tables.route(host_name(request), request.uri().path()) else {
         return Err(Refusal::new(RefusalCause::NoRoute));
     };
     let keys_accepted = shared.accepts_keys(&state, now);
@@ -251,6 +353,7 @@
         target_pool,
         organisation,
         body,
+        charge,
         arrived_at,
         tried: crate::shared::TriedUpstreams::default(),
         sends: 0,
@@ -468,7 +571,7 @@
         mut guard,
     } = incoming;
     let (head, body) = response.into_parts();
-    let lease = relayed.shared.answer_memory.lease();
+    let lease = relayed.lease_answer();
     let read = read_counted_body(upstream.address, body, MAX_ANSWER_BYTES, lease);
     let time_left = relayed.time_left();
     let body = match tokio::time::timeout(time_left, read).await {
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -12,7 +12,9 @@
 use actix_web::{HttpResponse, HttpResponseBuilder};
 use bytes::Bytes;
 use eelgrasshill_domain::{Moment, PoolName};
-use eelgrasshill_ports::{AnswerBody, BootClock, CallError, HttpConnection, HttpPool};
+use eelgrasshill_ports::{
+    AnswerBody, BootClock, CallError, HttpConnection, HttpPool, MemoryCharge, MemoryLease,
+};
 use eelgrasshill_relay::{
     Availability, Candidate, CrashId, ModelKey, NoUpstream, Organisation, PartRefusal, ProbedParts,
     PromptPart, RequestOutcome, Route, START_PERCENT, Upstream, max_start_wait,
@@ -83,6 +85,8 @@
     pub headers: CallerMap,
     /// Body of the caller's request.
     pub body: Bytes,
+    /// Memory of the body.
+    pub charge: MemoryCharge,
     /// When the request arrived.
     pub arrived_at: Moment,
     /// When the caller must have its final answer.
@@ -146,6 +150,12 @@
 }
 
 impl<C: PlatformCodec> RelayedRequest<C> {
+    /// Starts to count the memory of an answer, on the caller's account too.
+    pub(crate) fn lease_answer(&self) -> MemoryLease {
+        let charge = self.charge.sibling();
+        self.shared.answer_memory.charged_lease(charge)
+    }
+
     /// Returns the time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.since(BootClock.now())
--- a/crates/eelgrasshill_gateway/src/server.rs
+++ b/crates/eelgrasshill_gateway/src/server.rs
@@ -7,7 +7,7 @@
 use actix_web::dev::Server;
 use actix_web::web::{self, Data};
 use actix_web::{App, HttpResponse, HttpServer};
-use eelgrasshill_ports::HttpPool;
+use eelgrasshill_ports::{ConnectionMemory, HttpPool};
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::codec::PlatformCodec;
@@ -32,6 +32,9 @@
             .app_data(Data::new(ModelRequester::default()))
             .default_service(web::to(relay::<C>))
     })
+    .on_connect(|_stream, data| {
+        data.insert(ConnectionMemory::default());
+    })
     .workers(1)
     .backlog(ACCEPT_BACKLOG)
     .max_connections(settings.max_connections)
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::{FastSet, HostName, Incarnation, ModelName, Moment};
-use eelgrasshill_ports::{AnswerMemory, BootClock, lock};
+use eelgrasshill_ports::{AnswerMemory, BootClock, MemoryAccount, MemoryLimits, lock};
 use eelgrasshill_relay::{
     AnswerStart, Capacity, Lease, MaxKeyAge, Peer, PlacementPlanner, ProbedParts, RequestOutcome,
     Upstream,
@@ -70,6 +70,8 @@
     pub started_at: Moment,
     /// Memory for answers that are not passed on yet.
     pub answer_memory: AnswerMemory,
+    /// Memory of callers' requests and their answers.
+    pub memory: MemoryAccount,
     /// Wakes the task that plans and sends orders.
     pub order_wakeup: Notify,
     /// Starts the next round of the exchange early.
@@ -116,6 +118,7 @@
             order_state: Mutex::new(OrderState::new(&settings, incarnation)),
             started_at: BootClock.now(),
             answer_memory: AnswerMemory::new(ANSWER_MEMORY_BYTES),
+            memory: MemoryAccount::new(MemoryLimits::of_machine(settings.memory_mb)),
             order_wakeup: Notify::new(),
             exchange_wakeup: Notify::new(),
             self_peer,
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -210,11 +210,7 @@
         first_bound: Duration,
     ) -> Result<HttpResponse, (Self, OpenRequest<C>, SendFailure)> {
         let mut response = start_response(incoming.response.status(), incoming.response.headers());
-        let mut events = EventReader::new(
-            incoming,
-            self.metadata.last_event,
-            self.shared.answer_memory.lease(),
-        );
+        let mut events = EventReader::new(incoming, self.metadata.last_event, self.lease_answer());
         let first = match events.next(first_bound.min(self.time_left())).await {
             ReadOutcome::Events(bytes) => bytes,
             ReadOutcome::End => Bytes::new(),
@@ -403,7 +399,7 @@
             match sent {
                 Ok(mut incoming) if incoming.response.status().is_success() => {
                     incoming.guard.record_answer_start();
-                    let memory = self.shared.answer_memory.lease();
+                    let memory = self.lease_answer();
                     return Some(EventReader::new(incoming, last, memory));
                 }
                 Ok(mut incoming) => incoming.guard.set_outcome(RequestOutcome::Failed),
--- a/crates/eelgrasshill_ports/src/answer_memory.rs
+++ b/crates/eelgrasshill_ports/src/answer_memory.rs
@@ -9,6 +9,8 @@
 
 use derive_more::{Display, Error};
 
+use crate::MemoryCharge;
+
 /// Bytes of each answer that are not counted.
 const UNCOUNTED_BYTES: usize = 64 << 10;
 
@@ -34,8 +36,17 @@
         MemoryLease {
             memory: self.clone(),
             counted: 0,
+            charge: None,
         }
     }
+
+    /// Starts to count one answer, which is also charged to the caller's account.
+    #[must_use]
+    pub fn charged_lease(&self, charge: MemoryCharge) -> MemoryLease {
+        let mut lease = self.lease();
+        lease.charge = Some(charge);
+        lease
+    }
 }
 
 /// Memory of one answer, which is given back on drop.
@@ -43,6 +54,7 @@
 pub struct MemoryLease {
     memory: AnswerMemory,
     counted: usize,
+    charge: Option<MemoryCharge>,
 }
 
 impl MemoryLease {
@@ -53,6 +65,12 @@
     /// Returns [`MemoryUsedUp`] if it is larger than before and too little is left.
     pub fn resize(&mut self, bytes: usize) -> Result<(), MemoryUsedUp> {
         let needed = bytes.saturating_sub(UNCOUNTED_BYTES);
+        if let Some(charge) = &mut self.charge {
+            charge.resize(needed).map_err(|error| {
+                log::info!("answer: {error}");
+                MemoryUsedUp
+            })?;
+        }
         let left = &self.memory.0;
         if needed <= self.counted {
             left.fetch_add(self.counted - needed, Ordering::Relaxed);
--- /dev/null
+++ b/crates/eelgrasshill_ports/src/caller_body.rs
@@ -0,0 +1,244 @@
+//! Reads the body of a caller's request within its time limits and the host's memory.
+//!
+//! A body costs more than its bytes: parts of a few bytes each wait in a queue of the HTTP server,
+//! and keep the buffer alive in which they were read. They are copied together into blocks at once,
+//! and the queue and the buffer are charged to the caller until the body is complete.
+
+use std::time::Duration;
+
+use actix_web::error::PayloadError;
+use actix_web::web::Payload;
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use futures_util::{FutureExt, StreamExt};
+use tokio::time::Instant;
+
+use crate::{MemoryCharge, MemoryFull};
+
+/// Size of the blocks of a body that is still arriving.
+///
+/// Blocks of one size leave no gaps in the heap when many bodies grow at the same time.
+const BLOCK_BYTES: usize = 64 << 10;
+
+/// Capacity of the first block, which grows up to the size of the others.
+const FIRST_BLOCK_BYTES: usize = 4 << 10;
+
+/// Bytes of each body that are not charged, so that small requests are served by a full host.
+const UNCHARGED_BYTES: usize = 8 << 10;
+
+/// Bytes on the wire of the frame of a chunk: a digit and two line ends.
+const CHUNK_FRAME_BYTES: usize = 5;
+
+/// Limits of one body.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    /// Maximum size.
+    pub max_bytes: usize,
+    /// Longest time without a further byte.
+    pub idle_timeout: Duration,
+    /// Longest time until the body is complete.
+    pub time_limit: Duration,
+}
+
+/// Reason why a body is not read to its end.
+#[derive(Debug, Display, Error)]
+pub enum BodyError {
+    /// The body cannot be read.
+    #[display("the body cannot be read: {_0}")]
+    Unreadable(#[error(source)] PayloadError),
+    /// The body is larger than allowed.
+    #[display("the body is longer than {max_bytes} bytes")]
+    TooLarge {
+        /// The limit.
+        max_bytes: usize,
+    },
+    /// The host's memory for requests is used up.
+    #[display("{_0}")]
+    MemoryFull(#[error(source)] MemoryFull),
+    /// No byte arrived for the longest time allowed.
+    #[display("no byte of the body arrived for {} ms, after {received} bytes", idle_timeout.as_millis())]
+    Idle {
+        /// The limit.
+        idle_timeout: Duration,
+        /// Bytes that had arrived.
+        received: usize,
+    },
+    /// The body was not complete within the time limit.
+    #[display("the body did not arrive within {} ms, only {received} bytes", time_limit.as_millis())]
+    Late {
+        /// The limit.
+        time_limit: Duration,
+        /// Bytes that had arrived.
+        received: usize,
+    },
+}
+
+/// A complete body.
+#[derive(Debug)]
+pub struct CallerBody {
+    /// The bytes.
+    pub bytes: Bytes,
+    /// Memory of the bytes, to be kept as long as they are.
+    pub charge: MemoryCharge,
+}
+
+/// Reads a complete body, whose memory is charged.
+///
+/// # Errors
+///
+/// Returns [`BodyError`] if the body exceeds a limit or breaks off.
+pub async fn read_caller_body(
+    mut payload: Payload,
+    limits: BodyLimits,
+    charge: MemoryCharge,
+) -> Result<CallerBody, BodyError> {
+    let deadline = Instant::now() + limits.time_limit;
+    let mut body = GrowingBody::new(charge);
+    loop {
+        let next = if let Some(next) = payload.next().now_or_never() {
+            next
+        } else {
+            body.end_burst();
+            let left = deadline.saturating_duration_since(Instant::now());
+            tokio::time::timeout(limits.idle_timeout.min(left), payload.next())
+                .await
+                .map_err(|_elapsed| body.timeout_error(&limits, left))?
+        };
+        let Some(part) = next else {
+            break;
+        };
+        let part = part.map_err(BodyError::Unreadable)?;
+        if body.length + part.len() > limits.max_bytes {
+            return Err(BodyError::TooLarge {
+                max_bytes: limits.max_bytes,
+            });
+        }
+        body.push(&part).map_err(BodyError::MemoryFull)?;
+    }
+    drop(payload);
+    Ok(body.finish())
+}
+
+#[derive(Debug)]
+struct GrowingBody {
+    blocks: Vec<Vec<u8>>,
+    length: usize,
+    // Bytes allocated in all blocks.
+    allocated: usize,
+    // Parts and bytes that arrived without a pause, so that they were queued at the same time.
+    burst_parts: usize,
+    burst_bytes: usize,
+    // What the server's queue and buffer took in the largest burst. The queue does not shrink.
+    queue_bytes: usize,
+    charge: MemoryCharge,
+}
+
+impl GrowingBody {
+    fn new(charge: MemoryCharge) -> Self {
+        Self {
+            blocks: Vec::new(),
+            length: 0,
+            allocated: 0,
+            burst_parts: 0,
+            burst_bytes: 0,
+            queue_bytes: 0,
+            charge,
+        }
+    }
+
+    fn end_burst(&mut self) {
+        self.burst_parts = 0;
+        self.burst_bytes = 0;
+    }
+
+    fn timeout_error(&self, limits: &BodyLimits, left: Duration) -> BodyError {
+        let received = self.length;
+        if left <= limits.idle_timeout {
+            BodyError::Late {
+                time_limit: limits.time_limit,
+                received,
+            }
+        } else {
+            BodyError::Idle {
+                idle_timeout: limits.idle_timeout,
+                received,
+            }
+        }
+    }
+
+    fn resize_charge(&mut self) -> Result<(), MemoryFull> {
+        let bytes = self.allocated + self.queue_bytes;
+        self.charge.resize(bytes.saturating_sub(UNCHARGED_BYTES))
+    }
+
+    fn push(&mut self, part: &[u8]) -> Result<(), MemoryFull> {
+        self.burst_parts += 1;
+        self.burst_bytes += part.len() + CHUNK_FRAME_BYTES;
+        let queue = self.burst_parts.next_power_of_two() * size_of::<Bytes>();
+        self.queue_bytes = self.queue_bytes.max(queue + self.burst_bytes);
+        self.resize_charge()?;
+        let mut rest = part;
+        while !rest.is_empty() {
+            let room = self.make_room(rest.len())?;
+            let (now, later) = rest.split_at(rest.len().min(room));
+            if let Some(block) = self.blocks.last_mut() {
+                block.extend_from_slice(now);
+            }
+            self.length += now.len();
+            rest = later;
+        }
+        Ok(())
+    }
+
+    /// Returns the room in the last block, which is above zero.
+    ///
+    /// Memory is charged before it is allocated.
+    fn make_room(&mut self, wanted: usize) -> Result<usize, MemoryFull> {
+        let (used, capacity) = self
+            .blocks
+            .last()
+            .map_or((0, 0), |block| (block.len(), block.capacity()));
+        if used < capacity {
+            return Ok(capacity - used);
+        }
+        let is_first = self.blocks.len() <= 1 && capacity < BLOCK_BYTES;
+        let needed = if is_first {
+            (used + wanted)
+                .next_power_of_two()
+                .clamp(FIRST_BLOCK_BYTES, BLOCK_BYTES)
+        } else {
+            BLOCK_BYTES
+        };
+        let more = if is_first { needed - capacity } else { needed };
+        self.allocated += more;
+        self.resize_charge()?;
+        match self.blocks.last_mut().filter(|_block| is_first) {
+            Some(block) => block.reserve_exact(needed - used),
+            None => self.blocks.push(Vec::with_capacity(needed)),
+        }
+        Ok(needed - if is_first { used } else { 0 })
+    }
+
+    /// Joins the blocks.
+    ///
+    /// The copy is not charged beside them: a thread joins one body at a time.
+    fn finish(mut self) -> CallerBody {
+        let bytes = if self.blocks.len() <= 1 {
+            self.blocks.pop().map_or_else(Bytes::new, Bytes::from)
+        } else {
+            let mut joined = Vec::with_capacity(self.length);
+            for block in self.blocks.drain(..) {
+                joined.extend_from_slice(&block);
+            }
+            self.allocated = self.length;
+            Bytes::from(joined)
+        };
+        self.queue_bytes = 0;
+        // The charge does not grow, since the blocks are no smaller than their content.
+        let _shrunk = self.resize_charge();
+        CallerBody {
+            bytes,
+            charge: self.charge,
+        }
+    }
+}
--- a/crates/eelgrasshill_ports/src/lib.rs
+++ b/crates/eelgrasshill_ports/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer_memory;
 mod bounded;
+mod caller_body;
 mod client;
 mod clock;
 mod engine;
@@ -14,11 +15,13 @@
 mod host_list;
 mod lock;
 mod log_service;
+mod memory_account;
 mod plain;
 mod pool;
 
 pub use answer_memory::{AnswerMemory, MemoryLease, MemoryUsedUp};
 pub use bounded::AnswerBody;
+pub use caller_body::{BodyError, BodyLimits, CallerBody, read_caller_body};
 pub use client::{HttpClient, HttpClientSettings};
 pub use clock::BootClock;
 pub use engine::{
@@ -32,6 +35,9 @@
 pub use log_service::{
     AppendBody, AppendReply, HttpLog, LogClient, NewRecord, Page, ReadQuery, StoredRecord,
 };
+pub use memory_account::{
+    ConnectionMemory, MemoryAccount, MemoryCharge, MemoryFull, MemoryLimits, MemoryScope,
+};
 pub use plain::{HttpPlain, PlainCall, PlainClient, PlainReply};
 pub use pool::{
     CountedBody, HttpConnection, HttpPool, call_unpooled, read_counted_body, read_response_body,
--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -28,6 +28,7 @@
 const CONNECTIONS_HINT: &str = "a number from 1 to 100000";
 const PREFILL_HINT: &str = "a number from 1 to 100000";
 const PROCESSOR_HINT: &str = "processors above 0, fractions allowed";
+const MEMORY_HINT: &str = "MB from 16, fractions allowed";
 const LINK_HINT: &str = "Mbit/s from 1, fractions allowed";
 
 /// Longest time of a setting, in seconds; a longer one has the same effect.
@@ -54,6 +55,12 @@
 /// Highest link rate, in Mbit/s.
 const MAX_LINK_MBPS: f64 = 1_000_000.0;
 
+/// Smallest and largest memory of a machine, in MB.
+const MEMORY_MB_RANGE: std::ops::RangeInclusive<f64> = 16.0..=1_048_576.0;
+
+/// Memory of a machine whose settings do not say it, in MB: the middle of usual hosts.
+const DEFAULT_MEMORY_MB: u64 = 256;
+
 const DEFAULT_MAX_KEY_AGE_MS: u64 = 5_000;
 const DEFAULT_HEAD_TIMEOUT_MS: u64 = 5_000;
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 20_000;
@@ -126,7 +133,7 @@
 /// The validated settings of one gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[debug(
-    "GatewaySettings {{ name: {name:?}, zone: {zone:?}, listen: {caller_address:?}, ready: {ready_address:?}, peer: {peer_address:?}, metrics: {metrics_address:?}, capacity: {capacity:?}, first-start: {is_first_start:?}, store: {store_address:?}, bounds: {bounds:?}, arrival: {head_timeout:?}, idle: {idle_timeout:?}, connections: {max_connections:?}, orders: {orders:?} }}"
+    "GatewaySettings {{ name: {name:?}, zone: {zone:?}, listen: {caller_address:?}, ready: {ready_address:?}, peer: {peer_address:?}, metrics: {metrics_address:?}, capacity: {capacity:?}, memory: {memory_mb:?}, first-start: {is_first_start:?}, store: {store_address:?}, bounds: {bounds:?}, arrival: {head_timeout:?}, idle: {idle_timeout:?}, connections: {max_connections:?}, orders: {orders:?} }}"
 )]
 pub struct GatewaySettings {
     /// The name of the host.
@@ -146,6 +153,8 @@
     /// It is the lower of its processor share in percent of one processor and its link rate in
     /// Mbit/s, so 1 % of a processor counts as much as 1 Mbit/s.
     pub capacity: u32,
+    /// The memory of the machine, in MB.
+    pub memory_mb: u64,
     /// Whether all hosts start for the first time, before any caller comes.
     pub is_first_start: bool,
     /// The address of the platform's store.
@@ -232,6 +241,7 @@
             peer_address: host.peer_address,
             metrics_address: host.metrics_address,
             capacity: host.capacity,
+            memory_mb: host.memory_mb,
             is_first_start: host.is_first_start,
             store_address,
             bounds: GatewayBounds {
@@ -259,6 +269,7 @@
     peer_address: SocketAddr,
     metrics_address: SocketAddr,
     capacity: u32,
+    memory_mb: u64,
     is_first_start: bool,
 }
 
@@ -281,6 +292,7 @@
         MIN_PROCESSORS..=MAX_PROCESSORS,
     );
     let link_mbps = reader.quantity("link-mbps", LINK_HINT, 1.0..=MAX_LINK_MBPS);
+    let memory_mb = reader.quantity("memory-mb", MEMORY_HINT, MEMORY_MB_RANGE);
     let is_first_start = reader.optional("first-start", "true or false");
     reader.report_unknown_fields();
     let default = f64::from(DEFAULT_CAPACITY);
@@ -296,6 +308,7 @@
         capacity: u32::try_from(to_integer(capacity.round()))
             .unwrap_or(u32::MAX)
             .max(MIN_CAPACITY),
+        memory_mb: memory_mb.map_or(DEFAULT_MEMORY_MB, to_integer),
         is_first_start: is_first_start.unwrap_or(false),
     })
 }
--- a/crates/eelgrasshill_settings/tests/gateway.rs
+++ b/crates/eelgrasshill_settings/tests/gateway.rs
@@ -79,6 +79,15 @@
 
 fn other_cases() -> Vec<Case> {
     vec![
+        case("host", "memory-mb = 181.6", Expected::Used, |s| {
+            s.memory_mb == 181
+        }),
+        case("host", "memory-mb =", Expected::Used, |s| {
+            s.memory_mb == 256
+        }),
+        case("host", "memory-mb = 0", Expected::Default, |s| {
+            s.memory_mb == 256
+        }),
         case("bounds", "key-ms = 4821.5", Expected::Used, |s| {
             s.bounds.max_key_age == Duration::from_micros(4_821_500)
         }),
