--- a/crates/eelgrasshill_gateway/src/server.rs
+++ b/crates/eelgrasshill_gateway/src/server.rs
@@ -7,7 +7,7 @@
 use actix_web::dev::Server;
 use actix_web::web::{self, Data};
 use actix_web::{App, HttpResponse, HttpServer};
-use eelgrasshill_ports::HttpPool;
+use eelgrasshill_ports::{ConnectionMemory, HttpPool};
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::codec::PlatformCodec;
@@ -35,6 +35,7 @@
     })
     .workers(1)
     .on_connect(move |_stream, data| {
+        data.insert(ConnectionMemory::default());
         data.insert(connections.open_connection());
     })
     .backlog(ACCEPT_BACKLOG)
