Compare offsets only within an era of the store

Cause: after a restore the store assigns offsets again, and the gateway compared them as if they went on. The lease was claimed again at offset 0 and its fencing token used twice; topics whose end went back were never confirmed again; a registration that the restore lost was taken for written; compressed records were cached by offset.

Change: the store's client reads the era from every response and discards those of an earlier era. A position is a pair of era and offset, in topics, in messages between hosts and in the cache. A topic of a later era is read as a whole; what it lacks counts as lapsed (upstreams) or stays (configuration, hosts). A configuration of a later era comes into force only with a higher version, and an older one does not refresh the age of keys; hosts pass the one in force on. A lease ends with its era; the token has the era in its high bits, the record too, without a new field, so hosts of the earlier version can read it.

--- a/crates/eelgrasshill_gateway/src/codec.rs
+++ b/crates/eelgrasshill_gateway/src/codec.rs
@@ -10,7 +10,9 @@
 use derive_more::{Display, Error};
 use eelgrasshill_domain::{AdapterName, HostName, KeyText, ModelName, Moment, Offset, OrgName};
 use eelgrasshill_ports::CallError;
-use eelgrasshill_relay::{EngineReport, KeyedRecord, OrderOutcome, PromptPart, Tables, Upstream};
+use eelgrasshill_relay::{
+    EngineReport, Era, KeyedRecord, OrderOutcome, PromptPart, Tables, Upstream,
+};
 use hyper::{HeaderMap, StatusCode};
 
 /// Headers of a caller's request, read one at a time.
@@ -245,6 +247,8 @@
 /// Records read from a topic, with the topic's end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TopicPage {
+    /// Era of all offsets of the page.
+    pub era: Era,
     /// Records in order of their offsets; their keys are empty in a topic without keys.
     pub records: Vec<KeyedRecord>,
     /// Offset after the last record of the topic.
@@ -257,6 +261,10 @@
     /// The records from the requested offset on have expired.
     #[display("the records from the requested offset on have expired")]
     Expired,
+    /// The answer is of an earlier era than another one before; a write may be lost.
+    #[display("the answer is of era {_0}, which has ended")]
+    #[error(ignore)]
+    EarlierEra(Era),
     /// The call failed. A write may have taken effect unless the error says it was not sent.
     #[display("{_0}")]
     Failed(#[error(source)] CallError),
@@ -297,7 +305,10 @@
     /// Returns [`StoreError`] if not all of them were read before the timeout.
     async fn newest(&self, topic: Topic) -> Result<TopicPage, StoreError>;
 
-    /// Appends a record and returns its offset.
+    /// Returns the latest era of all answers; none before the first one.
+    fn era(&self) -> Option<Era>;
+
+    /// Appends a record and returns the era and its offset.
     ///
     /// With `at`, the write succeeds only if the topic ends there.
     ///
@@ -310,7 +321,7 @@
         key: &str,
         value: &[u8],
         at: Option<Offset>,
-    ) -> Result<Offset, StoreError>;
+    ) -> Result<(Era, Offset), StoreError>;
 }
 
 /// Address of the store, with the timeout for its answers.
--- a/crates/eelgrasshill_gateway/src/compression.rs
+++ b/crates/eelgrasshill_gateway/src/compression.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use eelgrasshill_domain::{FastMap, Offset};
-use eelgrasshill_relay::KeyedRecord;
+use eelgrasshill_relay::{Era, KeyedRecord};
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
@@ -19,27 +19,32 @@
 /// Size from which a record is compressed. Upstreams' entries are smaller, configurations larger.
 const MIN_COMPRESSED_BYTES: usize = 8 << 10;
 
+/// Era and offset of a record, with its compressed value.
+type CompressedRecord = ((Era, Offset), Arc<[u8]>);
+
 /// Cache of compressed records, with the newest version of each key.
 #[derive(Debug, Default)]
 pub(crate) struct RecordCompressor {
-    compressed: FastMap<Arc<str>, (Offset, Arc<[u8]>)>,
+    compressed: FastMap<Arc<str>, CompressedRecord>,
 }
 
 impl RecordCompressor {
     /// Returns a record's value as it is sent, and whether it is compressed.
-    pub(crate) fn compress_record(&mut self, record: &KeyedRecord) -> (Vec<u8>, bool) {
+    ///
+    /// `era` is that of the record's offset, which in another era may be that of another value.
+    pub(crate) fn compress_record(&mut self, record: &KeyedRecord, era: Era) -> (Vec<u8>, bool) {
         if record.value.len() < MIN_COMPRESSED_BYTES {
             return (record.value.to_vec(), false);
         }
         let cached = self.compressed.get(&record.key);
-        if let Some((_offset, compressed)) =
-            cached.filter(|(offset, _compressed)| *offset == record.offset)
+        if let Some((_position, compressed)) =
+            cached.filter(|(position, _compressed)| *position == (era, record.offset))
         {
             return (compressed.to_vec(), true);
         }
         match compress(&record.value) {
             Ok(compressed) => {
-                let entry = (record.offset, Arc::from(compressed.as_slice()));
+                let entry = ((era, record.offset), Arc::from(compressed.as_slice()));
                 self.compressed.insert(Arc::clone(&record.key), entry);
                 (compressed, true)
             }
--- a/crates/eelgrasshill_gateway/src/convert.rs
+++ b/crates/eelgrasshill_gateway/src/convert.rs
@@ -11,7 +11,7 @@
 use eelgrasshill_domain::{Incarnation, OrgName};
 use eelgrasshill_peer::generated as message;
 use eelgrasshill_relay::{
-    Accusation, CrashId, HoldingsUpdate, HostHash, KeyedRecord, KeyedTopic, LeavingNotice,
+    Accusation, CrashId, Era, HoldingsUpdate, HostHash, KeyedRecord, KeyedTopic, LeavingNotice,
     ModelKey, PromptPart, RANKS, ResidentModel, SpentTokens, Totals, TotalsSender, UpstreamLoad,
 };
 
@@ -276,27 +276,36 @@
     }
 }
 
+pub(crate) fn encode_record(
+    record: &KeyedRecord,
+    era: Era,
+    compressor: &mut RecordCompressor,
+) -> message::TopicRecord {
+    let (value, is_compressed) = compressor.compress_record(record, era);
+    message::TopicRecord {
+        key: record.key.to_string(),
+        offset: record.offset.0,
+        value,
+        packed: is_compressed,
+    }
+}
+
 pub(crate) fn encode_topic(
     topic: Topic,
     topic_records: &KeyedTopic,
     compressor: &mut RecordCompressor,
-    from: Offset,
+    (caller_era, from): (Era, Offset),
     now: Moment,
 ) -> message::TopicNews {
     message::TopicNews {
         topic: topic_number(topic),
         records: topic_records
-            .since(from)
-            .map(|record| {
-                let (value, is_compressed) = compressor.compress_record(record);
-                message::TopicRecord {
-                    key: record.key.to_string(),
-                    offset: record.offset.0,
-                    value,
-                    packed: is_compressed,
-                }
-            })
+            .missing_after(caller_era, from)
+            .map(|record| encode_record(record, topic_records.era(), compressor))
             .collect(),
+        era: topic_records.era().0,
+        whole: topic_records.needs_whole(caller_era, from),
+        kept: None,
         left_out: false,
         end: topic_records.end().0,
         age: topic_records
@@ -313,25 +322,31 @@
 ///
 /// Returns the error of the first record that cannot be decompressed. The others must not be used
 /// without it, since they would hide that a record is missing.
-pub(crate) fn decode_records(update: message::TopicNews) -> io::Result<Vec<KeyedRecord>> {
-    let decode = |record: message::TopicRecord| {
-        let value = if record.packed {
-            decompress(&record.value)?
-        } else {
-            record.value
-        };
-        Ok(KeyedRecord {
-            key: Arc::from(record.key),
-            offset: Offset(record.offset),
-            value: Arc::from(value),
-        })
-    };
-    let records: io::Result<Vec<_>> = update.records.into_iter().map(decode).collect();
+pub(crate) fn decode_records(encoded: Vec<message::TopicRecord>) -> io::Result<Vec<KeyedRecord>> {
+    let records: io::Result<Vec<_>> = encoded.into_iter().map(decode_record).collect();
     let mut records = records?;
     records.sort_by_key(|record| record.offset);
     Ok(records)
 }
 
+/// Decodes a record.
+///
+/// # Errors
+///
+/// Returns an error if its value cannot be decompressed.
+pub(crate) fn decode_record(record: message::TopicRecord) -> io::Result<KeyedRecord> {
+    let value = if record.packed {
+        decompress(&record.value)?
+    } else {
+        record.value
+    };
+    Ok(KeyedRecord {
+        key: Arc::from(record.key),
+        offset: Offset(record.offset),
+        value: Arc::from(value),
+    })
+}
+
 pub(crate) fn millis(span: std::time::Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/eelgrasshill_gateway/src/exchange.rs
+++ b/crates/eelgrasshill_gateway/src/exchange.rs
@@ -13,7 +13,7 @@
 use eelgrasshill_peer::generated::gateway_client::GatewayClient;
 use eelgrasshill_peer::{generated as message, open_channel};
 use eelgrasshill_ports::BootClock;
-use eelgrasshill_relay::{Peer, PeerRole, SpentTokens};
+use eelgrasshill_relay::{Era, Peer, PeerRole, SpentTokens};
 use tonic::transport::Channel;
 
 use crate::codec::PlatformCodec;
@@ -214,6 +214,16 @@
         host: shared.settings.name.to_string(),
         zone: shared.settings.zone.to_string(),
         incarnation: shared.incarnation.0,
+        store_era: shared.store_era().0,
+    }
+}
+
+/// Learns the era of the store that another host knows.
+///
+/// One without an era, or with an earlier version of the protocol, states 0.
+fn learn_era_of<C: PlatformCodec>(shared: &Shared<C>, sender: Option<&message::Teller>) {
+    if let Some(sender) = sender.filter(|sender| sender.store_era > 0) {
+        shared.learn_era(Era(sender.store_era), &sender.host);
     }
 }
 
@@ -302,6 +312,7 @@
     report: Option<&Report>,
     now: Moment,
 ) -> (message::ShareRequest, SentCounts) {
+    let teller = Some(own_sender(shared));
     let mut state = shared.state();
     let mut sum = state.totals_for_parent(now);
     sum.is_report = report.is_some();
@@ -311,7 +322,7 @@
     let is_holder = holder.is_some_and(|holder| holder.host == shared.settings.name);
     let (accusations, told_count) = encode_accusations(&state, link.accusations_acked, now);
     let request = message::ShareRequest {
-        teller: Some(own_sender(shared)),
+        teller,
         sum: Some(encode_totals(&sum)),
         topics,
         holder: holder.map(|status| encode_holder(status, now)),
@@ -343,6 +354,7 @@
     } else {
         PeerRole::ZoneRoot
     };
+    learn_era_of(shared, reply.teller.as_ref());
     let mut state = shared.state();
     if let Some(report) = report {
         state.rate_limiter.confirm_report(report);
@@ -434,6 +446,8 @@
     request: &message::ShareRequest,
 ) -> message::ShareReply {
     let now = BootClock.now();
+    learn_era_of(shared, request.teller.as_ref());
+    let teller = Some(own_sender(shared));
     let mut state = shared.state();
     let is_child = request
         .teller
@@ -487,7 +501,7 @@
         omit_large_records(update);
     }
     message::ShareReply {
-        teller: Some(own_sender(shared)),
+        teller,
         sum: Some(encode_totals(&sum)),
         topics,
         holder: state.holder(now).map(|status| encode_holder(status, now)),
--- a/crates/eelgrasshill_gateway/src/follow.rs
+++ b/crates/eelgrasshill_gateway/src/follow.rs
@@ -8,7 +8,7 @@
 
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::BootClock;
-use eelgrasshill_relay::{ReadPolicy, ReadState};
+use eelgrasshill_relay::{ReadPolicy, ReadState, TopicUpdate};
 use eelgrasshill_settings::GatewayBounds;
 
 use crate::codec::{PlatformCodec, StoreClient, StoreError, Topic, TopicPage, page_current_at};
@@ -118,12 +118,15 @@
             .await;
             continue;
         }
-        let needs_newest = expired || !is_known;
+        let needs_newest = expired || !is_known || follower.is_era_unread();
         let result = if needs_newest {
             follower.read_newest().await
         } else {
             follower.read_changes().await
         };
+        if let Some(era) = follower.store.era() {
+            follower.shared.learn_era(era, "the store");
+        }
         match result {
             Ok(()) => {
                 expired = false;
@@ -165,6 +168,15 @@
         state.topic(self.topic)?.confirmed_at()
     }
 
+    /// Returns whether the known records are of an earlier era of the store than the latest one.
+    fn is_era_unread(&self) -> bool {
+        let mut state = self.shared.state();
+        let store_era = state.store_era;
+        state
+            .topic(self.topic)
+            .is_some_and(|topic_records| Some(topic_records.era()) < store_era)
+    }
+
     /// Returns whether to read the store: as the first root, or because the records are too old.
     fn should_read(&self) -> bool {
         let now = BootClock.now();
@@ -210,7 +222,13 @@
         let Some(topic_records) = state.topic(self.topic) else {
             return Ok(());
         };
-        let changes = topic_records.replace(page.records, page.end, requested_at);
+        let changes = topic_records.apply(TopicUpdate {
+            era: page.era,
+            records: page.records,
+            end: page.end,
+            confirmed_at: Some(requested_at),
+            is_whole: true,
+        });
         state.apply(self.topic, &changes, now);
         Ok(())
     }
@@ -235,7 +253,14 @@
     fn apply_page(&self, page: TopicPage, confirmed_at: Moment, now: Moment) {
         let mut state = self.shared.state();
         if let Some(topic_records) = state.topic(self.topic) {
-            let changes = topic_records.extend(page.records, page.end, Some(confirmed_at));
+            // A page of a later era changes nothing; all records are read next.
+            let changes = topic_records.apply(TopicUpdate {
+                era: page.era,
+                records: page.records,
+                end: page.end,
+                confirmed_at: Some(confirmed_at),
+                is_whole: false,
+            });
             state.apply(self.topic, &changes, now);
         }
     }
--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -9,14 +9,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, ZoneName};
+use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, Version, ZoneName};
 use eelgrasshill_relay::{
-    AnswerTimes, Candidate, CrashingParts, EnginePicker, EngineRests, EngineSpeeds, EventIntervals,
-    HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NewsLimit, NoUpstream,
-    PartRefusal, Peer, PeerRole, Pick, PickerHost, ProbeTurn, ProbedParts, PromptPart, RateLimiter,
-    ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings, SmoothedDemand, Tables, Ticket,
-    Totals, TotalsSender, Tree, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery,
-    UpstreamSelector,
+    AnswerTimes, Candidate, ConfigInForce, CrashingParts, EnginePicker, EngineRests, EngineSpeeds,
+    Era, EventIntervals, HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey,
+    NewsLimit, NoUpstream, PartRefusal, Peer, PeerRole, Pick, PickerHost, ProbeTurn, ProbedParts,
+    PromptPart, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings,
+    SmoothedDemand, Tables, Ticket, TopicChanges, Totals, TotalsSender, Tree, Upstream,
+    UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
 };
 use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
 
@@ -77,6 +77,12 @@
     pub hosts: KeyedTopic,
     /// Configuration in force; none before the first was read.
     pub tables: Option<Arc<Tables>>,
+    /// Version of the configuration in force, and when it was last known to be the newest.
+    pub config_in_force: ConfigInForce,
+    // Record of the configuration in force, with the era of its offset.
+    config_record: Option<(KeyedRecord, Era)>,
+    /// Latest known era of the store; none before one is known.
+    pub store_era: Option<Era>,
     /// Upstreams decoded from their entries, with what engines hold.
     pub upstreams: KnownUpstreams,
     /// Requests in progress on each upstream, of this host and the others.
@@ -142,6 +148,9 @@
             upstreams_topic: KeyedTopic::default(),
             hosts: KeyedTopic::default(),
             tables: None,
+            config_in_force: ConfigInForce::default(),
+            config_record: None,
+            store_era: None,
             upstreams: KnownUpstreams::default(),
             loads: UpstreamLoads::default(),
             health: UpstreamHealth::default(),
@@ -202,16 +211,54 @@
         Some((keyed_topic, &mut self.compressor))
     }
 
-    /// Applies the new records of a topic.
-    pub fn apply(&mut self, topic: Topic, records: &[KeyedRecord], now: Moment) {
-        for record in records {
+    /// Returns the compressor for sending records.
+    pub(crate) fn compressor(&mut self) -> &mut RecordCompressor {
+        &mut self.compressor
+    }
+
+    /// Applies the changes of a topic.
+    ///
+    /// What a restored store no longer has may be written again. Until then the configuration and
+    /// the hosts stay as they are, and the upstreams count as lapsed.
+    pub fn apply(&mut self, topic: Topic, changes: &TopicChanges, now: Moment) {
+        let records = &changes.records;
+        if changes.is_new_era {
+            self.store_failure = Some(now);
+            log::info!(
+                "store: topic={topic} is of a new era, {} keys are missing, {} records differ",
+                changes.missing.len(),
+                records.len()
+            );
+            match topic {
+                Topic::Config => self.apply_restored_config(now),
+                Topic::Upstreams => {
+                    self.upstreams.start_era();
+                    for id in changes
+                        .missing
+                        .iter()
+                        .filter_map(|key| HostName::new(key).ok())
+                    {
+                        self.upstreams.remove(&id, true, now);
+                    }
+                }
+                Topic::Hosts | Topic::Lease => {}
+            }
+        }
+        // A restored configuration was compared above, also if its record did not change.
+        let is_compared = |record: &&KeyedRecord| {
+            changes.is_new_era && topic == Topic::Config && &*record.key == C::CONFIG_KEY
+        };
+        for record in records.iter().filter(|record| !is_compared(record)) {
             match topic {
                 Topic::Config => self.apply_config(record, now),
-                Topic::Upstreams => self.apply_upstream(record, now),
+                Topic::Upstreams => self.apply_upstream(record, changes.is_new_era, now),
                 Topic::Hosts => self.apply_host(record),
                 Topic::Lease => {}
             }
         }
+        if topic == Topic::Config {
+            self.config_in_force.confirm(self.config.confirmed_at());
+        }
         if topic == Topic::Upstreams
             && let Some(confirmed_at) = self.upstreams_topic.confirmed_at()
         {
@@ -231,21 +278,81 @@
         }
         match C::decode_tables(&record.value) {
             Ok(tables) => {
-                log::info!(
-                    "config: version={} offset={} in force",
-                    tables.version(),
-                    record.offset
-                );
-                let rows = tables.organisations().map(|row| &**row);
-                self.rate_limiter.configure(rows, now);
-                self.answer_times.retain(|route| tables.has_route(route));
-                self.tables = Some(Arc::new(tables));
+                let era = self.config.era();
+                if self.config_in_force.offer(tables.version(), era) {
+                    self.put_in_force(tables, record, now);
+                } else {
+                    log::info!(
+                        "config: version={} offset={} era={era} of a restored store changes \
+                         nothing, in-force-is-newer={}",
+                        tables.version(),
+                        record.offset,
+                        self.config_in_force.is_behind()
+                    );
+                }
             }
             Err(error) => log::error!("config: offset={} skipped: {error}", record.offset),
         }
     }
 
-    fn apply_upstream(&mut self, record: &KeyedRecord, now: Moment) {
+    fn put_in_force(&mut self, tables: Tables, record: &KeyedRecord, now: Moment) {
+        log::info!(
+            "config: version={} offset={} in force",
+            tables.version(),
+            record.offset
+        );
+        let rows = tables.organisations().map(|row| &**row);
+        self.rate_limiter.configure(rows, now);
+        self.answer_times.retain(|route| tables.has_route(route));
+        self.tables = Some(Arc::new(tables));
+        self.config_record = Some((record.clone(), self.config.era()));
+    }
+
+    /// Compares the configuration in force with the one that a restored store shows.
+    fn apply_restored_config(&mut self, now: Moment) {
+        match self.config.get(C::CONFIG_KEY).cloned() {
+            Some(record) => self.apply_config(&record, now),
+            None => self.config_in_force.note_missing(self.config.era()),
+        }
+    }
+
+    /// Puts a configuration in force that another host kept, if its version is higher.
+    pub(crate) fn adopt_config(&mut self, record: &KeyedRecord, now: Moment) {
+        match C::decode_tables(&record.value) {
+            Ok(tables) => {
+                if self
+                    .config_in_force
+                    .adopt(tables.version(), self.config.era())
+                {
+                    log::info!(
+                        "config: version={} adopted from a peer, the restored store lacks it",
+                        tables.version()
+                    );
+                    self.put_in_force(tables, record, now);
+                }
+            }
+            Err(error) => log::error!("config: kept configuration of a peer skipped: {error}"),
+        }
+    }
+
+    /// Returns the configuration in force with the era of its offset, for a host that lacks it.
+    ///
+    /// That is one with a lower version, while the restored store shows an older one too.
+    pub(crate) fn kept_config(
+        &self,
+        topic: Topic,
+        known_version: Version,
+    ) -> Option<(KeyedRecord, Era)> {
+        let is_newer = self
+            .tables
+            .as_ref()
+            .is_some_and(|tables| tables.version() > known_version);
+        (topic == Topic::Config && self.config_in_force.is_behind() && is_newer)
+            .then(|| self.config_record.clone())
+            .flatten()
+    }
+
+    fn apply_upstream(&mut self, record: &KeyedRecord, is_restored: bool, now: Moment) {
         let Ok(id) = HostName::new(&record.key) else {
             log::warn!(
                 "upstreams: offset={} skipped: its key {:?} is not a valid upstream id",
@@ -279,7 +386,11 @@
                         record.offset
                     );
                 }
-                self.upstreams.insert(upstream, now);
+                if is_restored {
+                    self.upstreams.insert_restored(upstream, now);
+                } else {
+                    self.upstreams.insert(upstream, now);
+                }
             }
             Err(error) => {
                 // The newest entry of an upstream counts, and this one names none.
--- a/crates/eelgrasshill_gateway/src/orders.rs
+++ b/crates/eelgrasshill_gateway/src/orders.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrasshill_domain::{Moment, Version};
+use eelgrasshill_domain::{Moment, Offset, Version};
 use eelgrasshill_ports::{BootClock, CallError, HttpPool, call_unpooled};
-use eelgrasshill_relay::{Action, LeaseRecord, LeaseWrite, NextCall, OrderOutcome, Upstream};
+use eelgrasshill_relay::{Action, Era, LeaseRecord, LeaseWrite, NextCall, OrderOutcome, Upstream};
 use http_body_util::Full;
 use hyper::{Method, Request, Response};
 
@@ -97,7 +97,7 @@
     let write = shared.order_state().lease.release();
     if let Some(write) = write {
         match append_lease(store, &write).await {
-            Ok(_offset) => log::info!("orders: lease released fence={}", write.record.fence),
+            Ok(_position) => log::info!("orders: lease released fence={}", write.record.fence),
             Err(error) => log::warn!("orders: lease not released, valid until it expires: {error}"),
         }
     }
@@ -106,7 +106,7 @@
 async fn append_lease<S: StoreClient>(
     store: &S,
     write: &LeaseWrite,
-) -> Result<eelgrasshill_domain::Offset, StoreError> {
+) -> Result<(Era, Offset), StoreError> {
     let value = serde_json::to_vec(&write.record).unwrap_or_else(|error| {
         log::error!("orders: the lease's record cannot be serialised: {error}");
         Vec::new()
@@ -224,7 +224,9 @@
     }
 
     async fn read_lease(&self) {
-        match self.store.newest(Topic::Lease).await {
+        let read = self.store.newest(Topic::Lease).await;
+        self.learn_era();
+        match read {
             Ok(page) => {
                 let newest = page.records.iter().find(|record| &*record.key == LEASE_KEY);
                 let record = newest.and_then(|record| {
@@ -237,24 +239,34 @@
                         })
                         .ok()
                 });
-                self.shared
-                    .order_state()
-                    .lease
-                    .observe(record, page.end, BootClock.now());
+                self.shared.order_state().lease.observe(
+                    record,
+                    page.era,
+                    page.end,
+                    BootClock.now(),
+                );
             }
             Err(error) => log::info!("orders: the lease cannot be read: {error}"),
         }
     }
 
+    fn learn_era(&self) {
+        if let Some(era) = self.store.era() {
+            self.shared.learn_era(era, "the store");
+        }
+    }
+
     async fn write_lease(&self, write: LeaseWrite) {
         let sent_at = BootClock.now();
-        let is_claim = write.record.fence == 0;
-        match append_lease(&self.store, &write).await {
-            Ok(offset) => {
+        let is_claim = write.is_claim();
+        let written = append_lease(&self.store, &write).await;
+        self.learn_era();
+        match written {
+            Ok((era, offset)) => {
                 let mut order_state = self.shared.order_state();
-                order_state.lease.confirm_write(write, offset, sent_at);
+                order_state.lease.confirm_write(write, era, offset, sent_at);
                 if is_claim {
-                    log::info!("orders: lease claimed offset={offset}");
+                    log::info!("orders: lease claimed offset={offset} era={era}");
                 }
             }
             Err(error) => {
--- a/crates/eelgrasshill_gateway/src/register.rs
+++ b/crates/eelgrasshill_gateway/src/register.rs
@@ -8,7 +8,7 @@
 
 use eelgrasshill_domain::{FastMap, HostName, Moment, Offset};
 use eelgrasshill_ports::BootClock;
-use eelgrasshill_relay::{HostHash, Peer};
+use eelgrasshill_relay::{Era, HostHash, Peer};
 
 use crate::codec::{PlatformCodec, StoreClient, Topic};
 use crate::shared::Shared;
@@ -44,7 +44,7 @@
             let name = &shared.settings.name;
             written = write_registration(&store, name, &value)
                 .await
-                .map(|offset| (offset, now));
+                .map(|position| (position, now));
             shared.set_registered();
         }
         for host in silent_hosts(&shared, &mut silent_since, BootClock.now()) {
@@ -75,14 +75,14 @@
     write_registration(store, &shared.settings.name, &[]).await;
 }
 
-/// Writes a registration, or removes it if the value is empty; returns its offset.
+/// Writes a registration, or removes it if the value is empty; returns its era and offset.
 async fn write_registration<S: StoreClient>(
     store: &S,
     host: &HostName,
     value: &[u8],
-) -> Option<Offset> {
+) -> Option<(Era, Offset)> {
     match store.append(Topic::Hosts, host.as_str(), value, None).await {
-        Ok(offset) => Some(offset),
+        Ok(position) => Some(position),
         Err(error) => {
             log::info!("hosts: host={host} registration not written: {error}");
             None
@@ -92,15 +92,16 @@
 
 /// Returns whether this host must write its registration.
 ///
-/// `written` is the offset and time of the last one that the store accepted.
+/// `written` is the position and time of the last one that the store accepted. It may be lost if
+/// the registrations are of a later era of the store.
 fn needs_registration<C: PlatformCodec>(
     shared: &Shared<C>,
-    written: Option<(Offset, Moment)>,
+    written: Option<((Era, Offset), Moment)>,
     now: Moment,
 ) -> bool {
     let state = shared.state();
-    if let Some((offset, at)) = written
-        && state.hosts.end() <= offset
+    if let Some((position, at)) = written
+        && (state.hosts.era(), state.hosts.end()) <= position
         && now.since(at) < MAX_RETURN_TIME
     {
         return false;
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -10,8 +10,8 @@
 use eelgrasshill_domain::{FastSet, HostName, Incarnation, ModelName, Moment};
 use eelgrasshill_ports::{AnswerMemory, BootClock, lock};
 use eelgrasshill_relay::{
-    AnswerStart, Capacity, Lease, MaxKeyAge, Peer, PlacementPlanner, ProbedParts, RequestOutcome,
-    Upstream,
+    AnswerStart, Capacity, Era, Lease, MaxKeyAge, Peer, PlacementPlanner, ProbedParts,
+    RequestOutcome, Upstream,
 };
 use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
 use tokio::sync::Notify;
@@ -20,6 +20,7 @@
 use crate::gateway_state::GatewayState;
 use crate::pick_socket::PickSocket;
 use crate::picked_request::PickGuard;
+use crate::telemetry;
 
 /// Added to the count of open requests when the host closes.
 const CLOSED_FLAG: u64 = 1 << 32;
@@ -50,8 +51,12 @@
     fn new(settings: &GatewaySettings, incarnation: Incarnation) -> Self {
         let name = settings.name.clone();
         let handover_delay = settings.orders.handover_delay;
+        let mut lease = Lease::new(name, settings.peer_address, incarnation, handover_delay);
+        if settings.is_first_start {
+            lease.note_first_start();
+        }
         Self {
-            lease: Lease::new(name, settings.peer_address, incarnation, handover_delay),
+            lease,
             planner: PlacementPlanner::new(settings.orders.load_window),
         }
     }
@@ -142,6 +147,47 @@
         lock(&self.order_state)
     }
 
+    /// Returns the latest known era of the store.
+    pub(crate) fn store_era(&self) -> Era {
+        self.state().store_era.unwrap_or_default()
+    }
+
+    /// Notes an era of the store, as its answer or another host stated it.
+    ///
+    /// If the store was restored, this host stops sending orders at once.
+    pub(crate) fn learn_era(&self, era: Era, source: &str) {
+        let now = BootClock.now();
+        let (before, config_confirmed_at) = {
+            let mut state = self.state();
+            let before = state.store_era;
+            if before.is_some_and(|before| before >= era) {
+                return;
+            }
+            state.store_era = Some(era);
+            if before.is_some() {
+                state.store_failure = Some(now);
+            }
+            (before, state.config_in_force.confirmed_at())
+        };
+        let was_held = {
+            let mut order_state = self.order_state();
+            let was_held = order_state.lease.is_held(now);
+            order_state.lease.note_era(era);
+            was_held
+        };
+        let Some(before) = before else {
+            log::info!("store: era={era}, as {source} stated");
+            return;
+        };
+        telemetry::count_store_restore();
+        let config_age = config_confirmed_at.map_or(0, |at| now.since(at).as_millis());
+        log::warn!(
+            "store: restored, era={era} before={before}, as {source} stated; \
+             lease held={was_held}, config age={config_age} ms; all topics are read again"
+        );
+        self.order_wakeup.notify_one();
+    }
+
     /// Sets the socket for picks, which is bound once.
     pub(crate) fn set_picks(&self, picks: PickSocket) {
         if self.picks.set(picks).is_err() {
@@ -252,7 +298,7 @@
     /// Returns whether the configuration is recent enough to accept callers' keys.
     #[must_use]
     pub fn accepts_keys(&self, state: &GatewayState<C>, now: Moment) -> bool {
-        MaxKeyAge(self.bounds().max_key_age).allows(state.config.confirmed_at(), now)
+        MaxKeyAge(self.bounds().max_key_age).allows(state.config_in_force.confirmed_at(), now)
     }
 
     /// Returns whether the load balancer may send requests to this host.
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -202,6 +202,11 @@
         .increment(1);
 }
 
+/// Counts a new era of the store, which begins when it is restored from an older copy.
+pub(crate) fn count_store_restore() {
+    metrics::counter!("eelgrasshill_store_restores_total").increment(1);
+}
+
 /// Returns the class label of a route. Its values are few, whatever the number of routes.
 fn class(route: &Route) -> &'static str {
     use eelgrasshill_relay::Repeat;
--- a/crates/eelgrasshill_relay/src/known_upstreams.rs
+++ b/crates/eelgrasshill_relay/src/known_upstreams.rs
@@ -122,6 +122,32 @@
         self.entries.insert(entry.upstream.id.clone(), entry);
     }
 
+    /// Notes that the offsets of all earlier records are void, since the store was restored.
+    pub fn start_era(&mut self) {
+        self.notices.start_era();
+    }
+
+    /// Adds an entry that a restored store shows, which may be older than the known one.
+    ///
+    /// An upstream that was leaving goes on leaving. An entry of an earlier start counts as a lapsed
+    /// one of the known start.
+    pub fn insert_restored(&mut self, upstream: Upstream, now: Moment) {
+        if let Some(known) = self.get(&upstream.id).map(Arc::clone) {
+            if known.started_ms > upstream.started_ms {
+                self.remove(&upstream.id, true, now);
+                return;
+            }
+            if known.started_ms == upstream.started_ms && known.leaving {
+                let notice = LeavingNotice {
+                    engine: upstream.id.clone(),
+                    started_ms: upstream.started_ms,
+                };
+                self.note_leaving(notice, now);
+            }
+        }
+        self.insert(upstream, now);
+    }
+
     /// Applies an update of the lease holder; returns whether it was new.
     pub fn apply_update(&mut self, update: HoldingsUpdate, now: Moment) -> bool {
         let known = self.received.get(&update.engine);
--- a/crates/eelgrasshill_relay/src/lease.rs
+++ b/crates/eelgrasshill_relay/src/lease.rs
@@ -8,12 +8,20 @@
 //!
 //! All writes are conditional on the end of the topic. A delayed write of a host that gave up takes
 //! effect only if nothing else was written, and even then does not by itself grant the lease.
+//!
+//! When the store is restored from an older copy, the record may be gone or an older one may be
+//! back, and offsets are assigned again. So a record counts only in the era in which it was
+//! written: one of an earlier era says no more than that some host may hold the lease. The token
+//! has the era in its high bits, and rises although offsets go back. A holder stops when it learns
+//! of a new era, and claims the lease again.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use eelgrasshill_domain::{HostName, Incarnation, Moment, Offset, record};
 
+use crate::Era;
+
 /// How long a renewal is valid.
 ///
 /// Longer than most outages of the store, and short enough that a lost machine is replaced within
@@ -35,6 +43,26 @@
 /// Longest time from the check of the lease until an order arrives.
 const MAX_TRANSIT: Duration = Duration::from_millis(400);
 
+/// Number of low bits of a fencing token that hold the offset of the claim; the era is above them.
+///
+/// A topic gets fewer than 2^40 records, and the store fewer than 2^24 restores.
+const FENCE_OFFSET_BITS: u32 = 40;
+
+/// Returns the mark of a claim: the era of its token, without an offset.
+fn claim_mark(era: Era) -> u64 {
+    era.0 << FENCE_OFFSET_BITS
+}
+
+/// Returns the fencing token of a claim.
+fn fence_of(era: Era, offset: Offset) -> u64 {
+    claim_mark(era) + offset.0 + 1
+}
+
+/// Returns the era in which a fencing token was assigned.
+fn era_of(fence: u64) -> Era {
+    Era(fence >> FENCE_OFFSET_BITS)
+}
+
 record! {
     /// Content of the lease's record in the store.
     pub struct LeaseRecord {
@@ -44,7 +72,8 @@
         pub address: SocketAddr,
         /// Start number of the holder's process.
         pub incarnation: Incarnation,
-        /// Fencing token: the claim's offset plus one, or zero in the claim itself.
+        /// Fencing token: the claim's era and its offset plus one, or only the era in the claim
+        /// itself.
         pub fence: u64,
         /// Whether the holder has waited out its predecessor's orders and may give its own.
         pub active: bool,
@@ -62,6 +91,21 @@
     }
 }
 
+impl LeaseRecord {
+    /// Returns the era of the store for which the record was written.
+    fn era(&self) -> Era {
+        era_of(self.fence)
+    }
+}
+
+impl LeaseWrite {
+    /// Returns whether this claims the lease, and does not renew or release it.
+    #[must_use]
+    pub fn is_claim(&self) -> bool {
+        self.record.fence == claim_mark(self.record.era())
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct ObservedRecord {
     record: Option<LeaseRecord>,
@@ -93,6 +137,14 @@
     held: Option<HeldLease>,
     // Whether the record must be read before the next write.
     stale: bool,
+    // Latest known era of the store.
+    era: Option<Era>,
+    // Whether the store may have lost the record of a holder that this host does not know.
+    may_lack_record: bool,
+    // Expiry of the lease that this host held in an earlier era.
+    //
+    // Until then no other host can be active: it waits for longer from the restore on.
+    reclaim_until: Option<Moment>,
 }
 
 impl Lease {
@@ -114,11 +166,46 @@
             observed: None,
             held: None,
             stale: false,
+            era: None,
+            may_lack_record: true,
+            reclaim_until: None,
+        }
+    }
+
+    /// Notes that all hosts start for the first time, so that no holder can be unknown.
+    pub fn note_first_start(&mut self) {
+        self.may_lack_record = false;
+    }
+
+    /// Notes an era of the store, as an answer or a peer stated it; returns whether it is later.
+    ///
+    /// The lease is no longer held in a later era, and the record must be read again.
+    pub fn note_era(&mut self, era: Era) -> bool {
+        let is_later = self.era.is_none_or(|known| known < era);
+        if !is_later {
+            return false;
+        }
+        self.may_lack_record |= self.era.is_some();
+        self.era = Some(era);
+        self.observed = None;
+        if let Some(held) = self.held.take() {
+            self.reclaim_until = Some(held.until);
         }
+        true
     }
 
-    /// Stores the record and the topic's end as read at `now`.
-    pub fn observe(&mut self, record: Option<LeaseRecord>, end: Offset, now: Moment) {
+    fn era(&self) -> Era {
+        self.era.unwrap_or_default()
+    }
+
+    /// Stores the record and the topic's end as read at `now`, in an era.
+    ///
+    /// What was read in an earlier era than the known one is discarded.
+    pub fn observe(&mut self, record: Option<LeaseRecord>, era: Era, end: Offset, now: Moment) {
+        self.note_era(era);
+        if era < self.era() {
+            return;
+        }
         self.stale = false;
         if self
             .observed
@@ -131,6 +218,9 @@
         if !is_mine {
             self.held = None;
         }
+        if record.as_ref().is_some_and(|record| record.era() == era) {
+            self.reclaim_until = None;
+        }
         self.observed = Some(ObservedRecord {
             record,
             end,
@@ -139,11 +229,17 @@
     }
 
     fn is_mine(&self, record: &LeaseRecord) -> bool {
-        record.host == self.host && record.incarnation == self.incarnation && !record.released
+        record.host == self.host
+            && record.incarnation == self.incarnation
+            && record.era() == self.era()
+            && !record.released
     }
 
     /// Notes that the holder of a record resigned; the lease is free at once.
     pub fn note_resignation(&mut self, fence: u64, end: Offset) {
+        if era_of(fence) != self.era() {
+            return;
+        }
         if let Some(observed) = &mut self.observed
             && observed.end == end
             && let Some(record) = &mut observed.record
@@ -156,6 +252,9 @@
 
     /// Notes when the holder sent the renewal that this host has read.
     pub fn note_renewal(&mut self, fence: u64, end: Offset, renewed_at: Moment) {
+        if era_of(fence) != self.era() {
+            return;
+        }
         if let Some(observed) = &mut self.observed
             && observed.end == end
             && observed
@@ -204,14 +303,17 @@
 
     /// Returns the claim to write if the lease is available to this host.
     ///
-    /// It is if it is free, or if an earlier start of this machine held it.
+    /// It is if it is free, or if an earlier start of this machine held it, or if this host held it
+    /// until the era ended.
     #[must_use]
     pub fn claim(&self, now: Moment) -> Option<LeaseWrite> {
         let observed = self.observed.as_ref()?;
         let is_free = match &observed.record {
-            None => true,
-            Some(record) if record.released || self.was_active() => true,
-            Some(_held) => now.since(observed.since) >= LEASE_DURATION + CLOCK_MARGIN,
+            _ if self.reclaim_until.is_some_and(|until| now < until) => true,
+            None if !self.may_lack_record || self.era() == Era::default() => true,
+            Some(record) if record.released && record.era() == self.era() => true,
+            Some(_held) if self.was_active() => true,
+            Some(_) | None => now.since(observed.since) >= LEASE_DURATION + CLOCK_MARGIN,
         };
         (is_free && !self.is_held(now)).then(|| LeaseWrite {
             record: self.record(self.reusable_fence(), self.was_active()),
@@ -219,7 +321,8 @@
         })
     }
 
-    /// Returns the token of this host's own lapsed lease if no other host claimed it, or zero.
+    /// Returns the token of this host's own lapsed lease if no other host claimed it, or the mark of
+    /// a new claim.
     ///
     /// An order sent before the lapse may still be in flight. If the token rose now, that order
     /// would arrive after one with a higher token.
@@ -230,7 +333,7 @@
             .and_then(|observed| observed.record.as_ref());
         record
             .filter(|record| self.is_mine(record))
-            .map_or(0, |record| record.fence)
+            .map_or(claim_mark(self.era()), |record| record.fence)
     }
 
     /// Returns whether this machine, maybe before a restart, held the lease and was active.
@@ -239,8 +342,12 @@
             .observed
             .as_ref()
             .and_then(|observed| observed.record.as_ref());
-        let is_active_here =
-            |record: &LeaseRecord| record.host == self.host && record.active && !record.released;
+        let is_active_here = |record: &LeaseRecord| {
+            record.host == self.host
+                && record.active
+                && record.era() == self.era()
+                && !record.released
+        };
         record.is_some_and(is_active_here)
     }
 
@@ -274,6 +381,7 @@
     /// Gives up the lease and returns the record that says so.
     #[must_use]
     pub fn release(&mut self) -> Option<LeaseWrite> {
+        self.reclaim_until = None;
         let held = self.held.take()?;
         let observed = self.observed.as_ref()?;
         Some(LeaseWrite {
@@ -285,8 +393,16 @@
         })
     }
 
-    /// Notes that a write sent at `sent` succeeded at an offset.
-    pub fn confirm_write(&mut self, write: LeaseWrite, offset: Offset, sent: Moment) {
+    /// Notes that a write sent at `sent` succeeded at an offset of an era.
+    ///
+    /// A write for an earlier era counts for nothing: it may have hidden another host's record.
+    pub fn confirm_write(&mut self, write: LeaseWrite, era: Era, offset: Offset, sent: Moment) {
+        self.note_era(era);
+        if era < self.era() || write.record.era() != era {
+            self.invalidate();
+            return;
+        }
+        self.reclaim_until = None;
         let was_active = self.was_active();
         let released = write.record.released;
         let active_from = match self.held.take() {
@@ -294,9 +410,8 @@
             Some(_) | None if was_active => sent,
             Some(_) | None => sent.after(self.handover_delay + CLOCK_MARGIN),
         };
-        let fence = if write.record.fence == 0 {
-            // Zero marks a claim, so the token is the offset plus one.
-            offset.0 + 1
+        let fence = if write.is_claim() {
+            fence_of(era, offset)
         } else {
             write.record.fence
         };
--- a/crates/eelgrasshill_relay/src/leaving_notices.rs
+++ b/crates/eelgrasshill_relay/src/leaving_notices.rs
@@ -106,6 +106,13 @@
         }
     }
 
+    /// Notes that the offsets of all earlier records are void, since the store was restored.
+    pub fn start_era(&mut self) {
+        for known in self.received.values_mut() {
+            known.newer_from = None;
+        }
+    }
+
     /// Returns the recent notices after the first `known_count` updates, to be forwarded.
     pub fn recent(&self, known_count: u64, now: Moment) -> impl Iterator<Item = &LeavingNotice> {
         let is_new = move |known: &&ReceivedNotice| {
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -3,11 +3,13 @@
 //! Upstream selection, rate limits, retries, the exchange of state between hosts, and model
 //! placement on engines. The crate does no I/O: time, randomness and outside events are arguments.
 
+mod config_in_force;
 mod crashing_parts;
 mod demand;
 mod engine_picker;
 mod engine_rests;
 mod engine_speeds;
+mod era;
 mod event_intervals;
 mod events;
 mod health;
@@ -32,16 +34,18 @@
 mod tree;
 mod upstream_loads;
 
+pub use config_in_force::ConfigInForce;
 pub use crashing_parts::{Accusation, CrashId, CrashingParts, PartRefusal, ProbeTurn, ProbedParts};
 pub use demand::{ModelKey, SmoothedDemand};
 pub use engine_picker::{EnginePicker, Pick, PickCandidate, PromptQuery, Ticket};
 pub use engine_rests::EngineRests;
 pub use engine_speeds::{AnswerStart, EngineSpeeds};
+pub use era::Era;
 pub use event_intervals::EventIntervals;
 pub use events::{EventSplitter, has_content};
 pub use health::{RequestOutcome, UpstreamHealth};
 pub use key_age::MaxKeyAge;
-pub use keyed::{KeyedRecord, KeyedTopic};
+pub use keyed::{KeyedRecord, KeyedTopic, TopicChanges, TopicUpdate};
 pub use known_upstreams::{KnownUpstreams, ResidentModel, Upstream};
 pub use late_admission::is_admitted_late;
 pub use lease::{Lease, LeaseRecord, LeaseWrite};
--- a/crates/eelgrasshill_relay/tests/lease.rs
+++ b/crates/eelgrasshill_relay/tests/lease.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::{HostName, Incarnation, Moment, Offset};
-use eelgrasshill_relay::{Lease, LeaseRecord, LeaseWrite};
+use eelgrasshill_relay::{Era, Lease, LeaseRecord, LeaseWrite};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 const HANDOVER_DELAY: Duration = Duration::from_secs(3);
@@ -132,7 +132,7 @@
     {
         simulated_host
             .lease
-            .observe(topic.record.clone(), Offset(topic.end), at);
+            .observe(topic.record.clone(), Era(0), Offset(topic.end), at);
     }
     if simulated_host.lease.needs_read() {
         return;
@@ -156,7 +156,9 @@
         simulated_host.lease.invalidate();
     } else {
         match topic.write(&write) {
-            Some(offset) => simulated_host.lease.confirm_write(write, offset, at),
+            Some(offset) => simulated_host
+                .lease
+                .confirm_write(write, Era(0), offset, at),
             None => simulated_host.lease.invalidate(),
         }
     }
@@ -247,20 +249,28 @@
     let (mut topic, first) = held_until(10_000);
     assert!(first.lease.fence(Moment(9_950)).is_some());
     let mut again = SimulatedHost::start("a", 2);
-    again
-        .lease
-        .observe(topic.record.clone(), Offset(topic.end), Moment(10_100));
+    again.lease.observe(
+        topic.record.clone(),
+        Era(0),
+        Offset(topic.end),
+        Moment(10_100),
+    );
     let write = again
         .lease
         .claim(Moment(10_100))
         .expect("the lease belongs to an earlier start of this host");
     let offset = topic.write(&write).expect("no other write came between");
-    again.lease.confirm_write(write, offset, Moment(10_100));
+    again
+        .lease
+        .confirm_write(write, Era(0), offset, Moment(10_100));
     assert!(again.lease.fence(Moment(10_100)).is_some());
     let mut other = SimulatedHost::start("b", 1);
-    other
-        .lease
-        .observe(topic.record.clone(), Offset(topic.end), Moment(10_200));
+    other.lease.observe(
+        topic.record.clone(),
+        Era(0),
+        Offset(topic.end),
+        Moment(10_200),
+    );
     assert_eq!(other.lease.claim(Moment(13_000)), None);
 }
 
@@ -280,9 +290,12 @@
         None,
         "the lease has expired"
     );
-    simulated_host
-        .lease
-        .observe(topic.record.clone(), Offset(topic.end), Moment(15_000));
+    simulated_host.lease.observe(
+        topic.record.clone(),
+        Era(0),
+        Offset(topic.end),
+        Moment(15_000),
+    );
     let write = simulated_host
         .lease
         .claim(Moment(15_000))
@@ -290,7 +303,7 @@
     let offset = topic.write(&write).expect("no other write came between");
     simulated_host
         .lease
-        .confirm_write(write, offset, Moment(15_000));
+        .confirm_write(write, Era(0), offset, Moment(15_000));
     assert_eq!(simulated_host.lease.fence(Moment(15_000)), Some(before));
 }
 
@@ -306,9 +319,12 @@
         "expected no resignation, because the last renewal is younger than 2.6 s"
     );
     let mut other = SimulatedHost::start("b", 1);
-    other
-        .lease
-        .observe(topic.record.clone(), Offset(topic.end), Moment(10_600));
+    other.lease.observe(
+        topic.record.clone(),
+        Era(0),
+        Offset(topic.end),
+        Moment(10_600),
+    );
     assert_eq!(other.lease.claim(Moment(10_700)), None);
     assert!(simulated_host.lease.resign(Moment(10_700)));
     assert_eq!(simulated_host.lease.fence(Moment(10_700)), None);
@@ -318,7 +334,9 @@
         .claim(Moment(10_700))
         .expect("the holder resigned");
     let offset = topic.write(&write).expect("no other write came between");
-    other.lease.confirm_write(write, offset, Moment(10_700));
+    other
+        .lease
+        .confirm_write(write, Era(0), offset, Moment(10_700));
     // The handover delay of 3 s ends at 13_700.
     assert_eq!(
         other.lease.fence(Moment(13_600)),
@@ -330,6 +348,8 @@
         .renewal(Moment(13_000))
         .expect("the renewal is due");
     let offset = topic.write(&renewal).expect("no other write came between");
-    other.lease.confirm_write(renewal, offset, Moment(13_000));
+    other
+        .lease
+        .confirm_write(renewal, Era(0), offset, Moment(13_000));
     assert!(other.lease.fence(Moment(14_200)).is_some());
 }
