Send nothing to evacuated zones

Cause: the gateway ignored all records of the operator's topic but the configuration, so requests went on to zones that the operator evacuates. Besides, a host that starts reads only the keys that exist. Where a key was removed before, it could not pass the removal on, and a child that knew the key kept it for ever; for an evacuation this would mean that it never ends.

Change: each host derives the evacuated zones from its copy of the topic. `KnownUpstreams::available` leaves their upstreams out, so requests, resumed streams, picks and the planner's demand follow; the zone is checked once more before a request is written. The planner keeps its state of these engines but sends them no orders and no calls for reports. Requests without another holder wait for a load elsewhere that ends in time, or are refused at once with 503, cause `evacuated`, and the time of the load or `config-ms`. In the exchange, a host sends all keys of a topic to a peer that may miss removals.

New setting: `[bounds] evacuate-ms` (5000).

The tests in relay (selection, topic, placement) were seen to fail with the new filter, the list of keys, and the planner's flag switched off one by one. No existing check changed.

--- a/crates/eelgrasshill_gateway/src/codec.rs
+++ b/crates/eelgrasshill_gateway/src/codec.rs
@@ -223,12 +223,17 @@
 
     /// Key of the configuration's record in its topic.
     const CONFIG_KEY: &'static str;
+
+    /// Returns the zone that a record of the configuration's topic evacuates, by its key.
+    ///
+    /// None if the record is not that of an evacuation.
+    fn evacuated_zone(key: &str) -> Option<&str>;
 }
 
 /// Topics of the store that a gateway uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
 pub enum Topic {
-    /// Configuration published by the operators.
+    /// Configuration and evacuations published by the operators.
     #[display("config")]
     Config,
     /// Entries of the upstreams, each under its id.
--- a/crates/eelgrasshill_gateway/src/convert.rs
+++ b/crates/eelgrasshill_gateway/src/convert.rs
@@ -304,6 +304,13 @@
             .map(|confirmed_at| millis(now.since(confirmed_at)))
             .unwrap_or_default(),
         known: topic_records.confirmed_at().is_some(),
+        lists_keys: topic_records.keys_for(from).is_some(),
+        keys: topic_records
+            .keys_for(from)
+            .into_iter()
+            .flatten()
+            .map(ToString::to_string)
+            .collect(),
     }
 }
 
--- a/crates/eelgrasshill_gateway/src/follow.rs
+++ b/crates/eelgrasshill_gateway/src/follow.rs
@@ -44,6 +44,11 @@
 /// Part of the time for which keys are accepted within which a new configuration must be known.
 const KEY_AGE_PERCENT: u32 = 80;
 
+/// Part of the time until an evacuation is in force within which it must be known.
+///
+/// The rest is for requests whose upstream was chosen before.
+const EVACUATION_PERCENT: u32 = 80;
+
 /// How long a host that restarts waits for its parent, while callers send requests.
 const RESTART_PATIENCE: Duration = Duration::from_millis(300);
 
@@ -72,7 +77,8 @@
         let bound = match topic {
             Topic::Config => bounds
                 .config_delay
-                .min(bounds.max_key_age * KEY_AGE_PERCENT / 100),
+                .min(bounds.max_key_age * KEY_AGE_PERCENT / 100)
+                .min(bounds.evacuation_delay * EVACUATION_PERCENT / 100),
             Topic::Upstreams => bounds.leaving_delay,
             // The lease is not followed.
             Topic::Hosts | Topic::Lease => HOST_BOUND,
--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -212,6 +212,9 @@
                 Topic::Lease => {}
             }
         }
+        if topic == Topic::Config && !records.is_empty() {
+            self.update_evacuations();
+        }
         if topic == Topic::Upstreams
             && let Some(confirmed_at) = self.upstreams_topic.confirmed_at()
         {
@@ -245,6 +248,45 @@
         }
     }
 
+    /// Sets the evacuated zones from the records of the configuration's topic.
+    fn update_evacuations(&mut self) {
+        let before = self.upstreams.evacuated_zones().clone();
+        let mut zones = FastSet::default();
+        for record in self.config.iter() {
+            let Some(zone) = C::evacuated_zone(&record.key) else {
+                continue;
+            };
+            match ZoneName::new(zone) {
+                Ok(zone) => {
+                    if !before.contains(&zone) {
+                        log::info!("evacuation: zone={zone} in force offset={}", record.offset);
+                    }
+                    zones.insert(zone);
+                }
+                Err(_error) => log::warn!(
+                    "evacuation: offset={} skipped: its key {:?} names no valid zone",
+                    record.offset,
+                    record.key
+                ),
+            }
+        }
+        for zone in before.difference(&zones) {
+            let end = self.config.end();
+            log::info!("evacuation: zone={zone} ended, by the records before offset {end}");
+        }
+        self.upstreams.set_evacuated(zones);
+    }
+
+    /// Returns how many zones are evacuated, and how many requests of this host run there still.
+    fn evacuation_counts(&self) -> (usize, u32) {
+        let running = self.loads.own().filter(|(id, _load)| {
+            let upstream = self.upstreams.get(id);
+            upstream.is_some_and(|upstream| self.upstreams.is_evacuated(upstream))
+        });
+        let running = running.map(|(_id, load)| load.running).sum();
+        (self.upstreams.evacuated_zones().len(), running)
+    }
+
     fn apply_upstream(&mut self, record: &KeyedRecord, now: Moment) {
         let Ok(id) = HostName::new(&record.key) else {
             log::warn!(
@@ -401,6 +443,7 @@
         crate::telemetry::set_engine_speeds(&self.speeds);
         crate::telemetry::set_picked_requests(self.picker.counts());
         crate::telemetry::set_suspect_parts(self.crashing_parts.suspect_count());
+        crate::telemetry::set_evacuations(self.evacuation_counts());
         self.refresh_totals(now);
         if before != self.host_counts {
             log::info!(
--- a/crates/eelgrasshill_gateway/src/refusal.rs
+++ b/crates/eelgrasshill_gateway/src/refusal.rs
@@ -38,6 +38,9 @@
     /// No upstream holds the model or adapter.
     #[display("not-held")]
     NotHeld,
+    /// All upstreams that could serve the request are in evacuated zones.
+    #[display("evacuated")]
+    Evacuated,
     /// No upstream can start the request in time.
     #[display("overloaded")]
     Overloaded,
@@ -103,6 +106,7 @@
             | RefusalCause::KeysStale
             | RefusalCause::Leaving
             | RefusalCause::NotHeld
+            | RefusalCause::Evacuated
             | RefusalCause::Overloaded
             | RefusalCause::Resting
             | RefusalCause::QuarantinedPart
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -339,8 +339,13 @@
         let Picked { candidate, guard } = match relayed.pick().await {
             Ok(picked) => picked,
             Err(_refusal) if relayed.may_have_run => break relayed.final_refusal(lost_cause),
-            Err(refusal) if refusal.cause == RefusalCause::NotHeld => {
-                match relayed.wait_for_model(requester).await {
+            Err(refusal)
+                if matches!(
+                    refusal.cause,
+                    RefusalCause::NotHeld | RefusalCause::Evacuated
+                ) =>
+            {
+                match relayed.wait_for_model(requester, refusal).await {
                     Ok(()) => continue,
                     Err(refusal) => break refusal,
                 }
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -192,6 +192,17 @@
                 NoUpstream::NotHeld => {
                     Refusal::new(RefusalCause::NotHeld).with_retry(MIN_RETRY_AFTER)
                 }
+                NoUpstream::Evacuated => {
+                    let age = state.config.confirmed_at().map(|at| now.since(at));
+                    log::info!(
+                        "request: id={} pool={} is held in evacuated zones only, as known {age:?} ago",
+                        self.metadata.id,
+                        self.target_pool
+                    );
+                    // The end of an evacuation is in force on every host within this time.
+                    let after = self.shared.bounds().config_delay;
+                    Refusal::new(RefusalCause::Evacuated).with_retry(after)
+                }
                 NoUpstream::Resting { remaining } => {
                     let spread = (remaining / RETRY_SPREAD_DIVISOR).mul_f64(rand::random());
                     let after = (remaining + spread).max(MIN_RETRY_AFTER);
@@ -227,10 +238,13 @@
     /// # Errors
     ///
     /// Returns the refusal otherwise, with the time after which the request can be served.
-    pub async fn wait_for_model(&mut self, requester: &ModelRequester) -> Result<(), Refusal> {
-        let refusal = Refusal::new(RefusalCause::NotHeld);
+    pub async fn wait_for_model(
+        &mut self,
+        requester: &ModelRequester,
+        refusal: Refusal,
+    ) -> Result<(), Refusal> {
         let Some(model) = self.metadata.model.clone() else {
-            return Err(refusal.with_retry(MIN_RETRY_AFTER));
+            return Err(refusal);
         };
         let model_key = ModelKey {
             pool: self.target_pool.clone(),
@@ -333,6 +347,10 @@
                 return Err(SendFailure::Unsent);
             }
         };
+        // An evacuation may have begun since the upstream was chosen.
+        if self.shared.state().upstreams.is_evacuated(upstream) {
+            return Err(SendFailure::Unsent);
+        }
         let request = self.build_request(upstream, last_event);
         self.tried.insert(upstream.id.clone());
         self.sends += 1;
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -146,6 +146,13 @@
     metrics::gauge!("eelgrasshill_suspect_parts").set(count as f64);
 }
 
+/// Sets the number of evacuated zones, and of this host's requests that run there still.
+pub(crate) fn set_evacuations((zones, running): (usize, u32)) {
+    #[expect(clippy::cast_precision_loss, reason = "there are few zones")]
+    metrics::gauge!("eelgrasshill_evacuated_zones").set(zones as f64);
+    metrics::gauge!("eelgrasshill_evacuated_running").set(f64::from(running));
+}
+
 /// Counts a refusal by its cause.
 pub(crate) fn count_refusal(cause: RefusalCause) {
     metrics::counter!("eelgrasshill_refusals_total", "cause" => cause.to_string()).increment(1);
--- a/crates/eelgrasshill_gateway/src/topics.rs
+++ b/crates/eelgrasshill_gateway/src/topics.rs
@@ -3,6 +3,8 @@
 //! A host states the end up to which it knows each topic, and gets the records after it. Large
 //! records are omitted from the exchange and fetched in a separate call.
 
+use std::sync::Arc;
+
 use eelgrasshill_domain::{Moment, Offset};
 use eelgrasshill_peer::generated as message;
 
@@ -42,6 +44,10 @@
         .checked_sub(update.age)
         .map(Moment)
         .filter(|_confirmed_at| update.known);
+    let keys = update.lists_keys.then(|| {
+        let keys = update.keys.iter();
+        keys.map(|key| Arc::from(key.as_str())).collect()
+    });
     let records = match decode_records(update) {
         Ok(records) => records,
         Err(error) => {
@@ -50,7 +56,9 @@
         }
     };
     if let Some(topic_records) = state.topic(topic) {
-        let changed = topic_records.extend(records, end, confirmed_at);
+        let mut changed =
+            keys.map_or_else(Vec::new, |keys| topic_records.remove_unlisted(&keys, end));
+        changed.extend(topic_records.extend(records, end, confirmed_at));
         state.apply(topic, &changed, now);
     }
 }
--- a/crates/eelgrasshill_relay/src/keyed.rs
+++ b/crates/eelgrasshill_relay/src/keyed.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use eelgrasshill_domain::{FastMap, Moment, Offset};
+use eelgrasshill_domain::{FastMap, FastSet, Moment, Offset};
 
 /// A record of a keyed topic; an empty value removes the key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,6 +32,8 @@
     newest: FastMap<Arc<str>, KeyedRecord>,
     end: Offset,
     confirmed_at: Option<Moment>,
+    // Keys that were removed before this offset may be unknown, unlike those removed after it.
+    removals_from: Offset,
 }
 
 impl KeyedTopic {
@@ -87,12 +89,31 @@
         end: Offset,
         read_started: Moment,
     ) -> Vec<KeyedRecord> {
-        let present_keys: eelgrasshill_domain::FastSet<_> = records
-            .iter()
-            .map(|record| Arc::clone(&record.key))
-            .collect();
+        let present_keys = records.iter().map(|record| Arc::clone(&record.key));
+        let mut changes = self.remove_unlisted(&present_keys.collect(), end);
+        for record in records {
+            let known = self.newest.get(&record.key);
+            if known.is_none_or(|known| known.offset < record.offset) {
+                let differs = known.is_none_or(|known| known.value != record.value);
+                self.newest.insert(Arc::clone(&record.key), record.clone());
+                if differs {
+                    changes.push(record);
+                }
+            }
+        }
+        if end >= self.end {
+            self.end = end;
+            self.confirmed_at = self.confirmed_at.max(Some(read_started));
+        }
+        changes
+    }
+
+    /// Removes the keys that a topic no longer has, and returns their removals.
+    ///
+    /// `keys` are all keys that the topic had at its offset `end`.
+    pub fn remove_unlisted(&mut self, keys: &FastSet<Arc<str>>, end: Offset) -> Vec<KeyedRecord> {
         let is_gone = |record: &&KeyedRecord| {
-            !record.is_removal() && record.offset < end && !present_keys.contains(&record.key)
+            !record.is_removal() && record.offset < end && !keys.contains(&record.key)
         };
         let removals: Vec<_> = self
             .newest
@@ -105,22 +126,22 @@
                 value: Arc::from([]),
             })
             .collect();
-        let mut changes = Vec::new();
-        for record in records.into_iter().chain(removals) {
-            let known = self.newest.get(&record.key);
-            if known.is_none_or(|known| known.offset < record.offset) {
-                let differs = known.is_none_or(|known| known.value != record.value);
-                self.newest.insert(Arc::clone(&record.key), record.clone());
-                if differs {
-                    changes.push(record);
-                }
-            }
+        for removal in &removals {
+            let key = Arc::clone(&removal.key);
+            self.newest.insert(key, removal.clone());
         }
-        if end >= self.end {
-            self.end = end;
-            self.confirmed_at = self.confirmed_at.max(Some(read_started));
+        if end > self.end {
+            self.removals_from = end;
         }
-        changes
+        removals
+    }
+
+    /// Returns all keys of the topic, for a peer that knows its records before `from`.
+    ///
+    /// None if the records since then include every removal.
+    #[must_use]
+    pub fn keys_for(&self, from: Offset) -> Option<impl Iterator<Item = &Arc<str>>> {
+        (from < self.removals_from).then(|| self.iter().map(|record| &record.key))
     }
 
     /// Returns the records at or after an offset, including removals.
--- a/crates/eelgrasshill_relay/src/known_upstreams.rs
+++ b/crates/eelgrasshill_relay/src/known_upstreams.rs
@@ -4,14 +4,14 @@
 //! hold. A leaving upstream gets no more requests at once, whether its entry or one of its answers
 //! says that it leaves. An entry that disappears while the
 //! store is unstable may only have expired, so the upstream is used for a short time more; if it is
-//! alive, its entry returns in that time.
+//! alive, its entry returns in that time. The upstreams of an evacuated zone get no requests either.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrasshill_domain::{
-    AdapterName, FastMap, HostName, ModelName, Moment, Offset, PoolName, ZoneName, record,
+    AdapterName, FastMap, FastSet, HostName, ModelName, Moment, Offset, PoolName, ZoneName, record,
 };
 
 use crate::{HoldingsUpdate, LeavingNotice, LeavingNotices};
@@ -99,6 +99,7 @@
     entries: FastMap<HostName, Entry>,
     received: FastMap<HostName, ReceivedUpdate>,
     notices: LeavingNotices,
+    evacuated: FastSet<ZoneName>,
     /// Updates and notices accepted since the start.
     update_count: u64,
 }
@@ -229,6 +230,23 @@
         self.notices.expire(|id| entries.contains_key(id), now);
     }
 
+    /// Sets the zones that are evacuated.
+    pub fn set_evacuated(&mut self, zones: FastSet<ZoneName>) {
+        self.evacuated = zones;
+    }
+
+    /// Returns the zones that are evacuated.
+    #[must_use]
+    pub fn evacuated_zones(&self) -> &FastSet<ZoneName> {
+        &self.evacuated
+    }
+
+    /// Returns whether an upstream is in an evacuated zone.
+    #[must_use]
+    pub fn is_evacuated(&self, upstream: &Upstream) -> bool {
+        self.evacuated.contains(&upstream.zone)
+    }
+
     /// Returns an upstream, even one that is leaving.
     #[must_use]
     pub fn get(&self, id: &HostName) -> Option<&Arc<Upstream>> {
@@ -237,6 +255,19 @@
 
     /// Returns the upstreams that may get requests.
     pub fn available(&self, now: Moment) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.present(now)
+            .filter(|upstream| !self.is_evacuated(upstream))
+    }
+
+    /// Returns the upstreams that would get requests if their zones were not evacuated.
+    pub fn evacuated(&self, now: Moment) -> impl Iterator<Item = &Arc<Upstream>> {
+        let any = !self.evacuated.is_empty();
+        let present = any.then(|| self.present(now)).into_iter().flatten();
+        present.filter(|upstream| self.is_evacuated(upstream))
+    }
+
+    /// Returns the upstreams that are not leaving, in any zone.
+    fn present(&self, now: Moment) -> impl Iterator<Item = &Arc<Upstream>> {
         self.entries
             .values()
             .filter(move |entry| {
--- a/crates/eelgrasshill_relay/src/placement.rs
+++ b/crates/eelgrasshill_relay/src/placement.rs
@@ -199,7 +199,8 @@
         now: Moment,
     ) {
         let mut engines = BTreeMap::new();
-        for upstream in upstreams.available(now) {
+        // Engines of an evacuated zone keep their state: unanswered orders may still take effect.
+        for upstream in upstreams.available(now).chain(upstreams.evacuated(now)) {
             if !self.pools.contains_key(&upstream.pool) {
                 continue;
             }
@@ -209,6 +210,7 @@
                 None => EngineState::new(upstream),
             };
             state.set_suspected(loads.is_suspected(&upstream.id));
+            state.set_evacuated(upstreams.is_evacuated(upstream));
             engines.insert(upstream.id.clone(), state);
         }
         self.engines = engines;
@@ -333,7 +335,7 @@
 
     fn next_call(&mut self, id: &HostName, adapters: &[ModelKey], now: Moment) -> Option<NextCall> {
         let state = self.engines.get(id)?;
-        if state.has_pending_call() {
+        if state.has_pending_call() || state.is_evacuated() {
             return None;
         }
         if state.needs_report(now) {
--- a/crates/eelgrasshill_relay/src/placement/engine_state.rs
+++ b/crates/eelgrasshill_relay/src/placement/engine_state.rs
@@ -120,6 +120,7 @@
     call_pending: bool,
     reachability: Reachability,
     suspected: bool,
+    evacuated: bool,
     // When the loads of models are due to end.
     load_times: FastMap<ModelName, Moment>,
     next_report: Moment,
@@ -144,6 +145,7 @@
             call_pending: false,
             reachability: Reachability::Reachable,
             suspected: false,
+            evacuated: false,
             load_times: FastMap::default(),
             next_report: Moment(0),
             report_time: Moment(0),
@@ -219,9 +221,19 @@
         }
     }
 
-    /// Returns whether the engine is unreachable, so that its copies do not count.
+    /// Returns whether the engine is unreachable or evacuated, so that its copies do not count.
     pub(crate) fn is_down(&self) -> bool {
-        self.reachability == Reachability::Unreachable || self.suspected
+        self.reachability == Reachability::Unreachable || self.suspected || self.evacuated
+    }
+
+    /// Returns whether the engine's zone is evacuated, so that it gets no calls.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        self.evacuated
+    }
+
+    /// Sets whether the engine's zone is evacuated.
+    pub(crate) fn set_evacuated(&mut self, evacuated: bool) {
+        self.evacuated = evacuated;
     }
 
     /// Sets whether several other hosts recently failed to reach the engine.
@@ -501,10 +513,14 @@
         self.memory.contains(model) || self.disk.contains(model)
     }
 
-    pub(crate) fn is_loading_cold(&self) -> bool {
+    /// Returns whether the engine loads weights from the weight store.
+    ///
+    /// No report shows the end of a load in an evacuated zone, so it is assumed on time.
+    pub(crate) fn is_loading_cold(&self, now: Moment) -> bool {
         matches!(
             &self.running_order,
-            Some(RunningOrder::Loading { model, .. }) if !self.is_cached(model)
+            Some(RunningOrder::Loading { model, until })
+                if !self.is_cached(model) && (!self.evacuated || now < *until)
         )
     }
 
--- a/crates/eelgrasshill_relay/src/placement/planned_load.rs
+++ b/crates/eelgrasshill_relay/src/placement/planned_load.rs
@@ -282,7 +282,7 @@
             let cold = self
                 .engines
                 .values()
-                .filter(|state| state.is_loading_cold())
+                .filter(|state| state.is_loading_cold(now))
                 .count();
             let unanswered = self
                 .engines
--- a/crates/eelgrasshill_relay/src/selection.rs
+++ b/crates/eelgrasshill_relay/src/selection.rs
@@ -70,6 +70,17 @@
     pub tried: &'a FastSet<HostName>,
 }
 
+impl UpstreamQuery<'_> {
+    /// Returns whether an upstream can serve the request and was not tried.
+    fn is_served_by(&self, upstream: &Upstream) -> bool {
+        upstream.pool == *self.pool
+            && self
+                .model
+                .is_none_or(|model| upstream.holds(model, self.adapter))
+            && !self.tried.contains(&upstream.id)
+    }
+}
+
 /// An upstream with the wait that is expected there.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -100,6 +111,8 @@
 pub enum NoUpstream {
     /// No upstream that is left holds the model.
     NotHeld,
+    /// All that hold the model are in evacuated zones.
+    Evacuated,
     /// All that hold the model asked this host for rest.
     Resting {
         /// Time until the first of them takes requests again.
@@ -147,6 +160,7 @@
         let found = better_of_two(if healthy.is_empty() { all } else { healthy }, draw);
         found.ok_or(match first_rest {
             Some(remaining) => NoUpstream::Resting { remaining },
+            None if self.evacuated_holders(query, now).next().is_some() => NoUpstream::Evacuated,
             None => NoUpstream::NotHeld,
         })
     }
@@ -195,6 +209,8 @@
         let unusable = self.holders(query, now).filter(|upstream| {
             !self.is_healthy(&upstream.id, now) || self.rests.remaining(upstream, now).is_some()
         });
+        // The picker may not know of an evacuation yet.
+        let unusable = unusable.chain(self.evacuated_holders(query, now));
         let unusable = unusable.map(|upstream| upstream.id.clone());
         unusable.chain(query.tried.iter().cloned()).collect()
     }
@@ -219,13 +235,20 @@
         query: &UpstreamQuery<'_>,
         now: Moment,
     ) -> impl Iterator<Item = &Arc<Upstream>> {
-        self.upstreams.available(now).filter(|upstream| {
-            upstream.pool == *query.pool
-                && query
-                    .model
-                    .is_none_or(|model| upstream.holds(model, query.adapter))
-                && !query.tried.contains(&upstream.id)
-        })
+        self.upstreams
+            .available(now)
+            .filter(|upstream| query.is_served_by(upstream))
+    }
+
+    /// Returns the upstreams that would be holders if their zones were not evacuated.
+    fn evacuated_holders(
+        &self,
+        query: &UpstreamQuery<'_>,
+        now: Moment,
+    ) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.upstreams
+            .evacuated(now)
+            .filter(|upstream| query.is_served_by(upstream))
     }
 
     fn zone_and_failure_cost(&self, upstream: &Upstream, now: Moment) -> u64 {
--- a/crates/eelgrasshill_relay/tests/engine_simulation/mod.rs
+++ b/crates/eelgrasshill_relay/tests/engine_simulation/mod.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasshill_domain::{AdapterName, FastMap, HostName, ModelName, Moment, PoolName, ZoneName};
+use eelgrasshill_domain::{
+    AdapterName, FastMap, FastSet, HostName, ModelName, Moment, PoolName, ZoneName,
+};
 use eelgrasshill_relay::{
     Action, EnginePool, EngineReport, KnownUpstreams, Model, ModelKey, NextCall, OrderOutcome,
     PlacementPlanner, ResidentModel, Upstream, UpstreamLoads,
@@ -83,6 +85,10 @@
     models: usize,
     /// Engines that answer nothing from their next order on, and carry it out seconds later.
     pub silent: Vec<HostName>,
+    /// Engines of an evacuated zone.
+    pub evacuated: Vec<HostName>,
+    /// Calls to evacuated engines.
+    pub evacuated_calls: u64,
     memory_mb: u64,
     /// Time that a load from the store takes.
     store_load_ms: u64,
@@ -133,6 +139,8 @@
             random: StdRng::seed_from_u64(seed),
             models,
             silent: Vec::new(),
+            evacuated: Vec::new(),
+            evacuated_calls: 0,
             memory_mb: MEMORY_MB,
             store_load_ms: STORE_LOAD_MS,
             max_store_loads: MAX_STORE_LOADS,
@@ -196,6 +204,13 @@
         self.engines.values().filter(holds).count()
     }
 
+    /// Moves the engines that hold a model to a zone that is evacuated.
+    pub fn evacuate_holders(&mut self, model: &ModelName) {
+        let holds = |engine: &Engine| engine.held.iter().any(|(held, _adapters)| held == model);
+        let holders = self.engines.iter().filter(|(_id, engine)| holds(engine));
+        self.evacuated = holders.map(|(id, _engine)| id.clone()).collect();
+    }
+
     /// Returns a model whose only copy is on an engine that loads another model.
     pub fn kept_beside_a_load(&self) -> Option<ModelName> {
         let is_loading =
@@ -288,11 +303,17 @@
 
     fn upstreams(&self) -> KnownUpstreams {
         let mut upstreams = KnownUpstreams::default();
+        let evacuated = ZoneName::new("evacuated").expect("the name is valid");
+        upstreams.set_evacuated(FastSet::from_iter([evacuated.clone()]));
         for (id, engine) in &self.engines {
             let upstream = Upstream {
                 id: id.clone(),
                 pool: pool_name(),
-                zone: ZoneName::new("z").expect("the name is valid"),
+                zone: if self.evacuated.contains(id) {
+                    evacuated.clone()
+                } else {
+                    ZoneName::new("z").expect("the name is valid")
+                },
                 address: "127.0.0.1:1".parse().expect("the address is valid"),
                 slots: 48,
                 leaving: false,
@@ -308,6 +329,7 @@
 
     fn carry_out(&mut self, id: &HostName, next_call: NextCall, faults: FaultRates) {
         let now = self.now();
+        self.evacuated_calls += u64::from(self.evacuated.contains(id));
         let is_silent = self.silent.contains(id);
         match next_call {
             NextCall::Report if is_silent && self.late_orders.iter().any(|late| late.1 == *id) => {
--- a/crates/eelgrasshill_relay/tests/placement.rs
+++ b/crates/eelgrasshill_relay/tests/placement.rs
@@ -73,6 +73,43 @@
     assert!(ready, "the needed model was not loaded within ten seconds");
 }
 
+/// Guards against orders and reports to engines of an evacuated zone, against models that nobody
+/// loads elsewhere because their copies there still count, and against loads beyond the limits.
+#[test]
+fn models_of_an_evacuated_zone_are_loaded_elsewhere() {
+    let mut simulation = EngineSimulation::new(12, 10, 1);
+    for number in 0..10 {
+        simulation.set_demand(number, 60);
+    }
+    simulation.run(30_000, FaultRates::default());
+    simulation.evacuate_holders(&model(0));
+    simulation.run(30_000, FaultRates::default());
+    assert_eq!(
+        simulation.evacuated_calls, 0,
+        "calls to engines of the evacuated zone"
+    );
+    for number in 0..10 {
+        let model_key = ModelKey {
+            pool: pool_name(),
+            model: model(number),
+            adapter: None,
+        };
+        let now = simulation.now();
+        let availability = simulation.planner.resolve_miss(&model_key, now);
+        let Availability::Ready { engine, after } = availability else {
+            panic!("model {number} is not available: {availability:?}");
+        };
+        assert_eq!(after, Duration::ZERO, "model {number}");
+        assert!(
+            !simulation.evacuated.contains(&engine),
+            "model {number}: {engine}"
+        );
+    }
+    simulation.evacuated.clear();
+    simulation.run(10_000, FaultRates::default());
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
+
 /// Engines leave 30 percent of the orders unanswered but keep serving.
 ///
 /// In a load run, such engines counted as down, and their models were loaded elsewhere.
--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -61,6 +61,9 @@
 
 /// The default of `config-ms`, the shortest delay that platforms ask for.
 const DEFAULT_CONFIG_DELAY_MS: u64 = 2_000;
+
+/// The default of `evacuate-ms`.
+const DEFAULT_EVACUATION_DELAY_MS: u64 = 5_000;
 const DEFAULT_TERMINATION_GRACE: Duration = Duration::from_secs(8);
 const DEFAULT_MAX_CONNECTIONS: u64 = 1_500;
 const DEFAULT_RETRIES_PER_THOUSAND: u64 = 200;
@@ -117,6 +120,8 @@
     pub leaving_delay: Duration,
     /// How long after it was accepted a configuration must be in force on every host.
     pub config_delay: Duration,
+    /// How long after it was accepted an evacuation must be in force on every host.
+    pub evacuation_delay: Duration,
     /// The maximum number of retries of the whole fleet.
     pub retries: RetryBounds,
     /// Prompt tokens that an engine processes per millisecond.
@@ -239,6 +244,7 @@
                 termination_grace: bounds.termination_grace,
                 leaving_delay: bounds.leaving_delay,
                 config_delay: bounds.config_delay,
+                evacuation_delay: bounds.evacuation_delay,
                 retries,
                 prefill_tokens_per_ms,
             },
@@ -305,6 +311,7 @@
     termination_grace: Duration,
     leaving_delay: Duration,
     config_delay: Duration,
+    evacuation_delay: Duration,
     head_timeout: Duration,
     idle_timeout: Duration,
     max_connections: usize,
@@ -322,6 +329,7 @@
     let idle_timeout = millis("idle-ms", DEFAULT_IDLE_TIMEOUT_MS);
     let leaving_delay = millis("drain-ms", DEFAULT_LEAVING_DELAY_MS);
     let config_delay = millis("config-ms", DEFAULT_CONFIG_DELAY_MS);
+    let evacuation_delay = millis("evacuate-ms", DEFAULT_EVACUATION_DELAY_MS);
     let termination_grace = reader.quantity("grace-s", GRACE_HINT, 0.0..=MAX_SECONDS);
     let max_connections = reader.number(
         "connections",
@@ -336,6 +344,7 @@
             .map_or(DEFAULT_TERMINATION_GRACE, Duration::from_secs_f64),
         leaving_delay,
         config_delay,
+        evacuation_delay,
         head_timeout,
         idle_timeout,
         max_connections: usize::try_from(max_connections).unwrap_or(usize::MAX),
