Limit the requests of all hosts to a cold engine

Cause: an engine that has just started, or that says it is cold, got requests like any other.

Change: pools with `cold_start_s` and `cold_per_s` have a rule. A cold engine has floor(cold_per_s) permits of one request per 1.25 s each; the owner of a permit follows from a hash of engine, start, permit and registered hosts. To all other hosts the engine counts as resting, so the choice of upstreams and the picker leave it out; the permit is taken just before the request is written. A host waits one period after its start, and after a change of the registrations that gives it a permit. Owners spare cold engines while a warm one has a free slot. After the cold time the rate doubles three times before the limit ends. That an engine is cold follows from its entry, its start, and the header of any of its answers. New settings `[engines] cold-over` and `cold-slack` lower the number of permits where two views of the hosts would exceed the bound.

Not done: no host asks engines for their health; a request at a host without a permit is refused with the time to retry instead of being handed to an owner or kept for the next use of a permit.

--- a/crates/eelgrasshill_gateway/src/codec.rs
+++ b/crates/eelgrasshill_gateway/src/codec.rs
@@ -134,6 +134,8 @@
     pub leaving: bool,
     /// Time for which a full upstream wants no requests from this host.
     pub rest: Option<Duration>,
+    /// Time for which the upstream stays cold, as it says.
+    pub cold: Option<Duration>,
     /// How long the connection may stay idle; none if it must be closed.
     pub idle_timeout: Option<Duration>,
 }
--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -10,15 +10,16 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, ZoneName};
+use eelgrasshill_ports::BootClock;
 use eelgrasshill_relay::{
-    AnswerTimes, Candidate, CrashingParts, EnginePicker, EngineRests, EngineSpeeds, EventIntervals,
-    HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NewsLimit, NoUpstream,
-    PartRefusal, Peer, PeerRole, Pick, PickerHost, ProbeTurn, ProbedParts, PromptPart, RateLimiter,
-    ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings, SmoothedDemand, Tables, Ticket,
-    Totals, TotalsSender, Tree, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery,
-    UpstreamSelector,
+    AnswerTimes, Candidate, ColdBound, ColdEngines, CrashingParts, EnginePicker, EngineRests,
+    EngineSpeeds, EventIntervals, HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams,
+    ModelKey, NewsLimit, NoUpstream, PartRefusal, Peer, PeerRole, Pick, PickerHost, ProbeTurn,
+    ProbedParts, PromptPart, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings,
+    SelectionSettings, SmoothedDemand, Tables, Ticket, Totals, TotalsSender, Tree, Upstream,
+    UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
 };
-use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
+use eelgrasshill_settings::{ColdBounds, GatewayBounds, GatewaySettings};
 
 use crate::codec::{PlatformCodec, Topic};
 use crate::compression::RecordCompressor;
@@ -66,6 +67,13 @@
     }
 }
 
+fn cold_bound(bound: ColdBounds) -> ColdBound {
+    ColdBound {
+        over_percent: bound.over_percent,
+        slack: bound.slack,
+    }
+}
+
 /// Everything a gateway knows about configuration, upstreams and other hosts.
 #[derive(Debug)]
 pub struct GatewayState<C> {
@@ -145,7 +153,11 @@
             upstreams: KnownUpstreams::default(),
             loads: UpstreamLoads::default(),
             health: UpstreamHealth::default(),
-            rests: EngineRests::default(),
+            rests: EngineRests::new(ColdEngines::new(
+                settings.name.clone(),
+                settings.cold.map(cold_bound),
+                BootClock.now(),
+            )),
             crashing_parts: CrashingParts::default(),
             crash_news: NewsLimit::default(),
             speeds: EngineSpeeds::new(bounds.prefill_tokens_per_ms),
@@ -221,6 +233,12 @@
             let end = self.upstreams_topic.end();
             self.upstreams.confirm_registry(end, confirmed_at);
         }
+        if topic == Topic::Hosts && !records.is_empty() {
+            let keys = self.hosts.iter().map(|record| HostName::new(&record.key));
+            let mut hosts: Vec<_> = keys.filter_map(Result::ok).collect();
+            hosts.sort();
+            self.rests.cold.set_hosts(hosts, now);
+        }
         // The first read gives the host counts even if no other host is registered.
         if topic == Topic::Hosts && (!records.is_empty() || self.host_counts == HostCounts::UNKNOWN)
         {
@@ -242,7 +260,12 @@
                 let rows = tables.organisations().map(|row| &**row);
                 self.rate_limiter.configure(rows, now);
                 self.answer_times.retain(|route| tables.has_route(route));
+                self.rests.cold.set_rules(tables.cold_rules().clone());
                 self.tables = Some(Arc::new(tables));
+                let upstreams: Vec<_> = self.upstreams.available(now).cloned().collect();
+                for upstream in upstreams {
+                    self.note_cold_entry(&upstream, now);
+                }
             }
             Err(error) => log::error!("config: offset={} skipped: {error}", record.offset),
         }
@@ -321,6 +344,7 @@
                         record.offset
                     );
                 }
+                self.note_cold_entry(&upstream, now);
                 self.upstreams.insert(upstream, now);
             }
             Err(error) => {
@@ -334,6 +358,19 @@
         }
     }
 
+    /// Notes what an upstream's entry says of its cold time.
+    fn note_cold_entry(&mut self, upstream: &Upstream, now: Moment) {
+        let cold = &mut self.rests.cold;
+        if cold.note_entry(upstream, BootClock.unix_millis(), now) {
+            log::info!(
+                "upstreams: id={} started={} is cold, by its entry for {} ms",
+                upstream.id,
+                upstream.started_ms,
+                upstream.cold_remaining.as_millis()
+            );
+        }
+    }
+
     fn apply_host(&mut self, record: &KeyedRecord) {
         let Ok(host) = HostName::new(&record.key) else {
             log::warn!(
@@ -443,6 +480,7 @@
         crate::telemetry::set_engine_speeds(&self.speeds);
         crate::telemetry::set_picked_requests(self.picker.counts());
         crate::telemetry::set_suspect_parts(self.crashing_parts.suspect_count());
+        crate::telemetry::set_cold_engines(self.rests.cold.counts());
         crate::telemetry::set_evacuations(self.evacuation_counts());
         self.refresh_totals(now);
         if before != self.host_counts {
@@ -670,6 +708,10 @@
     fn remove_expired(&mut self, now: Moment) {
         self.upstreams.expire(now);
         self.rests.expire(now);
+        let upstreams = &self.upstreams;
+        self.rests
+            .cold
+            .expire(|id| upstreams.get(id).is_some(), now);
         self.crashing_parts.expire(now);
         let upstreams = &self.upstreams;
         self.loads.retain(|id| upstreams.get(id).is_some());
--- a/crates/eelgrasshill_gateway/src/orders.rs
+++ b/crates/eelgrasshill_gateway/src/orders.rs
@@ -18,7 +18,7 @@
 use crate::gateway_state::HolderStatus;
 use crate::shared::Shared;
 use crate::telemetry;
-use crate::upstream_signals::note_leaving;
+use crate::upstream_signals::{note_cold, note_leaving};
 
 /// Key of the lease's record in its topic.
 const LEASE_KEY: &str = "orders";
@@ -473,9 +473,13 @@
     /// Returns the status and body, after noting whether the engine says that it is leaving.
     fn read_answer(&self, response: Response<Bytes>, answered: &str) -> (u16, Bytes) {
         let status = response.status();
-        if C::parse_answer_head(status, response.headers()).leaving {
+        let head = C::parse_answer_head(status, response.headers());
+        if head.leaving {
             note_leaving(&self.shared, &self.engine, answered);
         }
+        if let Some(remaining) = head.cold {
+            note_cold(&self.shared, &self.engine, remaining, answered);
+        }
         (status.as_u16(), response.into_body())
     }
 
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -29,7 +29,7 @@
 use crate::refusal::{Refusal, RefusalCause};
 use crate::shared::{LoadGuard, Shared, TriedUpstreams};
 use crate::telemetry;
-use crate::upstream_signals::{note_leaving, note_rest};
+use crate::upstream_signals::{note_cold, note_leaving, note_rest};
 
 /// Timeout for opening a connection.
 ///
@@ -351,6 +351,10 @@
         if self.shared.state().upstreams.is_evacuated(upstream) {
             return Err(SendFailure::Unsent);
         }
+        // Another request may have used the permit for a cold engine meanwhile.
+        if !self.take_permit(upstream) {
+            return Err(SendFailure::Unsent);
+        }
         let request = self.build_request(upstream, last_event);
         self.tried.insert(upstream.id.clone());
         self.sends += 1;
@@ -379,6 +383,25 @@
         }
     }
 
+    /// Uses a permit if the upstream is cold; returns false if this host has none now.
+    fn take_permit(&self, upstream: &Upstream) -> bool {
+        let now = BootClock.now();
+        let mut state = self.shared.state();
+        let cold = &mut state.rests.cold;
+        if !cold.is_limited(upstream, now) {
+            return true;
+        }
+        let is_taken = cold.take(upstream, now);
+        drop(state);
+        telemetry::count_permit(if is_taken { "used" } else { "none" });
+        log::info!(
+            "request: id={} upstream={} is cold, permit={is_taken}",
+            self.metadata.id,
+            upstream.id
+        );
+        is_taken
+    }
+
     fn read_head(
         &mut self,
         upstream: &Arc<Upstream>,
@@ -402,6 +425,9 @@
         if let Some(asked) = answer_head.rest {
             note_rest(&self.shared, upstream, asked, &self.metadata.id);
         }
+        if let Some(remaining) = answer_head.cold {
+            note_cold(&self.shared, upstream, remaining, &self.metadata.id);
+        }
         match answer_head.run {
             RunStatement::NotRun => {
                 // An upstream that asks for rest works, and gets no requests for that time anyway.
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -146,6 +146,22 @@
     metrics::gauge!("eelgrasshill_suspect_parts").set(count as f64);
 }
 
+/// Counts a request that was about to go to a cold engine, by whether there was a permit.
+pub(crate) fn count_permit(end: &'static str) {
+    metrics::counter!("eelgrasshill_cold_permits_total", "end" => end).increment(1);
+}
+
+/// Sets how many engines are cold, and how many permits for them this host has.
+pub(crate) fn set_cold_engines((engines, permits): (usize, usize)) {
+    #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+    for (name, count) in [
+        ("eelgrasshill_cold_engines", engines as f64),
+        ("eelgrasshill_cold_permits", permits as f64),
+    ] {
+        metrics::gauge!(name).set(count);
+    }
+}
+
 /// Sets the number of evacuated zones, and of this host's requests that run there still.
 pub(crate) fn set_evacuations((zones, running): (usize, u32)) {
     #[expect(clippy::cast_precision_loss, reason = "there are few zones")]
--- a/crates/eelgrasshill_gateway/src/upstream_signals.rs
+++ b/crates/eelgrasshill_gateway/src/upstream_signals.rs
@@ -38,6 +38,27 @@
     }
 }
 
+/// Limits the requests of all hosts to an upstream that says it is cold.
+///
+/// `answered` names the request or call whose answer said so.
+pub(crate) fn note_cold<C: PlatformCodec>(
+    shared: &Shared<C>,
+    upstream: &Upstream,
+    remaining: Duration,
+    answered: &str,
+) {
+    let now = BootClock.now();
+    let is_new = shared.state().rests.cold.note(upstream, remaining, now);
+    if is_new {
+        telemetry::count_upstream_signal("cold");
+        log::info!(
+            "upstreams: id={} says in its answer to {answered} that it stays cold for {} ms",
+            upstream.id,
+            remaining.as_millis()
+        );
+    }
+}
+
 /// Sends an upstream that asks for rest no requests of this host for that time.
 pub(crate) fn note_rest<C: PlatformCodec>(
     shared: &Shared<C>,
--- a/crates/eelgrasshill_relay/examples/pick_cost.rs
+++ b/crates/eelgrasshill_relay/examples/pick_cost.rs
@@ -34,6 +34,7 @@
                 holdings: Vec::new(),
                 memory: Vec::new(),
                 disk: Vec::new(),
+                cold_remaining: Duration::ZERO,
             }),
             cost: Duration::ZERO,
         };
--- a/crates/eelgrasshill_relay/src/engine_rests.rs
+++ b/crates/eelgrasshill_relay/src/engine_rests.rs
@@ -11,7 +11,7 @@
 
 use eelgrasshill_domain::{FastMap, HostName, Moment};
 
-use crate::Upstream;
+use crate::{ColdEngines, Upstream};
 
 /// Longest rest that is granted; a faulty engine must not be left out for good.
 const MAX_REST: Duration = Duration::from_hours(1);
@@ -29,13 +29,24 @@
     until: Moment,
 }
 
-/// The rests that engines asked of this host.
+/// Engines that get no requests of this host for now: they asked for rest, or are cold.
 #[derive(Clone, Debug, Default)]
 pub struct EngineRests {
     rests: FastMap<HostName, Rest>,
+    /// Cold engines, for which a host needs permits.
+    pub cold: ColdEngines,
 }
 
 impl EngineRests {
+    /// Creates the state of a host that has not been asked for rest.
+    #[must_use]
+    pub fn new(cold: ColdEngines) -> Self {
+        Self {
+            cold,
+            ..Self::default()
+        }
+    }
+
     /// Notes that an upstream asked for rest, and returns how long it gets none.
     ///
     /// `draw` is a random number from 0 to 1, which spreads the hosts that come back.
@@ -66,8 +77,10 @@
     /// Returns how long an upstream gets no requests; none if it rests no longer.
     #[must_use]
     pub fn remaining(&self, upstream: &Upstream, now: Moment) -> Option<Duration> {
-        let rest = self.rests.get(&upstream.id)?;
-        (rest.started_ms == upstream.started_ms && now < rest.until).then(|| rest.until.since(now))
+        let rest = self.rests.get(&upstream.id);
+        let rest = rest.filter(|rest| rest.started_ms == upstream.started_ms && now < rest.until);
+        let cold = self.cold.remaining(upstream, now);
+        rest.map(|rest| rest.until.since(now)).max(cold)
     }
 
     /// Removes rests that are over.
--- a/crates/eelgrasshill_relay/src/known_upstreams.rs
+++ b/crates/eelgrasshill_relay/src/known_upstreams.rs
@@ -60,6 +60,9 @@
         pub memory: Vec<ModelName>,
         /// Models whose weights are cached on its disk.
         pub disk: Vec<ModelName>,
+        /// Time for which it stays cold, as it says.
+        #[serde(rename = "cold")]
+        pub cold_remaining: Duration,
     }
 }
 
--- a/crates/eelgrasshill_relay/src/selection.rs
+++ b/crates/eelgrasshill_relay/src/selection.rs
@@ -155,7 +155,11 @@
         now: Moment,
     ) -> Result<Candidate, NoUpstream> {
         let (all, first_rest) = self.candidates(query, now);
-        let is_healthy = |one: &&Candidate| self.is_healthy(&one.upstream.id, now);
+        let spares_cold = self.spares_cold(query, now);
+        let is_healthy = |one: &&Candidate| {
+            let is_spared = spares_cold && self.rests.cold.is_limited(&one.upstream, now);
+            self.is_healthy(&one.upstream.id, now) && !is_spared
+        };
         let healthy: Vec<_> = all.iter().filter(is_healthy).cloned().collect();
         let found = better_of_two(if healthy.is_empty() { all } else { healthy }, draw);
         found.ok_or(match first_rest {
@@ -170,6 +174,20 @@
         !self.health.is_ejected(id, now) && !self.loads.is_suspected(id)
     }
 
+    /// Returns whether a request needs no cold upstream, since a warm one has a free slot.
+    ///
+    /// The few requests that cold ones take are left for those that would wait or be refused.
+    fn spares_cold(&self, query: &UpstreamQuery<'_>, now: Moment) -> bool {
+        let is_any_limited = self.rests.cold.counts().0 > 0;
+        is_any_limited
+            && self.holders(query, now).any(|upstream| {
+                self.is_healthy(&upstream.id, now)
+                    && !self.rests.cold.is_limited(upstream, now)
+                    && self.rests.remaining(upstream, now).is_none()
+                    && self.loads.total(&upstream.id).running < upstream.slots
+            })
+    }
+
     /// Returns the upstreams among which the picker chooses, the healthy ones if there are any.
     ///
     /// `holder` holds the model according to the request's host, which may know more.
@@ -206,8 +224,11 @@
     /// Returns the holders of a request's model that this host does not use for it.
     #[must_use]
     pub fn excluded(&self, query: &UpstreamQuery<'_>, now: Moment) -> FastSet<HostName> {
+        let spares_cold = self.spares_cold(query, now);
         let unusable = self.holders(query, now).filter(|upstream| {
-            !self.is_healthy(&upstream.id, now) || self.rests.remaining(upstream, now).is_some()
+            !self.is_healthy(&upstream.id, now)
+                || self.rests.remaining(upstream, now).is_some()
+                || (spares_cold && self.rests.cold.is_limited(upstream, now))
         });
         // The picker may not know of an evacuation yet.
         let unusable = unusable.chain(self.evacuated_holders(query, now));
--- a/crates/eelgrasshill_relay/src/tables.rs
+++ b/crates/eelgrasshill_relay/src/tables.rs
@@ -9,6 +9,8 @@
     FastMap, KeyDigest, KeyText, ModelName, OrgName, PoolName, RouteName, Version, record,
 };
 
+use crate::ColdRule;
+
 record! {
     /// Which of a route's requests may be repeated.
     #[derive(Copy)]
@@ -129,6 +131,7 @@
     version: Version,
     routes: FastMap<String, Vec<Arc<Route>>>,
     pools: FastMap<PoolName, Option<Arc<EnginePool>>>,
+    cold_rules: FastMap<PoolName, ColdRule>,
     organisations: FastMap<OrgName, Arc<Organisation>>,
     keys: FastMap<KeyDigest, Arc<Organisation>>,
     bounds: CallerBounds,
@@ -142,6 +145,7 @@
             version,
             routes: FastMap::default(),
             pools: FastMap::default(),
+            cold_rules: FastMap::default(),
             organisations: FastMap::default(),
             keys: FastMap::default(),
             bounds,
@@ -155,6 +159,13 @@
         self
     }
 
+    /// Sets how cold upstreams of a pool are treated.
+    #[must_use]
+    pub fn with_cold_rule(mut self, pool: PoolName, rule: ColdRule) -> Self {
+        self.cold_rules.insert(pool, rule);
+        self
+    }
+
     /// Adds a route; longer prefixes are matched first.
     #[must_use]
     pub fn with_route(mut self, route: Route) -> Self {
@@ -181,6 +192,12 @@
         self.version
     }
 
+    /// Returns how cold upstreams are treated, for the pools that have a rule.
+    #[must_use]
+    pub fn cold_rules(&self) -> &FastMap<PoolName, ColdRule> {
+        &self.cold_rules
+    }
+
     /// Returns the limits on callers.
     #[must_use]
     pub fn bounds(&self) -> CallerBounds {
--- a/crates/eelgrasshill_relay/tests/engine_picker.rs
+++ b/crates/eelgrasshill_relay/tests/engine_picker.rs
@@ -137,6 +137,7 @@
         }],
         memory: Vec::new(),
         disk: Vec::new(),
+        cold_remaining: Duration::ZERO,
     };
     let candidates = (0..count).map(|number| PickCandidate {
         upstream: Arc::new(upstream(number)),
--- a/crates/eelgrasshill_relay/tests/engine_simulation/mod.rs
+++ b/crates/eelgrasshill_relay/tests/engine_simulation/mod.rs
@@ -321,6 +321,7 @@
                 holdings: holdings(engine),
                 memory: Vec::new(),
                 disk: engine.disk.clone(),
+                cold_remaining: Duration::ZERO,
             };
             upstreams.insert(upstream, self.now());
         }
--- a/crates/eelgrasshill_relay/tests/evacuation.rs
+++ b/crates/eelgrasshill_relay/tests/evacuation.rs
@@ -1,6 +1,7 @@
 //! Tests that evacuated zones get no requests, and that hosts learn when an evacuation ends.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use eelgrasshill_domain::{FastSet, HostName, ModelName, Moment, Offset, PoolName, ZoneName};
 use eelgrasshill_relay::{
@@ -37,6 +38,7 @@
         }],
         memory: Vec::new(),
         disk: Vec::new(),
+        cold_remaining: Duration::ZERO,
     }
 }
 
--- a/crates/eelgrasshill_relay/tests/prompt_simulation/mod.rs
+++ b/crates/eelgrasshill_relay/tests/prompt_simulation/mod.rs
@@ -140,6 +140,7 @@
             }],
             memory: Vec::new(),
             disk: Vec::new(),
+            cold_remaining: Duration::ZERO,
         };
         ids.insert(upstream.id.clone(), number);
         upstreams.insert(upstream.clone(), Moment(1));
--- a/crates/eelgrasshill_relay/tests/records.rs
+++ b/crates/eelgrasshill_relay/tests/records.rs
@@ -46,6 +46,7 @@
         holdings: holdings.collect(),
         memory: Vec::new(),
         disk: Vec::new(),
+        cold_remaining: Duration::ZERO,
     }
 }
 
--- a/crates/eelgrasshill_relay/tests/upstream_signals.rs
+++ b/crates/eelgrasshill_relay/tests/upstream_signals.rs
@@ -28,6 +28,7 @@
         }],
         memory: Vec::new(),
         disk: Vec::new(),
+        cold_remaining: Duration::ZERO,
     }
 }
 
--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -78,6 +78,8 @@
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
+const PERCENT: f64 = 100.0;
+
 const PER_THOUSAND: f64 = 1_000.0;
 
 /// The maximum number of retries of the whole fleet.
@@ -106,6 +108,15 @@
     pub load_window: Duration,
 }
 
+/// Bound on the requests to a cold engine within a second, relative to the pool's rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdBounds {
+    /// Factor in percent.
+    pub over_percent: u64,
+    /// Requests beyond that.
+    pub slack: u64,
+}
+
 /// The limits that a running gateway reloads when its settings change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[debug(
@@ -165,6 +176,8 @@
     pub max_connections: usize,
     /// Limits on orders to engines.
     pub orders: OrderBounds,
+    /// Bound on the requests to a cold engine, if the deployment has one.
+    pub cold: Option<ColdBounds>,
 }
 
 impl GatewaySettings {
@@ -222,7 +235,7 @@
         store_reader.report_unknown_fields();
         let bounds = read_bounds(SectionReader::new(file, take("bounds"), &mut problems));
         let retries = read_retries(SectionReader::new(file, take("retries"), &mut problems));
-        let (orders, prefill_tokens_per_ms) =
+        let (orders, cold, prefill_tokens_per_ms) =
             read_engines(SectionReader::new(file, take("engines"), &mut problems));
         problems.extend(unknown_sections(file, sections, SECTIONS_HINT));
         let problems = Problems { problems };
@@ -252,6 +265,7 @@
             idle_timeout: bounds.idle_timeout,
             max_connections: bounds.max_connections,
             orders,
+            cold,
         };
         Ok((settings, problems))
     }
@@ -366,8 +380,8 @@
     }
 }
 
-/// Reads the limits on orders and the prefill rate of an engine.
-fn read_engines(mut reader: SectionReader<'_>) -> (OrderBounds, u64) {
+/// Reads the limits on orders and cold engines, and the prefill rate of an engine.
+fn read_engines(mut reader: SectionReader<'_>) -> (OrderBounds, Option<ColdBounds>, u64) {
     let max_ms = MAX_SECONDS * MILLIS_PER_SECOND;
     let handover_delay = reader.quantity("turn-ms", TURN_HINT, 0.0..=max_ms);
     let load_window = reader.quantity("load-window-s", SECONDS_HINT, MIN_SECONDS..=MAX_SECONDS);
@@ -377,12 +391,18 @@
         1..=100_000,
         DEFAULT_PREFILL_TOKENS_PER_MS,
     );
+    let cold_over = reader.quantity("cold-over", RATIO_HINT, 0.0..=MAX_RETRY_RATIO);
+    let cold_slack = reader.quantity("cold-slack", RATIO_HINT, 0.0..=MAX_EXTRA_RETRIES);
     reader.report_unknown_fields();
     let orders = OrderBounds {
         handover_delay: handover_delay.map_or(DEFAULT_HANDOVER_DELAY, from_millis),
         load_window: load_window.map_or(DEFAULT_LOAD_WINDOW, Duration::from_secs_f64),
     };
-    (orders, prefill_tokens_per_ms)
+    let cold = cold_over.map(|over| ColdBounds {
+        over_percent: to_integer(over * PERCENT),
+        slack: to_integer(cold_slack.unwrap_or_default()),
+    });
+    (orders, cold, prefill_tokens_per_ms)
 }
 
 /// Converts milliseconds of at most `MAX_SECONDS`.
--- a/crates/eelgrasshill_settings/src/lib.rs
+++ b/crates/eelgrasshill_settings/src/lib.rs
@@ -12,7 +12,7 @@
 mod tables;
 
 pub use entry::{EntryBounds, EntrySettings, FleetLoadLimits};
-pub use gateway::{GatewayBounds, GatewaySettings, OrderBounds, RetryBounds};
+pub use gateway::{ColdBounds, GatewayBounds, GatewaySettings, OrderBounds, RetryBounds};
 pub use problem::{Problem, Problems};
 pub use render::{render_pools, render_routes};
 pub use tables::{EditedTables, read_edited_tables, read_tables};
--- a/crates/eelgrasshill_settings/tests/gateway.rs
+++ b/crates/eelgrasshill_settings/tests/gateway.rs
@@ -121,6 +121,15 @@
         case("host", "processor-share = 0", Expected::Default, |s| {
             s.capacity == 100
         }),
+        case("bounds", "evacuate-ms = 2500.5", Expected::Used, |s| {
+            s.bounds.evacuation_delay == Duration::from_micros(2_500_500)
+        }),
+        case("engines", "cold-over = 1.5", Expected::Used, |s| {
+            s.cold.is_some_and(|cold| cold.over_percent == 150)
+        }),
+        case("engines", "cold-over =", Expected::Used, |s| {
+            s.cold.is_none()
+        }),
         case("bounds", "unknown-ms = 5", Expected::Default, |_settings| {
             true
         }),
