Look at the entries of evacuated engines when rules for cold ones come

Cause: when a configuration brought a rule for cold engines, only entries of zones that are not evacuated were looked at. A zone that was evacuated at that moment could return with engines that counted as warm until their next entry.

Change: entries of evacuated zones are looked at as well.

No test of its own; found by reading.

--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -262,7 +262,9 @@
                 self.answer_times.retain(|route| tables.has_route(route));
                 self.rests.cold.set_rules(tables.cold_rules().clone());
                 self.tables = Some(Arc::new(tables));
-                let upstreams: Vec<_> = self.upstreams.available(now).cloned().collect();
+                let evacuated = self.upstreams.evacuated(now);
+                let upstreams = self.upstreams.available(now).chain(evacuated);
+                let upstreams: Vec<_> = upstreams.cloned().collect();
                 for upstream in upstreams {
                     self.note_cold_entry(&upstream, now);
                 }
