--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -10,15 +10,16 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, Version, ZoneName};
+use eelgrasshill_ports::BootClock;
 use eelgrasshill_relay::{
-    AnswerTimes, Candidate, ConfigInForce, CrashingParts, EnginePicker, EngineRests, EngineSpeeds,
-    Era, EventIntervals, HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey,
-    NewsLimit, NoUpstream, PartRefusal, Peer, PeerRole, Pick, PickerHost, ProbeTurn, ProbedParts,
-    PromptPart, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings,
-    SmoothedDemand, Tables, Ticket, TopicChanges, Totals, TotalsSender, Tree, Upstream,
-    UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    AnswerTimes, Candidate, ColdBound, ColdEngines, ConfigInForce, CrashingParts, EnginePicker,
+    EngineRests, EngineSpeeds, Era, EventIntervals, HostCounts, HostHash, KeyedRecord, KeyedTopic,
+    KnownUpstreams, ModelKey, NewsLimit, NoUpstream, PartRefusal, Peer, PeerRole, Pick, PickerHost,
+    ProbeTurn, ProbedParts, PromptPart, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings,
+    SelectionSettings, SmoothedDemand, Tables, Ticket, TopicChanges, Totals, TotalsSender, Tree,
+    Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
 };
-use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
+use eelgrasshill_settings::{ColdBounds, GatewayBounds, GatewaySettings};
 
 use crate::codec::{PlatformCodec, Topic};
 use crate::compression::RecordCompressor;
@@ -27,6 +28,12 @@
 /// How long a store failure counts as recent; live upstreams have registered again by then.
 const STORE_FAILURE_TTL: Duration = Duration::from_secs(3);
 
+/// How long evacuations stay that a restored store does not have.
+///
+/// The operator writes them again by then. One that was removed before the restore, unknown to this
+/// host, is never written again.
+const RESTORED_EVACUATION_TTL: Duration = Duration::from_secs(10);
+
 /// Age of its last renewal at which a lease holder is ignored: two renewals were missed.
 const MAX_HOLDER_AGE: Duration = Duration::from_secs(3);
 
@@ -66,6 +73,13 @@
     }
 }
 
+fn cold_bound(bound: ColdBounds) -> ColdBound {
+    ColdBound {
+        over_percent: bound.over_percent,
+        slack: bound.slack,
+    }
+}
+
 /// Everything a gateway knows about configuration, upstreams and other hosts.
 #[derive(Debug)]
 pub struct GatewayState<C> {
@@ -131,6 +145,8 @@
     is_first_root: bool,
     // The counts of the last log line.
     logged_counts: HostCounts,
+    // Evacuations that a restored store does not have, with the moments until which they stay.
+    kept_evacuations: FastMap<ZoneName, Moment>,
     selection: SelectionSettings,
     host: HostName,
     host_hash: HostHash,
@@ -154,7 +170,11 @@
             upstreams: KnownUpstreams::default(),
             loads: UpstreamLoads::default(),
             health: UpstreamHealth::default(),
-            rests: EngineRests::default(),
+            rests: EngineRests::new(ColdEngines::new(
+                settings.name.clone(),
+                settings.cold.map(cold_bound),
+                BootClock.now(),
+            )),
             crashing_parts: CrashingParts::default(),
             crash_news: NewsLimit::default(),
             speeds: EngineSpeeds::new(bounds.prefill_tokens_per_ms),
@@ -177,6 +197,7 @@
             host_counts: HostCounts::UNKNOWN,
             is_first_root: false,
             logged_counts: HostCounts::UNKNOWN,
+            kept_evacuations: FastMap::default(),
             selection: SelectionSettings::default(),
             host: settings.name.clone(),
             host_hash: HostHash::new(&settings.name),
@@ -258,6 +279,10 @@
         }
         if topic == Topic::Config {
             self.config_in_force.confirm(self.config.confirmed_at());
+            if changes.is_new_era || !records.is_empty() {
+                self.keep_evacuations(&changes.missing, now);
+                self.update_evacuations(now);
+            }
         }
         if topic == Topic::Upstreams
             && let Some(confirmed_at) = self.upstreams_topic.confirmed_at()
@@ -265,6 +290,12 @@
             let end = self.upstreams_topic.end();
             self.upstreams.confirm_registry(end, confirmed_at);
         }
+        if topic == Topic::Hosts && !records.is_empty() {
+            let keys = self.hosts.iter().map(|record| HostName::new(&record.key));
+            let mut hosts: Vec<_> = keys.filter_map(Result::ok).collect();
+            hosts.sort();
+            self.rests.cold.set_hosts(hosts, now);
+        }
         // The first read gives the host counts even if no other host is registered.
         if topic == Topic::Hosts && (!records.is_empty() || self.host_counts == HostCounts::UNKNOWN)
         {
@@ -304,8 +335,15 @@
         let rows = tables.organisations().map(|row| &**row);
         self.rate_limiter.configure(rows, now);
         self.answer_times.retain(|route| tables.has_route(route));
+        self.rests.cold.set_rules(tables.cold_rules().clone());
         self.tables = Some(Arc::new(tables));
         self.config_record = Some((record.clone(), self.config.era()));
+        let evacuated = self.upstreams.evacuated(now);
+        let upstreams = self.upstreams.available(now).chain(evacuated);
+        let upstreams: Vec<_> = upstreams.cloned().collect();
+        for upstream in upstreams {
+            self.note_cold_entry(&upstream, now);
+        }
     }
 
     /// Compares the configuration in force with the one that a restored store shows.
@@ -352,6 +390,55 @@
             .flatten()
     }
 
+    /// Keeps the evacuations in force that a restored store does not have, for some time.
+    fn keep_evacuations(&mut self, missing: &[Arc<str>], now: Moment) {
+        let zones = missing.iter().filter_map(|key| C::evacuated_zone(key));
+        for zone in zones.filter_map(|zone| ZoneName::new(zone).ok()) {
+            let until = now.after(RESTORED_EVACUATION_TTL);
+            self.kept_evacuations.insert(zone, until);
+        }
+    }
+
+    /// Sets the evacuated zones from the records of the configuration's topic.
+    fn update_evacuations(&mut self, now: Moment) {
+        let before = self.upstreams.evacuated_zones().clone();
+        self.kept_evacuations.retain(|_zone, until| now < *until);
+        let mut zones: FastSet<_> = self.kept_evacuations.keys().cloned().collect();
+        for record in self.config.iter() {
+            let Some(zone) = C::evacuated_zone(&record.key) else {
+                continue;
+            };
+            match ZoneName::new(zone) {
+                Ok(zone) => {
+                    if !before.contains(&zone) {
+                        log::info!("evacuation: zone={zone} in force offset={}", record.offset);
+                    }
+                    zones.insert(zone);
+                }
+                Err(_error) => log::warn!(
+                    "evacuation: offset={} skipped: its key {:?} names no valid zone",
+                    record.offset,
+                    record.key
+                ),
+            }
+        }
+        for zone in before.difference(&zones) {
+            let end = self.config.end();
+            log::info!("evacuation: zone={zone} ended, by the records before offset {end}");
+        }
+        self.upstreams.set_evacuated(zones);
+    }
+
+    /// Returns how many zones are evacuated, and how many requests of this host run there still.
+    fn evacuation_counts(&self) -> (usize, u32) {
+        let running = self.loads.own().filter(|(id, _load)| {
+            let upstream = self.upstreams.get(id);
+            upstream.is_some_and(|upstream| self.upstreams.is_evacuated(upstream))
+        });
+        let running = running.map(|(_id, load)| load.running).sum();
+        (self.upstreams.evacuated_zones().len(), running)
+    }
+
     fn apply_upstream(&mut self, record: &KeyedRecord, is_restored: bool, now: Moment) {
         let Ok(id) = HostName::new(&record.key) else {
             log::warn!(
@@ -386,6 +473,7 @@
                         record.offset
                     );
                 }
+                self.note_cold_entry(&upstream, now);
                 if is_restored {
                     self.upstreams.insert_restored(upstream, now);
                 } else {
@@ -403,6 +491,19 @@
         }
     }
 
+    /// Notes what an upstream's entry says of its cold time.
+    fn note_cold_entry(&mut self, upstream: &Upstream, now: Moment) {
+        let cold = &mut self.rests.cold;
+        if cold.note_entry(upstream, BootClock.unix_millis(), now) {
+            log::info!(
+                "upstreams: id={} started={} is cold, by its entry for {} ms",
+                upstream.id,
+                upstream.started_ms,
+                upstream.cold_remaining.as_millis()
+            );
+        }
+    }
+
     fn apply_host(&mut self, record: &KeyedRecord) {
         let Ok(host) = HostName::new(&record.key) else {
             log::warn!(
@@ -509,9 +610,14 @@
     pub fn finish_round(&mut self, now: Moment) {
         let before = self.logged_counts;
         self.remove_expired(now);
+        if !self.kept_evacuations.is_empty() {
+            self.update_evacuations(now);
+        }
         crate::telemetry::set_engine_speeds(&self.speeds);
         crate::telemetry::set_picked_requests(self.picker.counts());
         crate::telemetry::set_suspect_parts(self.crashing_parts.suspect_count());
+        crate::telemetry::set_cold_engines(self.rests.cold.counts());
+        crate::telemetry::set_evacuations(self.evacuation_counts());
         self.refresh_totals(now);
         if before != self.host_counts {
             log::info!(
@@ -738,6 +844,10 @@
     fn remove_expired(&mut self, now: Moment) {
         self.upstreams.expire(now);
         self.rests.expire(now);
+        let upstreams = &self.upstreams;
+        self.rests
+            .cold
+            .expire(|id| upstreams.get(id).is_some(), now);
         self.crashing_parts.expire(now);
         let upstreams = &self.upstreams;
         self.loads.retain(|id| upstreams.get(id).is_some());
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -32,7 +32,7 @@
 use crate::refusal::{Refusal, RefusalCause};
 use crate::shared::{LoadGuard, Shared, TriedUpstreams};
 use crate::telemetry;
-use crate::upstream_signals::{note_leaving, note_rest};
+use crate::upstream_signals::{note_cold, note_leaving, note_rest};
 
 /// Timeout for opening a connection.
 ///
@@ -203,6 +203,17 @@
                 NoUpstream::NotHeld => {
                     Refusal::new(RefusalCause::NotHeld).with_retry(MIN_RETRY_AFTER)
                 }
+                NoUpstream::Evacuated => {
+                    let age = state.config.confirmed_at().map(|at| now.since(at));
+                    log::info!(
+                        "request: id={} pool={} is held in evacuated zones only, as known {age:?} ago",
+                        self.metadata.id,
+                        self.target_pool
+                    );
+                    // The end of an evacuation is in force on every host within this time.
+                    let after = self.shared.bounds().config_delay;
+                    Refusal::new(RefusalCause::Evacuated).with_retry(after)
+                }
                 NoUpstream::Resting { remaining } => {
                     let spread = (remaining / RETRY_SPREAD_DIVISOR).mul_f64(rand::random());
                     let after = (remaining + spread).max(MIN_RETRY_AFTER);
@@ -238,10 +249,13 @@
     /// # Errors
     ///
     /// Returns the refusal otherwise, with the time after which the request can be served.
-    pub async fn wait_for_model(&mut self, requester: &ModelRequester) -> Result<(), Refusal> {
-        let refusal = Refusal::new(RefusalCause::NotHeld);
+    pub async fn wait_for_model(
+        &mut self,
+        requester: &ModelRequester,
+        refusal: Refusal,
+    ) -> Result<(), Refusal> {
         let Some(model) = self.metadata.model.clone() else {
-            return Err(refusal.with_retry(MIN_RETRY_AFTER));
+            return Err(refusal);
         };
         let model_key = ModelKey {
             pool: self.target_pool.clone(),
@@ -359,6 +373,14 @@
                 return Err(SendFailure::Unsent);
             }
         };
+        // An evacuation may have begun since the upstream was chosen.
+        if self.shared.state().upstreams.is_evacuated(upstream) {
+            return Err(SendFailure::Unsent);
+        }
+        // Another request may have used the permit for a cold engine meanwhile.
+        if !self.take_permit(upstream) {
+            return Err(SendFailure::Unsent);
+        }
         let request = self.build_request(upstream, last_event);
         self.tried.insert(upstream.id.clone());
         self.sends += 1;
@@ -390,6 +412,25 @@
         }
     }
 
+    /// Uses a permit if the upstream is cold; returns false if this host has none now.
+    fn take_permit(&self, upstream: &Upstream) -> bool {
+        let now = BootClock.now();
+        let mut state = self.shared.state();
+        let cold = &mut state.rests.cold;
+        if !cold.is_limited(upstream, now) {
+            return true;
+        }
+        let is_taken = cold.take(upstream, now);
+        drop(state);
+        telemetry::count_permit(if is_taken { "used" } else { "none" });
+        log::info!(
+            "request: id={} upstream={} is cold, permit={is_taken}",
+            self.metadata.id,
+            upstream.id
+        );
+        is_taken
+    }
+
     fn read_head(
         &mut self,
         upstream: &Arc<Upstream>,
@@ -415,6 +456,9 @@
         if let Some(asked) = answer_head.rest {
             note_rest(&self.shared, upstream, asked, &self.metadata.id);
         }
+        if let Some(remaining) = answer_head.cold {
+            note_cold(&self.shared, upstream, remaining, &self.metadata.id);
+        }
         match answer_head.run {
             RunStatement::NotRun => {
                 if answer_head.id.is_none() {
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -156,6 +156,29 @@
     metrics::counter!("eelgrasshill_cut_requests_total").increment(count as u64);
 }
 
+/// Counts a request that was about to go to a cold engine, by whether there was a permit.
+pub(crate) fn count_permit(end: &'static str) {
+    metrics::counter!("eelgrasshill_cold_permits_total", "end" => end).increment(1);
+}
+
+/// Sets how many engines are cold, and how many permits for them this host has.
+pub(crate) fn set_cold_engines((engines, permits): (usize, usize)) {
+    #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+    for (name, count) in [
+        ("eelgrasshill_cold_engines", engines as f64),
+        ("eelgrasshill_cold_permits", permits as f64),
+    ] {
+        metrics::gauge!(name).set(count);
+    }
+}
+
+/// Sets the number of evacuated zones, and of this host's requests that run there still.
+pub(crate) fn set_evacuations((zones, running): (usize, u32)) {
+    #[expect(clippy::cast_precision_loss, reason = "there are few zones")]
+    metrics::gauge!("eelgrasshill_evacuated_zones").set(zones as f64);
+    metrics::gauge!("eelgrasshill_evacuated_running").set(f64::from(running));
+}
+
 /// Counts a refusal by its cause.
 pub(crate) fn count_refusal(cause: RefusalCause) {
     metrics::counter!("eelgrasshill_refusals_total", "cause" => cause.to_string()).increment(1);
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -4,6 +4,8 @@
 //! placement on engines. The crate does no I/O: time, randomness and outside events are arguments.
 
 mod config_in_force;
+
+mod cold_engines;
 mod crashing_parts;
 mod demand;
 mod engine_picker;
@@ -35,6 +37,7 @@
 mod tree;
 mod upstream_loads;
 
+pub use cold_engines::{ColdBound, ColdEngines, ColdRule};
 pub use config_in_force::ConfigInForce;
 pub use crashing_parts::{Accusation, CrashId, CrashingParts, PartRefusal, ProbeTurn, ProbedParts};
 pub use demand::{ModelKey, SmoothedDemand};
--- a/crates/eelgrasshill_relay/src/selection.rs
+++ b/crates/eelgrasshill_relay/src/selection.rs
@@ -70,6 +70,17 @@
     pub tried: &'a FastSet<HostName>,
 }
 
+impl UpstreamQuery<'_> {
+    /// Returns whether an upstream can serve the request and was not tried.
+    fn is_served_by(&self, upstream: &Upstream) -> bool {
+        upstream.pool == *self.pool
+            && self
+                .model
+                .is_none_or(|model| upstream.holds(model, self.adapter))
+            && !self.tried.contains(&upstream.id)
+    }
+}
+
 /// An upstream with the wait that is expected there.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -100,6 +111,8 @@
 pub enum NoUpstream {
     /// No upstream that is left holds the model.
     NotHeld,
+    /// All that hold the model are in evacuated zones.
+    Evacuated,
     /// All that hold the model asked this host for rest.
     Resting {
         /// Time until the first of them takes requests again.
@@ -142,11 +155,16 @@
         now: Moment,
     ) -> Result<Candidate, NoUpstream> {
         let (all, first_rest) = self.candidates(query, now);
-        let is_healthy = |one: &&Candidate| self.is_healthy(&one.upstream.id, now);
+        let spares_cold = self.spares_cold(query, now);
+        let is_healthy = |one: &&Candidate| {
+            let is_spared = spares_cold && self.rests.cold.is_limited(&one.upstream, now);
+            self.is_healthy(&one.upstream.id, now) && !is_spared
+        };
         let healthy: Vec<_> = all.iter().filter(is_healthy).cloned().collect();
         let found = better_of_two(if healthy.is_empty() { all } else { healthy }, draw);
         found.ok_or(match first_rest {
             Some(remaining) => NoUpstream::Resting { remaining },
+            None if self.evacuated_holders(query, now).next().is_some() => NoUpstream::Evacuated,
             None => NoUpstream::NotHeld,
         })
     }
@@ -156,6 +174,20 @@
         !self.health.is_ejected(id, now) && !self.loads.is_suspected(id)
     }
 
+    /// Returns whether a request needs no cold upstream, since a warm one has a free slot.
+    ///
+    /// The few requests that cold ones take are left for those that would wait or be refused.
+    fn spares_cold(&self, query: &UpstreamQuery<'_>, now: Moment) -> bool {
+        let is_any_limited = self.rests.cold.counts().0 > 0;
+        is_any_limited
+            && self.holders(query, now).any(|upstream| {
+                self.is_healthy(&upstream.id, now)
+                    && !self.rests.cold.is_limited(upstream, now)
+                    && self.rests.remaining(upstream, now).is_none()
+                    && self.loads.total(&upstream.id).running < upstream.slots
+            })
+    }
+
     /// Returns the upstreams among which the picker chooses, the healthy ones if there are any.
     ///
     /// `holder` holds the model according to the request's host, which may know more.
@@ -192,9 +224,14 @@
     /// Returns the holders of a request's model that this host does not use for it.
     #[must_use]
     pub fn excluded(&self, query: &UpstreamQuery<'_>, now: Moment) -> FastSet<HostName> {
+        let spares_cold = self.spares_cold(query, now);
         let unusable = self.holders(query, now).filter(|upstream| {
-            !self.is_healthy(&upstream.id, now) || self.rests.remaining(upstream, now).is_some()
+            !self.is_healthy(&upstream.id, now)
+                || self.rests.remaining(upstream, now).is_some()
+                || (spares_cold && self.rests.cold.is_limited(upstream, now))
         });
+        // The picker may not know of an evacuation yet.
+        let unusable = unusable.chain(self.evacuated_holders(query, now));
         let unusable = unusable.map(|upstream| upstream.id.clone());
         unusable.chain(query.tried.iter().cloned()).collect()
     }
@@ -219,13 +256,20 @@
         query: &UpstreamQuery<'_>,
         now: Moment,
     ) -> impl Iterator<Item = &Arc<Upstream>> {
-        self.upstreams.available(now).filter(|upstream| {
-            upstream.pool == *query.pool
-                && query
-                    .model
-                    .is_none_or(|model| upstream.holds(model, query.adapter))
-                && !query.tried.contains(&upstream.id)
-        })
+        self.upstreams
+            .available(now)
+            .filter(|upstream| query.is_served_by(upstream))
+    }
+
+    /// Returns the upstreams that would be holders if their zones were not evacuated.
+    fn evacuated_holders(
+        &self,
+        query: &UpstreamQuery<'_>,
+        now: Moment,
+    ) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.upstreams
+            .evacuated(now)
+            .filter(|upstream| query.is_served_by(upstream))
     }
 
     fn zone_and_failure_cost(&self, upstream: &Upstream, now: Moment) -> u64 {
--- a/crates/eelgrasshill_relay/tests/restored_topics.rs
+++ b/crates/eelgrasshill_relay/tests/restored_topics.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use eelgrasshill_domain::{HostName, Moment, Offset, PoolName, Version, ZoneName};
 use eelgrasshill_relay::{
@@ -263,6 +264,7 @@
         holdings: Vec::new(),
         memory: Vec::new(),
         disk: Vec::new(),
+        cold_remaining: Duration::ZERO,
     };
     // The known entry, the restored one, and whether requests go to the upstream after 0 s and 2 s.
     let cases = [
--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -68,6 +68,9 @@
 
 /// The default of `config-ms`, the shortest delay that platforms ask for.
 const DEFAULT_CONFIG_DELAY_MS: u64 = 2_000;
+
+/// The default of `evacuate-ms`.
+const DEFAULT_EVACUATION_DELAY_MS: u64 = 5_000;
 const DEFAULT_TERMINATION_GRACE: Duration = Duration::from_secs(8);
 const DEFAULT_MAX_CONNECTIONS: u64 = 1_500;
 const DEFAULT_RETRIES_PER_THOUSAND: u64 = 200;
@@ -82,6 +85,8 @@
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
+const PERCENT: f64 = 100.0;
+
 const PER_THOUSAND: f64 = 1_000.0;
 
 /// The maximum number of retries of the whole fleet.
@@ -110,6 +115,15 @@
     pub load_window: Duration,
 }
 
+/// Bound on the requests to a cold engine within a second, relative to the pool's rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdBounds {
+    /// Factor in percent.
+    pub over_percent: u64,
+    /// Requests beyond that.
+    pub slack: u64,
+}
+
 /// The limits that a running gateway reloads when its settings change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[debug(
@@ -124,6 +138,8 @@
     pub leaving_delay: Duration,
     /// How long after it was accepted a configuration must be in force on every host.
     pub config_delay: Duration,
+    /// How long after it was accepted an evacuation must be in force on every host.
+    pub evacuation_delay: Duration,
     /// The maximum number of retries of the whole fleet.
     pub retries: RetryBounds,
     /// Prompt tokens that an engine processes per millisecond.
@@ -169,6 +185,8 @@
     pub max_connections: usize,
     /// Limits on orders to engines.
     pub orders: OrderBounds,
+    /// Bound on the requests to a cold engine, if the deployment has one.
+    pub cold: Option<ColdBounds>,
 }
 
 impl GatewaySettings {
@@ -226,7 +244,7 @@
         store_reader.report_unknown_fields();
         let bounds = read_bounds(SectionReader::new(file, take("bounds"), &mut problems));
         let retries = read_retries(SectionReader::new(file, take("retries"), &mut problems));
-        let (orders, prefill_tokens_per_ms) =
+        let (orders, cold, prefill_tokens_per_ms) =
             read_engines(SectionReader::new(file, take("engines"), &mut problems));
         problems.extend(unknown_sections(file, sections, SECTIONS_HINT));
         let problems = Problems { problems };
@@ -249,6 +267,7 @@
                 termination_grace: bounds.termination_grace,
                 leaving_delay: bounds.leaving_delay,
                 config_delay: bounds.config_delay,
+                evacuation_delay: bounds.evacuation_delay,
                 retries,
                 prefill_tokens_per_ms,
             },
@@ -256,6 +275,7 @@
             idle_timeout: bounds.idle_timeout,
             max_connections: bounds.max_connections,
             orders,
+            cold,
         };
         Ok((settings, problems))
     }
@@ -318,6 +338,7 @@
     termination_grace: Duration,
     leaving_delay: Duration,
     config_delay: Duration,
+    evacuation_delay: Duration,
     head_timeout: Duration,
     idle_timeout: Duration,
     max_connections: usize,
@@ -335,6 +356,7 @@
     let idle_timeout = millis("idle-ms", DEFAULT_IDLE_TIMEOUT_MS);
     let leaving_delay = millis("drain-ms", DEFAULT_LEAVING_DELAY_MS);
     let config_delay = millis("config-ms", DEFAULT_CONFIG_DELAY_MS);
+    let evacuation_delay = millis("evacuate-ms", DEFAULT_EVACUATION_DELAY_MS);
     let termination_grace = reader.quantity("grace-s", GRACE_HINT, 0.0..=MAX_SECONDS);
     let max_connections = reader.number(
         "connections",
@@ -349,6 +371,7 @@
             .map_or(DEFAULT_TERMINATION_GRACE, Duration::from_secs_f64),
         leaving_delay,
         config_delay,
+        evacuation_delay,
         head_timeout,
         idle_timeout,
         max_connections: usize::try_from(max_connections).unwrap_or(usize::MAX),
@@ -370,8 +393,8 @@
     }
 }
 
-/// Reads the limits on orders and the prefill rate of an engine.
-fn read_engines(mut reader: SectionReader<'_>) -> (OrderBounds, u64) {
+/// Reads the limits on orders and cold engines, and the prefill rate of an engine.
+fn read_engines(mut reader: SectionReader<'_>) -> (OrderBounds, Option<ColdBounds>, u64) {
     let max_ms = MAX_SECONDS * MILLIS_PER_SECOND;
     let handover_delay = reader.quantity("turn-ms", TURN_HINT, 0.0..=max_ms);
     let load_window = reader.quantity("load-window-s", SECONDS_HINT, MIN_SECONDS..=MAX_SECONDS);
@@ -381,12 +404,18 @@
         1..=100_000,
         DEFAULT_PREFILL_TOKENS_PER_MS,
     );
+    let cold_over = reader.quantity("cold-over", RATIO_HINT, 0.0..=MAX_RETRY_RATIO);
+    let cold_slack = reader.quantity("cold-slack", RATIO_HINT, 0.0..=MAX_EXTRA_RETRIES);
     reader.report_unknown_fields();
     let orders = OrderBounds {
         handover_delay: handover_delay.map_or(DEFAULT_HANDOVER_DELAY, from_millis),
         load_window: load_window.map_or(DEFAULT_LOAD_WINDOW, Duration::from_secs_f64),
     };
-    (orders, prefill_tokens_per_ms)
+    let cold = cold_over.map(|over| ColdBounds {
+        over_percent: to_integer(over * PERCENT),
+        slack: to_integer(cold_slack.unwrap_or_default()),
+    });
+    (orders, cold, prefill_tokens_per_ms)
 }
 
 /// Converts milliseconds of at most `MAX_SECONDS`.
