Run the upkeep of the metrics recorder

Cause: the recorder was installed without its upkeep task, so each sample of a histogram was kept until something read /metrics.

Change: the gateway runs the upkeep each 5 s as a task, the entry host on a thread, since its main thread waits for signals.

The entry host's thread has no test of its own.

--- a/crates/eelgrasshill_entry/src/lib.rs
+++ b/crates/eelgrasshill_entry/src/lib.rs
@@ -26,4 +26,5 @@
 pub use run::{EntryHost, StartError};
 pub use shared::{OpenRequest, Shared, TablesSnapshot};
 pub use signal::{wait_for_stop, wait_for_stop_async};
+pub use telemetry::run_metrics_upkeep;
 pub use traces::{RecentTraces, StepEvent, Trace, TraceStep};
--- a/crates/eelgrasshill_entry/src/main.rs
+++ b/crates/eelgrasshill_entry/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use eelgrasshill_entry::{EntryHost, wait_for_stop};
+use eelgrasshill_entry::{EntryHost, run_metrics_upkeep, wait_for_stop};
 use eelgrasshill_settings::EntrySettings;
 use metrics_exporter_prometheus::PrometheusBuilder;
 
@@ -37,6 +37,7 @@
     };
     // Without a recorder, `/metrics` answers 404.
     let metrics = PrometheusBuilder::new().install_recorder().ok();
+    let upkeep_handle = metrics.clone();
     let host = match EntryHost::start(settings, metrics) {
         Ok(host) => host,
         Err(error) => {
@@ -44,6 +45,11 @@
             return ExitCode::FAILURE;
         }
     };
+    if let Some(handle) = upkeep_handle
+        && let Err(error) = run_metrics_upkeep(handle)
+    {
+        log::warn!("host: samples of metrics are kept until they are read: {error}");
+    }
     wait_for_stop();
     if host.drain() {
         ExitCode::SUCCESS
--- a/crates/eelgrasshill_entry/src/telemetry.rs
+++ b/crates/eelgrasshill_entry/src/telemetry.rs
@@ -1,9 +1,11 @@
 //! Defines the names and labels of the host's request metrics.
 
+use std::io;
 use std::time::Duration;
 
 use eelgrasshill_domain::{Class, OrgName};
 use metrics::{Label, counter, histogram};
+use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::Code;
 
@@ -12,6 +14,29 @@
 /// Also that of requests refused before their organisation was known.
 const OPEN_ROUTE_LABEL: &str = "open";
 
+/// Time between the upkeeps of the metrics recorder, which keeps each sample until then.
+const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Runs the upkeep of the metrics recorder on a thread of its own.
+///
+/// Without it, samples of histograms are kept until something reads the metrics.
+///
+/// # Errors
+///
+/// Returns the system's error if the thread cannot be started.
+pub fn run_metrics_upkeep(metrics: PrometheusHandle) -> io::Result<()> {
+    let upkeep = move || {
+        loop {
+            std::thread::sleep(METRICS_UPKEEP_INTERVAL);
+            metrics.run_upkeep();
+        }
+    };
+    std::thread::Builder::new()
+        .name("metrics".to_owned())
+        .spawn(upkeep)?;
+    Ok(())
+}
+
 /// The label values of one request's metrics.
 #[derive(Clone, Debug)]
 pub struct Labels {
--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -36,4 +36,4 @@
     TopicPage,
 };
 pub use run::{HostSignals, StartError, run};
-pub use telemetry::start_log;
+pub use telemetry::{install_metrics, start_log};
--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -14,7 +14,7 @@
 use derive_more::{Display, Error};
 use eelgrasshill_ports::{BootClock, unsent_peers};
 use eelgrasshill_settings::{GatewaySettings, Problems};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::codec::{PlatformCodec, StoreClient, Topic};
@@ -26,6 +26,7 @@
 use crate::register::{register, unregister};
 use crate::server::{serve_admin, serve_callers};
 use crate::shared::Shared;
+use crate::telemetry::install_metrics;
 
 /// Minimum duration of a drain.
 ///
@@ -109,13 +110,7 @@
     path: &Path,
     store: S,
 ) -> Result<(), StartError> {
-    let metrics = match PrometheusBuilder::new().install_recorder() {
-        Ok(handle) => Some(handle),
-        Err(error) => {
-            log::warn!("host: no metrics, the recorder cannot be installed: {error}");
-            None
-        }
-    };
+    let metrics = install_metrics();
     let HostSignals {
         mut terminate,
         hangup,
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -10,6 +10,7 @@
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::{BootClock, CallError};
 use eelgrasshill_relay::{EngineSpeeds, Route};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use crate::refusal::RefusalCause;
 
@@ -101,6 +102,34 @@
     Ok(())
 }
 
+/// Time between the upkeeps of the metrics recorder.
+///
+/// Until then it keeps each sample of a histogram; 2,800 samples per second take 0.2 MB.
+const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Installs the metrics recorder and runs its upkeep on this thread.
+///
+/// Without the upkeep, samples of histograms are kept until something reads the metrics. Returns
+/// none, and logs why, if the process has another recorder.
+#[must_use]
+pub fn install_metrics() -> Option<PrometheusHandle> {
+    let handle = match PrometheusBuilder::new().install_recorder() {
+        Ok(handle) => handle,
+        Err(error) => {
+            log::warn!("host: no metrics, the recorder cannot be installed: {error}");
+            return None;
+        }
+    };
+    let upkeep = handle.clone();
+    actix_web::rt::spawn(async move {
+        loop {
+            tokio::time::sleep(METRICS_UPKEEP_INTERVAL).await;
+            upkeep.run_upkeep();
+        }
+    });
+    Some(handle)
+}
+
 /// Counts an upstream's answer that was passed on, and records how long it took.
 pub(crate) fn count_answer(route: &Route, elapsed: Duration) {
     let class = class(route);
