Let requests wait that can only be answered late

Cause: the picker rejects a request that cannot start in time with a retry time of 100 ms or little more, also after it has waited. Its caller returns once, counts as new, and is rejected again, while engines are free a second later.

Change: such a request waits as late work, behind all that wait and can be in time, by arrival, in a bounded queue for each engine, until its caller has left. It is rejected at once if its turn is expected after that, and no longer after half of its objective. Late work and requests with more than a second until their latest start leave a sixteenth of the slots free.

Late work that waits does not go to the engines at once when the picker is gone: its host asks up to four times, with random pauses. This has no test.

--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -11,12 +11,12 @@
 
 use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, ZoneName};
 use eelgrasshill_relay::{
-    AnswerTimes, Candidate, CrashingParts, EnginePicker, EngineRests, EngineSpeeds, EventIntervals,
-    HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NewsLimit, NoUpstream,
-    PartRefusal, Peer, PeerRole, Pick, PickerHost, ProbeTurn, ProbedParts, PromptPart, RateLimiter,
-    ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings, SmoothedDemand, Tables, Ticket,
-    Totals, TotalsSender, Tree, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery,
-    UpstreamSelector,
+    AdmissionLimits, AnswerTimes, Candidate, CrashingParts, EnginePicker, EngineRests,
+    EngineSpeeds, EventIntervals, HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams,
+    ModelKey, NewsLimit, NoUpstream, PartRefusal, Peer, PeerRole, Pick, PickerHost, ProbeTurn,
+    ProbedParts, PromptPart, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings,
+    SelectionSettings, SmoothedDemand, Tables, Ticket, Totals, TotalsSender, Tree, Upstream,
+    UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
 };
 use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
 
@@ -66,6 +66,12 @@
     }
 }
 
+fn admission_limits(bounds: &GatewayBounds) -> AdmissionLimits {
+    AdmissionLimits {
+        late_queue: bounds.late_queue,
+    }
+}
+
 /// Everything a gateway knows about configuration, upstreams and other hosts.
 #[derive(Debug)]
 pub struct GatewayState<C> {
@@ -149,7 +155,7 @@
             crashing_parts: CrashingParts::default(),
             crash_news: NewsLimit::default(),
             speeds: EngineSpeeds::new(bounds.prefill_tokens_per_ms),
-            picker: EnginePicker::default(),
+            picker: EnginePicker::new(admission_limits(bounds)),
             picker_host: PickerHost::default(),
             answer_times: AnswerTimes::default(),
             event_intervals: EventIntervals::default(),
@@ -176,10 +182,11 @@
         }
     }
 
-    /// Applies changed settings for retries and the prefill rate.
+    /// Applies changed settings for retries, the prefill rate and late requests.
     pub fn set_bounds(&mut self, bounds: &GatewayBounds) {
         self.retries.set_settings(retry_settings(bounds));
         self.speeds.set_default(bounds.prefill_tokens_per_ms);
+        self.picker.set_limits(admission_limits(bounds));
     }
 
     /// Returns the records of a topic; none for the lease, which is not kept by key.
@@ -399,7 +406,7 @@
         let before = self.logged_counts;
         self.remove_expired(now);
         crate::telemetry::set_engine_speeds(&self.speeds);
-        crate::telemetry::set_picked_requests(self.picker.counts());
+        crate::telemetry::set_picked_requests(self.picker.counts(), self.picker.late_count());
         crate::telemetry::set_suspect_parts(self.crashing_parts.suspect_count());
         self.refresh_totals(now);
         if before != self.host_counts {
--- a/crates/eelgrasshill_gateway/src/pick_socket.rs
+++ b/crates/eelgrasshill_gateway/src/pick_socket.rs
@@ -251,6 +251,7 @@
         elapsed: millis(prompt.elapsed),
         interruption: millis(prompt.max_interruption),
         remaining: millis(prompt.remaining),
+        patience: millis(prompt.patience),
         zone: query.zone.to_string(),
         holder: query.holder.to_string(),
         excluded: query
@@ -276,6 +277,7 @@
             elapsed: Duration::from_millis(query.elapsed),
             max_interruption: Duration::from_millis(query.interruption),
             remaining: Duration::from_millis(query.remaining),
+            patience: Duration::from_millis(query.patience),
         },
         adapter: model_key.adapter,
         zone: ZoneName::new(&query.zone)?,
--- a/crates/eelgrasshill_gateway/src/picked_request.rs
+++ b/crates/eelgrasshill_gateway/src/picked_request.rs
@@ -10,7 +10,7 @@
 use eelgrasshill_domain::HostName;
 use eelgrasshill_ports::BootClock;
 use eelgrasshill_relay::{
-    Candidate, Pick, PromptQuery, RequestOutcome, Ticket, Upstream, UpstreamQuery,
+    Candidate, Pick, PromptQuery, RequestOutcome, Ticket, Upstream, UpstreamQuery, caller_patience,
 };
 
 use crate::codec::PlatformCodec;
@@ -23,6 +23,16 @@
 /// Shortest retry time of a request that the picker rejects; it knows when a place becomes free.
 const MIN_REJECT_RETRY: Duration = Duration::from_millis(100);
 
+/// How often late work that waits asks again without an answer before its host sends it.
+///
+/// Two queries without an answer lead to the next picker. If all that wait were sent at the first
+/// one, they would fill the engines at once.
+const MAX_SILENT_QUERIES: u32 = 4;
+
+/// Longest pause before late work asks again after a query without an answer; a random part of it
+/// passes.
+const SILENT_PAUSE: Duration = Duration::from_millis(250);
+
 /// Guard that tells the picker when the request's answer starts and when it ends.
 #[derive(Debug)]
 pub struct PickGuard<C: PlatformCodec> {
@@ -86,6 +96,7 @@
         let ticket = Ticket(rand::random());
         let mut guard = None;
         let mut has_waited = false;
+        let mut silent_queries = 0;
         loop {
             let candidate = self.select()?;
             let Some(query) = self.host_query(ticket, &candidate.upstream.id) else {
@@ -95,6 +106,12 @@
                 });
             };
             let Some((answer, new_guard)) = ask(&self.shared, &query, guard.take()).await else {
+                silent_queries += 1;
+                let is_late = has_waited && query.prompt.is_late();
+                if is_late && silent_queries < MAX_SILENT_QUERIES && !self.time_left().is_zero() {
+                    tokio::time::sleep(SILENT_PAUSE.mul_f64(rand::random())).await;
+                    continue;
+                }
                 return Ok(Picked {
                     candidate: self.check_wait(candidate)?,
                     guard: None,
@@ -104,6 +121,18 @@
                 Some(Pick::Send { engine, wait }) => {
                     if let Some(upstream) = self.usable(&engine) {
                         telemetry::count_pick("sent");
+                        if query.prompt.is_late() {
+                            telemetry::count_pick("late");
+                            log::info!(
+                                "request: id={} picker={} elapsed={:?} objective={:?} \
+                                 patience={:?}: starts late at {engine}",
+                                self.metadata.id,
+                                new_guard.host,
+                                query.prompt.elapsed,
+                                query.prompt.objective,
+                                query.prompt.patience
+                            );
+                        }
                         return Ok(Picked {
                             candidate: Candidate::picked(upstream, wait),
                             guard: Some(new_guard),
@@ -119,9 +148,13 @@
                     telemetry::count_pick("waited");
                     if !has_waited {
                         log::info!(
-                            "request: id={} picker={} waits {after:?} for room at an engine",
+                            "request: id={} picker={} elapsed={:?} objective={:?} patience={:?} \
+                             waits {after:?} for room at an engine",
                             self.metadata.id,
-                            new_guard.host
+                            new_guard.host,
+                            query.prompt.elapsed,
+                            query.prompt.objective,
+                            query.prompt.patience
                         );
                         has_waited = true;
                     }
@@ -131,12 +164,13 @@
                 Some(Pick::Reject { after }) => {
                     telemetry::count_pick("rejected");
                     log::info!(
-                        "request: id={} picker={} elapsed={:?} objective={:?}: \
+                        "request: id={} picker={} elapsed={:?} objective={:?} patience={:?}: \
                          engines are full of prompts for {after:?} too long",
                         self.metadata.id,
                         new_guard.host,
                         query.prompt.elapsed,
-                        query.prompt.objective
+                        query.prompt.objective,
+                        query.prompt.patience
                     );
                     let after = after.max(MIN_REJECT_RETRY);
                     return Err(Refusal::new(RefusalCause::Overloaded).with_retry(after));
@@ -179,6 +213,11 @@
                     .unwrap_or(self.route.objective)
                     .saturating_sub(state.event_intervals.usual(&self.target_pool)),
                 remaining: self.time_left(),
+                patience: if self.shared.bounds().late_queue > 0 {
+                    caller_patience(self.route.objective, self.route.max_pause)
+                } else {
+                    Duration::ZERO
+                },
             },
             adapter: self.metadata.adapter.clone(),
             zone: self.shared.settings.zone.clone(),
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -177,9 +177,12 @@
 }
 
 /// Sets how many requests wait, are being read and are being answered, as the picker knows.
-pub(crate) fn set_picked_requests(counts: (usize, usize, usize)) {
+///
+/// `late` of those that wait can only be answered late.
+pub(crate) fn set_picked_requests(counts: (usize, usize, usize), late: usize) {
     let (waiting, sent, answering) = counts;
     for (stage, count) in [
+        ("late", late),
         ("waiting", waiting),
         ("sent", sent),
         ("answering", answering),
--- a/crates/eelgrasshill_relay/examples/pick_cost.rs
+++ b/crates/eelgrasshill_relay/examples/pick_cost.rs
@@ -54,6 +54,7 @@
                 elapsed: Duration::ZERO,
                 max_interruption: Duration::from_millis(220),
                 remaining: Duration::from_secs(12),
+                patience: Duration::ZERO,
             };
             let pick = picker.pick(&query, &candidates, &speeds, |_count| 0, now);
             black_box(pick);
--- a/crates/eelgrasshill_relay/src/engine_picker.rs
+++ b/crates/eelgrasshill_relay/src/engine_picker.rs
@@ -3,7 +3,8 @@
 //! An engine processes prompts between the steps of its running streams, so prompts that arrive
 //! together interrupt all of them. The picker bounds the time of the prompts that are under way at
 //! an engine by the longest pause that callers accept. Further prompts wait at their hosts, in the
-//! order in which they have to start, or are rejected if they would start too late. A prompt that
+//! order in which they have to start; [`admission`](crate::admission) decides what becomes of those
+//! that would start too late. A prompt that
 //! alone takes longer than such a pause goes where it interrupts the fewest streams, and the next one
 //! of its kind to the same engine, whose streams are late already.
 //!
@@ -17,6 +18,9 @@
 
 use eelgrasshill_domain::{FastMap, HostName, ModelName, Moment, PoolName, record, scalar};
 
+use crate::admission::{
+    AdmissionLimits, Claim, LateShare, Turn, late_wait, may_reject, usable_room,
+};
 use crate::{AnswerStart, EngineSpeeds, Upstream, max_start_wait};
 
 /// Part of the accepted interruption that prompts may take, in percent.
@@ -78,6 +82,10 @@
         pub max_interruption: Duration,
         /// Time until the request's deadline.
         pub remaining: Duration,
+        /// Silence after which the caller leaves; zero if it is not known.
+        ///
+        /// Without it the request is rejected if it cannot start in time.
+        pub patience: Duration,
     }
 
     /// Decision on a request.
@@ -102,6 +110,14 @@
     }
 }
 
+impl PromptQuery {
+    /// Returns whether the objective is over while the caller still waits.
+    #[must_use]
+    pub fn is_late(&self) -> bool {
+        !self.patience.is_zero() && self.elapsed > self.objective
+    }
+}
+
 /// An engine that can take a request, with what speaks against it.
 #[derive(Clone, Debug)]
 pub struct PickCandidate {
@@ -125,9 +141,7 @@
 #[derive(Clone, Debug)]
 struct Prompt {
     ticket: Ticket,
-    rank: u8,
-    // Latest moment at which the prompt must start.
-    start_by: Moment,
+    turn: Turn,
     time: Duration,
     tokens: u64,
     // Whether the engine had no other prompt to process since this one was sent.
@@ -139,17 +153,12 @@
     deadline: Moment,
 }
 
-impl Prompt {
-    fn is_before(&self, rank: u8, start_by: Moment) -> bool {
-        (self.rank, self.start_by) <= (rank, start_by)
-    }
-}
-
 /// The requests of one engine.
 #[derive(Clone, Debug, Default)]
 struct EngineQueue {
     pool: Option<PoolName>,
     prompts: Vec<Prompt>,
+    late_share: LateShare,
 }
 
 /// Prompts and streams before a request at one engine.
@@ -162,6 +171,8 @@
     running: u32,
     // Streams that no prompt has interrupted for too long.
     punctual: u32,
+    // Late requests that wait.
+    late: u32,
 }
 
 impl EngineQueue {
@@ -190,7 +201,7 @@
         }
     }
 
-    fn ahead(&self, rank: u8, start_by: Moment) -> Ahead {
+    fn ahead(&self, turn: Turn) -> Ahead {
         let mut ahead = Ahead::default();
         for prompt in &self.prompts {
             let is_running = !matches!(prompt.stage, Stage::Waiting { .. });
@@ -206,7 +217,8 @@
                     ahead.time += prompt.time;
                     ahead.tokens += prompt.tokens;
                 }
-                Stage::Waiting { .. } if prompt.is_before(rank, start_by) => {
+                Stage::Waiting { .. } if prompt.turn <= turn => {
+                    ahead.late += u32::from(prompt.turn.is_late());
                     ahead.slots += 1;
                     ahead.time += prompt.time;
                     ahead.tokens += prompt.tokens;
@@ -263,9 +275,24 @@
     queues: FastMap<HostName, EngineQueue>,
     engines: FastMap<Ticket, HostName>,
     answer_times: FastMap<PoolName, Duration>,
+    limits: AdmissionLimits,
 }
 
 impl EnginePicker {
+    /// Creates a picker that knows of no requests.
+    #[must_use]
+    pub fn new(limits: AdmissionLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the bounds of the policy.
+    pub fn set_limits(&mut self, limits: AdmissionLimits) {
+        self.limits = limits;
+    }
+
     /// Decides on a request; returns none if there is no candidate.
     ///
     /// `draw` returns a random index below its argument, and decides among equal engines.
@@ -274,7 +301,7 @@
         query: &PromptQuery,
         candidates: &[PickCandidate],
         speeds: &EngineSpeeds,
-        draw: impl FnOnce(usize) -> usize,
+        mut draw: impl FnMut(usize) -> usize,
         now: Moment,
     ) -> Option<Pick> {
         self.remove(query.ticket);
@@ -284,18 +311,37 @@
             }
         }
         let prompt_time = speeds.prompt_time(&query.pool, Some(&query.model), query.tokens);
-        let max_wait = max_start_wait(query.objective, prompt_time).saturating_sub(query.elapsed);
-        let start_by = now.after(max_wait);
-        let options = candidates
-            .iter()
-            .map(|candidate| self.option(query, candidate, speeds, start_by));
-        let best = best_option(options, draw)?;
+        let start_limit = max_start_wait(query.objective, prompt_time);
+        let max_wait = start_limit.saturating_sub(query.elapsed);
+        let in_time = Turn::InTime {
+            rank: query.rank,
+            start_by: now.after(max_wait),
+        };
+        let mut turn = in_time;
+        let mut best = self.best(query, candidates, speeds, in_time, &mut draw, now)?;
         let wait = best.ahead.time.max(best.delay);
-        if wait > max_wait {
-            return Some(Pick::Reject {
+        let takes_late = self.takes_late(query);
+        let is_late = wait > max_wait || (takes_late && query.elapsed > start_limit);
+        if is_late {
+            let reject = Pick::Reject {
                 after: wait.saturating_sub(max_wait),
-            });
+            };
+            if !takes_late {
+                return Some(reject);
+            }
+            turn = Turn::late(query.rank, query.elapsed, now);
+            best = self.best(query, candidates, speeds, turn, &mut draw, now)?;
+            let max_wait = late_wait(query.patience, prompt_time, query.elapsed);
+            let has_place = best.delay.is_zero() || best.ahead.late < self.limits.late_queue;
+            let late_share = self.queues.get(&best.candidate.upstream.id);
+            let late_share = late_share.map_or_else(LateShare::default, |queue| queue.late_share);
+            let wait = late_share.stretch(best.delay).max(best.ahead.time);
+            let is_hopeless = !has_place || wait > max_wait;
+            if is_hopeless && may_reject(query.objective, query.elapsed) {
+                return Some(reject);
+            }
         }
+        let wait = best.ahead.time.max(best.delay);
         let expected = best.ahead.time + best.own_time;
         let (stage, pick) = if best.delay.is_zero() {
             let stage = Stage::Sent {
@@ -310,8 +356,7 @@
         };
         let prompt = Prompt {
             ticket: query.ticket,
-            rank: query.rank,
-            start_by,
+            turn,
             time: best.own_time,
             tokens: query.tokens,
             alone: best.ahead.tokens == 0,
@@ -324,6 +369,7 @@
         let interrupts = best.interrupted > 0;
         let queue = self.queues.entry(engine.clone()).or_default();
         if matches!(stage, Stage::Sent { .. }) {
+            queue.late_share.record(turn);
             if interrupts {
                 queue.interrupt_streams();
             }
@@ -337,12 +383,38 @@
         Some(pick)
     }
 
+    /// Returns whether a request may wait although it can only be answered late.
+    fn takes_late(&self, query: &PromptQuery) -> bool {
+        self.limits.late_queue > 0 && !query.patience.is_zero()
+    }
+
+    fn best<'a>(
+        &self,
+        query: &PromptQuery,
+        candidates: &'a [PickCandidate],
+        speeds: &EngineSpeeds,
+        turn: Turn,
+        draw: impl FnOnce(usize) -> usize,
+        now: Moment,
+    ) -> Option<EngineOption<'a>> {
+        let claim = if self.takes_late(query) {
+            Claim::new(turn, now)
+        } else {
+            Claim::Whole
+        };
+        let options = candidates
+            .iter()
+            .map(|candidate| self.option(query, candidate, speeds, turn, claim));
+        best_option(options, draw)
+    }
+
     fn option<'a>(
         &self,
         query: &PromptQuery,
         candidate: &'a PickCandidate,
         speeds: &EngineSpeeds,
-        start_by: Moment,
+        turn: Turn,
+        claim: Claim,
     ) -> EngineOption<'a> {
         let upstream = &candidate.upstream;
         let own_time =
@@ -350,21 +422,22 @@
         let ahead = self
             .queues
             .get(&upstream.id)
-            .map_or_else(Ahead::default, |queue| queue.ahead(query.rank, start_by));
+            .map_or_else(Ahead::default, |queue| queue.ahead(turn));
         let slots = upstream.slots.max(1);
         let room = query.max_interruption * PROMPT_PERCENT / 100;
         let is_oversized = own_time > room;
-        let prompt_delay = if is_oversized {
+        let prompt_delay = if is_oversized && !turn.is_late() {
             Duration::ZERO
         } else {
-            (ahead.time + own_time).saturating_sub(room)
+            (ahead.time + own_time).saturating_sub(usable_room(turn, room, own_time))
         };
-        let slot_delay = if ahead.slots < slots {
+        let usable_slots = claim.slots(slots);
+        let slot_delay = if ahead.slots < usable_slots {
             Duration::ZERO
         } else {
             let answer_time = self.answer_times.get(&query.pool);
             answer_time.map_or(DEFAULT_SLOT_WAIT, |answer_time| {
-                (*answer_time / slots) * (ahead.slots - slots + 1)
+                (*answer_time / slots) * (ahead.slots - usable_slots + 1)
             })
         };
         EngineOption {
@@ -452,6 +525,15 @@
         });
     }
 
+    /// Returns how many of the requests that wait can only be answered late.
+    #[must_use]
+    pub fn late_count(&self) -> usize {
+        let prompts = self.queues.values().flat_map(|queue| &queue.prompts);
+        prompts
+            .filter(|prompt| prompt.turn.is_late() && matches!(prompt.stage, Stage::Waiting { .. }))
+            .count()
+    }
+
     /// Returns how many requests wait at their hosts, are being read, and are being answered.
     #[must_use]
     pub fn counts(&self) -> (usize, usize, usize) {
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -3,6 +3,7 @@
 //! Upstream selection, rate limits, retries, the exchange of state between hosts, and model
 //! placement on engines. The crate does no I/O: time, randomness and outside events are arguments.
 
+mod admission;
 mod crashing_parts;
 mod demand;
 mod engine_picker;
@@ -32,6 +33,7 @@
 mod tree;
 mod upstream_loads;
 
+pub use admission::{AdmissionLimits, caller_patience};
 pub use crashing_parts::{Accusation, CrashId, CrashingParts, PartRefusal, ProbeTurn, ProbedParts};
 pub use demand::{ModelKey, SmoothedDemand};
 pub use engine_picker::{EnginePicker, Pick, PickCandidate, PromptQuery, Ticket};
--- a/crates/eelgrasshill_relay/tests/engine_picker.rs
+++ b/crates/eelgrasshill_relay/tests/engine_picker.rs
@@ -7,9 +7,12 @@
 
 use eelgrasshill_domain::{HostName, ModelName, Moment, PoolName, ZoneName};
 use eelgrasshill_relay::{
-    EnginePicker, EngineSpeeds, Pick, PickCandidate, PromptQuery, ResidentModel, Ticket, Upstream,
+    AdmissionLimits, EnginePicker, EngineSpeeds, Pick, PickCandidate, PromptQuery, ResidentModel,
+    Ticket, Upstream,
+};
+use prompt_simulation::{
+    Burst, Class, Deployment, Fault, Load, LoadOutcome, Policy, simulate, simulate_load,
 };
-use prompt_simulation::{Deployment, Policy, simulate};
 
 /// Largest share of streams that may pause for longer than callers accept.
 const MAX_LATE_SHARE: f64 = 0.02;
@@ -330,6 +333,7 @@
                     elapsed: Duration::ZERO,
                     max_interruption: Duration::from_millis(400),
                     remaining: Duration::from_secs(10),
+                    patience: Duration::ZERO,
                 };
                 let pick = picker.pick(&query, &candidates, &speeds, |_count| 0, now);
                 let found = match pick.expect("there is a candidate") {
@@ -382,9 +386,240 @@
             elapsed: Duration::ZERO,
             max_interruption: Duration::from_millis(400),
             remaining: Duration::from_secs(5),
+            patience: Duration::ZERO,
         };
         picker.pick(&query, &candidates, &speeds, |_count| 0, Moment(1_000));
     }
     picker.expire(|_id| true, Moment(6_001));
     assert_eq!(picker.counts(), (0, 0, 0), "requests that are kept");
 }
+
+/// Urgent streams, patient streams and short checks, which use 70 % of the slots of 8 engines.
+const CLASSES: [Class; 3] = [
+    Class {
+        rank: 0,
+        objective_ms: 300,
+        timeout_ms: 12_000,
+        pause_ms: 250,
+        prompt_tokens: (200, 1_400),
+        events: 24,
+        requests_per_s: 50,
+    },
+    Class {
+        rank: 1,
+        objective_ms: 5_000,
+        timeout_ms: 20_000,
+        pause_ms: 400,
+        prompt_tokens: (400, 4_500),
+        events: 58,
+        requests_per_s: 18,
+    },
+    Class {
+        rank: 0,
+        objective_ms: 800,
+        timeout_ms: 3_000,
+        pause_ms: 250,
+        prompt_tokens: (200, 800),
+        events: 10,
+        requests_per_s: 20,
+    },
+];
+
+const URGENT: usize = 0;
+const PATIENT: usize = 1;
+
+const fn hard_load(name: &'static str, bursts: &'static [Burst]) -> Load<'static> {
+    Load {
+        name,
+        deployment: Deployment {
+            name,
+            hosts: 30,
+            engines: 8,
+            slots: 16,
+            tokens_per_ms: 38,
+            step_ms: 7,
+            tokens_per_event: 5,
+            events: 0,
+            prompt_tokens: (0, 0),
+            requests_per_s: 0,
+            pause_ms: 0,
+            objective_ms: 0,
+        },
+        classes: &CLASSES,
+        organisations: 8,
+        bursts,
+        fault: None,
+    }
+}
+
+/// A burst of 5 s in a run of 20 s.
+const fn burst(class: usize, factor: u64) -> Burst {
+    Burst {
+        class,
+        factor,
+        organisation: None,
+        from_ms: 4_000,
+        until_ms: 9_000,
+    }
+}
+
+const fn burst_of_one(class: usize) -> Burst {
+    Burst {
+        organisation: Some(0),
+        ..burst(class, 7)
+    }
+}
+
+const LOADS: [Load<'static>; 10] = [
+    hard_load("patient twice", &[burst(PATIENT, 2)]),
+    hard_load("patient 4 times", &[burst(PATIENT, 4)]),
+    hard_load("urgent twice", &[burst(URGENT, 2)]),
+    hard_load("urgent 4 times", &[burst(URGENT, 4)]),
+    hard_load("both twice", &[burst(URGENT, 2), burst(PATIENT, 2)]),
+    hard_load("both 4 times", &[burst(URGENT, 4), burst(PATIENT, 4)]),
+    hard_load(
+        "one organisation 7 times",
+        &[burst_of_one(URGENT), burst_of_one(PATIENT)],
+    ),
+    Load {
+        fault: Some(Fault::EnginesGone {
+            from_ms: 4_000,
+            until_ms: 9_000,
+        }),
+        ..hard_load("a quarter of the engines gone for 5 s", &[burst(URGENT, 2)])
+    },
+    Load {
+        fault: Some(Fault::HostsKilled {
+            from_ms: 6_000,
+            until_ms: 7_000,
+        }),
+        ..hard_load("all hosts killed", &[])
+    },
+    Load {
+        fault: Some(Fault::HostsKilled {
+            from_ms: 6_000,
+            until_ms: 7_000,
+        }),
+        ..hard_load(
+            "all hosts killed in a burst",
+            &[burst(URGENT, 2), burst(PATIENT, 2)],
+        )
+    },
+];
+
+/// Index of the load that is played with each fleet.
+const BOTH_TWICE: usize = 4;
+
+/// Numbers of hosts, each with the engines and the multiple of the load that they serve.
+const FLEETS: [(usize, usize, u64); 3] = [(30, 8, 1), (134, 16, 2), (300, 24, 3)];
+
+const LATE_QUEUE: AdmissionLimits = AdmissionLimits { late_queue: 64 };
+
+/// Plays a load with rejection of all requests that would be late, and with late work.
+fn compare(load: &Load<'_>, fleet: (usize, usize, u64), seed: u64) -> (LoadOutcome, LoadOutcome) {
+    let (hosts, engines, factor) = fleet;
+    let classes = load.classes.iter().map(|class| Class {
+        requests_per_s: class.requests_per_s * factor,
+        ..*class
+    });
+    let classes: Vec<_> = classes.collect();
+    let load = Load {
+        deployment: Deployment {
+            hosts,
+            engines,
+            ..load.deployment
+        },
+        classes: &classes,
+        ..*load
+    };
+    let rejecting = simulate_load(&load, AdmissionLimits::default(), seed);
+    let waiting = simulate_load(&load, LATE_QUEUE, seed);
+    for (policy, outcome) in [("rejecting", &rejecting), ("waiting", &waiting)] {
+        println!(
+            "{}, {hosts} hosts, seed {seed}, {policy}: {outcome}",
+            load.name
+        );
+    }
+    (rejecting, waiting)
+}
+
+/// Guards against requests that are rejected after a wait, and again when they return, while engines
+/// are free soon after; and against late work that takes the place of work in time.
+///
+/// Each load names its burst or fault.
+#[test]
+fn late_work_waits_behind_work_in_time() {
+    let loads = LOADS.iter().map(|load| (load, FLEETS[0]));
+    let large = FLEETS[1..].iter().map(|fleet| (&LOADS[BOTH_TWICE], *fleet));
+    for (load, fleet) in loads.chain(large) {
+        let (rejecting, waiting) = compare(load, fleet, 0);
+        let context = format!(
+            "{}, {} hosts: {waiting}, rejecting {rejecting}",
+            load.name, fleet.0
+        );
+        assert_eq!(
+            waiting.sum(|counts| counts.rejected_after_wait),
+            0,
+            "requests that were rejected after half of their objective, {context}"
+        );
+        let again = |outcome: &LoadOutcome| outcome.sum(|counts| counts.rejected_again);
+        assert!(
+            again(&waiting) <= again(&rejecting) / 2,
+            "rejections of a second attempt, {context}"
+        );
+        let in_time = |outcome: &LoadOutcome| outcome.sum(|counts| counts.in_time);
+        assert!(
+            in_time(&waiting) >= in_time(&rejecting),
+            "streams in time, {context}"
+        );
+    }
+}
+
+/// Guards against a queue of late requests without a bound, and one that passes work in time.
+#[test]
+fn late_requests_wait_in_a_bounded_queue() {
+    let speeds = EngineSpeeds::new(10);
+    let mut picker = EnginePicker::new(AdmissionLimits { late_queue: 2 });
+    let candidates = candidates(1);
+    let mut ask = |ticket, elapsed_ms| {
+        let query = PromptQuery {
+            ticket: Ticket(ticket),
+            pool: PoolName::new("p").expect("the name is valid"),
+            model: ModelName::new("m").expect("the name is valid"),
+            rank: 0,
+            tokens: 10,
+            objective: Duration::from_millis(10),
+            elapsed: Duration::from_millis(elapsed_ms),
+            max_interruption: Duration::from_millis(400),
+            remaining: Duration::from_secs(10),
+            patience: Duration::from_secs(2),
+        };
+        picker.pick(&query, &candidates, &speeds, |_count| 0, Moment(9_000))
+    };
+    for ticket in 0..4 {
+        let pick = ask(ticket, 0);
+        assert!(
+            matches!(pick, Some(Pick::Send { .. })),
+            "request {ticket}: {pick:?}"
+        );
+    }
+    for ticket in 4..6 {
+        let pick = ask(ticket, 0);
+        assert!(
+            matches!(pick, Some(Pick::Wait { .. })),
+            "request {ticket}: {pick:?}"
+        );
+    }
+    let beyond = ask(6, 0);
+    assert!(
+        matches!(beyond, Some(Pick::Reject { .. })),
+        "beyond the bound: {beyond:?}"
+    );
+    // It came before the others, which leave it a place.
+    let earlier = ask(7, 1_000);
+    assert!(
+        matches!(earlier, Some(Pick::Wait { .. })),
+        "an earlier one: {earlier:?}"
+    );
+    assert_eq!(picker.late_count(), 3, "late requests that wait");
+}
--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -25,6 +25,7 @@
 const TURN_HINT: &str = "milliseconds from 0, fractions allowed";
 const RATIO_HINT: &str = "a number from 0, fractions allowed";
 const EXTRA_HINT: &str = "a number from 0";
+const QUEUE_HINT: &str = "a number from 0 to 10000";
 const CONNECTIONS_HINT: &str = "a number from 1 to 100000";
 const PREFILL_HINT: &str = "a number from 1 to 100000";
 const PROCESSOR_HINT: &str = "processors above 0, fractions allowed";
@@ -70,6 +71,9 @@
 const DEFAULT_LOAD_WINDOW: Duration = Duration::from_secs(5);
 const DEFAULT_PREFILL_TOKENS_PER_MS: u64 = 38;
 
+/// Without the setting, requests that would start too late are rejected.
+const DEFAULT_LATE_QUEUE: u64 = 0;
+
 /// The factor from processors to percent of one processor.
 const PERCENT_PER_PROCESSOR: f64 = 100.0;
 
@@ -106,7 +110,7 @@
 /// The limits that a running gateway reloads when its settings change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[debug(
-    "GatewayBounds {{ key: {max_key_age:?}, grace: {termination_grace:?}, drain: {leaving_delay:?}, config: {config_delay:?}, retries: {retries:?}, prefill: {prefill_tokens_per_ms:?} }}"
+    "GatewayBounds {{ key: {max_key_age:?}, grace: {termination_grace:?}, drain: {leaving_delay:?}, config: {config_delay:?}, retries: {retries:?}, prefill: {prefill_tokens_per_ms:?}, late-queue: {late_queue:?} }}"
 )]
 pub struct GatewayBounds {
     /// How long a key is accepted without confirmation that it is still valid.
@@ -121,6 +125,8 @@
     pub retries: RetryBounds,
     /// Prompt tokens that an engine processes per millisecond.
     pub prefill_tokens_per_ms: u64,
+    /// Requests that may wait for one engine although they can only be answered late.
+    pub late_queue: u32,
 }
 
 /// The validated settings of one gateway.
@@ -217,7 +223,7 @@
         store_reader.report_unknown_fields();
         let bounds = read_bounds(SectionReader::new(file, take("bounds"), &mut problems));
         let retries = read_retries(SectionReader::new(file, take("retries"), &mut problems));
-        let (orders, prefill_tokens_per_ms) =
+        let (orders, prefill_tokens_per_ms, late_queue) =
             read_engines(SectionReader::new(file, take("engines"), &mut problems));
         problems.extend(unknown_sections(file, sections, SECTIONS_HINT));
         let problems = Problems { problems };
@@ -241,6 +247,7 @@
                 config_delay: bounds.config_delay,
                 retries,
                 prefill_tokens_per_ms,
+                late_queue,
             },
             head_timeout: bounds.head_timeout,
             idle_timeout: bounds.idle_timeout,
@@ -357,8 +364,8 @@
     }
 }
 
-/// Reads the limits on orders and the prefill rate of an engine.
-fn read_engines(mut reader: SectionReader<'_>) -> (OrderBounds, u64) {
+/// Reads the limits on orders, the prefill rate of an engine and its queue of late requests.
+fn read_engines(mut reader: SectionReader<'_>) -> (OrderBounds, u64, u32) {
     let max_ms = MAX_SECONDS * MILLIS_PER_SECOND;
     let handover_delay = reader.quantity("turn-ms", TURN_HINT, 0.0..=max_ms);
     let load_window = reader.quantity("load-window-s", SECONDS_HINT, MIN_SECONDS..=MAX_SECONDS);
@@ -368,12 +375,14 @@
         1..=100_000,
         DEFAULT_PREFILL_TOKENS_PER_MS,
     );
+    let late_queue = reader.number("late-queue", QUEUE_HINT, 0..=10_000, DEFAULT_LATE_QUEUE);
     reader.report_unknown_fields();
     let orders = OrderBounds {
         handover_delay: handover_delay.map_or(DEFAULT_HANDOVER_DELAY, from_millis),
         load_window: load_window.map_or(DEFAULT_LOAD_WINDOW, Duration::from_secs_f64),
     };
-    (orders, prefill_tokens_per_ms)
+    let late_queue = u32::try_from(late_queue).unwrap_or(u32::MAX);
+    (orders, prefill_tokens_per_ms, late_queue)
 }
 
 /// Converts milliseconds of at most `MAX_SECONDS`.
--- a/crates/eelgrasshill_settings/tests/gateway.rs
+++ b/crates/eelgrasshill_settings/tests/gateway.rs
@@ -112,6 +112,15 @@
         case("engines", "load-window-s = inf", Expected::Used, |s| {
             s.orders.load_window == Duration::from_hours(1)
         }),
+        case("engines", "late-queue = 64", Expected::Used, |s| {
+            s.bounds.late_queue == 64
+        }),
+        case("engines", "late-queue =", Expected::Used, |s| {
+            s.bounds.late_queue == 0
+        }),
+        case("engines", "late-queue = -1", Expected::Default, |s| {
+            s.bounds.late_queue == 0
+        }),
         case("host", "processor-share = 0.004", Expected::Used, |s| {
             s.capacity == 1
         }),
