Reserve a place for rejected callers, and know those that return

Cause: a rejected caller that returns counts as new. It has no place, and it takes one of a request that can still be in time, as its objective counts from its first attempt. The retry time says nothing about when there is room.

Change: a rejection has a Retry-After only if the picker reserves a place at that time, within a third of the caller's remaining time; the times are given out one after another. Such a caller is admitted before others of its rank. One that was told none and returns counts from its first arrival, as late work. The query carries a hash of organisation, method, host, path, declared prompt and body. At most 4,096 reservations are kept, each for 2 s after its time. A picker without the reservation takes the caller for a new one. As late work, this is off without `[engines] late-queue`.

Without a picker a host rejects with a Retry-After that reserves nothing.

One expectation of late_requests_wait_in_a_bounded_queue changed: without an identity the request beyond the bound is rejected without a time. Run: relay tests engine_picker and reservations, platform test picks, settings test gateway.

--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -406,6 +406,7 @@
         let before = self.logged_counts;
         self.remove_expired(now);
         crate::telemetry::set_engine_speeds(&self.speeds);
+        crate::telemetry::set_reserved_returns(self.picker.reserved_count());
         crate::telemetry::set_picked_requests(self.picker.counts(), self.picker.late_count());
         crate::telemetry::set_suspect_parts(self.crashing_parts.suspect_count());
         self.refresh_totals(now);
--- a/crates/eelgrasshill_gateway/src/pick_socket.rs
+++ b/crates/eelgrasshill_gateway/src/pick_socket.rs
@@ -15,7 +15,7 @@
 use eelgrasshill_peer::generated::PartAccusation;
 use eelgrasshill_peer::generated::pick_datagram::Kind;
 use eelgrasshill_ports::{BootClock, lock};
-use eelgrasshill_relay::{Pick, PromptQuery, RequestOutcome, Ticket};
+use eelgrasshill_relay::{Pick, PromptQuery, RequestIdentity, RequestOutcome, Ticket};
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
@@ -35,6 +35,9 @@
 /// Timeout for a reply: some round trips between zones, and a busy picker.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Shortest retry time in a reply; zero says that no retry is worth it.
+const MIN_RETRY_TIME: Duration = Duration::from_millis(1);
+
 /// Pause after an error of the socket.
 const ERROR_PAUSE: Duration = Duration::from_millis(50);
 
@@ -252,6 +255,7 @@
         interruption: millis(prompt.max_interruption),
         remaining: millis(prompt.remaining),
         patience: millis(prompt.patience),
+        identity: prompt.identity.map_or(0, |identity| identity.0),
         zone: query.zone.to_string(),
         holder: query.holder.to_string(),
         excluded: query
@@ -278,6 +282,7 @@
             max_interruption: Duration::from_millis(query.interruption),
             remaining: Duration::from_millis(query.remaining),
             patience: Duration::from_millis(query.patience),
+            identity: (query.identity != 0).then_some(RequestIdentity(query.identity)),
         },
         adapter: model_key.adapter,
         zone: ZoneName::new(&query.zone)?,
@@ -297,8 +302,13 @@
         PickAnswer::Decided(Some(Pick::Wait { after })) => {
             (PickVerdict::Wait, String::new(), after)
         }
-        PickAnswer::Decided(Some(Pick::Reject { after })) => {
-            (PickVerdict::Reject, String::new(), after)
+        PickAnswer::Decided(Some(Pick::Reject { after })) => (
+            PickVerdict::Reject,
+            String::new(),
+            after.max(MIN_RETRY_TIME),
+        ),
+        PickAnswer::Decided(Some(Pick::Decline)) => {
+            (PickVerdict::Reject, String::new(), Duration::ZERO)
         }
     };
     message::PickReply {
@@ -316,6 +326,7 @@
         Ok(PickVerdict::None) => None,
         Ok(PickVerdict::Away) => return Some(PickAnswer::Away),
         Ok(PickVerdict::Wait) => Some(Pick::Wait { after }),
+        Ok(PickVerdict::Reject) if after.is_zero() => Some(Pick::Decline),
         Ok(PickVerdict::Reject) => Some(Pick::Reject { after }),
         Ok(PickVerdict::Send) => match HostName::new(&reply.engine) {
             Ok(engine) => Some(Pick::Send {
--- a/crates/eelgrasshill_gateway/src/picked_request.rs
+++ b/crates/eelgrasshill_gateway/src/picked_request.rs
@@ -10,7 +10,8 @@
 use eelgrasshill_domain::HostName;
 use eelgrasshill_ports::BootClock;
 use eelgrasshill_relay::{
-    Candidate, Pick, PromptQuery, RequestOutcome, Ticket, Upstream, UpstreamQuery, caller_patience,
+    Candidate, Pick, PromptQuery, RequestIdentity, RequestOutcome, Ticket, Upstream, UpstreamQuery,
+    caller_patience,
 };
 
 use crate::codec::PlatformCodec;
@@ -163,17 +164,11 @@
                 }
                 Some(Pick::Reject { after }) => {
                     telemetry::count_pick("rejected");
-                    log::info!(
-                        "request: id={} picker={} elapsed={:?} objective={:?} patience={:?}: \
-                         engines are full of prompts for {after:?} too long",
-                        self.metadata.id,
-                        new_guard.host,
-                        query.prompt.elapsed,
-                        query.prompt.objective,
-                        query.prompt.patience
-                    );
-                    let after = after.max(MIN_REJECT_RETRY);
-                    return Err(Refusal::new(RefusalCause::Overloaded).with_retry(after));
+                    return Err(self.reject(&query, &new_guard.host, Some(after)));
+                }
+                Some(Pick::Decline) => {
+                    telemetry::count_pick("declined");
+                    return Err(self.reject(&query, &new_guard.host, None));
                 }
                 None => {
                     telemetry::count_pick("none");
@@ -189,6 +184,24 @@
         }
     }
 
+    /// Returns the refusal of a request that the picker rejects.
+    ///
+    /// `after` is the time after which an engine could start it; none if no retry is worth it.
+    fn reject(&self, query: &HostQuery, picker: &HostName, after: Option<Duration>) -> Refusal {
+        log::info!(
+            "request: id={} picker={picker} elapsed={:?} objective={:?} patience={:?}: \
+             engines are full of prompts for {after:?} too long",
+            self.metadata.id,
+            query.prompt.elapsed,
+            query.prompt.objective,
+            query.prompt.patience
+        );
+        let refusal = Refusal::new(RefusalCause::Overloaded);
+        after.map_or(refusal, |after| {
+            refusal.with_retry(after.max(MIN_REJECT_RETRY))
+        })
+    }
+
     /// Returns what the picker must know; none if the request has no prompt.
     fn host_query(&self, ticket: Ticket, holder: &HostName) -> Option<HostQuery> {
         let model = self.metadata.model.as_ref()?;
@@ -218,6 +231,7 @@
                 } else {
                     Duration::ZERO
                 },
+                identity: self.identity(),
             },
             adapter: self.metadata.adapter.clone(),
             zone: self.shared.settings.zone.clone(),
@@ -226,6 +240,16 @@
         })
     }
 
+    /// Returns what this request has in common with its retry.
+    fn identity(&self) -> Option<RequestIdentity> {
+        if self.shared.bounds().late_queue == 0 {
+            return None;
+        }
+        let whole = self.suspects.iter().find(|part| part.is_whole())?;
+        let organisation = self.organisation.as_ref().map(|row| row.name.as_str());
+        Some(RequestIdentity::new(*whole, organisation))
+    }
+
     pub(crate) fn upstream_query(&self) -> UpstreamQuery<'_> {
         UpstreamQuery {
             pool: &self.target_pool,
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -192,6 +192,12 @@
     }
 }
 
+/// Sets how many rejected callers may return, as the picker knows.
+pub(crate) fn set_reserved_returns(count: usize) {
+    #[expect(clippy::cast_precision_loss, reason = "the count is bounded")]
+    metrics::gauge!("eelgrasshill_reserved_returns").set(count as f64);
+}
+
 /// Sets the learned speed of each pool's average engine, in prompt tokens per millisecond.
 pub(crate) fn set_engine_speeds(speeds: &EngineSpeeds) {
     for (pool, speed) in speeds.pool_speeds() {
--- a/crates/eelgrasshill_relay/examples/pick_cost.rs
+++ b/crates/eelgrasshill_relay/examples/pick_cost.rs
@@ -55,6 +55,7 @@
                 max_interruption: Duration::from_millis(220),
                 remaining: Duration::from_secs(12),
                 patience: Duration::ZERO,
+                identity: None,
             };
             let pick = picker.pick(&query, &candidates, &speeds, |_count| 0, now);
             black_box(pick);
--- a/crates/eelgrasshill_relay/src/engine_picker.rs
+++ b/crates/eelgrasshill_relay/src/engine_picker.rs
@@ -21,7 +21,10 @@
 use crate::admission::{
     AdmissionLimits, Claim, LateShare, Turn, late_wait, may_reject, usable_room,
 };
-use crate::{AnswerStart, EngineSpeeds, Upstream, max_start_wait};
+use crate::{
+    AnswerStart, EngineSpeeds, RequestIdentity, Reservations, ReturnQuery, ReturningCaller,
+    Upstream, max_start_wait,
+};
 
 /// Part of the accepted interruption that prompts may take, in percent.
 ///
@@ -86,6 +89,8 @@
         ///
         /// Without it the request is rejected if it cannot start in time.
         pub patience: Duration,
+        /// What the request has in common with its retry; none if that is not known.
+        pub identity: Option<RequestIdentity>,
     }
 
     /// Decision on a request.
@@ -107,6 +112,8 @@
             /// Time after which one could.
             after: Duration,
         },
+        /// No engine can start the request before its caller leaves, and no retry is worth it.
+        Decline,
     }
 }
 
@@ -151,6 +158,8 @@
     // Whether a prompt interrupted its stream for too long.
     interrupted: bool,
     deadline: Moment,
+    // What is known of the first attempt, if the caller returns after a rejection.
+    returning: Option<ReturningCaller>,
 }
 
 /// The requests of one engine.
@@ -276,6 +285,7 @@
     engines: FastMap<Ticket, HostName>,
     answer_times: FastMap<PoolName, Duration>,
     limits: AdmissionLimits,
+    reservations: Reservations,
 }
 
 impl EnginePicker {
@@ -304,7 +314,14 @@
         mut draw: impl FnMut(usize) -> usize,
         now: Moment,
     ) -> Option<Pick> {
-        self.remove(query.ticket);
+        let earlier = self.remove(query.ticket);
+        let returning = match earlier {
+            Some((_pool, prompt)) => prompt.returning,
+            None => self.returning(query, now),
+        };
+        let has_place = returning.is_some_and(|caller| caller.has_place);
+        // The objective counts from the first attempt.
+        let elapsed = returning.map_or(query.elapsed, |caller| now.since(caller.first_arrival));
         for candidate in candidates {
             if let Some(queue) = self.queues.get_mut(&candidate.upstream.id) {
                 queue.expire(now);
@@ -312,7 +329,7 @@
         }
         let prompt_time = speeds.prompt_time(&query.pool, Some(&query.model), query.tokens);
         let start_limit = max_start_wait(query.objective, prompt_time);
-        let max_wait = start_limit.saturating_sub(query.elapsed);
+        let max_wait = start_limit.saturating_sub(elapsed);
         let in_time = Turn::InTime {
             rank: query.rank,
             start_by: now.after(max_wait),
@@ -321,7 +338,8 @@
         let mut best = self.best(query, candidates, speeds, in_time, &mut draw, now)?;
         let wait = best.ahead.time.max(best.delay);
         let takes_late = self.takes_late(query);
-        let is_late = wait > max_wait || (takes_late && query.elapsed > start_limit);
+        let is_over = takes_late && elapsed > start_limit;
+        let is_late = !has_place && (wait > max_wait || is_over);
         if is_late {
             let reject = Pick::Reject {
                 after: wait.saturating_sub(max_wait),
@@ -329,16 +347,21 @@
             if !takes_late {
                 return Some(reject);
             }
-            turn = Turn::late(query.rank, query.elapsed, now);
+            turn = Turn::late(query.rank, elapsed, now);
             best = self.best(query, candidates, speeds, turn, &mut draw, now)?;
             let max_wait = late_wait(query.patience, prompt_time, query.elapsed);
-            let has_place = best.delay.is_zero() || best.ahead.late < self.limits.late_queue;
+            let is_short = best.delay.is_zero() || best.ahead.late < self.limits.late_queue;
             let late_share = self.queues.get(&best.candidate.upstream.id);
             let late_share = late_share.map_or_else(LateShare::default, |queue| queue.late_share);
             let wait = late_share.stretch(best.delay).max(best.ahead.time);
-            let is_hopeless = !has_place || wait > max_wait;
-            if is_hopeless && may_reject(query.objective, query.elapsed) {
-                return Some(reject);
+            let is_hopeless = !is_short || wait > max_wait;
+            if is_hopeless && may_reject(query.objective, elapsed) {
+                let slots = best.candidate.upstream.slots.max(1);
+                let answer_time = self.answer_times.get(&query.pool);
+                let slot_time = answer_time.map_or(DEFAULT_SLOT_WAIT, |time| *time / slots);
+                let engines = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
+                let interval = late_share.stretch(slot_time) / engines;
+                return Some(self.reject(query, wait, interval, now));
             }
         }
         let wait = best.ahead.time.max(best.delay);
@@ -357,6 +380,7 @@
         let prompt = Prompt {
             ticket: query.ticket,
             turn,
+            returning,
             time: best.own_time,
             tokens: query.tokens,
             alone: best.ahead.tokens == 0,
@@ -383,6 +407,39 @@
         Some(pick)
     }
 
+    /// Returns what is known of the first attempt, if the request's caller returns.
+    fn returning(&mut self, query: &PromptQuery, now: Moment) -> Option<ReturningCaller> {
+        let waited = u64::try_from(query.elapsed.as_millis()).unwrap_or(u64::MAX);
+        let arrived_at = Moment(now.0.saturating_sub(waited));
+        self.reservations.take(query.identity?, arrived_at)
+    }
+
+    /// Rejects a request, with the time of its return if that is worth it.
+    fn reject(
+        &mut self,
+        query: &PromptQuery,
+        delay: Duration,
+        interval: Duration,
+        now: Moment,
+    ) -> Pick {
+        let Some(identity) = query.identity else {
+            return Pick::Decline;
+        };
+        let waited = u64::try_from(query.elapsed.as_millis()).unwrap_or(u64::MAX);
+        let key = (query.pool.clone(), query.model.clone());
+        let query = ReturnQuery {
+            identity,
+            arrived_at: Moment(now.0.saturating_sub(waited)),
+            delay,
+            interval,
+            remaining: query.remaining,
+        };
+        match self.reservations.reserve(key, &query, now) {
+            Some(after) => Pick::Reject { after },
+            None => Pick::Decline,
+        }
+    }
+
     /// Returns whether a request may wait although it can only be answered late.
     fn takes_late(&self, query: &PromptQuery) -> bool {
         self.limits.late_queue > 0 && !query.patience.is_zero()
@@ -511,6 +568,7 @@
 
     /// Removes requests that are over, and engines that are no longer known.
     pub fn expire(&mut self, is_known: impl Fn(&HostName) -> bool, now: Moment) {
+        self.reservations.expire(now);
         for queue in self.queues.values_mut() {
             queue.expire(now);
         }
@@ -525,6 +583,12 @@
         });
     }
 
+    /// Returns how many rejected callers may return.
+    #[must_use]
+    pub fn reserved_count(&self) -> usize {
+        self.reservations.count()
+    }
+
     /// Returns how many of the requests that wait can only be answered late.
     #[must_use]
     pub fn late_count(&self) -> usize {
