Delay requests of organisations far above the others' use

Cause: while requests wait, they start by their latest moment only, so an organisation that sends 7 times as much takes 7 times as many places, and the others' requests become late with its own.

Unused shares need no rule: a delay changes only the order of those that wait. The query carries a hash of the organisation and the declared output tokens; without them nothing is delayed. It is in force with `[engines] late-queue`.

The test of the replay fails without shares. Not measured: the cost of a pick, which adds up the use of all organisations.

--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -69,6 +69,7 @@
 fn admission_limits(bounds: &GatewayBounds) -> AdmissionLimits {
     AdmissionLimits {
         late_queue: bounds.late_queue,
+        has_shares: bounds.late_queue > 0,
     }
 }
 
@@ -407,6 +408,7 @@
         self.remove_expired(now);
         crate::telemetry::set_engine_speeds(&self.speeds);
         crate::telemetry::set_reserved_returns(self.picker.reserved_count());
+        crate::telemetry::set_delayed_requests(self.picker.delayed_count());
         crate::telemetry::set_picked_requests(self.picker.counts(), self.picker.late_count());
         crate::telemetry::set_suspect_parts(self.crashing_parts.suspect_count());
         self.refresh_totals(now);
--- a/crates/eelgrasshill_gateway/src/pick_socket.rs
+++ b/crates/eelgrasshill_gateway/src/pick_socket.rs
@@ -15,7 +15,9 @@
 use eelgrasshill_peer::generated::PartAccusation;
 use eelgrasshill_peer::generated::pick_datagram::Kind;
 use eelgrasshill_ports::{BootClock, lock};
-use eelgrasshill_relay::{Pick, PromptQuery, RequestIdentity, RequestOutcome, Ticket};
+use eelgrasshill_relay::{
+    OrganisationHash, Pick, PromptQuery, RequestIdentity, RequestOutcome, Ticket,
+};
 use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
@@ -256,6 +258,8 @@
         remaining: millis(prompt.remaining),
         patience: millis(prompt.patience),
         identity: prompt.identity.map_or(0, |identity| identity.0),
+        organisation: prompt.organisation.map_or(0, |organisation| organisation.0),
+        output_tokens: prompt.output_tokens,
         zone: query.zone.to_string(),
         holder: query.holder.to_string(),
         excluded: query
@@ -283,6 +287,8 @@
             remaining: Duration::from_millis(query.remaining),
             patience: Duration::from_millis(query.patience),
             identity: (query.identity != 0).then_some(RequestIdentity(query.identity)),
+            organisation: (query.organisation != 0).then_some(OrganisationHash(query.organisation)),
+            output_tokens: query.output_tokens,
         },
         adapter: model_key.adapter,
         zone: ZoneName::new(&query.zone)?,
--- a/crates/eelgrasshill_gateway/src/picked_request.rs
+++ b/crates/eelgrasshill_gateway/src/picked_request.rs
@@ -10,8 +10,8 @@
 use eelgrasshill_domain::HostName;
 use eelgrasshill_ports::BootClock;
 use eelgrasshill_relay::{
-    Candidate, Pick, PromptQuery, RequestIdentity, RequestOutcome, Ticket, Upstream, UpstreamQuery,
-    caller_patience,
+    Candidate, OrganisationHash, Pick, PromptQuery, RequestIdentity, RequestOutcome, Ticket,
+    Upstream, UpstreamQuery, caller_patience,
 };
 
 use crate::codec::PlatformCodec;
@@ -232,6 +232,11 @@
                     Duration::ZERO
                 },
                 identity: self.identity(),
+                organisation: self
+                    .organisation
+                    .as_ref()
+                    .map(|row| OrganisationHash::new(row.name.as_str())),
+                output_tokens: self.metadata.output_tokens,
             },
             adapter: self.metadata.adapter.clone(),
             zone: self.shared.settings.zone.clone(),
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -198,6 +198,12 @@
     metrics::gauge!("eelgrasshill_reserved_returns").set(count as f64);
 }
 
+/// Sets how many requests wait longer because of what their organisations used recently.
+pub(crate) fn set_delayed_requests(count: usize) {
+    #[expect(clippy::cast_precision_loss, reason = "the count is small")]
+    metrics::gauge!("eelgrasshill_delayed_requests").set(count as f64);
+}
+
 /// Sets the learned speed of each pool's average engine, in prompt tokens per millisecond.
 pub(crate) fn set_engine_speeds(speeds: &EngineSpeeds) {
     for (pool, speed) in speeds.pool_speeds() {
--- a/crates/eelgrasshill_relay/examples/pick_cost.rs
+++ b/crates/eelgrasshill_relay/examples/pick_cost.rs
@@ -56,6 +56,8 @@
                 remaining: Duration::from_secs(12),
                 patience: Duration::ZERO,
                 identity: None,
+                organisation: None,
+                output_tokens: 0,
             };
             let pick = picker.pick(&query, &candidates, &speeds, |_count| 0, now);
             black_box(pick);
--- a/crates/eelgrasshill_relay/src/admission.rs
+++ b/crates/eelgrasshill_relay/src/admission.rs
@@ -61,6 +61,8 @@
     /// Late requests that may wait for one engine; with zero, requests that would be late are
     /// rejected.
     pub late_queue: u32,
+    /// Whether organisations that used much start later.
+    pub has_shares: bool,
 }
 
 /// Place of a waiting request in the order in which requests start; a lesser one starts earlier.
@@ -70,12 +72,14 @@
     InTime {
         /// Its rank.
         rank: u8,
+        /// Latest start, put back by what its organisation used recently.
+        fair_start: Moment,
         /// Latest moment at which it must start.
         start_by: Moment,
     },
     /// The request can only be answered late.
     Late {
-        /// When it arrived, put back by its rank.
+        /// When it arrived, put back by its rank and by what its organisation used recently.
         since: Moment,
     },
 }
@@ -83,14 +87,20 @@
 impl Turn {
     /// Returns the turn of a request that can only be answered late.
     #[must_use]
-    pub fn late(rank: u8, elapsed: Duration, now: Moment) -> Self {
+    pub fn late(rank: u8, elapsed: Duration, share_delay: Duration, now: Moment) -> Self {
         let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
         let arrived_at = Moment(now.0.saturating_sub(elapsed_ms));
         Self::Late {
-            since: arrived_at.after(RANK_DELAY * u32::from(rank)),
+            since: arrived_at.after(RANK_DELAY * u32::from(rank) + share_delay),
         }
     }
 
+    /// Returns whether the request is in time and starts later because of its organisation's use.
+    #[must_use]
+    pub fn is_delayed(self) -> bool {
+        matches!(self, Self::InTime { fair_start, start_by, .. } if fair_start > start_by)
+    }
+
     /// Returns whether the request can only be answered late.
     #[must_use]
     pub fn is_late(self) -> bool {
--- a/crates/eelgrasshill_relay/src/engine_picker.rs
+++ b/crates/eelgrasshill_relay/src/engine_picker.rs
@@ -22,8 +22,8 @@
     AdmissionLimits, Claim, LateShare, Turn, late_wait, may_reject, usable_room,
 };
 use crate::{
-    AnswerStart, EngineSpeeds, RequestIdentity, Reservations, ReturnQuery, ReturningCaller,
-    Upstream, max_start_wait,
+    AnswerStart, EngineSpeeds, FairShares, OrganisationHash, RequestIdentity, Reservations,
+    ReturnQuery, ReturningCaller, Upstream, max_start_wait,
 };
 
 /// Part of the accepted interruption that prompts may take, in percent.
@@ -91,6 +91,10 @@
         pub patience: Duration,
         /// What the request has in common with its retry; none if that is not known.
         pub identity: Option<RequestIdentity>,
+        /// Organisation of the caller; none if that is not known.
+        pub organisation: Option<OrganisationHash>,
+        /// Tokens that the answer may have.
+        pub output_tokens: u64,
     }
 
     /// Decision on a request.
@@ -286,6 +290,7 @@
     answer_times: FastMap<PoolName, Duration>,
     limits: AdmissionLimits,
     reservations: Reservations,
+    shares: FairShares,
 }
 
 impl EnginePicker {
@@ -330,8 +335,14 @@
         let prompt_time = speeds.prompt_time(&query.pool, Some(&query.model), query.tokens);
         let start_limit = max_start_wait(query.objective, prompt_time);
         let max_wait = start_limit.saturating_sub(elapsed);
+        let share_delay = if has_place {
+            Duration::ZERO
+        } else {
+            self.share_delay(query, now)
+        };
         let in_time = Turn::InTime {
             rank: query.rank,
+            fair_start: now.after(max_wait + share_delay),
             start_by: now.after(max_wait),
         };
         let mut turn = in_time;
@@ -347,7 +358,7 @@
             if !takes_late {
                 return Some(reject);
             }
-            turn = Turn::late(query.rank, elapsed, now);
+            turn = Turn::late(query.rank, elapsed, share_delay, now);
             best = self.best(query, candidates, speeds, turn, &mut draw, now)?;
             let max_wait = late_wait(query.patience, prompt_time, query.elapsed);
             let is_short = best.delay.is_zero() || best.ahead.late < self.limits.late_queue;
@@ -394,6 +405,10 @@
         let queue = self.queues.entry(engine.clone()).or_default();
         if matches!(stage, Stage::Sent { .. }) {
             queue.late_share.record(turn);
+            if let Some(organisation) = query.organisation {
+                let tokens = query.tokens + query.output_tokens;
+                self.shares.record(organisation, tokens, now);
+            }
             if interrupts {
                 queue.interrupt_streams();
             }
@@ -407,6 +422,16 @@
         Some(pick)
     }
 
+    /// Returns by how much later a request starts because of what its organisation used.
+    fn share_delay(&self, query: &PromptQuery, now: Moment) -> Duration {
+        match query.organisation {
+            Some(organisation) if self.limits.has_shares => {
+                self.shares.delay(organisation, query.objective, now)
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Returns what is known of the first attempt, if the request's caller returns.
     fn returning(&mut self, query: &PromptQuery, now: Moment) -> Option<ReturningCaller> {
         let waited = u64::try_from(query.elapsed.as_millis()).unwrap_or(u64::MAX);
@@ -569,6 +594,7 @@
     /// Removes requests that are over, and engines that are no longer known.
     pub fn expire(&mut self, is_known: impl Fn(&HostName) -> bool, now: Moment) {
         self.reservations.expire(now);
+        self.shares.expire(now);
         for queue in self.queues.values_mut() {
             queue.expire(now);
         }
@@ -592,12 +618,23 @@
     /// Returns how many of the requests that wait can only be answered late.
     #[must_use]
     pub fn late_count(&self) -> usize {
-        let prompts = self.queues.values().flat_map(|queue| &queue.prompts);
-        prompts
-            .filter(|prompt| prompt.turn.is_late() && matches!(prompt.stage, Stage::Waiting { .. }))
+        self.waiting_turns().filter(|turn| turn.is_late()).count()
+    }
+
+    /// Returns how many of the others start later because of what their organisations used.
+    #[must_use]
+    pub fn delayed_count(&self) -> usize {
+        self.waiting_turns()
+            .filter(|turn| turn.is_delayed())
             .count()
     }
 
+    fn waiting_turns(&self) -> impl Iterator<Item = Turn> {
+        let prompts = self.queues.values().flat_map(|queue| &queue.prompts);
+        let waiting = prompts.filter(|prompt| matches!(prompt.stage, Stage::Waiting { .. }));
+        waiting.map(|prompt| prompt.turn)
+    }
+
     /// Returns how many requests wait at their hosts, are being read, and are being answered.
     #[must_use]
     pub fn counts(&self) -> (usize, usize, usize) {
--- a/crates/eelgrasshill_relay/tests/engine_picker.rs
+++ b/crates/eelgrasshill_relay/tests/engine_picker.rs
@@ -335,6 +335,8 @@
                     remaining: Duration::from_secs(10),
                     patience: Duration::ZERO,
                     identity: None,
+                    organisation: None,
+                    output_tokens: 0,
                 };
                 let pick = picker.pick(&query, &candidates, &speeds, |_count| 0, now);
                 let found = match pick.expect("there is a candidate") {
@@ -390,6 +392,8 @@
             remaining: Duration::from_secs(5),
             patience: Duration::ZERO,
             identity: None,
+            organisation: None,
+            output_tokens: 0,
         };
         picker.pick(&query, &candidates, &speeds, |_count| 0, Moment(1_000));
     }
@@ -518,10 +522,16 @@
 /// Index of the load that is played with each fleet.
 const BOTH_TWICE: usize = 5;
 
+/// Index of the load of one organisation that sends 7 times as much.
+const ONE_ORGANISATION: usize = 7;
+
 /// Numbers of hosts, each with the engines and the multiple of the load that they serve.
 const FLEETS: [(usize, usize, u64); 3] = [(30, 8, 1), (134, 16, 2), (300, 24, 3)];
 
-const LATE_QUEUE: AdmissionLimits = AdmissionLimits { late_queue: 64 };
+const LATE_QUEUE: AdmissionLimits = AdmissionLimits {
+    late_queue: 64,
+    has_shares: true,
+};
 
 /// Plays a load with rejection of all requests that would be late, and with late work.
 fn compare(load: &Load<'_>, fleet: (usize, usize, u64), seed: u64) -> (LoadOutcome, LoadOutcome) {
@@ -594,7 +604,10 @@
 #[test]
 fn late_requests_wait_in_a_bounded_queue() {
     let speeds = EngineSpeeds::new(10);
-    let mut picker = EnginePicker::new(AdmissionLimits { late_queue: 2 });
+    let mut picker = EnginePicker::new(AdmissionLimits {
+        late_queue: 2,
+        has_shares: false,
+    });
     let candidates = candidates(1);
     let mut ask = |ticket, elapsed_ms| {
         let query = PromptQuery {
@@ -609,6 +622,8 @@
             remaining: Duration::from_secs(10),
             patience: Duration::from_secs(2),
             identity: None,
+            organisation: None,
+            output_tokens: 0,
         };
         picker.pick(&query, &candidates, &speeds, |_count| 0, Moment(9_000))
     };
@@ -657,9 +672,14 @@
         remaining: Duration::from_secs(10),
         patience: Duration::from_secs(2),
         identity: Some(RequestIdentity(identity)),
+        organisation: None,
+        output_tokens: 0,
     };
     let query = |ticket, identity, elapsed_ms| query_with(ticket, identity, elapsed_ms, 10);
-    let mut picker = EnginePicker::new(AdmissionLimits { late_queue: 1 });
+    let mut picker = EnginePicker::new(AdmissionLimits {
+        late_queue: 1,
+        has_shares: false,
+    });
     let ask = |picker: &mut EnginePicker, query: &PromptQuery, at_ms| {
         picker.pick(query, &candidates, &speeds, |_count| 0, Moment(at_ms))
     };
@@ -698,7 +718,10 @@
         "the one that returned, when a slot is free: {returned:?}"
     );
     // A picker without the reservation takes the caller for a new one.
-    let mut next = EnginePicker::new(AdmissionLimits { late_queue: 1 });
+    let mut next = EnginePicker::new(AdmissionLimits {
+        late_queue: 1,
+        has_shares: false,
+    });
     let pick = ask(&mut next, &query(8, 105, 0), return_ms);
     assert!(
         matches!(pick, Some(Pick::Send { .. })),
@@ -706,3 +729,51 @@
     );
     assert_eq!(next.reserved_count(), 0, "reservations of the next picker");
 }
+
+/// Guards against an organisation at 7 times its usual load that takes the places of the others.
+///
+/// The load is that of one organisation at 7 times, on fewer engines than usual.
+#[test]
+fn an_organisation_far_above_its_load_does_not_take_the_share_of_others() {
+    for engines in [5, 6, 7] {
+        let load = Load {
+            deployment: Deployment {
+                engines,
+                ..LOADS[ONE_ORGANISATION].deployment
+            },
+            ..LOADS[ONE_ORGANISATION]
+        };
+        let no_shares = AdmissionLimits {
+            has_shares: false,
+            ..LATE_QUEUE
+        };
+        for seed in 0..3 {
+            let unshared = simulate_load(&load, no_shares, seed);
+            let shared = simulate_load(&load, LATE_QUEUE, seed);
+            let others = |outcome: &LoadOutcome| -> u32 {
+                let others = &outcome.organisations[1..];
+                others.iter().map(|(_arrived, in_time)| in_time).sum()
+            };
+            let (arrived, own) = shared.organisations[0];
+            let context = format!(
+                "{engines} engines, seed {seed}: arrived and in time {:?}, without shares {:?}",
+                shared.organisations, unshared.organisations
+            );
+            println!("{context}");
+            assert!(
+                others(&shared) > others(&unshared),
+                "streams of the others in time, {context}"
+            );
+            let others_arrived: u32 = shared.organisations[1..].iter().map(|one| one.0).sum();
+            assert!(
+                u64::from(others(&shared)) * u64::from(arrived)
+                    >= u64::from(own) * u64::from(others_arrived),
+                "a larger part of the others is in time, {context}"
+            );
+            assert!(
+                own * 7 >= others(&shared),
+                "the one gets at least what another gets on average, {context}"
+            );
+        }
+    }
+}
--- a/crates/eelgrasshill_relay/tests/prompt_simulation/loads.rs
+++ b/crates/eelgrasshill_relay/tests/prompt_simulation/loads.rs
@@ -95,6 +95,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadOutcome {
     pub classes: Vec<CallerCounts>,
+    /// Callers of each organisation that arrived, and that were served in time.
+    pub organisations: Vec<(u32, u32)>,
     /// Mean time until the first event, of the organisation for which it is longest.
     pub worst_wait: Duration,
     /// Most requests that waited at one host at the same time.
--- a/crates/eelgrasshill_relay/tests/prompt_simulation/mod.rs
+++ b/crates/eelgrasshill_relay/tests/prompt_simulation/mod.rs
@@ -10,9 +10,9 @@
 
 use eelgrasshill_domain::{FastMap, FastSet, HostName, ModelName, Moment, PoolName, ZoneName};
 use eelgrasshill_relay::{
-    AdmissionLimits, EnginePicker, EngineRests, EngineSpeeds, KnownUpstreams, Pick, PickCandidate,
-    PromptQuery, RequestIdentity, ResidentModel, SelectionSettings, Ticket, Upstream,
-    UpstreamHealth, UpstreamLoad, UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    AdmissionLimits, EnginePicker, EngineRests, EngineSpeeds, KnownUpstreams, OrganisationHash,
+    Pick, PickCandidate, PromptQuery, RequestIdentity, ResidentModel, SelectionSettings, Ticket,
+    Upstream, UpstreamHealth, UpstreamLoad, UpstreamLoads, UpstreamQuery, UpstreamSelector,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -239,6 +239,7 @@
             load,
             counts: LoadOutcome {
                 classes: vec![CallerCounts::default(); classes.len()],
+                organisations: vec![(0, 0); organisations],
                 ..LoadOutcome::default()
             },
             waits: vec![(0, 0); organisations],
@@ -337,6 +338,7 @@
                 None => 0,
             };
             self.counts.classes[number].arrived += 1;
+            self.counts.organisations[organisation].0 += 1;
             due.push(Waiting {
                 at_ms: self.now_ms,
                 first_ms: self.now_ms,
@@ -569,6 +571,8 @@
                     None => Duration::ZERO,
                 },
                 identity: Some(RequestIdentity(request.first_ticket.0)),
+                organisation: Some(OrganisationHash::new(&request.organisation.to_string())),
+                output_tokens: class.events * self.deployment.tokens_per_event,
             };
             let now = self.now();
             let engines = &self.engines;
@@ -716,6 +720,8 @@
             let counts = &mut self.counts.classes[stream.request.class];
             counts.late += u32::from(is_late);
             counts.in_time += u32::from(!is_late);
+            let (_arrived, in_time) = &mut self.counts.organisations[stream.request.organisation];
+            *in_time += u32::from(!is_late);
             counts.paused += u32::from(stream.paused);
             self.loads[stream.request.host].record_end(id);
             self.picker.note_end(stream.request.ticket, now);
