--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -12,12 +12,13 @@
 use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, Version, ZoneName};
 use eelgrasshill_ports::BootClock;
 use eelgrasshill_relay::{
-    AnswerTimes, Candidate, ColdBound, ColdEngines, ConfigInForce, CrashingParts, EnginePicker,
-    EngineRests, EngineSpeeds, Era, EventIntervals, HostCounts, HostHash, KeyedRecord, KeyedTopic,
-    KnownUpstreams, ModelKey, NewsLimit, NoUpstream, PartRefusal, Peer, PeerRole, Pick, PickerHost,
-    ProbeTurn, ProbedParts, PromptPart, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings,
-    SelectionSettings, SmoothedDemand, Tables, Ticket, TopicChanges, Totals, TotalsSender, Tree,
-    Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    AdmissionLimits, AnswerTimes, Candidate, ColdBound, ColdEngines, ConfigInForce, CrashingParts,
+    EnginePicker, EngineRests, EngineSpeeds, Era, EventIntervals, HostCounts, HostHash,
+    KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NewsLimit, NoUpstream, PartRefusal, Peer,
+    PeerRole, Pick, PickerHost, ProbeTurn, ProbedParts, PromptPart, RateLimiter, ReceivedTotals,
+    RetryBudget, RetrySettings, SelectionSettings, SmoothedDemand, Tables, Ticket, TopicChanges,
+    Totals, TotalsSender, Tree, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery,
+    UpstreamSelector,
 };
 use eelgrasshill_settings::{ColdBounds, GatewayBounds, GatewaySettings};
 
@@ -80,6 +81,13 @@
     }
 }
 
+fn admission_limits(bounds: &GatewayBounds) -> AdmissionLimits {
+    AdmissionLimits {
+        late_queue: bounds.late_queue,
+        has_shares: bounds.late_queue > 0,
+    }
+}
+
 /// Everything a gateway knows about configuration, upstreams and other hosts.
 #[derive(Debug)]
 pub struct GatewayState<C> {
@@ -178,7 +186,7 @@
             crashing_parts: CrashingParts::default(),
             crash_news: NewsLimit::default(),
             speeds: EngineSpeeds::new(bounds.prefill_tokens_per_ms),
-            picker: EnginePicker::default(),
+            picker: EnginePicker::new(admission_limits(bounds)),
             picker_host: PickerHost::default(),
             answer_times: AnswerTimes::default(),
             event_intervals: EventIntervals::default(),
@@ -206,10 +214,11 @@
         }
     }
 
-    /// Applies changed settings for retries and the prefill rate.
+    /// Applies changed settings for retries, the prefill rate and late requests.
     pub fn set_bounds(&mut self, bounds: &GatewayBounds) {
         self.retries.set_settings(retry_settings(bounds));
         self.speeds.set_default(bounds.prefill_tokens_per_ms);
+        self.picker.set_limits(admission_limits(bounds));
     }
 
     /// Returns the records of a topic; none for the lease, which is not kept by key.
@@ -614,7 +623,9 @@
             self.update_evacuations(now);
         }
         crate::telemetry::set_engine_speeds(&self.speeds);
-        crate::telemetry::set_picked_requests(self.picker.counts());
+        crate::telemetry::set_reserved_returns(self.picker.reserved_count());
+        crate::telemetry::set_delayed_requests(self.picker.delayed_count());
+        crate::telemetry::set_picked_requests(self.picker.counts(), self.picker.late_count());
         crate::telemetry::set_suspect_parts(self.crashing_parts.suspect_count());
         crate::telemetry::set_cold_engines(self.rests.cold.counts());
         crate::telemetry::set_evacuations(self.evacuation_counts());
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -240,9 +240,12 @@
 }
 
 /// Sets how many requests wait, are being read and are being answered, as the picker knows.
-pub(crate) fn set_picked_requests(counts: (usize, usize, usize)) {
+///
+/// `late` of those that wait can only be answered late.
+pub(crate) fn set_picked_requests(counts: (usize, usize, usize), late: usize) {
     let (waiting, sent, answering) = counts;
     for (stage, count) in [
+        ("late", late),
         ("waiting", waiting),
         ("sent", sent),
         ("answering", answering),
@@ -252,6 +255,18 @@
     }
 }
 
+/// Sets how many rejected callers may return, as the picker knows.
+pub(crate) fn set_reserved_returns(count: usize) {
+    #[expect(clippy::cast_precision_loss, reason = "the count is bounded")]
+    metrics::gauge!("eelgrasshill_reserved_returns").set(count as f64);
+}
+
+/// Sets how many requests wait longer because of what their organisations used recently.
+pub(crate) fn set_delayed_requests(count: usize) {
+    #[expect(clippy::cast_precision_loss, reason = "the count is small")]
+    metrics::gauge!("eelgrasshill_delayed_requests").set(count as f64);
+}
+
 /// Sets the learned speed of each pool's average engine, in prompt tokens per millisecond.
 pub(crate) fn set_engine_speeds(speeds: &EngineSpeeds) {
     for (pool, speed) in speeds.pool_speeds() {
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -3,9 +3,9 @@
 //! Upstream selection, rate limits, retries, the exchange of state between hosts, and model
 //! placement on engines. The crate does no I/O: time, randomness and outside events are arguments.
 
-mod config_in_force;
-
+mod admission;
 mod cold_engines;
+mod config_in_force;
 mod crashing_parts;
 mod demand;
 mod engine_picker;
@@ -14,6 +14,7 @@
 mod era;
 mod event_intervals;
 mod events;
+mod fair_shares;
 mod health;
 mod key_age;
 mod keyed;
@@ -28,6 +29,7 @@
 mod rate_limiter;
 mod read_policy;
 mod request_work;
+mod reservations;
 mod retries;
 mod selection;
 mod start_wait;
@@ -37,6 +39,7 @@
 mod tree;
 mod upstream_loads;
 
+pub use admission::{AdmissionLimits, caller_patience};
 pub use cold_engines::{ColdBound, ColdEngines, ColdRule};
 pub use config_in_force::ConfigInForce;
 pub use crashing_parts::{Accusation, CrashId, CrashingParts, PartRefusal, ProbeTurn, ProbedParts};
@@ -47,6 +50,7 @@
 pub use era::Era;
 pub use event_intervals::EventIntervals;
 pub use events::{EventSplitter, has_content};
+pub use fair_shares::{FairShares, OrganisationHash};
 pub use health::{RequestOutcome, UpstreamHealth};
 pub use key_age::MaxKeyAge;
 pub use keyed::{KeyedRecord, KeyedTopic, TopicChanges, TopicUpdate};
@@ -64,6 +68,7 @@
 pub use rate_limiter::{HostCounts, RateExceeded, RateLimiter, SpentTokens};
 pub use read_policy::{ReadPolicy, ReadState};
 pub use request_work::AnswerTimes;
+pub use reservations::{RequestIdentity, Reservations, ReturnQuery, ReturningCaller};
 pub use retries::{RetryBudget, RetrySettings};
 pub use selection::{Candidate, NoUpstream, SelectionSettings, UpstreamQuery, UpstreamSelector};
 pub use start_wait::{START_PERCENT, max_start_wait};
