--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -43,7 +43,7 @@
 
 /// Time between reads of the system's send queues.
 ///
-/// The system lists all connections of the machine, which takes some milliseconds for thousands.
+/// Longer than that between checks, since the system lists all connections of the machine.
 const SEND_QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Minimum time for the removal of the registration.
