Keep histograms in buckets instead of quantile sketches

Cause: the upkeep of the recorder moves samples into quantile sketches, by default three of some 0.5 MB for each label.

Change: fixed buckets, up to 20 s.

--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -107,13 +107,23 @@
 /// Until then it keeps each sample of a histogram; 2,800 samples per second take 0.2 MB.
 const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Upper bounds of the buckets of all histograms, in seconds.
+///
+/// Without buckets the recorder keeps quantile sketches, which take some 10 MB in a gateway.
+const HISTOGRAM_BUCKETS: [f64; 13] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0,
+];
+
 /// Installs the metrics recorder and runs its upkeep on this thread.
 ///
 /// Without the upkeep, samples of histograms are kept until something reads the metrics. Returns
 /// none, and logs why, if the process has another recorder.
 #[must_use]
 pub fn install_metrics() -> Option<PrometheusHandle> {
-    let handle = match PrometheusBuilder::new().install_recorder() {
+    let installed = PrometheusBuilder::new()
+        .set_buckets(&HISTOGRAM_BUCKETS)
+        .and_then(PrometheusBuilder::install_recorder);
+    let handle = match installed {
         Ok(handle) => handle,
         Err(error) => {
             log::warn!("host: no metrics, the recorder cannot be installed: {error}");
--- a/crates/eelgrasshill_relay/tests/stream_handover.rs
+++ b/crates/eelgrasshill_relay/tests/stream_handover.rs
@@ -18,7 +18,10 @@
         (LaterAttempt::NotSent, true),
         (LaterAttempt::Refused, true),
         (LaterAttempt::Unanswered(Duration::ZERO), true),
-        (LaterAttempt::Unanswered(BOUND.saturating_sub(CLOSE_TIME)), false),
+        (
+            LaterAttempt::Unanswered(BOUND.saturating_sub(CLOSE_TIME)),
+            false,
+        ),
         (LaterAttempt::Unanswered(Duration::MAX), false),
         (LaterAttempt::MayHaveRun, false),
     ];
