--- a/crates/eelgrasshill_gateway/src/codec.rs
+++ b/crates/eelgrasshill_gateway/src/codec.rs
@@ -10,7 +10,9 @@
 use derive_more::{Display, Error};
 use eelgrasshill_domain::{AdapterName, HostName, KeyText, ModelName, Moment, Offset, OrgName};
 use eelgrasshill_ports::CallError;
-use eelgrasshill_relay::{EngineReport, KeyedRecord, OrderOutcome, PromptPart, Tables, Upstream};
+use eelgrasshill_relay::{
+    EngineReport, Era, KeyedRecord, OrderOutcome, PromptPart, Tables, Upstream,
+};
 use hyper::{HeaderMap, StatusCode};
 
 /// Headers of a caller's request, read one at a time.
@@ -130,10 +132,14 @@
     pub signed: bool,
     /// What the answer states about whether the request ran.
     pub run: RunStatement,
+    /// Whether another upstream than the expected one, or one without the model, answers.
+    pub misdirected: bool,
     /// Whether the upstream says that it is leaving.
     pub leaving: bool,
     /// Time for which a full upstream wants no requests from this host.
     pub rest: Option<Duration>,
+    /// Time for which the upstream stays cold, as it says.
+    pub cold: Option<Duration>,
     /// How long the connection may stay idle; none if it must be closed.
     pub idle_timeout: Option<Duration>,
 }
@@ -223,12 +229,17 @@
 
     /// Key of the configuration's record in its topic.
     const CONFIG_KEY: &'static str;
+
+    /// Returns the zone that a record of the configuration's topic evacuates, by its key.
+    ///
+    /// None if the record is not that of an evacuation.
+    fn evacuated_zone(key: &str) -> Option<&str>;
 }
 
 /// Topics of the store that a gateway uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
 pub enum Topic {
-    /// Configuration published by the operators.
+    /// Configuration and evacuations published by the operators.
     #[display("config")]
     Config,
     /// Entries of the upstreams, each under its id.
@@ -245,6 +256,8 @@
 /// Records read from a topic, with the topic's end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TopicPage {
+    /// Era of all offsets of the page.
+    pub era: Era,
     /// Records in order of their offsets; their keys are empty in a topic without keys.
     pub records: Vec<KeyedRecord>,
     /// Offset after the last record of the topic.
@@ -257,6 +270,10 @@
     /// The records from the requested offset on have expired.
     #[display("the records from the requested offset on have expired")]
     Expired,
+    /// The answer is of an earlier era than another one before; a write may be lost.
+    #[display("the answer is of era {_0}, which has ended")]
+    #[error(ignore)]
+    EarlierEra(Era),
     /// The call failed. A write may have taken effect unless the error says it was not sent.
     #[display("{_0}")]
     Failed(#[error(source)] CallError),
@@ -297,7 +314,10 @@
     /// Returns [`StoreError`] if not all of them were read before the timeout.
     async fn newest(&self, topic: Topic) -> Result<TopicPage, StoreError>;
 
-    /// Appends a record and returns its offset.
+    /// Returns the latest era of all answers; none before the first one.
+    fn era(&self) -> Option<Era>;
+
+    /// Appends a record and returns the era and its offset.
     ///
     /// With `at`, the write succeeds only if the topic ends there.
     ///
@@ -310,7 +330,7 @@
         key: &str,
         value: &[u8],
         at: Option<Offset>,
-    ) -> Result<Offset, StoreError>;
+    ) -> Result<(Era, Offset), StoreError>;
 }
 
 /// Address of the store, with the timeout for its answers.
--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -9,16 +9,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, ZoneName};
+use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, Version, ZoneName};
+use eelgrasshill_ports::BootClock;
 use eelgrasshill_relay::{
-    AnswerTimes, Candidate, CrashingParts, EnginePicker, EngineRests, EngineSpeeds, EventIntervals,
-    HostCounts, HostHash, KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NewsLimit, NoUpstream,
-    PartRefusal, Peer, PeerRole, Pick, PickerHost, ProbeTurn, ProbedParts, PromptPart, RateLimiter,
-    ReceivedTotals, RetryBudget, RetrySettings, SelectionSettings, SmoothedDemand, Tables, Ticket,
-    Totals, TotalsSender, Tree, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery,
-    UpstreamSelector,
+    AnswerTimes, Candidate, ColdBound, ColdEngines, ConfigInForce, CrashingParts, EnginePicker,
+    EngineRests, EngineSpeeds, Era, EventIntervals, HostCounts, HostHash, KeyedRecord, KeyedTopic,
+    KnownUpstreams, ModelKey, NewsLimit, NoUpstream, PartRefusal, Peer, PeerRole, Pick, PickerHost,
+    ProbeTurn, ProbedParts, PromptPart, RateLimiter, ReceivedTotals, RetryBudget, RetrySettings,
+    SelectionSettings, SmoothedDemand, Tables, Ticket, TopicChanges, Totals, TotalsSender, Tree,
+    Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
 };
-use eelgrasshill_settings::{GatewayBounds, GatewaySettings};
+use eelgrasshill_settings::{ColdBounds, GatewayBounds, GatewaySettings};
 
 use crate::codec::{PlatformCodec, Topic};
 use crate::compression::RecordCompressor;
@@ -27,6 +28,12 @@
 /// How long a store failure counts as recent; live upstreams have registered again by then.
 const STORE_FAILURE_TTL: Duration = Duration::from_secs(3);
 
+/// How long evacuations stay that a restored store does not have.
+///
+/// The operator writes them again by then. One that was removed before the restore, unknown to this
+/// host, is never written again.
+const RESTORED_EVACUATION_TTL: Duration = Duration::from_secs(10);
+
 /// Age of its last renewal at which a lease holder is ignored: two renewals were missed.
 const MAX_HOLDER_AGE: Duration = Duration::from_secs(3);
 
@@ -66,6 +73,13 @@
     }
 }
 
+fn cold_bound(bound: ColdBounds) -> ColdBound {
+    ColdBound {
+        over_percent: bound.over_percent,
+        slack: bound.slack,
+    }
+}
+
 /// Everything a gateway knows about configuration, upstreams and other hosts.
 #[derive(Debug)]
 pub struct GatewayState<C> {
@@ -77,6 +91,12 @@
     pub hosts: KeyedTopic,
     /// Configuration in force; none before the first was read.
     pub tables: Option<Arc<Tables>>,
+    /// Version of the configuration in force, and when it was last known to be the newest.
+    pub config_in_force: ConfigInForce,
+    // Record of the configuration in force, with the era of its offset.
+    config_record: Option<(KeyedRecord, Era)>,
+    /// Latest known era of the store; none before one is known.
+    pub store_era: Option<Era>,
     /// Upstreams decoded from their entries, with what engines hold.
     pub upstreams: KnownUpstreams,
     /// Requests in progress on each upstream, of this host and the others.
@@ -125,6 +145,8 @@
     is_first_root: bool,
     // The counts of the last log line.
     logged_counts: HostCounts,
+    // Evacuations that a restored store does not have, with the moments until which they stay.
+    kept_evacuations: FastMap<ZoneName, Moment>,
     selection: SelectionSettings,
     host: HostName,
     host_hash: HostHash,
@@ -142,10 +164,17 @@
             upstreams_topic: KeyedTopic::default(),
             hosts: KeyedTopic::default(),
             tables: None,
+            config_in_force: ConfigInForce::default(),
+            config_record: None,
+            store_era: None,
             upstreams: KnownUpstreams::default(),
             loads: UpstreamLoads::default(),
             health: UpstreamHealth::default(),
-            rests: EngineRests::default(),
+            rests: EngineRests::new(ColdEngines::new(
+                settings.name.clone(),
+                settings.cold.map(cold_bound),
+                BootClock.now(),
+            )),
             crashing_parts: CrashingParts::default(),
             crash_news: NewsLimit::default(),
             speeds: EngineSpeeds::new(bounds.prefill_tokens_per_ms),
@@ -168,6 +197,7 @@
             host_counts: HostCounts::UNKNOWN,
             is_first_root: false,
             logged_counts: HostCounts::UNKNOWN,
+            kept_evacuations: FastMap::default(),
             selection: SelectionSettings::default(),
             host: settings.name.clone(),
             host_hash: HostHash::new(&settings.name),
@@ -202,22 +232,70 @@
         Some((keyed_topic, &mut self.compressor))
     }
 
-    /// Applies the new records of a topic.
-    pub fn apply(&mut self, topic: Topic, records: &[KeyedRecord], now: Moment) {
-        for record in records {
+    /// Returns the compressor for sending records.
+    pub(crate) fn compressor(&mut self) -> &mut RecordCompressor {
+        &mut self.compressor
+    }
+
+    /// Applies the changes of a topic.
+    ///
+    /// What a restored store no longer has may be written again. Until then the configuration and
+    /// the hosts stay as they are, and the upstreams count as lapsed.
+    pub fn apply(&mut self, topic: Topic, changes: &TopicChanges, now: Moment) {
+        let records = &changes.records;
+        if changes.is_new_era {
+            self.store_failure = Some(now);
+            log::info!(
+                "store: topic={topic} is of a new era, {} keys are missing, {} records differ",
+                changes.missing.len(),
+                records.len()
+            );
+            match topic {
+                Topic::Config => self.apply_restored_config(now),
+                Topic::Upstreams => {
+                    self.upstreams.start_era();
+                    for id in changes
+                        .missing
+                        .iter()
+                        .filter_map(|key| HostName::new(key).ok())
+                    {
+                        self.upstreams.remove(&id, true, now);
+                    }
+                }
+                Topic::Hosts | Topic::Lease => {}
+            }
+        }
+        // A restored configuration was compared above, also if its record did not change.
+        let is_compared = |record: &&KeyedRecord| {
+            changes.is_new_era && topic == Topic::Config && &*record.key == C::CONFIG_KEY
+        };
+        for record in records.iter().filter(|record| !is_compared(record)) {
             match topic {
                 Topic::Config => self.apply_config(record, now),
-                Topic::Upstreams => self.apply_upstream(record, now),
+                Topic::Upstreams => self.apply_upstream(record, changes.is_new_era, now),
                 Topic::Hosts => self.apply_host(record),
                 Topic::Lease => {}
             }
         }
+        if topic == Topic::Config {
+            self.config_in_force.confirm(self.config.confirmed_at());
+            if changes.is_new_era || !records.is_empty() {
+                self.keep_evacuations(&changes.missing, now);
+                self.update_evacuations(now);
+            }
+        }
         if topic == Topic::Upstreams
             && let Some(confirmed_at) = self.upstreams_topic.confirmed_at()
         {
             let end = self.upstreams_topic.end();
             self.upstreams.confirm_registry(end, confirmed_at);
         }
+        if topic == Topic::Hosts && !records.is_empty() {
+            let keys = self.hosts.iter().map(|record| HostName::new(&record.key));
+            let mut hosts: Vec<_> = keys.filter_map(Result::ok).collect();
+            hosts.sort();
+            self.rests.cold.set_hosts(hosts, now);
+        }
         // The first read gives the host counts even if no other host is registered.
         if topic == Topic::Hosts && (!records.is_empty() || self.host_counts == HostCounts::UNKNOWN)
         {
@@ -231,21 +309,137 @@
         }
         match C::decode_tables(&record.value) {
             Ok(tables) => {
-                log::info!(
-                    "config: version={} offset={} in force",
-                    tables.version(),
-                    record.offset
-                );
-                let rows = tables.organisations().map(|row| &**row);
-                self.rate_limiter.configure(rows, now);
-                self.answer_times.retain(|route| tables.has_route(route));
-                self.tables = Some(Arc::new(tables));
+                let era = self.config.era();
+                if self.config_in_force.offer(tables.version(), era) {
+                    self.put_in_force(tables, record, now);
+                } else {
+                    log::info!(
+                        "config: version={} offset={} era={era} of a restored store changes \
+                         nothing, in-force-is-newer={}",
+                        tables.version(),
+                        record.offset,
+                        self.config_in_force.is_behind()
+                    );
+                }
             }
             Err(error) => log::error!("config: offset={} skipped: {error}", record.offset),
         }
     }
 
-    fn apply_upstream(&mut self, record: &KeyedRecord, now: Moment) {
+    fn put_in_force(&mut self, tables: Tables, record: &KeyedRecord, now: Moment) {
+        log::info!(
+            "config: version={} offset={} in force",
+            tables.version(),
+            record.offset
+        );
+        let rows = tables.organisations().map(|row| &**row);
+        self.rate_limiter.configure(rows, now);
+        self.answer_times.retain(|route| tables.has_route(route));
+        self.rests.cold.set_rules(tables.cold_rules().clone());
+        self.tables = Some(Arc::new(tables));
+        self.config_record = Some((record.clone(), self.config.era()));
+        let evacuated = self.upstreams.evacuated(now);
+        let upstreams = self.upstreams.available(now).chain(evacuated);
+        let upstreams: Vec<_> = upstreams.cloned().collect();
+        for upstream in upstreams {
+            self.note_cold_entry(&upstream, now);
+        }
+    }
+
+    /// Compares the configuration in force with the one that a restored store shows.
+    fn apply_restored_config(&mut self, now: Moment) {
+        match self.config.get(C::CONFIG_KEY).cloned() {
+            Some(record) => self.apply_config(&record, now),
+            None => self.config_in_force.note_missing(self.config.era()),
+        }
+    }
+
+    /// Puts a configuration in force that another host kept, if its version is higher.
+    pub(crate) fn adopt_config(&mut self, record: &KeyedRecord, now: Moment) {
+        match C::decode_tables(&record.value) {
+            Ok(tables) => {
+                if self
+                    .config_in_force
+                    .adopt(tables.version(), self.config.era())
+                {
+                    log::info!(
+                        "config: version={} adopted from a peer, the restored store lacks it",
+                        tables.version()
+                    );
+                    self.put_in_force(tables, record, now);
+                }
+            }
+            Err(error) => log::error!("config: kept configuration of a peer skipped: {error}"),
+        }
+    }
+
+    /// Returns the configuration in force with the era of its offset, for a host that lacks it.
+    ///
+    /// That is one with a lower version, while the restored store shows an older one too.
+    pub(crate) fn kept_config(
+        &self,
+        topic: Topic,
+        known_version: Version,
+    ) -> Option<(KeyedRecord, Era)> {
+        let is_newer = self
+            .tables
+            .as_ref()
+            .is_some_and(|tables| tables.version() > known_version);
+        (topic == Topic::Config && self.config_in_force.is_behind() && is_newer)
+            .then(|| self.config_record.clone())
+            .flatten()
+    }
+
+    /// Keeps the evacuations in force that a restored store does not have, for some time.
+    fn keep_evacuations(&mut self, missing: &[Arc<str>], now: Moment) {
+        let zones = missing.iter().filter_map(|key| C::evacuated_zone(key));
+        for zone in zones.filter_map(|zone| ZoneName::new(zone).ok()) {
+            let until = now.after(RESTORED_EVACUATION_TTL);
+            self.kept_evacuations.insert(zone, until);
+        }
+    }
+
+    /// Sets the evacuated zones from the records of the configuration's topic.
+    fn update_evacuations(&mut self, now: Moment) {
+        let before = self.upstreams.evacuated_zones().clone();
+        self.kept_evacuations.retain(|_zone, until| now < *until);
+        let mut zones: FastSet<_> = self.kept_evacuations.keys().cloned().collect();
+        for record in self.config.iter() {
+            let Some(zone) = C::evacuated_zone(&record.key) else {
+                continue;
+            };
+            match ZoneName::new(zone) {
+                Ok(zone) => {
+                    if !before.contains(&zone) {
+                        log::info!("evacuation: zone={zone} in force offset={}", record.offset);
+                    }
+                    zones.insert(zone);
+                }
+                Err(_error) => log::warn!(
+                    "evacuation: offset={} skipped: its key {:?} names no valid zone",
+                    record.offset,
+                    record.key
+                ),
+            }
+        }
+        for zone in before.difference(&zones) {
+            let end = self.config.end();
+            log::info!("evacuation: zone={zone} ended, by the records before offset {end}");
+        }
+        self.upstreams.set_evacuated(zones);
+    }
+
+    /// Returns how many zones are evacuated, and how many requests of this host run there still.
+    fn evacuation_counts(&self) -> (usize, u32) {
+        let running = self.loads.own().filter(|(id, _load)| {
+            let upstream = self.upstreams.get(id);
+            upstream.is_some_and(|upstream| self.upstreams.is_evacuated(upstream))
+        });
+        let running = running.map(|(_id, load)| load.running).sum();
+        (self.upstreams.evacuated_zones().len(), running)
+    }
+
+    fn apply_upstream(&mut self, record: &KeyedRecord, is_restored: bool, now: Moment) {
         let Ok(id) = HostName::new(&record.key) else {
             log::warn!(
                 "upstreams: offset={} skipped: its key {:?} is not a valid upstream id",
@@ -279,7 +473,12 @@
                         record.offset
                     );
                 }
-                self.upstreams.insert(upstream, now);
+                self.note_cold_entry(&upstream, now);
+                if is_restored {
+                    self.upstreams.insert_restored(upstream, now);
+                } else {
+                    self.upstreams.insert(upstream, now);
+                }
             }
             Err(error) => {
                 // The newest entry of an upstream counts, and this one names none.
@@ -292,6 +491,19 @@
         }
     }
 
+    /// Notes what an upstream's entry says of its cold time.
+    fn note_cold_entry(&mut self, upstream: &Upstream, now: Moment) {
+        let cold = &mut self.rests.cold;
+        if cold.note_entry(upstream, BootClock.unix_millis(), now) {
+            log::info!(
+                "upstreams: id={} started={} is cold, by its entry for {} ms",
+                upstream.id,
+                upstream.started_ms,
+                upstream.cold_remaining.as_millis()
+            );
+        }
+    }
+
     fn apply_host(&mut self, record: &KeyedRecord) {
         let Ok(host) = HostName::new(&record.key) else {
             log::warn!(
@@ -398,9 +610,14 @@
     pub fn finish_round(&mut self, now: Moment) {
         let before = self.logged_counts;
         self.remove_expired(now);
+        if !self.kept_evacuations.is_empty() {
+            self.update_evacuations(now);
+        }
         crate::telemetry::set_engine_speeds(&self.speeds);
         crate::telemetry::set_picked_requests(self.picker.counts());
         crate::telemetry::set_suspect_parts(self.crashing_parts.suspect_count());
+        crate::telemetry::set_cold_engines(self.rests.cold.counts());
+        crate::telemetry::set_evacuations(self.evacuation_counts());
         self.refresh_totals(now);
         if before != self.host_counts {
             log::info!(
@@ -627,6 +844,10 @@
     fn remove_expired(&mut self, now: Moment) {
         self.upstreams.expire(now);
         self.rests.expire(now);
+        let upstreams = &self.upstreams;
+        self.rests
+            .cold
+            .expire(|id| upstreams.get(id).is_some(), now);
         self.crashing_parts.expire(now);
         let upstreams = &self.upstreams;
         self.loads.retain(|id| upstreams.get(id).is_some());
--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod gateway_state;
 mod model_request;
+mod open_requests;
 mod orders;
 mod peers;
 mod pick_socket;
@@ -35,4 +36,4 @@
     TopicPage,
 };
 pub use run::{HostSignals, StartError, run};
-pub use telemetry::start_log;
+pub use telemetry::{install_metrics, start_log};
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -21,6 +21,7 @@
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
+use tokio::sync::Notify;
 
 use crate::codec::{
     AnswerHead, CallerHeaders, ForwardInfo, PlatformCodec, RequestMetadata, RunStatement,
@@ -31,7 +32,7 @@
 use crate::refusal::{Refusal, RefusalCause};
 use crate::shared::{LoadGuard, Shared, TriedUpstreams};
 use crate::telemetry;
-use crate::upstream_signals::{note_leaving, note_rest};
+use crate::upstream_signals::{note_cold, note_leaving, note_rest};
 
 /// Timeout for opening a connection.
 ///
@@ -202,6 +203,17 @@
                 NoUpstream::NotHeld => {
                     Refusal::new(RefusalCause::NotHeld).with_retry(MIN_RETRY_AFTER)
                 }
+                NoUpstream::Evacuated => {
+                    let age = state.config.confirmed_at().map(|at| now.since(at));
+                    log::info!(
+                        "request: id={} pool={} is held in evacuated zones only, as known {age:?} ago",
+                        self.metadata.id,
+                        self.target_pool
+                    );
+                    // The end of an evacuation is in force on every host within this time.
+                    let after = self.shared.bounds().config_delay;
+                    Refusal::new(RefusalCause::Evacuated).with_retry(after)
+                }
                 NoUpstream::Resting { remaining } => {
                     let spread = (remaining / RETRY_SPREAD_DIVISOR).mul_f64(rand::random());
                     let after = (remaining + spread).max(MIN_RETRY_AFTER);
@@ -237,10 +249,13 @@
     /// # Errors
     ///
     /// Returns the refusal otherwise, with the time after which the request can be served.
-    pub async fn wait_for_model(&mut self, requester: &ModelRequester) -> Result<(), Refusal> {
-        let refusal = Refusal::new(RefusalCause::NotHeld);
+    pub async fn wait_for_model(
+        &mut self,
+        requester: &ModelRequester,
+        refusal: Refusal,
+    ) -> Result<(), Refusal> {
         let Some(model) = self.metadata.model.clone() else {
-            return Err(refusal.with_retry(MIN_RETRY_AFTER));
+            return Err(refusal);
         };
         let model_key = ModelKey {
             pool: self.target_pool.clone(),
@@ -303,6 +318,21 @@
         last_event: Option<u64>,
         bound: Duration,
         pick: Option<PickGuard<C>>,
+    ) -> Result<IncomingAnswer<C>, SendFailure> {
+        self.send_noting(upstream, last_event, bound, pick, &Notify::new())
+            .await
+    }
+
+    /// Sends the request as [`Self::send`] does, and notifies `sent` when its bytes are written.
+    ///
+    /// After a failure, the connection is closed.
+    pub(crate) async fn send_noting(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        last_event: Option<u64>,
+        bound: Duration,
+        pick: Option<PickGuard<C>>,
+        sent: &Notify,
     ) -> Result<IncomingAnswer<C>, SendFailure> {
         let admitted = self
             .shared
@@ -343,10 +373,19 @@
                 return Err(SendFailure::Unsent);
             }
         };
+        // An evacuation may have begun since the upstream was chosen.
+        if self.shared.state().upstreams.is_evacuated(upstream) {
+            return Err(SendFailure::Unsent);
+        }
+        // Another request may have used the permit for a cold engine meanwhile.
+        if !self.take_permit(upstream) {
+            return Err(SendFailure::Unsent);
+        }
         let request = self.build_request(upstream, last_event);
         self.tried.insert(upstream.id.clone());
         self.sends += 1;
         self.charge_repeat();
+        sent.notify_one();
         let answer = tokio::time::timeout(bound, connection.send(request)).await;
         match answer {
             Ok(Ok(response)) => self.read_head(upstream, response, connection, guard),
@@ -358,11 +397,13 @@
             Ok(Err(error)) => {
                 guard.set_outcome(RequestOutcome::Failed);
                 self.may_have_run = true;
+                connection.close().await;
                 Err(SendFailure::Lost(error))
             }
             Err(_elapsed) => {
                 guard.set_outcome(RequestOutcome::Unreachable);
                 self.may_have_run = true;
+                connection.close().await;
                 Err(SendFailure::Lost(CallError::Timeout {
                     address: upstream.address.to_string(),
                     timeout: bound,
@@ -371,6 +412,25 @@
         }
     }
 
+    /// Uses a permit if the upstream is cold; returns false if this host has none now.
+    fn take_permit(&self, upstream: &Upstream) -> bool {
+        let now = BootClock.now();
+        let mut state = self.shared.state();
+        let cold = &mut state.rests.cold;
+        if !cold.is_limited(upstream, now) {
+            return true;
+        }
+        let is_taken = cold.take(upstream, now);
+        drop(state);
+        telemetry::count_permit(if is_taken { "used" } else { "none" });
+        log::info!(
+            "request: id={} upstream={} is cold, permit={is_taken}",
+            self.metadata.id,
+            upstream.id
+        );
+        is_taken
+    }
+
     fn read_head(
         &mut self,
         upstream: &Arc<Upstream>,
@@ -382,7 +442,9 @@
         if answer_head.leaving {
             note_leaving(&self.shared, upstream, &self.metadata.id);
         }
-        if let Some(cause) = self.answer_fault(response.status().is_success(), &answer_head) {
+        let is_success = response.status().is_success();
+        let is_only_request = connection.has_sent_one();
+        if let Some(cause) = self.answer_fault(is_success, is_only_request, &answer_head) {
             // The answer may be another request's, so it is unknown whether this one ran.
             self.may_have_run = true;
             guard.set_outcome(RequestOutcome::Failed);
@@ -394,8 +456,21 @@
         if let Some(asked) = answer_head.rest {
             note_rest(&self.shared, upstream, asked, &self.metadata.id);
         }
+        if let Some(remaining) = answer_head.cold {
+            note_cold(&self.shared, upstream, remaining, &self.metadata.id);
+        }
         match answer_head.run {
             RunStatement::NotRun => {
+                if answer_head.id.is_none() {
+                    telemetry::count_upstream_signal("misdirected-without-id");
+                    log::info!(
+                        "request: id={} upstream={} status={} without an id on a new connection, \
+                         did not run",
+                        self.metadata.id,
+                        upstream.id,
+                        response.status().as_u16()
+                    );
+                }
                 // An upstream that asks for rest works, and gets no requests for that time anyway.
                 if answer_head.rest.is_none() {
                     guard.set_outcome(RequestOutcome::Full);
@@ -423,8 +498,18 @@
     /// Returns why an answer is not accepted for this request; none if it is.
     ///
     /// A faulty upstream may repeat an earlier answer on a connection that is used again, also one
-    /// that says that its request did not run.
-    fn answer_fault(&self, success: bool, answer_head: &AnswerHead) -> Option<String> {
+    /// that says that its request did not run. An upstream that is not the expected one may not know
+    /// the id, so its answer is accepted without one where no other request was sent.
+    fn answer_fault(
+        &self,
+        success: bool,
+        is_only_request: bool,
+        answer_head: &AnswerHead,
+    ) -> Option<String> {
+        let is_misdirected = answer_head.misdirected && answer_head.run == RunStatement::NotRun;
+        if is_misdirected && answer_head.id.is_none() && is_only_request {
+            return None;
+        }
         if answer_head.id.as_deref() != Some(self.metadata.id.as_str()) {
             return Some(format!(
                 "expected an answer to this request, got one to {:?}",
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -10,6 +10,7 @@
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::{BootClock, CallError};
 use eelgrasshill_relay::{EngineSpeeds, Route};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use crate::refusal::RefusalCause;
 
@@ -101,6 +102,34 @@
     Ok(())
 }
 
+/// Time between the upkeeps of the metrics recorder.
+///
+/// Until then it keeps each sample of a histogram; 2,800 samples per second take 0.2 MB.
+const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Installs the metrics recorder and runs its upkeep on this thread.
+///
+/// Without the upkeep, samples of histograms are kept until something reads the metrics. Returns
+/// none, and logs why, if the process has another recorder.
+#[must_use]
+pub fn install_metrics() -> Option<PrometheusHandle> {
+    let handle = match PrometheusBuilder::new().install_recorder() {
+        Ok(handle) => handle,
+        Err(error) => {
+            log::warn!("host: no metrics, the recorder cannot be installed: {error}");
+            return None;
+        }
+    };
+    let upkeep = handle.clone();
+    actix_web::rt::spawn(async move {
+        loop {
+            tokio::time::sleep(METRICS_UPKEEP_INTERVAL).await;
+            upkeep.run_upkeep();
+        }
+    });
+    Some(handle)
+}
+
 /// Counts an upstream's answer that was passed on, and records how long it took.
 pub(crate) fn count_answer(route: &Route, elapsed: Duration) {
     let class = class(route);
@@ -123,6 +152,11 @@
     .increment(1);
 }
 
+/// Counts a stream of a silent engine for which another one was asked, by what became of it.
+pub(crate) fn count_handover(end: &'static str) {
+    metrics::counter!("eelgrasshill_stream_handovers_total", "end" => end).increment(1);
+}
+
 /// Counts an attempt that an upstream did not begin to answer, by how it ended.
 pub(crate) fn count_lost_attempt(error: &CallError) {
     let end = match error {
@@ -146,6 +180,34 @@
     metrics::gauge!("eelgrasshill_suspect_parts").set(count as f64);
 }
 
+/// Counts requests whose answers the exit of this host cuts.
+pub(crate) fn count_cut_requests(count: usize) {
+    metrics::counter!("eelgrasshill_cut_requests_total").increment(count as u64);
+}
+
+/// Counts a request that was about to go to a cold engine, by whether there was a permit.
+pub(crate) fn count_permit(end: &'static str) {
+    metrics::counter!("eelgrasshill_cold_permits_total", "end" => end).increment(1);
+}
+
+/// Sets how many engines are cold, and how many permits for them this host has.
+pub(crate) fn set_cold_engines((engines, permits): (usize, usize)) {
+    #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+    for (name, count) in [
+        ("eelgrasshill_cold_engines", engines as f64),
+        ("eelgrasshill_cold_permits", permits as f64),
+    ] {
+        metrics::gauge!(name).set(count);
+    }
+}
+
+/// Sets the number of evacuated zones, and of this host's requests that run there still.
+pub(crate) fn set_evacuations((zones, running): (usize, u32)) {
+    #[expect(clippy::cast_precision_loss, reason = "there are few zones")]
+    metrics::gauge!("eelgrasshill_evacuated_zones").set(zones as f64);
+    metrics::gauge!("eelgrasshill_evacuated_running").set(f64::from(running));
+}
+
 /// Counts a refusal by its cause.
 pub(crate) fn count_refusal(cause: RefusalCause) {
     metrics::counter!("eelgrasshill_refusals_total", "cause" => cause.to_string()).increment(1);
@@ -166,7 +228,8 @@
     metrics::counter!("eelgrasshill_orders_total", "end" => end.to_owned()).increment(1);
 }
 
-/// Counts an answer in which an engine says that it is leaving or asks for rest.
+/// Counts an answer in which an engine says that it is leaving, asks for rest, or is not the
+/// expected one and echoes no id.
 pub(crate) fn count_upstream_signal(signal: &'static str) {
     metrics::counter!("eelgrasshill_upstream_signals_total", "signal" => signal).increment(1);
 }
@@ -202,6 +265,11 @@
         .increment(1);
 }
 
+/// Counts a new era of the store, which begins when it is restored from an older copy.
+pub(crate) fn count_store_restore() {
+    metrics::counter!("eelgrasshill_store_restores_total").increment(1);
+}
+
 /// Returns the class label of a route. Its values are few, whatever the number of routes.
 fn class(route: &Route) -> &'static str {
     use eelgrasshill_relay::Repeat;
--- a/crates/eelgrasshill_ports/src/lib.rs
+++ b/crates/eelgrasshill_ports/src/lib.rs
@@ -12,12 +12,14 @@
 mod engine;
 mod engine_http;
 mod error;
+mod guarded_body;
 mod host_list;
 mod lock;
 mod log_service;
 mod memory_account;
 mod plain;
 mod pool;
+mod send_queue;
 
 pub use answer_memory::{AnswerMemory, MemoryLease, MemoryUsedUp};
 pub use bounded::AnswerBody;
@@ -30,6 +32,7 @@
 };
 pub use engine_http::{AnswerEvents, HttpEngine};
 pub use error::{AppendError, CallError, ReadError};
+pub use guarded_body::guard_body;
 pub use host_list::{HostList, HostRole, HostState, HttpHostList, ListedHost};
 pub use lock::lock;
 pub use log_service::{
@@ -42,3 +45,4 @@
 pub use pool::{
     CountedBody, HttpConnection, HttpPool, call_unpooled, read_counted_body, read_response_body,
 };
+pub use send_queue::{parse_unsent_peers, unsent_peers};
--- a/crates/eelgrasshill_relay/src/known_upstreams.rs
+++ b/crates/eelgrasshill_relay/src/known_upstreams.rs
@@ -4,14 +4,14 @@
 //! hold. A leaving upstream gets no more requests at once, whether its entry or one of its answers
 //! says that it leaves. An entry that disappears while the
 //! store is unstable may only have expired, so the upstream is used for a short time more; if it is
-//! alive, its entry returns in that time.
+//! alive, its entry returns in that time. The upstreams of an evacuated zone get no requests either.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrasshill_domain::{
-    AdapterName, FastMap, HostName, ModelName, Moment, Offset, PoolName, ZoneName, record,
+    AdapterName, FastMap, FastSet, HostName, ModelName, Moment, Offset, PoolName, ZoneName, record,
 };
 
 use crate::{HoldingsUpdate, LeavingNotice, LeavingNotices};
@@ -60,6 +60,9 @@
         pub memory: Vec<ModelName>,
         /// Models whose weights are cached on its disk.
         pub disk: Vec<ModelName>,
+        /// Time for which it stays cold, as it says.
+        #[serde(rename = "cold")]
+        pub cold_remaining: Duration,
     }
 }
 
@@ -99,6 +102,7 @@
     entries: FastMap<HostName, Entry>,
     received: FastMap<HostName, ReceivedUpdate>,
     notices: LeavingNotices,
+    evacuated: FastSet<ZoneName>,
     /// Updates and notices accepted since the start.
     update_count: u64,
 }
@@ -122,6 +126,32 @@
         self.entries.insert(entry.upstream.id.clone(), entry);
     }
 
+    /// Notes that the offsets of all earlier records are void, since the store was restored.
+    pub fn start_era(&mut self) {
+        self.notices.start_era();
+    }
+
+    /// Adds an entry that a restored store shows, which may be older than the known one.
+    ///
+    /// An upstream that was leaving goes on leaving. An entry of an earlier start counts as a lapsed
+    /// one of the known start.
+    pub fn insert_restored(&mut self, upstream: Upstream, now: Moment) {
+        if let Some(known) = self.get(&upstream.id).map(Arc::clone) {
+            if known.started_ms > upstream.started_ms {
+                self.remove(&upstream.id, true, now);
+                return;
+            }
+            if known.started_ms == upstream.started_ms && known.leaving {
+                let notice = LeavingNotice {
+                    engine: upstream.id.clone(),
+                    started_ms: upstream.started_ms,
+                };
+                self.note_leaving(notice, now);
+            }
+        }
+        self.insert(upstream, now);
+    }
+
     /// Applies an update of the lease holder; returns whether it was new.
     pub fn apply_update(&mut self, update: HoldingsUpdate, now: Moment) -> bool {
         let known = self.received.get(&update.engine);
@@ -229,6 +259,23 @@
         self.notices.expire(|id| entries.contains_key(id), now);
     }
 
+    /// Sets the zones that are evacuated.
+    pub fn set_evacuated(&mut self, zones: FastSet<ZoneName>) {
+        self.evacuated = zones;
+    }
+
+    /// Returns the zones that are evacuated.
+    #[must_use]
+    pub fn evacuated_zones(&self) -> &FastSet<ZoneName> {
+        &self.evacuated
+    }
+
+    /// Returns whether an upstream is in an evacuated zone.
+    #[must_use]
+    pub fn is_evacuated(&self, upstream: &Upstream) -> bool {
+        self.evacuated.contains(&upstream.zone)
+    }
+
     /// Returns an upstream, even one that is leaving.
     #[must_use]
     pub fn get(&self, id: &HostName) -> Option<&Arc<Upstream>> {
@@ -237,6 +284,19 @@
 
     /// Returns the upstreams that may get requests.
     pub fn available(&self, now: Moment) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.present(now)
+            .filter(|upstream| !self.is_evacuated(upstream))
+    }
+
+    /// Returns the upstreams that would get requests if their zones were not evacuated.
+    pub fn evacuated(&self, now: Moment) -> impl Iterator<Item = &Arc<Upstream>> {
+        let any = !self.evacuated.is_empty();
+        let present = any.then(|| self.present(now)).into_iter().flatten();
+        present.filter(|upstream| self.is_evacuated(upstream))
+    }
+
+    /// Returns the upstreams that are not leaving, in any zone.
+    fn present(&self, now: Moment) -> impl Iterator<Item = &Arc<Upstream>> {
         self.entries
             .values()
             .filter(move |entry| {
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -3,11 +3,15 @@
 //! Upstream selection, rate limits, retries, the exchange of state between hosts, and model
 //! placement on engines. The crate does no I/O: time, randomness and outside events are arguments.
 
+mod config_in_force;
+
+mod cold_engines;
 mod crashing_parts;
 mod demand;
 mod engine_picker;
 mod engine_rests;
 mod engine_speeds;
+mod era;
 mod event_intervals;
 mod events;
 mod health;
@@ -27,21 +31,25 @@
 mod retries;
 mod selection;
 mod start_wait;
+mod stream_handover;
 mod tables;
 mod totals;
 mod tree;
 mod upstream_loads;
 
+pub use cold_engines::{ColdBound, ColdEngines, ColdRule};
+pub use config_in_force::ConfigInForce;
 pub use crashing_parts::{Accusation, CrashId, CrashingParts, PartRefusal, ProbeTurn, ProbedParts};
 pub use demand::{ModelKey, SmoothedDemand};
 pub use engine_picker::{EnginePicker, Pick, PickCandidate, PromptQuery, Ticket};
 pub use engine_rests::EngineRests;
 pub use engine_speeds::{AnswerStart, EngineSpeeds};
+pub use era::Era;
 pub use event_intervals::EventIntervals;
 pub use events::{EventSplitter, has_content};
 pub use health::{RequestOutcome, UpstreamHealth};
 pub use key_age::MaxKeyAge;
-pub use keyed::{KeyedRecord, KeyedTopic};
+pub use keyed::{KeyedRecord, KeyedTopic, TopicChanges, TopicUpdate};
 pub use known_upstreams::{KnownUpstreams, ResidentModel, Upstream};
 pub use late_admission::is_admitted_late;
 pub use lease::{Lease, LeaseRecord, LeaseWrite};
@@ -59,6 +67,7 @@
 pub use retries::{RetryBudget, RetrySettings};
 pub use selection::{Candidate, NoUpstream, SelectionSettings, UpstreamQuery, UpstreamSelector};
 pub use start_wait::{START_PERCENT, max_start_wait};
+pub use stream_handover::{LaterAttempt, REFUSAL_WINDOW, can_go_on_in_time};
 pub use tables::{
     CallerBounds, EnginePool, Model, Organisation, Repeat, Route, Tables, WeightedPool,
 };
