Decode one request of a connection at a time

The HTTP server decodes all requests in its read buffer of 128 KiB in one loop, at some KB each, so requests sent ahead cost 6 MB per connection.

CallerStream below the server passes on one head, then its body, and the next head only after the service has answered and the system takes bytes of answers.

The speed of bodies was not measured. The entry host has no such layer yet.

--- a/crates/eelgrasshill_gateway/src/server.rs
+++ b/crates/eelgrasshill_gateway/src/server.rs
@@ -7,7 +7,7 @@
 use actix_web::dev::Server;
 use actix_web::web::{self, Data};
 use actix_web::{App, HttpResponse, HttpServer};
-use eelgrasshill_ports::{ConnectionMemory, HttpPool};
+use eelgrasshill_ports::{CallerServerSettings, ConnectionMemory, HttpPool, run_caller_server};
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::codec::PlatformCodec;
@@ -26,29 +26,28 @@
     let data = Data::from(Arc::clone(shared));
     let settings = &shared.settings;
     let connections = Arc::clone(shared);
-    let server = HttpServer::new(move || {
+    let server_settings = CallerServerSettings {
+        worker_threads: 1,
+        backlog: ACCEPT_BACKLOG,
+        max_connections: settings.max_connections,
+        head_timeout: settings.head_timeout,
+        keep_alive: settings.idle_timeout,
+        // A caller that closed its connection no longer waits for an answer, so its request is
+        // dropped.
+        allows_half_closed: false,
+        shutdown_s: settings.bounds.termination_grace.as_secs(),
+    };
+    let app = move || {
         App::new()
             .app_data(data.clone())
             .app_data(Data::new(HttpPool::new()))
             .app_data(Data::new(ModelRequester::default()))
             .default_service(web::to(relay::<C>))
-    })
-    .workers(1)
-    .on_connect(move |_stream, data| {
+    };
+    run_caller_server(server_settings, listener, app, move |data| {
         data.insert(ConnectionMemory::default());
         data.insert(connections.open_connection());
     })
-    .backlog(ACCEPT_BACKLOG)
-    .max_connections(settings.max_connections)
-    .client_request_timeout(settings.head_timeout)
-    .keep_alive(settings.idle_timeout)
-    // A caller that closed its connection no longer waits for an answer, so its request is dropped.
-    .h1_allow_half_closed(false)
-    .shutdown_timeout(settings.bounds.termination_grace.as_secs())
-    .disable_signals()
-    .listen(listener)?
-    .run();
-    Ok(server)
 }
 
 /// Starts the server for the load balancer's and operators' requests.
--- a/crates/eelgrasshill_ports/src/lib.rs
+++ b/crates/eelgrasshill_ports/src/lib.rs
@@ -7,6 +7,8 @@
 mod answer_memory;
 mod bounded;
 mod caller_body;
+mod caller_server;
+mod caller_stream;
 mod client;
 mod clock;
 mod engine;
@@ -24,6 +26,8 @@
 pub use answer_memory::{AnswerMemory, MemoryLease, MemoryUsedUp};
 pub use bounded::AnswerBody;
 pub use caller_body::{BodyError, BodyLimits, CallerBody, read_caller_body};
+pub use caller_server::{CallerServerSettings, run_caller_server};
+pub use caller_stream::{BodyFraming, CallerStream, OpenGate, RequestGate};
 pub use client::{HttpClient, HttpClientSettings};
 pub use clock::BootClock;
 pub use engine::{
