Keep requests with home regions in them

Cause: nothing read `allowed_regions`, so requests reached engines of any region.

Change: routes and organisations have `allowed_regions`, the settings have the region of each zone (`[regions]`), and selection, the picker's excluded set and the check before the send leave other zones out. Template lines that were not filled in are reported and dropped.

--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -740,6 +740,8 @@
             adapter: query.adapter.as_ref(),
             rank: query.prompt.rank,
             tried: &query.excluded,
+            // The host excludes the engines outside of the home regions.
+            homes: None,
         };
         // Engines rest for the hosts that they asked, and those exclude them.
         let no_rests = EngineRests::default();
--- a/crates/eelgrasshill_gateway/src/picked_request.rs
+++ b/crates/eelgrasshill_gateway/src/picked_request.rs
@@ -262,6 +262,7 @@
             adapter: self.metadata.adapter.as_ref(),
             rank: self.rank(),
             tried: &self.tried,
+            homes: self.homes(),
         }
     }
 
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -11,13 +11,13 @@
 use actix_web::http::header::{HeaderMap as CallerMap, HeaderName, HeaderValue};
 use actix_web::{HttpResponse, HttpResponseBuilder};
 use bytes::Bytes;
-use eelgrasshill_domain::{Moment, PoolName};
+use eelgrasshill_domain::{HostName, Moment, PoolName};
 use eelgrasshill_ports::{
     AnswerBody, BootClock, CallError, HttpConnection, HttpPool, MemoryCharge, MemoryLease,
 };
 use eelgrasshill_relay::{
-    Availability, Candidate, CrashId, ModelKey, NoUpstream, Organisation, PartRefusal, ProbedParts,
-    PromptPart, RequestOutcome, Route, START_PERCENT, Upstream, max_start_wait,
+    Availability, Candidate, CrashId, HomeRegions, ModelKey, NoUpstream, Organisation, PartRefusal,
+    ProbedParts, PromptPart, RequestOutcome, Route, START_PERCENT, Upstream, max_start_wait,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -168,6 +168,17 @@
         own.unwrap_or(self.route.rank)
     }
 
+    /// Returns the home regions of the request, if it has any.
+    pub(crate) fn homes(&self) -> Option<HomeRegions<'_>> {
+        let organisation = self.organisation.as_deref();
+        HomeRegions::new(&self.route, organisation, &self.shared.settings.regions)
+    }
+
+    /// Returns whether an upstream is in the request's home regions.
+    fn is_home(&self, upstream: &Upstream) -> bool {
+        self.homes().is_none_or(|homes| homes.allow(&upstream.zone))
+    }
+
     /// Returns whether the request may be sent again, and takes that retry from the budget.
     pub fn may_repeat(&mut self) -> bool {
         let is_safe = !self.may_have_run || self.route.repeat.is_repeatable();
@@ -273,6 +284,10 @@
             Availability::Ready { engine, .. } if self.tried.contains(&engine) => {
                 Err(Refusal::new(RefusalCause::RefusedUpstream).with_retry(MIN_RETRY_AFTER))
             }
+            // The planner does not know the home regions.
+            Availability::Ready { engine, .. } if self.is_foreign(&engine) => {
+                Err(refusal.with_retry(MIN_RETRY_AFTER))
+            }
             Availability::Ready { after, .. } if self.is_worth_waiting(after) => {
                 self.model_waits += 1;
                 tokio::time::sleep(after).await;
@@ -284,6 +299,13 @@
         }
     }
 
+    /// Returns whether an engine is known to be outside of the request's home regions.
+    fn is_foreign(&self, engine: &HostName) -> bool {
+        let state = self.shared.state();
+        let upstream = state.upstreams.get(engine);
+        upstream.is_some_and(|upstream| !self.is_home(upstream))
+    }
+
     /// Returns whether the request, after that wait, would start before its caller leaves.
     fn is_worth_waiting(&self, after: Duration) -> bool {
         let elapsed = BootClock.now().since(self.arrived_at);
@@ -377,6 +399,15 @@
         if self.shared.state().upstreams.is_evacuated(upstream) {
             return Err(SendFailure::Unsent);
         }
+        if !self.is_home(upstream) {
+            log::warn!(
+                "request: id={} upstream={} zone={} is outside of its home regions",
+                self.metadata.id,
+                upstream.id,
+                upstream.zone
+            );
+            return Err(SendFailure::Unsent);
+        }
         // Another request may have used the permit for a cold engine meanwhile.
         if !self.take_permit(upstream) {
             return Err(SendFailure::Unsent);
--- a/crates/eelgrasshill_relay/src/selection.rs
+++ b/crates/eelgrasshill_relay/src/selection.rs
@@ -16,8 +16,8 @@
 };
 
 use crate::{
-    EngineRests, EngineSpeeds, KnownUpstreams, PickCandidate, Upstream, UpstreamHealth,
-    UpstreamLoads,
+    EngineRests, EngineSpeeds, HomeRegions, KnownUpstreams, PickCandidate, Upstream,
+    UpstreamHealth, UpstreamLoads,
 };
 
 /// Number of slots to which the cost of running requests is scaled.
@@ -68,16 +68,26 @@
     pub rank: u8,
     /// Upstreams that were tried for this request already.
     pub tried: &'a FastSet<HostName>,
+    /// Regions in which the upstream must be, if the request has home regions.
+    pub homes: Option<HomeRegions<'a>>,
 }
 
 impl UpstreamQuery<'_> {
     /// Returns whether an upstream can serve the request and was not tried.
     fn is_served_by(&self, upstream: &Upstream) -> bool {
+        self.holds_model(upstream) && self.is_home(upstream) && !self.tried.contains(&upstream.id)
+    }
+
+    /// Returns whether an upstream is in the request's home regions.
+    fn is_home(&self, upstream: &Upstream) -> bool {
+        self.homes.is_none_or(|homes| homes.allow(&upstream.zone))
+    }
+
+    fn holds_model(&self, upstream: &Upstream) -> bool {
         upstream.pool == *self.pool
             && self
                 .model
                 .is_none_or(|model| upstream.holds(model, self.adapter))
-            && !self.tried.contains(&upstream.id)
     }
 }
 
@@ -204,6 +214,7 @@
             let known = available.find(|upstream| {
                 upstream.id == *holder
                     && upstream.pool == *query.pool
+                    && query.is_home(upstream)
                     && !query.tried.contains(holder)
             });
             all.extend(known);
@@ -232,6 +243,12 @@
         });
         // The picker may not know of an evacuation yet.
         let unusable = unusable.chain(self.evacuated_holders(query, now));
+        // The picker does not know the home regions.
+        let foreign = self
+            .upstreams
+            .available(now)
+            .filter(|upstream| !query.is_home(upstream) && query.holds_model(upstream));
+        let unusable = unusable.chain(foreign);
         let unusable = unusable.map(|upstream| upstream.id.clone());
         unusable.chain(query.tried.iter().cloned()).collect()
     }
--- a/crates/eelgrasshill_relay/src/tables.rs
+++ b/crates/eelgrasshill_relay/src/tables.rs
@@ -60,6 +60,9 @@
         /// Whether requests are accepted without a key.
         #[serde(rename = "open")]
         pub anonymous: bool,
+        /// Regions whose upstreams may serve the requests; any if empty.
+        #[serde(rename = "regions")]
+        pub allowed_regions: Vec<String>,
     }
 
     /// Model that a pool offers.
@@ -111,6 +114,9 @@
         /// Cost in tokens of a request that declares none.
         #[serde(rename = "plain")]
         pub default_cost: u64,
+        /// Regions whose upstreams may serve its requests; any if empty.
+        #[serde(rename = "regions")]
+        pub allowed_regions: Vec<String>,
     }
 
     /// Limits on callers' connections and requests.
--- a/crates/eelgrasshill_relay/tests/cold_engines.rs
+++ b/crates/eelgrasshill_relay/tests/cold_engines.rs
@@ -251,6 +251,7 @@
         adapter: None,
         rank: 0,
         tried: &tried,
+        homes: None,
     };
     let decide = |upstreams: &KnownUpstreams, loads: &UpstreamLoads, rests: &EngineRests| {
         let selector = UpstreamSelector {
--- a/crates/eelgrasshill_relay/tests/evacuation.rs
+++ b/crates/eelgrasshill_relay/tests/evacuation.rs
@@ -73,6 +73,7 @@
         adapter: None,
         rank: 0,
         tried: &tried,
+        homes: None,
     };
     let near = host("e-near");
     let candidates = selector.pick_candidates(&query, &near, NOW);
--- a/crates/eelgrasshill_relay/tests/prompt_simulation/mod.rs
+++ b/crates/eelgrasshill_relay/tests/prompt_simulation/mod.rs
@@ -604,6 +604,7 @@
             adapter: None,
             rank: 0,
             tried: &FastSet::default(),
+            homes: None,
         };
         let random = &mut self.random;
         let chosen = selector.choose(
--- a/crates/eelgrasshill_relay/tests/rate_limiter.rs
+++ b/crates/eelgrasshill_relay/tests/rate_limiter.rs
@@ -24,6 +24,7 @@
         rate: RATE,
         burst: RATE,
         default_cost: 1,
+        allowed_regions: Vec::new(),
     }
 }
 
--- a/crates/eelgrasshill_relay/tests/records.rs
+++ b/crates/eelgrasshill_relay/tests/records.rs
@@ -334,6 +334,7 @@
                 adapter: None,
                 rank,
                 tried,
+                homes: None,
             };
             let first_candidate = |_count| 0;
             selector.choose(&query, first_candidate, Moment(1_000))
--- a/crates/eelgrasshill_relay/tests/upstream_signals.rs
+++ b/crates/eelgrasshill_relay/tests/upstream_signals.rs
@@ -411,6 +411,7 @@
             adapter: None,
             rank: 0,
             tried: &tried,
+            homes: None,
         };
         let chosen = selector.choose(&query, |_count| 0, Moment(100));
         let chosen = chosen.map(|candidate| candidate.upstream.id.clone());
--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -6,6 +6,7 @@
 //! The platform fills most values in, so numbers may have fractions, and a value above the highest
 //! useful one is replaced by that. An empty value counts as missing.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -13,12 +14,12 @@
 use derive_more::Debug;
 use eelgrasshill_domain::{HostName, ZoneName};
 
-use crate::Problems;
 use crate::reader::SectionReader;
-use crate::section::{read_file, read_sections, take_section, unknown_sections};
+use crate::section::{Section, read_file, read_sections, take_section, unknown_sections};
+use crate::{Problem, Problems};
 
 const ADDRESS_HINT: &str = "an IP number and a port, as in 127.0.0.1:8080";
-const SECTIONS_HINT: &str = "[host], [store], [bounds], [retries] and [engines]";
+const SECTIONS_HINT: &str = "[host], [store], [bounds], [retries], [engines] and [regions]";
 const SECONDS_HINT: &str = "seconds above 0, fractions allowed";
 const GRACE_HINT: &str = "seconds from 0, fractions allowed";
 const MILLIS_HINT: &str = "milliseconds from 100, fractions allowed";
@@ -193,6 +194,8 @@
     pub orders: OrderBounds,
     /// Bound on the requests to a cold engine, if the deployment has one.
     pub cold: Option<ColdBounds>,
+    /// The region of each zone, as far as the settings say it.
+    pub regions: BTreeMap<ZoneName, String>,
 }
 
 impl GatewaySettings {
@@ -240,7 +243,8 @@
     pub fn parse_usable(file: &str, text: &str) -> Result<(Self, Problems), Problems> {
         let mut problems = Vec::new();
         let text = text.strip_prefix('\u{feff}').unwrap_or(text);
-        let mut sections = read_sections(file, text).map_err(|problem| Problems {
+        let text = without_template_lines(file, text, &mut problems);
+        let mut sections = read_sections(file, &text).map_err(|problem| Problems {
             problems: vec![problem],
         })?;
         let mut take = |name: &str| take_section(&mut sections, name).without_empty_fields();
@@ -252,6 +256,7 @@
         let retries = read_retries(SectionReader::new(file, take("retries"), &mut problems));
         let (orders, cold, prefill_tokens_per_ms, late_queue) =
             read_engines(SectionReader::new(file, take("engines"), &mut problems));
+        let regions = read_regions(file, take("regions"), &mut problems);
         problems.extend(unknown_sections(file, sections, SECTIONS_HINT));
         let problems = Problems { problems };
         let (Some(host), Some(store_address)) = (host, store_address) else {
@@ -283,11 +288,58 @@
             max_connections: bounds.max_connections,
             orders,
             cold,
+            regions,
         };
         Ok((settings, problems))
     }
 }
 
+/// Removes and reports the lines on which the platform's template was not filled in.
+///
+/// A tag without a value would make the whole file unreadable.
+fn without_template_lines(file: &str, text: &str, problems: &mut Vec<Problem>) -> String {
+    let mut section = String::new();
+    let mut kept = String::new();
+    for line in text.lines() {
+        let trimmed = line.trim();
+        if trimmed.starts_with("{{") {
+            problems.push(Problem::UnknownField {
+                file: file.to_owned(),
+                section: section.clone(),
+                field: trimmed.to_owned(),
+            });
+            continue;
+        }
+        if let Some(name) = trimmed.strip_prefix('[') {
+            name.trim_end_matches(']').clone_into(&mut section);
+        }
+        kept.push_str(line);
+        kept.push('\n');
+    }
+    kept
+}
+
+/// Reads the region of each zone; a line whose key is no zone name is reported and left out.
+fn read_regions(
+    file: &str,
+    section: Section,
+    problems: &mut Vec<Problem>,
+) -> BTreeMap<ZoneName, String> {
+    let mut regions = BTreeMap::new();
+    for (field, value) in section.fields {
+        if let Ok(zone) = ZoneName::new(&field) {
+            regions.insert(zone, value.trim().to_owned());
+        } else {
+            problems.push(Problem::UnknownField {
+                file: file.to_owned(),
+                section: section.name.clone(),
+                field,
+            });
+        }
+    }
+    regions
+}
+
 struct HostSection {
     name: HostName,
     zone: ZoneName,
--- a/crates/eelgrasshill_settings/tests/gateway.rs
+++ b/crates/eelgrasshill_settings/tests/gateway.rs
@@ -205,3 +205,29 @@
         );
     }
 }
+
+/// Guards against a fleet that does not start because the template's `[regions]` was not filled in.
+#[test]
+fn regions_are_read_and_unusable_lines_left_out() {
+    let cases = [
+        ("a = r1\nb = r2\n", vec![("a", "r1"), ("b", "r2")], true),
+        ("", vec![], true),
+        ("a =\n", vec![], true),
+        ("a = r1\nB_? = r2\n", vec![("a", "r1")], false),
+        ("{{#zones}}{{@}} = {{.}}\n{{/zones}}\n", vec![], false),
+    ];
+    for (lines, expected, is_clean) in cases {
+        let text = format!("{HOST}{STORE}[regions]\n{lines}[engines]\nlate-queue = 64\n");
+        let (settings, problems) =
+            GatewaySettings::parse_usable("gateway.ini", &text).expect("a host can run with it");
+        let regions = settings.regions.iter();
+        let regions: Vec<_> = regions.map(|(z, r)| (z.as_str(), r.as_str())).collect();
+        assert_eq!(regions, expected, "{lines}");
+        assert_eq!(
+            problems.problems.is_empty(),
+            is_clean,
+            "{lines}: {problems}"
+        );
+        assert_eq!(settings.bounds.late_queue, 64, "{lines}");
+    }
+}
