--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -46,6 +46,15 @@
 /// Longer than that between checks, since the system lists all connections of the machine.
 const SEND_QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Timeout for a read of the system's send queues.
+///
+/// On a machine with tens of thousands of sockets a read takes several hundred milliseconds, and the
+/// exit must not wait for it beyond the grace time.
+const SEND_QUEUE_READ_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Timeout for the read that tells which answers the exit cuts.
+const CUT_READ_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Minimum time for the removal of the registration.
 ///
 /// The store answers within 4 ms. Together with the rest of the exit it fits in the time that is
@@ -224,7 +233,9 @@
         let may_close = now.since(drain_start) >= MIN_DRAIN_TIME && shared.open_requests() == 0;
         if may_close && now.since(queues_read_at) >= SEND_QUEUE_CHECK_INTERVAL {
             queues_read_at = now;
-            if read_unsent_peers(shared).await.is_empty() && shared.close_if_empty() {
+            let timeout = time_left.min(SEND_QUEUE_READ_TIMEOUT);
+            let unsent_peers = read_unsent_peers(shared, timeout).await;
+            if unsent_peers.is_some_and(|peers| peers.is_empty()) && shared.close_if_empty() {
                 break true;
             }
         }
@@ -248,8 +259,16 @@
 async fn close_connections<C: PlatformCodec>(shared: &Arc<Shared<C>>, callers: &ServerHandle) {
     // The server checks only each second whether all connections have ended, so this is not awaited.
     let _stopping = callers.stop(true);
-    while !drain_time_left(shared).is_zero() {
-        if shared.open_connections() == 0 && read_unsent_peers(shared).await.is_empty() {
+    loop {
+        let timeout = drain_time_left(shared).min(SEND_QUEUE_READ_TIMEOUT);
+        if timeout.is_zero() {
+            return;
+        }
+        if shared.open_connections() == 0
+            && read_unsent_peers(shared, timeout)
+                .await
+                .is_some_and(|peers| peers.is_empty())
+        {
             return;
         }
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
@@ -257,19 +276,30 @@
 }
 
 /// Returns the callers that have not got all bytes which the system has taken.
-async fn read_unsent_peers<C: PlatformCodec>(shared: &Shared<C>) -> Vec<SocketAddr> {
+///
+/// None if the read takes longer than `timeout`. If the queues cannot be read at all, none counts as
+/// waiting.
+async fn read_unsent_peers<C: PlatformCodec>(
+    shared: &Shared<C>,
+    timeout: Duration,
+) -> Option<Vec<SocketAddr>> {
     let address = shared.settings.caller_address;
-    let read = actix_web::rt::task::spawn_blocking(move || unsent_peers(address)).await;
+    let read = actix_web::rt::task::spawn_blocking(move || unsent_peers(address));
+    let Ok(read) = tokio::time::timeout(timeout, read).await else {
+        log::info!("host: the system's send queues were not read within {timeout:?}");
+        return None;
+    };
     let read = read.unwrap_or_else(|panicked| Err(io::Error::other(panicked)));
-    read.unwrap_or_else(|error| {
+    Some(read.unwrap_or_else(|error| {
         log::warn!("host: the system's send queues cannot be read: {error}");
         Vec::new()
-    })
+    }))
 }
 
 /// Logs how many requests the exit cuts, with the ids of the first of them.
 async fn log_cut<C: PlatformCodec>(shared: &Shared<C>) {
-    let unsent_peers = read_unsent_peers(shared).await;
+    let unsent_peers = read_unsent_peers(shared, CUT_READ_TIMEOUT).await;
+    let unsent_peers = unsent_peers.unwrap_or_default();
     let ids = shared.undelivered_ids(&unsent_peers);
     let shown = ids.get(..MAX_LOGGED_IDS).unwrap_or(&ids);
     crate::telemetry::count_cut_requests(ids.len());
