--- a/crates/eelgrasshill_relay/tests/full_rate.rs
+++ b/crates/eelgrasshill_relay/tests/full_rate.rs
@@ -124,6 +124,7 @@
                 rate: limit,
                 burst: limit,
                 default_cost: 1,
+                allowed_regions: Vec::new(),
             })
             .collect();
         let start = |_host| {
