review: a failure of an engine clears a part that crashes engines

Cause: each answer that was read whole, also a 500 of an engine, counts as an answer that began on the prompt, and dismisses what is known against its parts on all hosts. The product is unchanged.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 mod crowd;
 mod gateway;
 mod net;
+mod part;
 mod platform;
 
 use std::fs::File;
@@ -72,6 +73,7 @@
     record.say(&format!("case={case} trouble={}", has_trouble()));
     let verdict = match case.as_str() {
         "crowd" => crowd::run(&record, &scratch),
+        "part" => part::run(&record, &scratch),
         "memory" => crowd::run_memory(&record, &scratch),
         other => Verdict::NotRun(format!("there is no case {other}")),
     };
--- a/review/standin-2/net.rs
+++ b/review/standin-2/net.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::sync::atomic::{AtomicU16, Ordering};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// A request or an answer, with header names in lower case.
 #[derive(Clone, Debug, Default)]
@@ -173,7 +173,9 @@
 /// Returns a free address on loopback, below the ports that the system gives to connections.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let first = std::process::id() % 1_000 * 11;
+    static FIRST: OnceLock<u32> = OnceLock::new();
+    let clock = SystemTime::now().duration_since(UNIX_EPOCH);
+    let first = *FIRST.get_or_init(|| clock.map_or(0, |time| time.subsec_micros()) ^ std::process::id());
     loop {
         let number = u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
         let port = 20_000 + (first + number) % 11_000;
