Derive the connections of a host from its memory and descriptors

The limits did not rest on each other: 1,500 connections by default whatever `memory-mb` said, no figure for descriptors, and no sum of what connections, the account and the process may take together.

`HostBudget` divides a machine: 2/8 of the memory for the account, 2/8 (24 MB at least) for the process, the rest for connections of 128 KB each, of which 64 KB are buffers of the system. A number in `connections` that does not fit is reported with the sum; a host then runs with the highest that fits. `descriptors` is new; 3/8 of the sockets may be callers'.

--- a/crates/eelgrasshill_domain/src/lib.rs
+++ b/crates/eelgrasshill_domain/src/lib.rs
@@ -1,5 +1,6 @@
-//! Shared types: names, tables, keys, log records and time.
+//! Shared types: names, tables, keys, log records, time and the budget of a host.
 
+mod budget;
 mod collections;
 mod config;
 mod digest;
@@ -9,6 +10,10 @@
 mod tables;
 mod time;
 
+pub use budget::{
+    ACCEPT_BACKLOG, ADMIN_CONNECTIONS, BudgetError, CLOSING_CONNECTIONS, CONNECTION_BYTES,
+    DEFAULT_MAX_HEAD_BYTES, HostBudget, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES,
+};
 pub use collections::{FastMap, FastSet};
 pub use config::{ConfigRecord, Edit, EditOutcome, KeyGrant, Rejection, RowChange};
 pub use digest::{
--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use derive_more::Debug;
-use eelgrasshill_domain::{HostName, ZoneName};
+use eelgrasshill_domain::{HostBudget, HostName, ZoneName};
 
 use crate::reader::SectionReader;
 use crate::section::{Section, read_file, read_sections, take_section, unknown_sections};
@@ -31,6 +31,7 @@
 const PREFILL_HINT: &str = "a number from 1 to 100000";
 const PROCESSOR_HINT: &str = "processors above 0, fractions allowed";
 const MEMORY_HINT: &str = "MB from 16, fractions allowed";
+const DESCRIPTORS_HINT: &str = "a number from 64";
 const LINK_HINT: &str = "Mbit/s from 1, fractions allowed";
 
 /// Longest time of a setting, in seconds; a longer one has the same effect.
@@ -60,6 +61,9 @@
 /// Smallest and largest memory of a machine, in MB.
 const MEMORY_MB_RANGE: std::ops::RangeInclusive<f64> = 16.0..=1_048_576.0;
 
+/// Smallest and largest number of descriptors.
+const DESCRIPTORS_RANGE: std::ops::RangeInclusive<f64> = 64.0..=10_000_000.0;
+
 /// Memory of a machine whose settings do not say it, in MB: the middle of usual hosts.
 const DEFAULT_MEMORY_MB: u64 = 256;
 
@@ -74,7 +78,6 @@
 /// The default of `evacuate-ms`.
 const DEFAULT_EVACUATION_DELAY_MS: u64 = 5_000;
 const DEFAULT_TERMINATION_GRACE: Duration = Duration::from_secs(8);
-const DEFAULT_MAX_CONNECTIONS: u64 = 1_500;
 const DEFAULT_RETRIES_PER_THOUSAND: u64 = 200;
 const DEFAULT_EXTRA_RETRIES: u64 = 100;
 const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
@@ -156,7 +159,7 @@
 /// The validated settings of one gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[debug(
-    "GatewaySettings {{ name: {name:?}, zone: {zone:?}, listen: {caller_address:?}, ready: {ready_address:?}, peer: {peer_address:?}, metrics: {metrics_address:?}, capacity: {capacity:?}, memory: {memory_mb:?}, first-start: {is_first_start:?}, store: {store_address:?}, bounds: {bounds:?}, arrival: {head_timeout:?}, idle: {idle_timeout:?}, connections: {max_connections:?}, orders: {orders:?} }}"
+    "GatewaySettings {{ name: {name:?}, zone: {zone:?}, listen: {caller_address:?}, ready: {ready_address:?}, peer: {peer_address:?}, metrics: {metrics_address:?}, capacity: {capacity:?}, memory: {memory_mb:?}, descriptors: {descriptors:?}, first-start: {is_first_start:?}, store: {store_address:?}, bounds: {bounds:?}, arrival: {head_timeout:?}, idle: {idle_timeout:?}, connections: {max_connections:?}, orders: {orders:?} }}"
 )]
 pub struct GatewaySettings {
     /// The name of the host.
@@ -178,6 +181,8 @@
     pub capacity: u32,
     /// The memory of the machine, in MB.
     pub memory_mb: u64,
+    /// The descriptors that the process may open, if the settings say it.
+    pub descriptors: Option<u64>,
     /// Whether all hosts start for the first time, before any caller comes.
     pub is_first_start: bool,
     /// The address of the platform's store.
@@ -252,7 +257,14 @@
         let mut store_reader = SectionReader::new(file, take("store"), &mut problems);
         let store_address = store_reader.required("address", ADDRESS_HINT);
         store_reader.report_unknown_fields();
-        let bounds = read_bounds(SectionReader::new(file, take("bounds"), &mut problems));
+        let budget = host.as_ref().map_or_else(
+            || HostBudget::new(DEFAULT_MEMORY_MB, None),
+            HostSection::budget,
+        );
+        let bounds = read_bounds(
+            SectionReader::new(file, take("bounds"), &mut problems),
+            &budget,
+        );
         let retries = read_retries(SectionReader::new(file, take("retries"), &mut problems));
         let (orders, cold, prefill_tokens_per_ms, late_queue) =
             read_engines(SectionReader::new(file, take("engines"), &mut problems));
@@ -271,6 +283,7 @@
             metrics_address: host.metrics_address,
             capacity: host.capacity,
             memory_mb: host.memory_mb,
+            descriptors: host.descriptors,
             is_first_start: host.is_first_start,
             store_address,
             bounds: GatewayBounds {
@@ -292,6 +305,20 @@
         };
         Ok((settings, problems))
     }
+
+    /// Lowers the limit on connections to what a process with that many descriptors can serve.
+    ///
+    /// The settings may name none, or more than the system allows the process.
+    #[must_use]
+    pub fn within_descriptors(mut self, descriptors: u64) -> Self {
+        let allowed = self
+            .descriptors
+            .map_or(descriptors, |own| own.min(descriptors));
+        self.descriptors = Some(allowed);
+        let budget = HostBudget::new(self.memory_mb, Some(allowed));
+        self.max_connections = self.max_connections.min(budget.most_connections().max(1));
+        self
+    }
 }
 
 /// Removes and reports the lines on which the platform's template was not filled in.
@@ -349,9 +376,16 @@
     metrics_address: SocketAddr,
     capacity: u32,
     memory_mb: u64,
+    descriptors: Option<u64>,
     is_first_start: bool,
 }
 
+impl HostSection {
+    fn budget(&self) -> HostBudget {
+        HostBudget::new(self.memory_mb, self.descriptors)
+    }
+}
+
 /// The default of both parts of the capacity: one processor in percent, or a link of 100 Mbit/s.
 const DEFAULT_CAPACITY: u32 = 100;
 
@@ -372,7 +406,12 @@
     );
     let link_mbps = reader.quantity("link-mbps", LINK_HINT, 1.0..=MAX_LINK_MBPS);
     let memory_mb = reader.quantity("memory-mb", MEMORY_HINT, MEMORY_MB_RANGE);
+    let descriptors = reader.quantity("descriptors", DESCRIPTORS_HINT, DESCRIPTORS_RANGE);
     let is_first_start = reader.optional("first-start", "true or false");
+    let memory_mb = memory_mb.map_or(DEFAULT_MEMORY_MB, to_integer);
+    if let Err(cause) = HostBudget::new(memory_mb, None).check(1) {
+        reader.report_over_budget("memory-mb", &cause);
+    }
     reader.report_unknown_fields();
     let default = f64::from(DEFAULT_CAPACITY);
     let processor_percent = processors.map_or(default, |share| share * PERCENT_PER_PROCESSOR);
@@ -387,7 +426,8 @@
         capacity: u32::try_from(to_integer(capacity.round()))
             .unwrap_or(u32::MAX)
             .max(MIN_CAPACITY),
-        memory_mb: memory_mb.map_or(DEFAULT_MEMORY_MB, to_integer),
+        memory_mb,
+        descriptors: descriptors.map(to_integer),
         is_first_start: is_first_start.unwrap_or(false),
     })
 }
@@ -403,7 +443,7 @@
     max_connections: usize,
 }
 
-fn read_bounds(mut reader: SectionReader<'_>) -> BoundsSection {
+fn read_bounds(mut reader: SectionReader<'_>, budget: &HostBudget) -> BoundsSection {
     let mut millis = |field: &str, default_ms: u64| {
         let max_ms = MAX_SECONDS * MILLIS_PER_SECOND;
         reader
@@ -417,12 +457,21 @@
     let config_delay = millis("config-ms", DEFAULT_CONFIG_DELAY_MS);
     let evacuation_delay = millis("evacuate-ms", DEFAULT_EVACUATION_DELAY_MS);
     let termination_grace = reader.quantity("grace-s", GRACE_HINT, 0.0..=MAX_SECONDS);
-    let max_connections = reader.number(
+    let default = budget.default_connections();
+    let asked = reader.number(
         "connections",
         CONNECTIONS_HINT,
         1..=100_000,
-        DEFAULT_MAX_CONNECTIONS,
+        u64::try_from(default).unwrap_or(u64::MAX),
     );
+    let mut max_connections = usize::try_from(asked).unwrap_or(usize::MAX);
+    // A memory for not even one connection is reported with its own field.
+    if max_connections > default
+        && let Err(cause) = budget.check(max_connections)
+    {
+        reader.report_over_budget("connections", &cause);
+        max_connections = default;
+    }
     reader.report_unknown_fields();
     BoundsSection {
         max_key_age,
@@ -433,7 +482,7 @@
         evacuation_delay,
         head_timeout,
         idle_timeout,
-        max_connections: usize::try_from(max_connections).unwrap_or(usize::MAX),
+        max_connections,
     }
 }
 
--- a/crates/eelgrasshill_settings/src/problem.rs
+++ b/crates/eelgrasshill_settings/src/problem.rs
@@ -1,6 +1,7 @@
 //! Mistakes in settings files and tables, with messages that say how to correct them.
 
 use derive_more::{Display, Error};
+use eelgrasshill_domain::BudgetError;
 
 /// One mistake in a file.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
@@ -57,6 +58,21 @@
         /// The allowed values.
         allowed: &'static str,
     },
+    /// The parts of the host do not fit in its machine with the value of a field.
+    #[display(
+        "{file}: [{section}] {field} does not fit in the machine: {cause}; lower it, or raise `memory-mb` or `descriptors` where the machine has more"
+    )]
+    OverBudget {
+        /// The path of the file.
+        file: String,
+        /// The name of the section.
+        section: String,
+        /// The name of the field.
+        field: String,
+        /// The sum that does not fit.
+        #[error(source)]
+        cause: BudgetError,
+    },
     /// The name of a field is unknown.
     #[display("{file}: [{section}] {field} is not known; remove it or correct its name")]
     UnknownField {
--- a/crates/eelgrasshill_settings/src/reader.rs
+++ b/crates/eelgrasshill_settings/src/reader.rs
@@ -5,6 +5,8 @@
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
+use eelgrasshill_domain::BudgetError;
+
 use crate::Problem;
 use crate::section::Section;
 
@@ -116,6 +118,16 @@
             .unwrap_or_default()
     }
 
+    /// Reports a field with whose value the parts of the host do not fit in its machine.
+    pub(crate) fn report_over_budget(&mut self, field: &str, cause: &BudgetError) {
+        self.problems.push(Problem::OverBudget {
+            file: self.file.to_owned(),
+            section: self.section.clone(),
+            field: field.to_owned(),
+            cause: cause.clone(),
+        });
+    }
+
     /// Reports each remaining field as unknown.
     pub(crate) fn report_unknown_fields(self) {
         for field in self.fields.into_keys() {
