--- a/crates/eelgrasshill_domain/src/budget.rs
+++ b/crates/eelgrasshill_domain/src/budget.rs
@@ -57,12 +57,15 @@
 
 /// Parts of eight of the sockets for callers.
 ///
-/// As many are left for the upstream of each request, and the rest for the connections that the
-/// lease holder keeps to engines, and for peers and the store.
+/// As many are left for the upstream of each request, one part for peers, and one for the store and
+/// the connections that the lease holder keeps to engines.
 const CALLER_EIGHTHS: usize = 3;
 
-/// Most connections of callers where the settings name no number.
-const DEFAULT_MAX_CONNECTIONS: usize = 1_500;
+/// Fewest connections of peers: the children of a host in the tree, and some others.
+const MIN_PEER_CONNECTIONS: usize = 24;
+
+/// Connections of peers where the descriptors are not known.
+const DEFAULT_PEER_CONNECTIONS: usize = 256;
 
 /// Memory and descriptors of a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -152,10 +155,10 @@
         self.most_by_memory().min(self.most_by_descriptors())
     }
 
-    /// Returns the connections of callers where the settings name no number, at least one.
+    /// Returns as many connections of callers as fit, up to a usual number, and at least one.
     #[must_use]
-    pub fn default_connections(&self) -> usize {
-        self.most_connections().clamp(1, DEFAULT_MAX_CONNECTIONS)
+    pub fn usual_connections(&self, usual: usize) -> usize {
+        self.most_connections().min(usual).max(1)
     }
 
     /// Checks that a number of connections fits in the memory and the descriptors.
@@ -187,11 +190,23 @@
         self.memory.saturating_sub(self.needed_bytes(0)) / CONNECTION_BYTES
     }
 
+    /// Returns how many connections of peers are accepted.
+    #[must_use]
+    pub fn peer_connections(&self) -> usize {
+        self.sockets()
+            .map_or(DEFAULT_PEER_CONNECTIONS, |sockets| sockets / EIGHTHS)
+            .max(MIN_PEER_CONNECTIONS)
+    }
+
     fn most_by_descriptors(&self) -> usize {
-        let Some(descriptors) = self.descriptors else {
-            return usize::MAX;
-        };
+        self.sockets()
+            .map_or(usize::MAX, |sockets| sockets / EIGHTHS * CALLER_EIGHTHS)
+    }
+
+    /// Returns the sockets that are left for callers, upstreams, peers and the store.
+    fn sockets(&self) -> Option<usize> {
         let others = FILE_DESCRIPTORS + ADMIN_CONNECTIONS + CLOSING_CONNECTIONS;
-        descriptors.saturating_sub(others) / EIGHTHS * CALLER_EIGHTHS
+        self.descriptors
+            .map(|descriptors| descriptors.saturating_sub(others))
     }
 }
--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -7,9 +7,12 @@
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, Offset, Version, ZoneName};
+use eelgrasshill_domain::{
+    DEFAULT_MAX_HEAD_BYTES, FastMap, FastSet, HostName, Moment, Offset, Version, ZoneName,
+};
 use eelgrasshill_ports::BootClock;
 use eelgrasshill_relay::{
     AdmissionLimits, AnswerTimes, Candidate, ColdBound, ColdEngines, ConfigInForce, CrashingParts,
@@ -101,6 +104,8 @@
     pub tables: Option<Arc<Tables>>,
     /// Version of the configuration in force, and when it was last known to be the newest.
     pub config_in_force: ConfigInForce,
+    /// Maximum size of the headers of a request, from the configuration in force.
+    pub max_head_bytes: Arc<AtomicUsize>,
     // Record of the configuration in force, with the era of its offset.
     config_record: Option<(KeyedRecord, Era)>,
     /// Latest known era of the store; none before one is known.
@@ -173,6 +178,7 @@
             hosts: KeyedTopic::default(),
             tables: None,
             config_in_force: ConfigInForce::default(),
+            max_head_bytes: Arc::new(AtomicUsize::new(DEFAULT_MAX_HEAD_BYTES)),
             config_record: None,
             store_era: None,
             upstreams: KnownUpstreams::default(),
@@ -345,6 +351,8 @@
         self.rate_limiter.configure(rows, now);
         self.answer_times.retain(|route| tables.has_route(route));
         self.rests.cold.set_rules(tables.cold_rules().clone());
+        let head_bytes = tables.bounds().head_bytes;
+        self.max_head_bytes.store(head_bytes, Ordering::Relaxed);
         self.tables = Some(Arc::new(tables));
         self.config_record = Some((record.clone(), self.config.era()));
         let evacuated = self.upstreams.evacuated(now);
--- a/crates/eelgrasshill_gateway/src/refusal.rs
+++ b/crates/eelgrasshill_gateway/src/refusal.rs
@@ -14,6 +14,9 @@
     /// The request's headers or body cannot be parsed.
     #[display("malformed")]
     Malformed,
+    /// The headers or the request line are longer than allowed.
+    #[display("head-too-large")]
+    HeadTooLarge,
     /// The body is larger than allowed.
     #[display("too-large")]
     TooLarge,
@@ -104,6 +107,7 @@
     pub fn status(&self) -> StatusCode {
         match self.cause {
             RefusalCause::Malformed => StatusCode::BAD_REQUEST,
+            RefusalCause::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             RefusalCause::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RefusalCause::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             RefusalCause::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -10,13 +10,13 @@
 
 use actix_web::body::SizedStream;
 use actix_web::web::{Data, Payload};
-use actix_web::{HttpRequest, HttpResponse};
+use actix_web::{HttpMessage, HttpRequest, HttpResponse};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::{
     BodyError, BodyLimits, BootClock, CallError, CallerBody, ConnectionMemory, CountedBody,
-    HttpPool, guard_body, read_caller_body, read_counted_body,
+    HeadRefusal, HttpPool, RequestGate, guard_body, read_caller_body, read_counted_body,
 };
 use eelgrasshill_relay::{
     ModelKey, Organisation, ProbedParts, PromptPart, RequestOutcome, Route, Tables,
@@ -191,16 +191,26 @@
     payload: Payload,
     arrived_at: Moment,
 ) -> Result<RelayedRequest<C>, Unprepared> {
+    if let Some(refusal) = request.extensions().get::<HeadRefusal>() {
+        return Err(Unprepared {
+            id: "-".to_owned(),
+            refusal: refuse_head(*refusal),
+            body_ended: false,
+        });
+    }
     let metadata = C::parse_request(CallerHeaders(request.headers()));
     let deadline = metadata
         .as_ref()
         .ok()
         .and_then(|metadata| metadata.deadline);
     let limits = body_limits(shared, request, deadline);
-    let connection = request.conn_data::<ConnectionMemory>().cloned();
+    let gate = request.conn_data::<RequestGate>();
+    let connection = gate.map_or_else(ConnectionMemory::default, |gate| {
+        gate.connection().memory().clone()
+    });
     let charge = shared.memory.charge(
         request.peer_addr().map(|address| address.ip()),
-        &connection.unwrap_or_default(),
+        &connection,
         limits.max_bytes,
     );
     // The body is read first, so that a refusal does not reset the connection while it arrives.
@@ -254,13 +264,22 @@
     }
 }
 
+fn refuse_head(refusal: HeadRefusal) -> Refusal {
+    match refusal {
+        HeadRefusal::TooLarge => Refusal::new(RefusalCause::HeadTooLarge),
+        HeadRefusal::MemoryFull => refuse_full(),
+    }
+}
+
+fn refuse_full() -> Refusal {
+    Refusal::new(RefusalCause::MemoryFull).with_retry(MEMORY_RETRY_AFTER)
+}
+
 fn refuse_body(error: &BodyError) -> Refusal {
     match error {
         BodyError::Unreadable(_) => Refusal::new(RefusalCause::Malformed),
         BodyError::TooLarge { .. } => Refusal::new(RefusalCause::TooLarge),
-        BodyError::MemoryFull(_) => {
-            Refusal::new(RefusalCause::MemoryFull).with_retry(MEMORY_RETRY_AFTER)
-        }
+        BodyError::MemoryFull(_) => refuse_full(),
         BodyError::Idle { .. } | BodyError::Late { .. } => Refusal::new(RefusalCause::BodyTimeout),
     }
 }
--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -12,7 +12,7 @@
 
 use actix_web::dev::ServerHandle;
 use derive_more::{Display, Error};
-use eelgrasshill_ports::{BootClock, unsent_peers};
+use eelgrasshill_ports::{BootClock, descriptor_limit, unsent_peers};
 use eelgrasshill_settings::{GatewaySettings, Problems};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -120,6 +120,7 @@
     store: S,
 ) -> Result<(), StartError> {
     let metrics = install_metrics();
+    let settings = within_system_limits(settings);
     let HostSignals {
         mut terminate,
         hangup,
@@ -147,12 +148,16 @@
         path.to_owned(),
     ));
     log::info!(
-        "host: name={} zone={} incarnation={} started, callers={} peers={}",
+        "host: name={} zone={} incarnation={} started, callers={} peers={} \
+         memory={} MB descriptors={:?} connections={}",
         shared.settings.name,
         shared.settings.zone,
         shared.incarnation,
         shared.settings.caller_address,
-        shared.settings.peer_address
+        shared.settings.peer_address,
+        shared.settings.memory_mb,
+        shared.settings.descriptors,
+        shared.settings.max_connections
     );
     terminate.recv().await;
     shared.start_leaving(BootClock.now());
@@ -175,6 +180,14 @@
     Ok(())
 }
 
+/// Lowers the limit on connections to what the system allows the process.
+fn within_system_limits(settings: GatewaySettings) -> GatewaySettings {
+    match descriptor_limit() {
+        Some(descriptors) => settings.within_descriptors(descriptors),
+        None => settings,
+    }
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).map_err(|cause| StartError::Bind { address, cause })
 }
@@ -332,7 +345,7 @@
         let read = GatewaySettings::read_usable(&path).and_then(|(settings, problems)| {
             let is_usable = problems.problems.is_empty() || problems == known_problems;
             if is_usable {
-                Ok(settings)
+                Ok(within_system_limits(settings))
             } else {
                 Err(problems)
             }
--- a/crates/eelgrasshill_gateway/src/server.rs
+++ b/crates/eelgrasshill_gateway/src/server.rs
@@ -3,11 +3,14 @@
 use std::io;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::time::Duration;
 
 use actix_web::dev::Server;
 use actix_web::web::{self, Data};
-use actix_web::{App, HttpResponse, HttpServer};
-use eelgrasshill_ports::{CallerServerSettings, ConnectionMemory, HttpPool, run_caller_server};
+use actix_web::{App, HttpResponse};
+use eelgrasshill_domain::ADMIN_CONNECTIONS;
+use eelgrasshill_ports::{CallerServerSettings, ConnectionLimit, HttpPool, run_caller_server};
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::codec::PlatformCodec;
@@ -15,8 +18,11 @@
 use crate::relay::relay;
 use crate::shared::Shared;
 
-/// Maximum number of connections that wait to be accepted.
-const ACCEPT_BACKLOG: u32 = 512;
+/// Longest time for the head of a request of the load balancer or an operator.
+const ADMIN_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Maximum size of the headers of such a request.
+const ADMIN_HEAD_BYTES: usize = 8 << 10;
 
 /// Starts the server for callers, on a thread of its own.
 pub(crate) fn serve_callers<C: PlatformCodec>(
@@ -25,11 +31,11 @@
 ) -> io::Result<Server> {
     let data = Data::from(Arc::clone(shared));
     let settings = &shared.settings;
-    let connections = Arc::clone(shared);
     let server_settings = CallerServerSettings {
         worker_threads: 1,
-        backlog: ACCEPT_BACKLOG,
-        max_connections: settings.max_connections,
+        connections: shared.connections.clone(),
+        memory: shared.memory.clone(),
+        max_head_bytes: Arc::clone(&shared.state().max_head_bytes),
         head_timeout: settings.head_timeout,
         keep_alive: settings.idle_timeout,
         // A caller that closed its connection no longer waits for an answer, so its request is
@@ -44,13 +50,12 @@
             .app_data(Data::new(ModelRequester::default()))
             .default_service(web::to(relay::<C>))
     };
-    run_caller_server(server_settings, listener, app, move |data| {
-        data.insert(ConnectionMemory::default());
-        data.insert(connections.open_connection());
-    })
+    run_caller_server(&server_settings, vec![listener], app, |_data| {})
 }
 
 /// Starts the server for the load balancer's and operators' requests.
+///
+/// Its connections count by themselves, so that callers do not keep out the readiness check.
 pub(crate) fn serve_admin<C: PlatformCodec>(
     shared: &Arc<Shared<C>>,
     listeners: [TcpListener; 2],
@@ -58,19 +63,24 @@
 ) -> io::Result<Server> {
     let data = Data::from(Arc::clone(shared));
     let metrics = Data::new(metrics);
-    let mut server = HttpServer::new(move || {
+    let server_settings = CallerServerSettings {
+        worker_threads: 1,
+        connections: ConnectionLimit::new("admin", ADMIN_CONNECTIONS),
+        memory: shared.memory.clone(),
+        max_head_bytes: Arc::new(AtomicUsize::new(ADMIN_HEAD_BYTES)),
+        head_timeout: ADMIN_HEAD_TIMEOUT,
+        keep_alive: ADMIN_HEAD_TIMEOUT,
+        allows_half_closed: true,
+        shutdown_s: shared.settings.bounds.termination_grace.as_secs(),
+    };
+    let app = move || {
         App::new()
             .app_data(data.clone())
             .app_data(metrics.clone())
             .route("/ready", web::get().to(serve_readiness::<C>))
             .route("/metrics", web::get().to(serve_metrics))
-    })
-    .workers(1)
-    .disable_signals();
-    for listener in listeners {
-        server = server.listen(listener)?;
-    }
-    Ok(server.run())
+    };
+    run_caller_server(&server_settings, listeners.into(), app, |_data| {})
 }
 
 async fn serve_readiness<C: PlatformCodec>(shared: Data<Shared<C>>) -> HttpResponse {
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -4,12 +4,14 @@
 //! knows enough to serve.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
 use eelgrasshill_domain::{FastSet, HostName, Incarnation, ModelName, Moment};
-use eelgrasshill_ports::{AnswerMemory, BootClock, MemoryAccount, MemoryLimits, lock};
+use eelgrasshill_ports::{
+    AnswerMemory, BootClock, ConnectionLimit, MemoryAccount, MemoryLimits, lock,
+};
 use eelgrasshill_relay::{
     AnswerStart, Capacity, Era, Lease, MaxKeyAge, Peer, PlacementPlanner, ProbedParts,
     RequestOutcome, Upstream,
@@ -79,6 +81,8 @@
     pub answer_memory: AnswerMemory,
     /// Memory of callers' requests and their answers.
     pub memory: MemoryAccount,
+    /// Limit on the connections of callers.
+    pub connections: ConnectionLimit,
     /// Wakes the task that plans and sends orders.
     pub order_wakeup: Notify,
     /// Starts the next round of the exchange early.
@@ -90,7 +94,6 @@
     picks: OnceLock<PickSocket>,
     open_count: AtomicU64,
     open_requests: Mutex<OpenRequests>,
-    connection_count: AtomicUsize,
     // Wakes the requests without an answer when the host is about to close.
     closing: Notify,
     // Moment since which the host is leaving; 0 while it is not.
@@ -120,16 +123,6 @@
     }
 }
 
-/// Guard that counts a caller's connection until the server has flushed and closed it.
-#[derive(Debug)]
-pub(crate) struct OpenConnection<C: PlatformCodec>(Arc<Shared<C>>);
-
-impl<C: PlatformCodec> Drop for OpenConnection<C> {
-    fn drop(&mut self) {
-        self.0.connection_count.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 impl<C: PlatformCodec> Shared<C> {
     /// Creates the state of a host that has just started.
     #[must_use]
@@ -142,6 +135,7 @@
             incarnation,
             capacity: Some(Capacity(settings.capacity)),
         };
+        let connections = ConnectionLimit::new("callers", settings.max_connections);
         Self {
             bounds: Mutex::new(settings.bounds),
             state: Mutex::new(GatewayState::new(&settings, self_peer.clone())),
@@ -149,6 +143,7 @@
             started_at: BootClock.now(),
             answer_memory: AnswerMemory::new(ANSWER_MEMORY_BYTES),
             memory: MemoryAccount::new(MemoryLimits::of_machine(settings.memory_mb)),
+            connections,
             order_wakeup: Notify::new(),
             exchange_wakeup: Notify::new(),
             self_peer,
@@ -157,7 +152,6 @@
             picks: OnceLock::new(),
             open_count: AtomicU64::new(0),
             open_requests: Mutex::default(),
-            connection_count: AtomicUsize::new(0),
             closing: Notify::new(),
             leaving: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
@@ -264,15 +258,9 @@
         lock(&self.open_requests).undelivered_ids(unsent_peers)
     }
 
-    /// Counts a caller's connection.
-    pub(crate) fn open_connection(self: &Arc<Self>) -> OpenConnection<C> {
-        self.connection_count.fetch_add(1, Ordering::AcqRel);
-        OpenConnection(Arc::clone(self))
-    }
-
     /// Returns how many callers' connections the server has not closed.
     pub(crate) fn open_connections(&self) -> usize {
-        self.connection_count.load(Ordering::Acquire)
+        self.connections.open()
     }
 
     /// Closes the host if no request is open. Later requests are refused.
@@ -360,7 +348,9 @@
     /// Returns whether the load balancer may send requests to this host.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.leaving().is_none() && self.can_serve(BootClock.now())
+        self.leaving().is_none()
+            && self.can_serve(BootClock.now())
+            && !self.connections.is_exhausted()
     }
 
     /// Returns whether this host knows enough to serve requests.
--- a/crates/eelgrasshill_ports/src/caller_body.rs
+++ b/crates/eelgrasshill_ports/src/caller_body.rs
@@ -1,8 +1,7 @@
 //! Reads the body of a caller's request within its time limits and the host's memory.
 //!
-//! A body costs more than its bytes: parts of a few bytes each wait in a queue of the HTTP server,
-//! and keep the buffer alive in which they were read. They are copied together into blocks at once,
-//! and the queue and the buffer are charged to the caller until the body is complete.
+//! Parts of a few bytes each keep the buffer alive in which they were read. They are copied together
+//! into blocks at once, which are charged to the caller.
 
 use std::time::Duration;
 
@@ -26,9 +25,6 @@
 /// Bytes of each body that are not charged, so that small requests are served by a full host.
 const UNCHARGED_BYTES: usize = 8 << 10;
 
-/// Bytes on the wire of the frame of a chunk: a digit and two line ends.
-const CHUNK_FRAME_BYTES: usize = 5;
-
 /// Limits of one body.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyLimits {
@@ -98,7 +94,6 @@
         let next = if let Some(next) = payload.next().now_or_never() {
             next
         } else {
-            body.end_burst();
             let left = deadline.saturating_duration_since(Instant::now());
             tokio::time::timeout(limits.idle_timeout.min(left), payload.next())
                 .await
@@ -107,13 +102,13 @@
         let Some(part) = next else {
             break;
         };
-        let part = part.map_err(BodyError::Unreadable)?;
+        let mut part = part.map_err(BodyError::Unreadable)?;
         if body.length + part.len() > limits.max_bytes {
             return Err(BodyError::TooLarge {
                 max_bytes: limits.max_bytes,
             });
         }
-        body.push(&part).map_err(BodyError::MemoryFull)?;
+        body.push(&mut part).map_err(BodyError::MemoryFull)?;
     }
     drop(payload);
     Ok(body.finish())
@@ -125,11 +120,6 @@
     length: usize,
     // Bytes allocated in all blocks.
     allocated: usize,
-    // Parts and bytes that arrived without a pause, so that they were queued at the same time.
-    burst_parts: usize,
-    burst_bytes: usize,
-    // What the server's queue and buffer took in the largest burst. The queue does not shrink.
-    queue_bytes: usize,
     charge: MemoryCharge,
 }
 
@@ -139,18 +129,10 @@
             blocks: Vec::new(),
             length: 0,
             allocated: 0,
-            burst_parts: 0,
-            burst_bytes: 0,
-            queue_bytes: 0,
             charge,
         }
     }
 
-    fn end_burst(&mut self) {
-        self.burst_parts = 0;
-        self.burst_bytes = 0;
-    }
-
     fn timeout_error(&self, limits: &BodyLimits, left: Duration) -> BodyError {
         let received = self.length;
         if left <= limits.idle_timeout {
@@ -166,26 +148,23 @@
         }
     }
 
-    fn resize_charge(&mut self) -> Result<(), MemoryFull> {
-        let bytes = self.allocated + self.queue_bytes;
-        self.charge.resize(bytes.saturating_sub(UNCHARGED_BYTES))
+    /// Charges that many bytes of blocks.
+    fn charge_blocks(&mut self, allocated: usize) -> Result<(), MemoryFull> {
+        self.charge
+            .resize(allocated.saturating_sub(UNCHARGED_BYTES))?;
+        self.allocated = allocated;
+        Ok(())
     }
 
-    fn push(&mut self, part: &[u8]) -> Result<(), MemoryFull> {
-        self.burst_parts += 1;
-        self.burst_bytes += part.len() + CHUNK_FRAME_BYTES;
-        let queue = self.burst_parts.next_power_of_two() * size_of::<Bytes>();
-        self.queue_bytes = self.queue_bytes.max(queue + self.burst_bytes);
-        self.resize_charge()?;
-        let mut rest = part;
-        while !rest.is_empty() {
-            let room = self.make_room(rest.len())?;
-            let (now, later) = rest.split_at(rest.len().min(room));
+    /// Moves a part into the blocks; after an error its rest is left.
+    fn push(&mut self, part: &mut Bytes) -> Result<(), MemoryFull> {
+        while !part.is_empty() {
+            let room = self.make_room(part.len())?;
+            let now = part.split_to(part.len().min(room));
             if let Some(block) = self.blocks.last_mut() {
-                block.extend_from_slice(now);
+                block.extend_from_slice(&now);
             }
             self.length += now.len();
-            rest = later;
         }
         Ok(())
     }
@@ -210,8 +189,7 @@
             BLOCK_BYTES
         };
         let more = if is_first { needed - capacity } else { needed };
-        self.allocated += more;
-        self.resize_charge()?;
+        self.charge_blocks(self.allocated + more)?;
         match self.blocks.last_mut().filter(|_block| is_first) {
             Some(block) => block.reserve_exact(needed - used),
             None => self.blocks.push(Vec::with_capacity(needed)),
@@ -230,12 +208,10 @@
             for block in self.blocks.drain(..) {
                 joined.extend_from_slice(&block);
             }
-            self.allocated = self.length;
+            // The charge does not grow, since the blocks are no smaller than their content.
+            let _shrunk = self.charge_blocks(self.length);
             Bytes::from(joined)
         };
-        self.queue_bytes = 0;
-        // The charge does not grow, since the blocks are no smaller than their content.
-        let _shrunk = self.resize_charge();
         CallerBody {
             bytes,
             charge: self.charge,
--- a/crates/eelgrasshill_ports/src/caller_stream.rs
+++ b/crates/eelgrasshill_ports/src/caller_stream.rs
@@ -1,26 +1,52 @@
-//! The stream of a caller's connection, which holds back requests that were sent ahead.
+//! The stream of a caller's connection, which bounds what the HTTP server reads at once.
 //!
-//! The HTTP server decodes all requests in its read buffer of 128 KiB at once, and a decoded head
-//! costs some KB. So the stream passes on one request at a time: a head, then its body, and the next
-//! head only after the request was answered. What arrives meanwhile waits undecoded, a few KB here
-//! and the rest in the system's receive buffer.
+//! The server reads up to 128 KiB at once, decodes all requests in them, and queues each chunk of a
+//! body by itself. So the stream passes on one request at a time: a head once it is complete, then
+//! its body in parts of a few KB and a few chunks, and the next head only after the request was
+//! answered. What arrives meanwhile waits undecoded, a few KB here and the rest in the system's
+//! receive buffer.
 
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll, Waker};
 
 use actix_web::rt::net::TcpStream;
 use bytes::{Buf, BytesMut};
+use derive_more::Debug;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::{Connection, ConnectionPhase, MemoryCharge};
+
 /// Bytes that are read while they may not be passed on yet, for each connection.
 ///
 /// Without a full buffer the end of the connection is noticed while a request is open.
 const READ_AHEAD_BYTES: usize = 4 << 10;
 
+/// Bytes that the server gets before it must decode them.
+const PASS_BYTES: usize = 8 << 10;
+
+/// Chunks of a body that the server gets before it must decode them.
+///
+/// Each takes an entry of its queue, which does not shrink while the body is open.
+const PASS_CHUNKS: usize = 64;
+
+/// Bytes of a head that are not charged.
+const UNCHARGED_HEAD_BYTES: usize = 4 << 10;
+
+/// Factor from the bytes of a head to the memory that it takes once decoded.
+const DECODED_HEAD_FACTOR: usize = 2;
+
+/// Maximum size of a request line, which does not count toward the size of the headers.
+const MAX_REQUEST_LINE_BYTES: usize = 8 << 10;
+
+/// Request that the server gets in place of one whose head is refused.
+const REFUSED_HEAD: &[u8] = b"GET / HTTP/1.1\r\nconnection: close\r\n\r\n";
+
 /// Bytes of the line end after the data of a chunk.
 const CHUNK_END_BYTES: u64 = 2;
 
@@ -35,6 +61,26 @@
     Unbounded,
 }
 
+/// Why a request is refused before its head is complete.
+///
+/// The service finds it in the extensions of the request that takes the place of the refused one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadRefusal {
+    /// The headers, or the request line, are longer than allowed.
+    TooLarge,
+    /// The host's memory for requests is used up.
+    MemoryFull,
+}
+
+/// Limits of the heads of one connection.
+#[derive(Debug)]
+pub struct HeadLimits {
+    /// Maximum size of the headers of a request, which may change.
+    pub max_bytes: Arc<AtomicUsize>,
+    /// Charge for the head of the current request.
+    pub charge: MemoryCharge,
+}
+
 /// Tells the stream of a connection about the request that the server serves.
 #[derive(Clone, Debug)]
 pub struct RequestGate(Rc<GateState>);
@@ -51,9 +97,52 @@
             BodyFraming::Unbounded => Stage::Unbounded,
         });
         self.0.has_request.set(true);
+        self.0.is_answered.set(false);
+        self.0.connection.set_phase(match framing {
+            BodyFraming::Length(0) => ConnectionPhase::Serving,
+            _ => ConnectionPhase::Receiving,
+        });
         self.0.wake();
         OpenGate(Rc::clone(&self.0))
     }
+
+    /// Returns why the request whose head was decoded last stands for a refused one, if it does.
+    #[must_use]
+    pub fn head_refusal(&self) -> Option<HeadRefusal> {
+        self.0.head_refusal.get()
+    }
+
+    /// Returns the connection.
+    #[must_use]
+    pub fn connection(&self) -> &Connection {
+        &self.0.connection
+    }
+
+    /// Holds back the rest of the body until the result is dropped.
+    #[must_use]
+    pub fn hold_body(&self) -> HeldBody {
+        self.0.is_body_held.set(true);
+        HeldBody(Rc::clone(&self.0))
+    }
+
+    /// Notes that the server has the whole answer.
+    pub(crate) fn end_answer(&self) {
+        self.0.is_answered.set(true);
+        self.0
+            .connection
+            .change_phase(ConnectionPhase::Serving, ConnectionPhase::Flushing);
+    }
+}
+
+/// A body whose rest is held back; it passes when this is dropped.
+#[derive(Debug)]
+pub struct HeldBody(Rc<GateState>);
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        self.0.is_body_held.set(false);
+        self.0.wake();
+    }
 }
 
 /// A request without an answer; the next head may pass when this is dropped.
@@ -77,6 +166,8 @@
         /// Whether the line has no byte yet, except for a carriage return.
         is_blank: bool,
     },
+    /// A complete head with that many bytes left.
+    CompleteHead(u64),
     /// The next body or head, once the server has decoded the head that has passed.
     Decoding,
     /// A body with that many bytes left.
@@ -138,13 +229,15 @@
                 None => Self::ChunkExtension(size),
             },
             (Self::ChunkExtension(_) | Self::Unbounded, _) => self,
-            (Self::Sized(_) | Self::ChunkData(_), _) => self.after_data(1),
+            (Self::CompleteHead(_) | Self::Sized(_) | Self::ChunkData(_), _) => self.after_data(1),
         }
     }
 
-    /// Returns the stage after bytes of a body's data, which are no more than are left.
+    /// Returns the stage after bytes of a head or a body's data, which are no more than are left.
     fn after_data(self, count: u64) -> Self {
         match self {
+            Self::CompleteHead(left) if left > count => Self::CompleteHead(left - count),
+            Self::CompleteHead(_) => Self::Decoding,
             Self::Sized(left) if left > count => Self::Sized(left - count),
             Self::Sized(_) => Self::HEAD,
             Self::ChunkData(left) if left > count => Self::ChunkData(left - count),
@@ -153,10 +246,10 @@
         }
     }
 
-    /// Returns how many bytes of a body may pass without a look at them.
+    /// Returns how many bytes may pass without a look at them.
     fn data_left(self) -> u64 {
         match self {
-            Self::Sized(left) | Self::ChunkData(left) => left,
+            Self::CompleteHead(left) | Self::Sized(left) | Self::ChunkData(left) => left,
             Self::Unbounded => u64::MAX,
             _ => 0,
         }
@@ -165,8 +258,13 @@
 
 #[derive(Debug)]
 struct GateState {
+    connection: Connection,
     stage: Cell<Stage>,
     has_request: Cell<bool>,
+    // The server has the whole answer of the last request.
+    is_answered: Cell<bool>,
+    is_body_held: Cell<bool>,
+    head_refusal: Cell<Option<HeadRefusal>>,
     // The system takes no more bytes of answers.
     is_write_blocked: Cell<bool>,
     // The server's task, if it waits for bytes that are held back.
@@ -192,15 +290,33 @@
         self.stage.get()
     }
 
-    /// Returns how many of the next bytes may pass, and counts them as passed.
-    fn pass(&self, bytes: &[u8]) -> usize {
+    /// Sets the stage after bytes of a request have passed.
+    fn note_passed(&self, stage: Stage, count: usize) {
+        let before = self.stage.replace(stage);
+        self.connection.note_received(count);
+        let has_ended =
+            matches!(stage, Stage::Head { .. }) && !matches!(before, Stage::Head { .. });
+        if has_ended {
+            self.connection.set_phase(if self.is_answered.get() {
+                ConnectionPhase::Idle
+            } else {
+                ConnectionPhase::Serving
+            });
+        }
+    }
+
+    /// Returns how many of the next bytes of a body may pass, and counts them as passed.
+    ///
+    /// A head passes only once it is complete. `chunks_left` is how many chunks may begin.
+    fn pass(&self, bytes: &[u8], chunks_left: &mut usize) -> usize {
         let mut stage = self.stage();
         let mut passed = 0;
         while let Some(byte) = bytes.get(passed) {
             let is_held = match stage {
-                Stage::Head { .. } => self.has_request.get() || self.is_write_blocked.get(),
-                Stage::Decoding => true,
-                _ => false,
+                Stage::Head { .. } | Stage::Decoding => true,
+                Stage::CompleteHead(_) => false,
+                Stage::ChunkSize(_) => self.is_body_held.get() || *chunks_left == 0,
+                _ => self.is_body_held.get(),
             };
             if is_held {
                 break;
@@ -213,20 +329,39 @@
             } else {
                 stage = stage.after(*byte);
                 passed += 1;
+                if matches!(stage, Stage::ChunkData(_)) {
+                    *chunks_left -= 1;
+                }
             }
         }
-        self.stage.set(stage);
+        if passed > 0 {
+            self.note_passed(stage, passed);
+        }
         passed
     }
 }
 
+/// What a look at the bytes of a head that is not complete yet finds.
+enum HeadScan {
+    Complete,
+    Incomplete,
+    Refused(HeadRefusal),
+}
+
 /// The stream of a caller's connection.
 #[derive(Debug)]
 pub struct CallerStream {
     stream: TcpStream,
     gate: Rc<GateState>,
+    heads: HeadLimits,
     // Bytes that may not be passed on yet.
     ahead: BytesMut,
+    // Bytes of `ahead` that belong to the head and were looked at, and those of its first line.
+    scanned: usize,
+    request_line: usize,
+    // Bytes and chunks that may still pass before the server must decode them.
+    bytes_left: usize,
+    chunks_left: usize,
     has_ended: bool,
     // Whether requests are served whose caller has closed its side of the connection.
     allows_half_closed: bool,
@@ -235,17 +370,31 @@
 impl CallerStream {
     /// Wraps an accepted connection.
     #[must_use]
-    pub fn new(stream: TcpStream, allows_half_closed: bool) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        connection: Connection,
+        heads: HeadLimits,
+        allows_half_closed: bool,
+    ) -> Self {
         let gate = GateState {
+            connection,
             stage: Cell::new(Stage::HEAD),
             has_request: Cell::new(false),
+            is_answered: Cell::new(true),
+            is_body_held: Cell::new(false),
+            head_refusal: Cell::new(None),
             is_write_blocked: Cell::new(false),
             waiting: RefCell::new(None),
         };
         Self {
             stream,
             gate: Rc::new(gate),
+            heads,
             ahead: BytesMut::new(),
+            scanned: 0,
+            request_line: 0,
+            bytes_left: PASS_BYTES,
+            chunks_left: PASS_CHUNKS,
             has_ended: false,
             allows_half_closed,
         }
@@ -257,11 +406,83 @@
         RequestGate(Rc::clone(&self.gate))
     }
 
+    /// Returns whether the next head may not pass yet.
+    fn is_head_held(&self) -> bool {
+        self.gate.has_request.get() || self.gate.is_write_blocked.get()
+    }
+
+    /// Looks at the bytes of a head that have arrived.
+    fn scan_head(&mut self) -> HeadScan {
+        let mut stage = self.gate.stage.get();
+        if self.scanned == 0 {
+            self.request_line = 0;
+            self.gate.head_refusal.set(None);
+            if !self.ahead.is_empty() {
+                self.gate
+                    .connection
+                    .change_phase(ConnectionPhase::Idle, ConnectionPhase::Receiving);
+            }
+        }
+        while let Some(byte) = self.ahead.get(self.scanned) {
+            stage = stage.after(*byte);
+            self.scanned += 1;
+            let has_begun = matches!(
+                stage,
+                Stage::Head {
+                    has_begun: true,
+                    ..
+                }
+            );
+            if self.request_line == 0 && has_begun && *byte == b'\n' {
+                self.request_line = self.scanned;
+            }
+            if matches!(stage, Stage::Decoding) {
+                break;
+            }
+        }
+        self.gate.stage.set(stage);
+        let (line, headers) = match self.request_line {
+            0 => (self.scanned, 0),
+            line => (line, self.scanned - line),
+        };
+        if line > MAX_REQUEST_LINE_BYTES || headers > self.heads.max_bytes.load(Ordering::Relaxed) {
+            return HeadScan::Refused(HeadRefusal::TooLarge);
+        }
+        let charged = self.scanned.saturating_sub(UNCHARGED_HEAD_BYTES) * DECODED_HEAD_FACTOR;
+        if let Err(error) = self.heads.charge.resize(charged) {
+            log::info!("request: id=- head refused, {error}");
+            return HeadScan::Refused(HeadRefusal::MemoryFull);
+        }
+        if !matches!(stage, Stage::Decoding) {
+            return HeadScan::Incomplete;
+        }
+        self.complete_head(self.scanned);
+        HeadScan::Complete
+    }
+
+    /// Lets that many bytes pass as a complete head.
+    fn complete_head(&mut self, bytes: usize) {
+        self.gate.stage.set(Stage::CompleteHead(bytes as u64));
+        self.scanned = 0;
+    }
+
+    /// Puts another request in the place of one that is refused, and drops what has arrived of it.
+    fn refuse_head(&mut self, refusal: HeadRefusal) {
+        self.gate.head_refusal.set(Some(refusal));
+        self.ahead = BytesMut::from(REFUSED_HEAD);
+        self.complete_head(REFUSED_HEAD.len());
+    }
+
     /// Passes on bytes that were held back, and returns whether there were any.
     fn pass_ahead(&mut self, buffer: &mut ReadBuf<'_>) -> bool {
-        let room = self.ahead.len().min(buffer.remaining());
-        let passed = self.gate.pass(&self.ahead[..room]);
+        let room = self
+            .ahead
+            .len()
+            .min(buffer.remaining())
+            .min(self.bytes_left);
+        let passed = self.gate.pass(&self.ahead[..room], &mut self.chunks_left);
         buffer.put_slice(&self.ahead[..passed]);
+        self.bytes_left -= passed;
         self.ahead.advance(passed);
         if self.ahead.is_empty() {
             self.ahead = BytesMut::new();
@@ -276,6 +497,7 @@
         buffer: &mut ReadBuf<'_>,
         limit: usize,
     ) -> Poll<io::Result<()>> {
+        let limit = limit.min(self.bytes_left);
         let before = buffer.filled().len();
         let stream = Pin::new(&mut self.stream);
         let polled = if limit >= buffer.remaining() {
@@ -288,19 +510,68 @@
             polled
         };
         let count = buffer.filled().len() - before;
-        let stage = self.gate.stage.get().after_data(count as u64);
         if count > 0 {
-            self.gate.stage.set(stage);
+            self.bytes_left -= count;
+            let stage = self.gate.stage.get().after_data(count as u64);
+            self.gate.note_passed(stage, count);
         }
         polled
     }
 
+    /// Reads bytes that may not pass yet, up to `limit` bytes in all.
+    fn poll_read_ahead(&mut self, cx: &mut Context<'_>, limit: usize) -> Poll<io::Result<()>> {
+        let mut storage = [MaybeUninit::uninit(); READ_AHEAD_BYTES];
+        let room = limit.saturating_sub(self.ahead.len()).min(storage.len());
+        let mut read = ReadBuf::uninit(&mut storage[..room]);
+        let polled = Pin::new(&mut self.stream).poll_read(cx, &mut read);
+        if matches!(polled, Poll::Ready(Ok(()))) {
+            self.has_ended = read.filled().is_empty();
+            self.ahead.extend_from_slice(read.filled());
+        }
+        polled
+    }
+
+    /// Throws away what arrives behind a refused head.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while self.bytes_left > 0 {
+            self.ahead.clear();
+            match self.poll_read_ahead(cx, READ_AHEAD_BYTES) {
+                Poll::Ready(Ok(())) if self.has_ended => return Poll::Ready(Ok(())),
+                Poll::Ready(Ok(())) => {
+                    self.bytes_left = self.bytes_left.saturating_sub(self.ahead.len());
+                }
+                other => return other,
+            }
+        }
+        self.start_pass(cx);
+        Poll::Pending
+    }
+
+    /// Returns whether the server must decode what has passed before more may pass.
+    fn is_pass_over(&self) -> bool {
+        let is_chunked = matches!(
+            self.gate.stage.get(),
+            Stage::ChunkSize(_) | Stage::ChunkExtension(_) | Stage::ChunkData(_)
+        );
+        self.bytes_left == 0 || (is_chunked && self.chunks_left == 0)
+    }
+
+    /// Lets further bytes pass when the server polls again, which it does at once.
+    fn start_pass(&mut self, cx: &Context<'_>) {
+        self.bytes_left = PASS_BYTES;
+        self.chunks_left = PASS_CHUNKS;
+        cx.waker().wake_by_ref();
+    }
+
     /// Records whether the system takes bytes of answers.
     fn note_written<T>(&self, polled: Poll<T>) -> Poll<T> {
         let was_blocked = self.gate.is_write_blocked.replace(polled.is_pending());
         if was_blocked && polled.is_ready() {
             self.gate.wake();
         }
+        if was_blocked || polled.is_pending() {
+            self.gate.connection.set_blocked(polled.is_pending());
+        }
         polled
     }
 }
@@ -313,36 +584,56 @@
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         loop {
-            if buf.remaining() == 0 || this.pass_ahead(buf) {
+            if buf.remaining() == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            if this.is_pass_over() {
+                this.start_pass(cx);
+                return Poll::Pending;
+            }
+            let mut read_limit = READ_AHEAD_BYTES;
+            if matches!(this.gate.stage(), Stage::Head { .. }) && !this.is_head_held() {
+                match this.scan_head() {
+                    HeadScan::Complete => {}
+                    HeadScan::Refused(refusal) => this.refuse_head(refusal),
+                    HeadScan::Incomplete => read_limit = usize::MAX,
+                }
+            }
+            if this.pass_ahead(buf) {
                 return Poll::Ready(Ok(()));
             }
+            if this.is_pass_over() {
+                continue;
+            }
+            if this.gate.head_refusal.get().is_some() && this.ahead.is_empty() {
+                return this.poll_discard(cx);
+            }
             if this.ahead.is_empty() {
                 if this.has_ended {
                     return Poll::Ready(Ok(()));
                 }
                 let limit = usize::try_from(this.gate.stage().data_left()).unwrap_or(usize::MAX);
-                if limit > 0 {
+                if limit > 0 && !this.gate.is_body_held.get() {
                     return this.poll_read_data(cx, buf, limit);
                 }
             }
-            if this.has_ended || this.ahead.len() >= READ_AHEAD_BYTES {
+            // Nothing completes a head whose caller has closed its side.
+            if this.has_ended && read_limit == usize::MAX {
+                return Poll::Ready(Ok(()));
+            }
+            if this.has_ended || this.ahead.len() >= read_limit {
                 this.gate.wait(cx);
                 return Poll::Pending;
             }
-            let mut storage = [MaybeUninit::uninit(); READ_AHEAD_BYTES];
-            let mut read = ReadBuf::uninit(&mut storage[this.ahead.len()..]);
-            match Pin::new(&mut this.stream).poll_read(cx, &mut read) {
-                Poll::Ready(Ok(())) if read.filled().is_empty() => {
-                    this.has_ended = true;
-                    if !this.allows_half_closed {
-                        return Poll::Ready(Ok(()));
-                    }
+            match this.poll_read_ahead(cx, read_limit) {
+                Poll::Ready(Ok(())) if this.has_ended && !this.allows_half_closed => {
+                    return Poll::Ready(Ok(()));
                 }
-                Poll::Ready(Ok(())) => this.ahead.extend_from_slice(read.filled()),
+                Poll::Ready(Ok(())) => {}
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
                 Poll::Pending => {
                     // Otherwise nothing waits for the gate, only for the caller.
-                    if !this.ahead.is_empty() {
+                    if !this.ahead.is_empty() || this.gate.is_body_held.get() {
                         this.gate.wait(cx);
                     }
                     return Poll::Pending;
@@ -364,7 +655,12 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        let this = self.get_mut();
+        // The server flushes once the system has taken all that it has written.
+        this.gate
+            .connection
+            .change_phase(ConnectionPhase::Flushing, ConnectionPhase::Idle);
+        Pin::new(&mut this.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/eelgrasshill_ports/src/lib.rs
+++ b/crates/eelgrasshill_ports/src/lib.rs
@@ -11,6 +11,7 @@
 mod caller_stream;
 mod client;
 mod clock;
+mod connection_limit;
 mod engine;
 mod engine_http;
 mod error;
@@ -22,14 +23,19 @@
 mod plain;
 mod pool;
 mod send_queue;
+mod sliced_body;
+mod socket_limits;
 
 pub use answer_memory::{AnswerMemory, MemoryLease, MemoryUsedUp};
 pub use bounded::AnswerBody;
 pub use caller_body::{BodyError, BodyLimits, CallerBody, read_caller_body};
 pub use caller_server::{CallerServerSettings, run_caller_server};
-pub use caller_stream::{BodyFraming, CallerStream, OpenGate, RequestGate};
+pub use caller_stream::{
+    BodyFraming, CallerStream, HeadLimits, HeadRefusal, HeldBody, OpenGate, RequestGate,
+};
 pub use client::{HttpClient, HttpClientSettings};
 pub use clock::BootClock;
+pub use connection_limit::{CloseCause, Connection, ConnectionLimit, ConnectionPhase};
 pub use engine::{
     EngineClient, EngineReport, EngineStreamEvent, GenerateChunk, GenerateRequest, ModelVersion,
     Order, OrderAction, OrderAnswer, ResidentModel, Resume, Usage,
@@ -50,3 +56,4 @@
     CountedBody, HttpConnection, HttpPool, call_unpooled, read_counted_body, read_response_body,
 };
 pub use send_queue::{parse_unsent_peers, unsent_peers};
+pub use socket_limits::{bound_buffers, descriptor_limit};
--- a/crates/eelgrasshill_ports/src/memory_account.rs
+++ b/crates/eelgrasshill_ports/src/memory_account.rs
@@ -9,18 +9,10 @@
 use std::sync::{Arc, Mutex};
 
 use derive_more::{Display, Error};
-use eelgrasshill_domain::FastMap;
+use eelgrasshill_domain::{FastMap, HostBudget};
 
 use crate::lock;
 
-/// Bytes of a machine's memory in one unit of the settings.
-const BYTES_PER_MB: usize = 1 << 20;
-
-/// Parts of eight of the machine's memory that the account may hold.
-///
-/// The rest is for the process itself, the buffers of connections and requests of other hosts.
-const TOTAL_EIGHTHS: usize = 3;
-
 /// The parts of eight of the account that one address may hold.
 const ADDRESS_EIGHTHS: usize = 6;
 
@@ -31,7 +23,7 @@
 
 /// Memory that a body of the largest size may need beyond that size.
 ///
-/// The HTTP server reads 128 KiB at once, and a queue of the smallest chunks in it takes 1 MiB.
+/// Its last block may be almost empty, and its head, receive buffer and answer are charged too.
 const LARGEST_BODY_EXTRA: usize = 2 << 20;
 
 /// The limit that a request would exceed.
@@ -73,8 +65,7 @@
     /// Returns the limits for a machine with that memory.
     #[must_use]
     pub fn of_machine(megabytes: u64) -> Self {
-        let megabytes = usize::try_from(megabytes).unwrap_or(usize::MAX);
-        let total = megabytes.saturating_mul(BYTES_PER_MB) / EIGHTHS * TOTAL_EIGHTHS;
+        let total = HostBudget::new(megabytes, None).account_bytes();
         Self {
             total,
             per_address: total / EIGHTHS * ADDRESS_EIGHTHS,
@@ -93,6 +84,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionMemory(Arc<AtomicUsize>);
 
+impl ConnectionMemory {
+    /// Returns the bytes that are charged to the connection.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// The account of one host.
 #[derive(Clone, Debug)]
 pub struct MemoryAccount {
--- a/crates/eelgrasshill_ports/tests/caller_stream.rs
+++ b/crates/eelgrasshill_ports/tests/caller_stream.rs
@@ -4,12 +4,15 @@
 
 use std::io::{Read, Write};
 use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use actix_web::web::{self, Bytes};
 use actix_web::{App, HttpRequest, HttpResponse};
 use eelgrasshill_ports::{
-    BodyFraming, CallerServerSettings, CallerStream, RequestGate, run_caller_server,
+    BodyFraming, CallerServerSettings, CallerStream, ConnectionLimit, HeadLimits, MemoryAccount,
+    MemoryLimits, RequestGate, run_caller_server,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -20,15 +23,21 @@
 /// Maximum time for the answers of a connection.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
-const SETTINGS: CallerServerSettings = CallerServerSettings {
-    worker_threads: 1,
-    backlog: 16,
-    max_connections: 16,
-    head_timeout: Duration::from_secs(5),
-    keep_alive: Duration::from_secs(5),
-    allows_half_closed: true,
-    shutdown_s: 1,
-};
+/// Maximum size of the headers of a request.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
+fn settings() -> CallerServerSettings {
+    CallerServerSettings {
+        worker_threads: 1,
+        connections: ConnectionLimit::new("test", 16),
+        memory: MemoryAccount::new(MemoryLimits::of_machine(64)),
+        max_head_bytes: Arc::new(AtomicUsize::new(MAX_HEAD_BYTES)),
+        head_timeout: Duration::from_secs(5),
+        keep_alive: Duration::from_secs(5),
+        allows_half_closed: true,
+        shutdown_s: 1,
+    }
+}
 
 /// Returns both ends of a connection: the caller's, and the server's in a stream with its gate.
 async fn connect(allows_half_closed: bool) -> (TcpStream, CallerStream, RequestGate) {
@@ -37,7 +46,13 @@
         .await
         .unwrap();
     let (accepted, _from) = listener.accept().await.unwrap();
-    let stream = CallerStream::new(accepted, allows_half_closed);
+    let settings = settings();
+    let connection = settings.connections.admit().unwrap();
+    let heads = HeadLimits {
+        max_bytes: settings.max_head_bytes,
+        charge: settings.memory.charge(None, connection.memory(), 0),
+    };
+    let stream = CallerStream::new(accepted, connection, heads, allows_half_closed);
     let gate = stream.gate();
     (caller, stream, gate)
 }
@@ -143,7 +158,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let app = || App::new().default_service(web::to(echo));
-    let server = run_caller_server(SETTINGS, listener, app, |data| {
+    let server = run_caller_server(&settings(), vec![listener], app, |data| {
         data.insert(7_u32);
     })
     .unwrap();
--- a/crates/eelgrasshill_relay/src/tables.rs
+++ b/crates/eelgrasshill_relay/src/tables.rs
@@ -122,6 +122,9 @@
     /// Limits on callers' connections and requests.
     #[derive(Copy)]
     pub struct CallerBounds {
+        /// Maximum size of the headers of a request.
+        #[serde(rename = "head")]
+        pub head_bytes: usize,
         /// Maximum size of a request body.
         #[serde(rename = "body")]
         pub body_bytes: usize,
--- a/crates/eelgrasshill_settings/src/entry.rs
+++ b/crates/eelgrasshill_settings/src/entry.rs
@@ -7,9 +7,10 @@
 use std::path::Path;
 use std::time::Duration;
 
-use eelgrasshill_domain::{HostName, ZoneName};
+use eelgrasshill_domain::{HostBudget, HostName, ZoneName};
 
 use crate::Problems;
+use crate::machine::{Machine, read_connections};
 use crate::reader::{SectionReader, parse_list};
 use crate::section::{read_file, read_sections, take_section, unknown_sections};
 
@@ -17,13 +18,17 @@
 const ZONES_HINT: &str = "the names of all zones between commas";
 const SECTIONS_HINT: &str = "[host], [platform], [peers], [bounds] and [fleet]";
 
+/// Memory of a machine whose settings do not say it, in MB, on which 4,096 connections fit.
+const DEFAULT_MEMORY_MB: u64 = 1_280;
+
 const DEFAULT_WORKER_THREADS: u64 = 2;
 const DEFAULT_LOG_RETENTION_HOURS: u64 = 24;
 const DEFAULT_RECEIVE_TIMEOUT_MS: u64 = 10_000;
 const DEFAULT_READINESS_DELAY_MS: u64 = 5_000;
 const DEFAULT_DRAIN_TIMEOUT_MS: u64 = 120_000;
 const DEFAULT_MAX_BODY_BYTES: u64 = 1 << 20;
-const DEFAULT_MAX_CONNECTIONS: u64 = 4096;
+/// Connections where as many fit and the settings name no number.
+const USUAL_CONNECTIONS: usize = 4_096;
 const DEFAULT_MAX_QUEUED_REQUESTS: u64 = 1024;
 const DEFAULT_MAX_ANSWER_TOKENS: u64 = 4096;
 const DEFAULT_LOADS_PER_10S: u64 = 20;
@@ -86,6 +91,10 @@
     pub admin_address: SocketAddr,
     /// The number of threads that serve callers.
     pub worker_threads: usize,
+    /// The memory of the machine, in MB.
+    pub memory_mb: u64,
+    /// The descriptors that the process may open, if the settings say it.
+    pub descriptors: Option<u64>,
     /// The address of the log service.
     pub log_address: SocketAddr,
     /// The address of the host list service.
@@ -129,7 +138,14 @@
         let host = read_host(SectionReader::new(file, take("host"), &mut problems));
         let platform = read_platform(SectionReader::new(file, take("platform"), &mut problems));
         let fallback_peers = read_peers(SectionReader::new(file, take("peers"), &mut problems));
-        let bounds = read_bounds(SectionReader::new(file, take("bounds"), &mut problems));
+        let budget = host.as_ref().map_or_else(
+            || HostBudget::new(DEFAULT_MEMORY_MB, None),
+            |host| host.machine.budget(),
+        );
+        let bounds = read_bounds(
+            SectionReader::new(file, take("bounds"), &mut problems),
+            budget,
+        );
         let fleet_limits = read_fleet(SectionReader::new(file, take("fleet"), &mut problems));
         problems.extend(unknown_sections(file, sections, SECTIONS_HINT));
         match (host, platform, fleet_limits) {
@@ -140,6 +156,8 @@
                 peer_address: host.peer_address,
                 admin_address: host.admin_address,
                 worker_threads: host.worker_threads,
+                memory_mb: host.machine.memory_mb,
+                descriptors: host.machine.descriptors,
                 log_address: platform.log_address,
                 host_list_address: platform.host_list_address,
                 log_retention: platform.log_retention,
@@ -150,6 +168,24 @@
             _ => Err(Problems { problems }),
         }
     }
+
+    /// Lowers the limit on connections to what a process with that many descriptors can serve.
+    #[must_use]
+    pub fn within_descriptors(mut self, descriptors: u64) -> Self {
+        let allowed = self
+            .descriptors
+            .map_or(descriptors, |own| own.min(descriptors));
+        self.descriptors = Some(allowed);
+        let connections = self.budget().usual_connections(self.bounds.max_connections);
+        self.bounds.max_connections = connections;
+        self
+    }
+
+    /// Returns the budget of the host's machine.
+    #[must_use]
+    pub fn budget(&self) -> HostBudget {
+        HostBudget::new(self.memory_mb, self.descriptors)
+    }
 }
 
 struct HostSection {
@@ -159,6 +195,7 @@
     peer_address: SocketAddr,
     admin_address: SocketAddr,
     worker_threads: usize,
+    machine: Machine,
 }
 
 fn read_host(mut reader: SectionReader<'_>) -> Option<HostSection> {
@@ -173,6 +210,7 @@
         1..=64,
         DEFAULT_WORKER_THREADS,
     );
+    let machine = Machine::read(&mut reader, DEFAULT_MEMORY_MB);
     reader.report_unknown_fields();
     Some(HostSection {
         name: name?,
@@ -181,6 +219,7 @@
         peer_address: peer_address?,
         admin_address: admin_address?,
         worker_threads: to_usize(worker_threads),
+        machine,
     })
 }
 
@@ -217,7 +256,7 @@
     peers
 }
 
-fn read_bounds(mut reader: SectionReader<'_>) -> EntryBounds {
+fn read_bounds(mut reader: SectionReader<'_>, budget: HostBudget) -> EntryBounds {
     const MILLIS_HINT: &str = "milliseconds from 100 to 3600000";
     let mut millis = |field: &str, default: u64| {
         Duration::from_millis(reader.number(field, MILLIS_HINT, 100..=3_600_000, default))
@@ -231,12 +270,7 @@
         1024..=67_108_864,
         DEFAULT_MAX_BODY_BYTES,
     );
-    let max_connections = reader.number(
-        "connections",
-        "a number from 1 to 100000",
-        1..=100_000,
-        DEFAULT_MAX_CONNECTIONS,
-    );
+    let max_connections = read_connections(&mut reader, budget, USUAL_CONNECTIONS);
     let max_queued_requests = reader.number(
         "queue",
         "a number from 1 to 100000",
@@ -252,7 +286,7 @@
     reader.report_unknown_fields();
     EntryBounds {
         max_body_bytes: to_usize(max_body_bytes),
-        max_connections: to_usize(max_connections),
+        max_connections,
         max_queued_requests: to_usize(max_queued_requests),
         receive_timeout,
         max_answer_tokens,
--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -14,6 +14,7 @@
 use derive_more::Debug;
 use eelgrasshill_domain::{HostBudget, HostName, ZoneName};
 
+use crate::machine::{Machine, read_connections, to_integer};
 use crate::reader::SectionReader;
 use crate::section::{Section, read_file, read_sections, take_section, unknown_sections};
 use crate::{Problem, Problems};
@@ -27,11 +28,8 @@
 const RATIO_HINT: &str = "a number from 0, fractions allowed";
 const EXTRA_HINT: &str = "a number from 0";
 const QUEUE_HINT: &str = "a number from 0 to 10000";
-const CONNECTIONS_HINT: &str = "a number from 1 to 100000";
 const PREFILL_HINT: &str = "a number from 1 to 100000";
 const PROCESSOR_HINT: &str = "processors above 0, fractions allowed";
-const MEMORY_HINT: &str = "MB from 16, fractions allowed";
-const DESCRIPTORS_HINT: &str = "a number from 64";
 const LINK_HINT: &str = "Mbit/s from 1, fractions allowed";
 
 /// Longest time of a setting, in seconds; a longer one has the same effect.
@@ -58,12 +56,6 @@
 /// Highest link rate, in Mbit/s.
 const MAX_LINK_MBPS: f64 = 1_000_000.0;
 
-/// Smallest and largest memory of a machine, in MB.
-const MEMORY_MB_RANGE: std::ops::RangeInclusive<f64> = 16.0..=1_048_576.0;
-
-/// Smallest and largest number of descriptors.
-const DESCRIPTORS_RANGE: std::ops::RangeInclusive<f64> = 64.0..=10_000_000.0;
-
 /// Memory of a machine whose settings do not say it, in MB: the middle of usual hosts.
 const DEFAULT_MEMORY_MB: u64 = 256;
 
@@ -78,6 +70,9 @@
 /// The default of `evacuate-ms`.
 const DEFAULT_EVACUATION_DELAY_MS: u64 = 5_000;
 const DEFAULT_TERMINATION_GRACE: Duration = Duration::from_secs(8);
+
+/// Connections where as many fit and the settings name no number.
+const USUAL_CONNECTIONS: usize = 1_500;
 const DEFAULT_RETRIES_PER_THOUSAND: u64 = 200;
 const DEFAULT_EXTRA_RETRIES: u64 = 100;
 const DEFAULT_RETRY_WINDOW: Duration = Duration::from_secs(10);
@@ -259,11 +254,11 @@
         store_reader.report_unknown_fields();
         let budget = host.as_ref().map_or_else(
             || HostBudget::new(DEFAULT_MEMORY_MB, None),
-            HostSection::budget,
+            |host| host.machine.budget(),
         );
         let bounds = read_bounds(
             SectionReader::new(file, take("bounds"), &mut problems),
-            &budget,
+            budget,
         );
         let retries = read_retries(SectionReader::new(file, take("retries"), &mut problems));
         let (orders, cold, prefill_tokens_per_ms, late_queue) =
@@ -282,8 +277,8 @@
             peer_address: host.peer_address,
             metrics_address: host.metrics_address,
             capacity: host.capacity,
-            memory_mb: host.memory_mb,
-            descriptors: host.descriptors,
+            memory_mb: host.machine.memory_mb,
+            descriptors: host.machine.descriptors,
             is_first_start: host.is_first_start,
             store_address,
             bounds: GatewayBounds {
@@ -315,10 +310,15 @@
             .descriptors
             .map_or(descriptors, |own| own.min(descriptors));
         self.descriptors = Some(allowed);
-        let budget = HostBudget::new(self.memory_mb, Some(allowed));
-        self.max_connections = self.max_connections.min(budget.most_connections().max(1));
+        self.max_connections = self.budget().usual_connections(self.max_connections);
         self
     }
+
+    /// Returns the budget of the host's machine.
+    #[must_use]
+    pub fn budget(&self) -> HostBudget {
+        HostBudget::new(self.memory_mb, self.descriptors)
+    }
 }
 
 /// Removes and reports the lines on which the platform's template was not filled in.
@@ -375,17 +375,10 @@
     peer_address: SocketAddr,
     metrics_address: SocketAddr,
     capacity: u32,
-    memory_mb: u64,
-    descriptors: Option<u64>,
+    machine: Machine,
     is_first_start: bool,
 }
 
-impl HostSection {
-    fn budget(&self) -> HostBudget {
-        HostBudget::new(self.memory_mb, self.descriptors)
-    }
-}
-
 /// The default of both parts of the capacity: one processor in percent, or a link of 100 Mbit/s.
 const DEFAULT_CAPACITY: u32 = 100;
 
@@ -405,13 +398,8 @@
         MIN_PROCESSORS..=MAX_PROCESSORS,
     );
     let link_mbps = reader.quantity("link-mbps", LINK_HINT, 1.0..=MAX_LINK_MBPS);
-    let memory_mb = reader.quantity("memory-mb", MEMORY_HINT, MEMORY_MB_RANGE);
-    let descriptors = reader.quantity("descriptors", DESCRIPTORS_HINT, DESCRIPTORS_RANGE);
+    let machine = Machine::read(&mut reader, DEFAULT_MEMORY_MB);
     let is_first_start = reader.optional("first-start", "true or false");
-    let memory_mb = memory_mb.map_or(DEFAULT_MEMORY_MB, to_integer);
-    if let Err(cause) = HostBudget::new(memory_mb, None).check(1) {
-        reader.report_over_budget("memory-mb", &cause);
-    }
     reader.report_unknown_fields();
     let default = f64::from(DEFAULT_CAPACITY);
     let processor_percent = processors.map_or(default, |share| share * PERCENT_PER_PROCESSOR);
@@ -426,8 +414,7 @@
         capacity: u32::try_from(to_integer(capacity.round()))
             .unwrap_or(u32::MAX)
             .max(MIN_CAPACITY),
-        memory_mb,
-        descriptors: descriptors.map(to_integer),
+        machine,
         is_first_start: is_first_start.unwrap_or(false),
     })
 }
@@ -443,7 +430,7 @@
     max_connections: usize,
 }
 
-fn read_bounds(mut reader: SectionReader<'_>, budget: &HostBudget) -> BoundsSection {
+fn read_bounds(mut reader: SectionReader<'_>, budget: HostBudget) -> BoundsSection {
     let mut millis = |field: &str, default_ms: u64| {
         let max_ms = MAX_SECONDS * MILLIS_PER_SECOND;
         reader
@@ -457,21 +444,7 @@
     let config_delay = millis("config-ms", DEFAULT_CONFIG_DELAY_MS);
     let evacuation_delay = millis("evacuate-ms", DEFAULT_EVACUATION_DELAY_MS);
     let termination_grace = reader.quantity("grace-s", GRACE_HINT, 0.0..=MAX_SECONDS);
-    let default = budget.default_connections();
-    let asked = reader.number(
-        "connections",
-        CONNECTIONS_HINT,
-        1..=100_000,
-        u64::try_from(default).unwrap_or(u64::MAX),
-    );
-    let mut max_connections = usize::try_from(asked).unwrap_or(usize::MAX);
-    // A memory for not even one connection is reported with its own field.
-    if max_connections > default
-        && let Err(cause) = budget.check(max_connections)
-    {
-        reader.report_over_budget("connections", &cause);
-        max_connections = default;
-    }
+    let max_connections = read_connections(&mut reader, budget, USUAL_CONNECTIONS);
     reader.report_unknown_fields();
     BoundsSection {
         max_key_age,
@@ -533,13 +506,3 @@
 fn from_millis(millis: f64) -> Duration {
     Duration::from_secs_f64(millis / MILLIS_PER_SECOND)
 }
-
-/// Converts a number that is not negative, without its fraction.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "the range of each value is checked, and the cast saturates"
-)]
-fn to_integer(number: f64) -> u64 {
-    number as u64
-}
--- a/crates/eelgrasshill_settings/src/lib.rs
+++ b/crates/eelgrasshill_settings/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod entry;
 mod gateway;
+mod machine;
 mod problem;
 mod reader;
 mod render;
--- a/crates/eelgrasshill_standin/src/lib.rs
+++ b/crates/eelgrasshill_standin/src/lib.rs
@@ -9,6 +9,7 @@
 //! told with what the server did. Its fault switches can be set while it runs.
 
 mod cli;
+mod crowd;
 mod endless;
 mod engine;
 mod fault;
@@ -25,6 +26,7 @@
 mod text;
 
 pub use cli::{Arguments, FlagError, RunError, run};
+pub use crowd::{CrowdCaller, CrowdRequests, ProcessUse};
 pub use endless::{EndlessAnswer, EndlessServer};
 pub use engine::{Engine, EngineCounts, EngineSettings, ModelCopy};
 pub use fault::{Connection, FaultSet, Faults, Mode};
