Let bodies in very many chunks take turns

Cause: a chunk costs the same whatever its size, and each connection decoded all that it had read, up to 21,000 chunks, before others were looked at.

After 512 chunks of a body a connection decodes 64 more at each turn, and one connection gets a turn each time the thread has looked for other work. An ordinary request so waits for one turn, not for all connections. A single such body gets every turn.

--- a/crates/eelgrasshill_ports/src/caller_server.rs
+++ b/crates/eelgrasshill_ports/src/caller_server.rs
@@ -17,6 +17,7 @@
 use actix_web::rt::net::TcpStream;
 use eelgrasshill_domain::{ACCEPT_BACKLOG, CLOSING_CONNECTIONS};
 
+use crate::chunk_turns::ChunkTurns;
 use crate::sliced_body::{SLICE_BYTES, SlicedBody};
 use crate::{
     BodyFraming, CallerStream, Connection, ConnectionLimit, HeadLimits, MemoryAccount, RequestGate,
@@ -131,7 +132,7 @@
                         })
                     }
                 }));
-            let settings = settings.clone();
+            let (settings, turns) = (settings.clone(), ChunkTurns::default());
             apply_fn_factory(http, move |stream: TcpStream, http| {
                 let peer_address = stream.peer_addr().ok();
                 let admitted = settings.connections.admit().map(|connection| {
@@ -144,7 +145,8 @@
                         ),
                     };
                     let half_closed = settings.allows_half_closed;
-                    let stream = CallerStream::new(stream, connection.clone(), heads, half_closed);
+                    let stream = CallerStream::new(stream, connection.clone(), heads, half_closed)
+                        .with_turns(turns.clone());
                     (http.call((stream, peer_address)), connection)
                 });
                 async move {
--- a/crates/eelgrasshill_ports/src/caller_stream.rs
+++ b/crates/eelgrasshill_ports/src/caller_stream.rs
@@ -20,6 +20,7 @@
 use derive_more::Debug;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::chunk_turns::{ChunkTurns, Ticket};
 use crate::{Connection, ConnectionPhase, MemoryCharge};
 
 /// Bytes that are read while they may not be passed on yet, for each connection.
@@ -35,6 +36,9 @@
 /// Each takes an entry of its queue, which does not shrink while the body is open.
 const PASS_CHUNKS: usize = 64;
 
+/// Chunks of a body after which the connection takes turns with others that send as many.
+const CHUNKS_WITHOUT_TURNS: usize = 512;
+
 /// Bytes of a head that are not charged.
 const UNCHARGED_HEAD_BYTES: usize = 4 << 10;
 
@@ -98,6 +102,7 @@
         });
         self.0.has_request.set(true);
         self.0.is_answered.set(false);
+        self.0.chunks.set(0);
         self.0.connection.set_phase(match framing {
             BodyFraming::Length(0) => ConnectionPhase::Serving,
             _ => ConnectionPhase::Receiving,
@@ -265,6 +270,8 @@
     is_answered: Cell<bool>,
     is_body_held: Cell<bool>,
     head_refusal: Cell<Option<HeadRefusal>>,
+    // Chunks of the current body that have passed.
+    chunks: Cell<usize>,
     // The system takes no more bytes of answers.
     is_write_blocked: Cell<bool>,
     // The server's task, if it waits for bytes that are held back.
@@ -331,6 +338,7 @@
                 passed += 1;
                 if matches!(stage, Stage::ChunkData(_)) {
                     *chunks_left -= 1;
+                    self.chunks.set(self.chunks.get() + 1);
                 }
             }
         }
@@ -354,6 +362,9 @@
     stream: TcpStream,
     gate: Rc<GateState>,
     heads: HeadLimits,
+    turns: ChunkTurns,
+    // The place among others that send many chunks, while the connection waits for its turn.
+    ticket: Option<Ticket>,
     // Bytes that may not be passed on yet.
     ahead: BytesMut,
     // Bytes of `ahead` that belong to the head and were looked at, and those of its first line.
@@ -383,6 +394,7 @@
             is_answered: Cell::new(true),
             is_body_held: Cell::new(false),
             head_refusal: Cell::new(None),
+            chunks: Cell::new(0),
             is_write_blocked: Cell::new(false),
             waiting: RefCell::new(None),
         };
@@ -390,6 +402,8 @@
             stream,
             gate: Rc::new(gate),
             heads,
+            turns: ChunkTurns::default(),
+            ticket: None,
             ahead: BytesMut::new(),
             scanned: 0,
             request_line: 0,
@@ -400,6 +414,13 @@
         }
     }
 
+    /// Shares turns with other connections that send many chunks.
+    #[must_use]
+    pub(crate) fn with_turns(mut self, turns: ChunkTurns) -> Self {
+        self.turns = turns;
+        self
+    }
+
     /// Returns the gate to which the server reports requests.
     #[must_use]
     pub fn gate(&self) -> RequestGate {
@@ -556,11 +577,23 @@
         self.bytes_left == 0 || (is_chunked && self.chunks_left == 0)
     }
 
-    /// Lets further bytes pass when the server polls again, which it does at once.
+    /// Lets further bytes pass when the server polls again, which it does at once or at its turn.
     fn start_pass(&mut self, cx: &Context<'_>) {
         self.bytes_left = PASS_BYTES;
         self.chunks_left = PASS_CHUNKS;
-        cx.waker().wake_by_ref();
+        if self.gate.chunks.get() > CHUNKS_WITHOUT_TURNS {
+            self.ticket = Some(self.turns.wait(cx.waker().clone()));
+        } else {
+            cx.waker().wake_by_ref();
+        }
+    }
+
+    /// Returns whether the connection still waits for its turn.
+    fn waits_for_turn(&mut self) -> bool {
+        if self.ticket.as_ref().is_some_and(Ticket::is_called) {
+            self.ticket = None;
+        }
+        self.ticket.is_some()
     }
 
     /// Records whether the system takes bytes of answers.
@@ -587,6 +620,9 @@
             if buf.remaining() == 0 {
                 return Poll::Ready(Ok(()));
             }
+            if this.waits_for_turn() {
+                return Poll::Pending;
+            }
             if this.is_pass_over() {
                 this.start_pass(cx);
                 return Poll::Pending;
--- a/crates/eelgrasshill_ports/src/lib.rs
+++ b/crates/eelgrasshill_ports/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller_server;
 mod caller_stream;
 mod client;
+mod chunk_turns;
 mod clock;
 mod connection_limit;
 mod engine;
