Close stalled requests when another one needs their memory

Ordinary callers with larger bodies got 503 `memory-full` beside bodies that had stopped just short of their end, for as long as those stayed open: up to `idle_timeout_ms`, or the time limit of the route.

Cause: the account refuses whoever comes last, not whoever makes no progress.

Where a charge of a body or an answer does not fit, `MemoryAccount` closes the connection that holds memory for the request that has stalled for the longest time, half a second at least, and tries again. Answers are charged beyond 8 KiB instead of 64 KiB.

--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -214,7 +214,7 @@
         limits.max_bytes,
     );
     // The body is read first, so that a refusal does not reset the connection while it arrives.
-    let body = read_caller_body(payload, limits, charge).await;
+    let body = read_caller_body(payload, limits, charge, gate).await;
     let body_ended = body.is_ok();
     let unprepared = |id: &str, refusal: Refusal| Unprepared {
         id: id.to_owned(),
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -142,7 +142,8 @@
             order_state: Mutex::new(OrderState::new(&settings, incarnation)),
             started_at: BootClock.now(),
             answer_memory: AnswerMemory::new(ANSWER_MEMORY_BYTES),
-            memory: MemoryAccount::new(MemoryLimits::of_machine(settings.memory_mb)),
+            memory: MemoryAccount::new(MemoryLimits::of_machine(settings.memory_mb))
+                .with_reclaim(connections.clone()),
             connections,
             order_wakeup: Notify::new(),
             exchange_wakeup: Notify::new(),
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -190,7 +190,8 @@
                         if self.splitter.is_overlong() {
                             return malformed("too many bytes without a further event".to_owned());
                         }
-                        if let Err(error) = self.memory.resize(self.splitter.partial_bytes()) {
+                        let partial = self.splitter.partial_bytes();
+                        if let Err(error) = self.memory.resize_charged(partial).await {
                             return malformed(error.to_string());
                         }
                         if let Some(whole) = whole {
--- a/crates/eelgrasshill_ports/src/answer_memory.rs
+++ b/crates/eelgrasshill_ports/src/answer_memory.rs
@@ -9,11 +9,14 @@
 
 use derive_more::{Display, Error};
 
-use crate::MemoryCharge;
+use crate::{MemoryCharge, MemoryFull};
 
 /// Bytes of each answer that are not counted.
 const UNCOUNTED_BYTES: usize = 64 << 10;
 
+/// Bytes of each answer that are not charged to the caller's account.
+const UNCHARGED_BYTES: usize = 8 << 10;
+
 /// Error for an answer that would need more memory than is left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
 #[display("the host's memory for answers is used up by other answers")]
@@ -58,19 +61,40 @@
 }
 
 impl MemoryLease {
-    /// Counts the answer as that large.
+    /// Counts the answer as that large, also in the account if the lease is charged.
+    ///
+    /// If the account is full, connections whose requests have stalled are closed.
     ///
     /// # Errors
     ///
     /// Returns [`MemoryUsedUp`] if it is larger than before and too little is left.
-    pub fn resize(&mut self, bytes: usize) -> Result<(), MemoryUsedUp> {
-        let needed = bytes.saturating_sub(UNCOUNTED_BYTES);
-        if let Some(charge) = &mut self.charge {
-            charge.resize(needed).map_err(|error| {
+    pub async fn resize_charged(&mut self, bytes: usize) -> Result<(), MemoryUsedUp> {
+        if let Err(full) = self.charge(bytes) {
+            let account = self.charge.as_ref().map(|charge| charge.account().clone());
+            let account = account.ok_or(MemoryUsedUp)?;
+            let retried = account.retry_reclaiming(full, || self.charge(bytes)).await;
+            retried.map_err(|error| {
                 log::info!("answer: {error}");
                 MemoryUsedUp
             })?;
         }
+        self.resize(bytes)
+    }
+
+    fn charge(&mut self, bytes: usize) -> Result<(), MemoryFull> {
+        let needed = bytes.saturating_sub(UNCHARGED_BYTES);
+        self.charge
+            .as_mut()
+            .map_or(Ok(()), |charge| charge.resize(needed))
+    }
+
+    /// Counts the answer as that large.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MemoryUsedUp`] if it is larger than before and too little is left.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), MemoryUsedUp> {
+        let needed = bytes.saturating_sub(UNCOUNTED_BYTES);
         let left = &self.memory.0;
         if needed <= self.counted {
             left.fetch_add(self.counted - needed, Ordering::Relaxed);
--- a/crates/eelgrasshill_ports/src/caller_body.rs
+++ b/crates/eelgrasshill_ports/src/caller_body.rs
@@ -12,7 +12,7 @@
 use futures_util::{FutureExt, StreamExt};
 use tokio::time::Instant;
 
-use crate::{MemoryCharge, MemoryFull};
+use crate::{MemoryCharge, MemoryFull, RequestGate};
 
 /// Size of the blocks of a body that is still arriving.
 ///
@@ -80,6 +80,8 @@
 
 /// Reads a complete body, whose memory is charged.
 ///
+/// If the memory does not suffice, connections whose bodies have stalled are closed.
+///
 /// # Errors
 ///
 /// Returns [`BodyError`] if the body exceeds a limit or breaks off.
@@ -87,6 +89,7 @@
     mut payload: Payload,
     limits: BodyLimits,
     charge: MemoryCharge,
+    gate: Option<&RequestGate>,
 ) -> Result<CallerBody, BodyError> {
     let deadline = Instant::now() + limits.time_limit;
     let mut body = GrowingBody::new(charge);
@@ -108,7 +111,14 @@
                 max_bytes: limits.max_bytes,
             });
         }
-        body.push(&mut part).map_err(BodyError::MemoryFull)?;
+        if let Err(full) = body.push(&mut part) {
+            let _held = gate.map(RequestGate::hold_body);
+            let account = body.charge.account().clone();
+            account
+                .retry_reclaiming(full, || body.push(&mut part))
+                .await
+                .map_err(BodyError::MemoryFull)?;
+        }
     }
     drop(payload);
     Ok(body.finish())
--- a/crates/eelgrasshill_ports/src/connection_limit.rs
+++ b/crates/eelgrasshill_ports/src/connection_limit.rs
@@ -14,6 +14,7 @@
 use derive_more::{Debug, Display};
 use eelgrasshill_domain::{FastMap, Moment};
 use tokio::sync::Notify;
+use tokio::sync::futures::OwnedNotified;
 
 use crate::{BootClock, ConnectionMemory, lock};
 
@@ -240,6 +241,31 @@
             && connections.choose(BootClock.now()).is_none()
     }
 
+    /// Closes the connection that holds memory for a request which has stalled for the longest time.
+    ///
+    /// Returns whether there was one.
+    #[must_use]
+    pub fn close_stalled_holder(&self) -> bool {
+        let now = BootClock.now();
+        let mut connections = lock(&self.0.connections);
+        let holder = connections
+            .order
+            .iter()
+            .take_while(|(waiting, since, _number)| {
+                *waiting == Waiting::Receiving && now.since(*since) >= STALL_TIME
+            })
+            .map(|(_waiting, _since, number)| *number)
+            .find(|number| {
+                let entry = connections.entries.get(number);
+                entry.is_some_and(|entry| entry.memory.held() > 0)
+            });
+        if let Some(number) = holder {
+            connections.close(number);
+            self.count_closed(&mut connections, CloseCause::Stalled, now);
+        }
+        holder.is_some()
+    }
+
     fn count_closed(&self, connections: &mut Connections, cause: CloseCause, now: Moment) {
         let server = self.0.server;
         let total = self.0.closed.fetch_add(1, Ordering::Relaxed) + 1;
@@ -308,6 +334,11 @@
         self.0.close.notified().await;
     }
 
+    /// Returns a future that ends when the connection is to be closed for another one.
+    pub(crate) fn closed_owned(&self) -> OwnedNotified {
+        Arc::clone(&self.0.close).notified_owned()
+    }
+
     /// Notes a change of what the connection is doing.
     pub fn set_phase(&self, phase: ConnectionPhase) {
         self.0.unnoted_bytes.store(0, Ordering::Relaxed);
--- a/crates/eelgrasshill_ports/src/memory_account.rs
+++ b/crates/eelgrasshill_ports/src/memory_account.rs
@@ -7,11 +7,12 @@
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use derive_more::{Display, Error};
 use eelgrasshill_domain::{FastMap, HostBudget};
 
-use crate::lock;
+use crate::{ConnectionLimit, lock};
 
 /// The parts of eight of the account that one address may hold.
 const ADDRESS_EIGHTHS: usize = 6;
@@ -21,6 +22,12 @@
 
 const EIGHTHS: usize = 8;
 
+/// Maximum number of connections that are closed so that one charge finds room.
+const MAX_RECLAIMS: usize = 16;
+
+/// Time in which the memory of a closed connection is released.
+const RECLAIM_TIME: Duration = Duration::from_millis(5);
+
 /// Memory that a body of the largest size may need beyond that size.
 ///
 /// Its last block may be almost empty, and its head, receive buffer and answer are charged too.
@@ -97,6 +104,7 @@
 pub struct MemoryAccount {
     limits: MemoryLimits,
     held: Arc<Mutex<Held>>,
+    reclaim_from: Option<ConnectionLimit>,
 }
 
 impl MemoryAccount {
@@ -106,7 +114,48 @@
         Self {
             limits,
             held: Arc::default(),
+            reclaim_from: None,
+        }
+    }
+
+    /// Closes connections with stalled requests where the memory does not suffice.
+    #[must_use]
+    pub fn with_reclaim(mut self, connections: ConnectionLimit) -> Self {
+        self.reclaim_from = Some(connections);
+        self
+    }
+
+    /// Closes a connection whose stalled request holds memory; returns whether there was one.
+    async fn reclaim(&self, full: MemoryFull) -> bool {
+        let connections = self.reclaim_from.as_ref();
+        let is_closed = full.scope != MemoryScope::Connection
+            && connections.is_some_and(ConnectionLimit::close_stalled_holder);
+        if is_closed {
+            tokio::time::sleep(RECLAIM_TIME).await;
         }
+        is_closed
+    }
+
+    /// Tries again what did not fit, each time that memory of a stalled request is released.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MemoryFull`] if it still does not fit when there is nothing more to release.
+    pub(crate) async fn retry_reclaiming<T>(
+        &self,
+        mut full: MemoryFull,
+        mut retry: impl FnMut() -> Result<T, MemoryFull>,
+    ) -> Result<T, MemoryFull> {
+        for _reclaim in 0..MAX_RECLAIMS {
+            if !self.reclaim(full).await {
+                break;
+            }
+            match retry() {
+                Ok(done) => return Ok(done),
+                Err(still_full) => full = still_full,
+            }
+        }
+        Err(full)
     }
 
     /// Returns the bytes that are held.
@@ -200,6 +249,11 @@
         Ok(())
     }
 
+    /// Returns the account that is charged.
+    pub(crate) fn account(&self) -> &MemoryAccount {
+        &self.account
+    }
+
     /// Starts another charge of the same caller on the same connection.
     #[must_use]
     pub fn sibling(&self) -> Self {
--- a/crates/eelgrasshill_ports/src/pool.rs
+++ b/crates/eelgrasshill_ports/src/pool.rs
@@ -354,7 +354,8 @@
             return Err(malformed(format!("a body of more than {max_bytes} bytes")));
         }
         lease
-            .resize(length)
+            .resize_charged(length)
+            .await
             .map_err(|error| malformed(error.to_string()))?;
         // A large body is not copied again while it grows.
         if !block.is_empty() && block.len() + data.len() > BLOCK_BYTES {
