Limit the connections of peers

A crowd at the address for peers could take all descriptors of a host, which engines, the store and callers need as well. Its connections were not limited at all.

At the limit the connection is closed first that has not begun as HTTP/2 does, then the one that was silent for the longest time; hosts that exchange state several times a second stay. One that begins otherwise is closed at once.

--- a/crates/eelgrasshill_entry/src/control/peer.rs
+++ b/crates/eelgrasshill_entry/src/control/peer.rs
@@ -8,9 +8,9 @@
 use eelgrasshill_limit::BorrowRequest;
 use eelgrasshill_peer::generated as wire;
 use eelgrasshill_peer::{Peer, PeerServer};
+use eelgrasshill_ports::{ConnectionLimit, accept_peers};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 use tonic::{Request, Response, Status};
 
@@ -43,6 +43,7 @@
     shared: Arc<Shared>,
     state_changed: Arc<Notify>,
 ) -> Result<(), tonic::transport::Error> {
+    let limit = ConnectionLimit::new("peers", shared.settings.budget().peer_connections());
     let service = PeerService {
         addr,
         shared,
@@ -51,7 +52,7 @@
     let server = PeerServer::new(service).max_encoding_message_size(MAX_MESSAGE_BYTES);
     Server::builder()
         .add_service(server)
-        .serve_with_incoming(TcpListenerStream::new(listener))
+        .serve_with_incoming(accept_peers(listener, limit))
         .await
 }
 
--- a/crates/eelgrasshill_gateway/src/peers.rs
+++ b/crates/eelgrasshill_gateway/src/peers.rs
@@ -8,8 +8,7 @@
 
 use eelgrasshill_peer::generated as message;
 use eelgrasshill_peer::generated::gateway_server::{Gateway, GatewayServer};
-use eelgrasshill_ports::BootClock;
-use tokio_stream::wrappers::TcpListenerStream;
+use eelgrasshill_ports::{BootClock, ConnectionLimit, accept_peers};
 use tonic::transport::Server;
 use tonic::{Request, Response, Status};
 
@@ -35,12 +34,13 @@
             return;
         }
     };
+    let limit = ConnectionLimit::new("peers", shared.settings.budget().peer_connections());
     let service = GatewayServer::new(PeerService { shared })
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
     let served = Server::builder()
         .add_service(service)
-        .serve_with_incoming(TcpListenerStream::new(listener))
+        .serve_with_incoming(accept_peers(listener, limit))
         .await;
     if let Err(error) = served {
         log::error!("peers: the server ended: {error}");
--- a/crates/eelgrasshill_ports/src/lib.rs
+++ b/crates/eelgrasshill_ports/src/lib.rs
@@ -9,8 +9,8 @@
 mod caller_body;
 mod caller_server;
 mod caller_stream;
-mod client;
 mod chunk_turns;
+mod client;
 mod clock;
 mod connection_limit;
 mod engine;
@@ -21,6 +21,7 @@
 mod lock;
 mod log_service;
 mod memory_account;
+mod peer_stream;
 mod plain;
 mod pool;
 mod send_queue;
@@ -52,6 +53,7 @@
 pub use memory_account::{
     ConnectionMemory, MemoryAccount, MemoryCharge, MemoryFull, MemoryLimits, MemoryScope,
 };
+pub use peer_stream::{PeerStream, accept_peers};
 pub use plain::{HttpPlain, PlainCall, PlainClient, PlainReply};
 pub use pool::{
     CountedBody, HttpConnection, HttpPool, call_unpooled, read_counted_body, read_response_body,
