Give the entry host the account, the limits and the server of the gateway

The entry host of our own interface had the same faults: bodies without an account, read buffers and heads without a bound, requests sent ahead, 4,096 connections whatever the machine has, and no room for new callers at the limit.

--- a/crates/eelgrasshill_entry/src/api_error.rs
+++ b/crates/eelgrasshill_entry/src/api_error.rs
@@ -34,6 +34,10 @@
         UnknownPath,
         /// The body exceeds the size limit.
         BodyTooLarge,
+        /// The headers or the request line exceed the size limit.
+        HeadTooLarge,
+        /// The host's memory for requests is used up.
+        MemoryFull,
         /// The request may cost more than the organisation's burst.
         CostTooLarge,
         /// The organisation exceeded its rate.
@@ -144,9 +148,11 @@
             Code::Forbidden => StatusCode::FORBIDDEN,
             Code::UnknownModel | Code::UnknownPath => StatusCode::NOT_FOUND,
             Code::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Code::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Code::RateLimited | Code::QueueFull => StatusCode::TOO_MANY_REQUESTS,
             Code::IdempotencyConflict | Code::OutcomeUnknown => StatusCode::CONFLICT,
-            Code::QueueTimeout
+            Code::MemoryFull
+            | Code::QueueTimeout
             | Code::NoUpstream
             | Code::TablesStale
             | Code::NotReady
--- a/crates/eelgrasshill_entry/src/http/body.rs
+++ b/crates/eelgrasshill_entry/src/http/body.rs
@@ -1,42 +1,63 @@
-//! Reads a request body within a size limit and a timeout.
+//! Reads a request body within a size limit, a timeout and the host's memory.
 
 use std::time::Duration;
 
 use actix_web::web::Payload;
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use actix_web::{HttpMessage, HttpRequest, HttpResponse, ResponseError};
+use eelgrasshill_ports::{
+    BodyError, BodyLimits, CallerBody, ConnectionMemory, HeadRefusal, RequestGate, read_caller_body,
+};
 
-use crate::{ApiError, Code};
+use crate::{ApiError, Code, Shared};
 
-/// Reads a whole body of at most `max_bytes` bytes within `timeout`.
+/// Retry time for callers of a host whose memory for requests is used up.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Reads a whole body, whose memory is charged to the caller.
 ///
 /// # Errors
 ///
-/// Returns [`ApiError`] when the body is too long, too slow or truncated.
+/// Returns [`ApiError`] when the body is too long, too slow, truncated or does not fit.
 pub(crate) async fn read_body(
+    shared: &Shared,
+    request: &HttpRequest,
     payload: Payload,
-    max_bytes: usize,
-    timeout: Duration,
-) -> Result<Bytes, ApiError> {
-    match tokio::time::timeout(timeout, collect(payload, max_bytes)).await {
-        Ok(body) => body,
-        Err(_elapsed) => {
-            let millis = timeout.as_millis();
-            let message = format!("the body did not arrive within {millis} ms");
-            Err(ApiError::not_run(Code::BadRequest, message))
-        }
-    }
+) -> Result<CallerBody, ApiError> {
+    let bounds = shared.settings.bounds;
+    let limits = BodyLimits {
+        max_bytes: bounds.max_body_bytes,
+        idle_timeout: bounds.receive_timeout,
+        time_limit: bounds.receive_timeout,
+    };
+    let gate = request.conn_data::<RequestGate>();
+    let connection = gate.map_or_else(ConnectionMemory::default, |gate| {
+        gate.connection().memory().clone()
+    });
+    let address = request.peer_addr().map(|address| address.ip());
+    let charge = shared.memory.charge(address, &connection, limits.max_bytes);
+    read_caller_body(payload, limits, charge, gate)
+        .await
+        .map_err(|error| match error {
+            BodyError::TooLarge { .. } => ApiError::not_run(Code::BodyTooLarge, error),
+            BodyError::MemoryFull(_) => memory_full(error),
+            BodyError::Unreadable(_) | BodyError::Idle { .. } | BodyError::Late { .. } => {
+                ApiError::not_run(Code::BadRequest, error)
+            }
+        })
+}
+
+fn memory_full(cause: impl std::fmt::Display) -> ApiError {
+    ApiError::not_run(Code::MemoryFull, cause).with_retry_after(MEMORY_RETRY_AFTER)
 }
 
-async fn collect(mut payload: Payload, max_bytes: usize) -> Result<Bytes, ApiError> {
-    let mut body = BytesMut::new();
-    while let Some(part) = payload.next().await {
-        let part = part.map_err(|error| ApiError::not_run(Code::BadRequest, error))?;
-        if body.len() + part.len() > max_bytes {
-            let message = format!("the body is longer than {max_bytes} bytes");
-            return Err(ApiError::not_run(Code::BodyTooLarge, message));
-        }
-        body.extend_from_slice(&part);
-    }
-    Ok(body.freeze())
+/// Answers a request whose head was refused.
+pub(crate) async fn refuse_head(request: HttpRequest) -> HttpResponse {
+    let error = match request.extensions().get::<HeadRefusal>() {
+        Some(HeadRefusal::MemoryFull) => memory_full("the memory for requests is used up"),
+        Some(HeadRefusal::TooLarge) | None => ApiError::not_run(
+            Code::HeadTooLarge,
+            "the headers or the request line are longer than allowed",
+        ),
+    };
+    error.error_response()
 }
--- a/crates/eelgrasshill_entry/src/http/chat.rs
+++ b/crates/eelgrasshill_entry/src/http/chat.rs
@@ -102,12 +102,12 @@
     kind: CompletionKind,
 ) -> Result<HttpResponse, ApiError> {
     let arrived = BootClock.now();
-    let Some(open_request) = shared.open_request(arrived) else {
+    let Some(mut open_request) = shared.open_request(arrived) else {
         return Err(ApiError::not_run(Code::NotReady, "the host is leaving"));
     };
-    let bounds = shared.settings.bounds;
-    let body = read_body(payload, bounds.max_body_bytes, bounds.receive_timeout).await?;
-    let body: CompletionBody = serde_json::from_slice(&body)
+    let body = read_body(&shared, request, payload).await?;
+    open_request.hold_memory(body.charge);
+    let body: CompletionBody = serde_json::from_slice(&body.bytes)
         .map_err(|error| ApiError::not_run(Code::BadRequest, error))?;
     let resolved = resolve(&shared, request, body, kind, arrived).inspect_err(|error| {
         count_refusal(error.code, None);
--- a/crates/eelgrasshill_entry/src/http/plain.rs
+++ b/crates/eelgrasshill_entry/src/http/plain.rs
@@ -9,7 +9,7 @@
 use actix_web::{HttpRequest, HttpResponse};
 use eelgrasshill_control::{CallDigest, CallKey, RequestTarget};
 use eelgrasshill_domain::{Moment, Repeat};
-use eelgrasshill_ports::{HttpClient, HttpPlain, PlainCall, PlainReply};
+use eelgrasshill_ports::{CallerBody, HttpClient, HttpPlain, MemoryCharge, PlainCall, PlainReply};
 
 use crate::http::api_key::{presented_key, refuse_key_in};
 use crate::http::body::read_body;
@@ -39,16 +39,18 @@
 ) -> Result<HttpResponse, ApiError> {
     let shared = shared.into_inner();
     let arrived = BootClock.now();
-    let Some(open_request) = shared.open_request(arrived) else {
+    let Some(mut open_request) = shared.open_request(arrived) else {
         return Err(ApiError::not_run(Code::NotReady, "the host is leaving"));
     };
-    let plain_request = match resolve(&shared, &client, &request, payload, arrived).await {
-        Ok(plain_request) => plain_request,
+    let resolved = resolve(&shared, &client, &request, payload, arrived).await;
+    let (plain_request, charge) = match resolved {
+        Ok(resolved) => resolved,
         Err(error) => {
             count_refusal(error.code, None);
             return Err(error);
         }
     };
+    open_request.hold_memory(charge);
     let organisation = plain_request.grant.organisation.clone();
     let labels = Labels::new(organisation.as_ref(), plain_request.grant.route.class);
     let id = plain_request.call.request_id.to_string();
@@ -81,7 +83,7 @@
     request: &HttpRequest,
     payload: Payload,
     arrived: Moment,
-) -> Result<PlainRequest<HttpPlain>, ApiError> {
+) -> Result<(PlainRequest<HttpPlain>, MemoryCharge), ApiError> {
     let key = presented_key(request);
     let grant = {
         let snapshot = shared.snapshot.load();
@@ -96,8 +98,10 @@
             .access
             .resolve(key.as_ref(), RequestTarget::Path(request.path()), age)?
     };
-    let bounds = shared.settings.bounds;
-    let body = read_body(payload, bounds.max_body_bytes, bounds.receive_timeout).await?;
+    let CallerBody {
+        bytes: body,
+        charge,
+    } = read_body(shared, request, payload).await?;
     let path = request
         .uri()
         .path_and_query()
@@ -120,12 +124,13 @@
         is_repeatable: grant.route.repeat == Repeat::Allowed,
     };
     let plain = HttpPlain::new(client.settings());
-    Ok(PlainRequest {
+    let plain_request = PlainRequest {
         plain,
         grant,
         call,
         arrived,
-    })
+    };
+    Ok((plain_request, charge))
 }
 
 fn header<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
--- a/crates/eelgrasshill_entry/src/run.rs
+++ b/crates/eelgrasshill_entry/src/run.rs
@@ -13,7 +13,9 @@
 use derive_more::{Display, Error, From};
 use eelgrasshill_domain::Incarnation;
 use eelgrasshill_limit::{Effect, Holder, LimitSettings, Limiter, Process};
-use eelgrasshill_ports::{HttpClient, HttpClientSettings, HttpEngine, HttpHostList, HttpLog};
+use eelgrasshill_ports::{
+    HttpClient, HttpClientSettings, HttpEngine, HttpHostList, HttpLog, descriptor_limit,
+};
 use eelgrasshill_route::{DispatchSettings, Drain, DrainEvent, DrainSettings, DrainState, View};
 use eelgrasshill_settings::EntrySettings;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -69,16 +71,22 @@
         settings: EntrySettings,
         metrics: Option<PrometheusHandle>,
     ) -> Result<Self, StartError> {
+        let settings = match descriptor_limit() {
+            Some(descriptors) => settings.within_descriptors(descriptors),
+            None => settings,
+        };
         let (settings, listeners) = bind(settings)?;
         let (shared, control_inbox) = build_shared(settings, BootClock.incarnation());
         let control = spawn_control(&shared, control_inbox, listeners.peer)?;
         let (http, caller_server) =
             spawn_http(&shared, listeners.callers, listeners.admin, metrics)?;
         log::info!(
-            "host: {} serves callers at {} and peers at {}",
+            "host: {} serves callers at {} and peers at {}, memory={} MB connections={}",
             shared.settings.name,
             shared.settings.caller_address,
-            shared.settings.peer_address
+            shared.settings.peer_address,
+            shared.settings.memory_mb,
+            shared.settings.bounds.max_connections
         );
         Ok(Self {
             shared,
--- a/crates/eelgrasshill_entry/src/shared.rs
+++ b/crates/eelgrasshill_entry/src/shared.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 
 use crate::{BootClock, ClaimCommand, Quota, RecentTraces, SharedDispatcher};
-use eelgrasshill_ports::lock;
+use eelgrasshill_ports::{ConnectionLimit, MemoryAccount, MemoryCharge, MemoryLimits, lock};
 
 /// An immutable snapshot of the tables, replaced by the control thread.
 #[derive(Debug, Default)]
@@ -33,6 +33,10 @@
 pub struct Shared {
     /// The host's settings.
     pub settings: EntrySettings,
+    /// The limit on callers' connections.
+    pub connections: ConnectionLimit,
+    /// The memory of callers' requests.
+    pub memory: MemoryAccount,
     /// The incarnation of this process, which grows with each start.
     pub incarnation: Incarnation,
     /// The request timeouts of each class.
@@ -71,6 +75,15 @@
     shared: Arc<Shared>,
     /// Whether the connection should close after the answer.
     pub close_connection: bool,
+    // Memory of the body, which the request keeps until its end.
+    memory: Option<MemoryCharge>,
+}
+
+impl OpenRequest {
+    /// Keeps memory charged until the request ends.
+    pub(crate) fn hold_memory(&mut self, charge: MemoryCharge) {
+        self.memory = Some(charge);
+    }
 }
 
 impl Shared {
@@ -85,8 +98,13 @@
         drain: Drain,
         claim_commands: mpsc::Sender<ClaimCommand>,
     ) -> Self {
+        let connections = ConnectionLimit::new("callers", settings.bounds.max_connections);
+        let memory = MemoryAccount::new(MemoryLimits::of_machine(settings.memory_mb))
+            .with_reclaim(connections.clone());
         Self {
             settings,
+            connections,
+            memory,
             incarnation,
             timeouts: Timeouts::default(),
             snapshot: ArcSwap::default(),
@@ -143,6 +161,7 @@
         Some(OpenRequest {
             shared: Arc::clone(self),
             close_connection,
+            memory: None,
         })
     }
 
--- a/crates/eelgrasshill_entry/tests/support/mod.rs
+++ b/crates/eelgrasshill_entry/tests/support/mod.rs
@@ -150,11 +150,17 @@
 
     /// Starts one host process in each of the first `count` zones, and no other hosts.
     pub fn start_processes(count: usize) -> Self {
+        Self::start_processes_with(count, |_config| {})
+    }
+
+    /// Starts host processes whose configurations are changed before.
+    pub fn start_processes_with(count: usize, change: impl Fn(&mut ProcessConfig)) -> Self {
         let mut fleet = Self::start(0);
         for (number, zone) in ZONES.iter().take(count).enumerate() {
             let name = format!("entry-{number}");
-            let config =
+            let mut config =
                 ProcessConfig::new(&name, zone, fleet.log.address, fleet.host_list.address);
+            change(&mut config);
             fleet.processes.push(config.start());
         }
         fleet.list_hosts();
--- a/crates/eelgrasshill_entry/tests/support/process.rs
+++ b/crates/eelgrasshill_entry/tests/support/process.rs
@@ -33,6 +33,9 @@
     pub log: SocketAddr,
     pub hosts: SocketAddr,
     pub peers: Vec<SocketAddr>,
+    /// Further lines of the section `[host]`.
+    pub host_lines: String,
+    pub arrival_ms: u64,
 }
 
 /// A running entry host process.
@@ -68,23 +71,27 @@
             log,
             hosts,
             peers: Vec::new(),
+            host_lines: String::new(),
+            arrival_ms: 1_000,
         }
     }
 
     pub fn start(&self) -> Process {
         let peers: Vec<String> = self.peers.iter().map(ToString::to_string).collect();
         let text = format!(
-            "[host]\nname = {}\nzone = {}\nlisten = {}\npeer = {}\nadmin = {}\nthreads = 1\n\
+            "[host]\nname = {}\nzone = {}\nlisten = {}\npeer = {}\nadmin = {}\nthreads = 1\n{}\
              [platform]\nlog = {}\nhosts = {}\n[peers]\naddresses = {}\n\
-             [bounds]\nleave-ms = 300\narrival-ms = 1000\n[fleet]\nzones = zone-a, zone-b, zone-c\n",
+             [bounds]\nleave-ms = 300\narrival-ms = {}\n[fleet]\nzones = zone-a, zone-b, zone-c\n",
             self.name,
             self.zone,
             self.listen,
             self.peer,
             self.admin,
+            self.host_lines,
             self.log,
             self.hosts,
             peers.join(", "),
+            self.arrival_ms,
         );
         let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
         let file = format!("eelgrasshill-{}-{number}.ini", std::process::id());
@@ -105,6 +112,10 @@
 }
 
 impl Process {
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.config.listen)
     }
