Let the system's buffers grow for large bodies and answers

Callers far away would upload and download at the rate of a small buffer: 16 to 24 KB for each round trip, since the buffers of all connections have a fixed size now.

From 64 KiB of a body or an answer on, the buffer for it grows to 128 KB. The difference is charged to the account; where it does not fit, the buffer stays small.

Callers who read nothing of an answer may be closed for new ones after 10 s instead of 30.

--- a/crates/eelgrasshill_domain/src/budget.rs
+++ b/crates/eelgrasshill_domain/src/budget.rs
@@ -30,8 +30,8 @@
 /// Most memory of a connection in the process that is not charged to the account, in bytes.
 ///
 /// It holds the read and write buffers of the HTTP server, a head with its decoded headers, the
-/// first part of a body and of an answer, and the tasks.
-const CONNECTION_PROCESS_BYTES: usize = 64 * BYTES_PER_KB;
+/// first part of a body and of an answer, the tasks, and the connection to the upstream.
+const CONNECTION_PROCESS_BYTES: usize = 112 * BYTES_PER_KB;
 
 /// Most memory of a connection that is not charged to the account, in bytes.
 pub const CONNECTION_BYTES: usize =
--- a/crates/eelgrasshill_ports/src/caller_body.rs
+++ b/crates/eelgrasshill_ports/src/caller_body.rs
@@ -12,6 +12,7 @@
 use futures_util::{FutureExt, StreamExt};
 use tokio::time::Instant;
 
+use crate::socket_limits::{Direction, LARGE_BYTES};
 use crate::{MemoryCharge, MemoryFull, RequestGate};
 
 /// Size of the blocks of a body that is still arriving.
@@ -106,6 +107,12 @@
             break;
         };
         let mut part = part.map_err(BodyError::Unreadable)?;
+        if body.length < LARGE_BYTES
+            && body.length + part.len() >= LARGE_BYTES
+            && let Some(gate) = gate
+        {
+            gate.grow_buffer(Direction::Receive);
+        }
         if body.length + part.len() > limits.max_bytes {
             return Err(BodyError::TooLarge {
                 max_bytes: limits.max_bytes,
--- a/crates/eelgrasshill_ports/src/caller_stream.rs
+++ b/crates/eelgrasshill_ports/src/caller_stream.rs
@@ -21,6 +21,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::chunk_turns::{ChunkTurns, Ticket};
+use crate::socket_limits::{Direction, grow_buffer};
 use crate::{Connection, ConnectionPhase, MemoryCharge};
 
 /// Bytes that are read while they may not be passed on yet, for each connection.
@@ -130,6 +131,15 @@
         HeldBody(Rc::clone(&self.0))
     }
 
+    /// Lets the system's buffer grow for a large body or answer, if memory is left for that.
+    pub(crate) fn grow_buffer(&self, direction: Direction) {
+        match direction {
+            Direction::Receive => &self.0.wants_receive_buffer,
+            Direction::Send => &self.0.wants_send_buffer,
+        }
+        .set(true);
+    }
+
     /// Notes that the server has the whole answer.
     pub(crate) fn end_answer(&self) {
         self.0.is_answered.set(true);
@@ -269,6 +279,9 @@
     // The server has the whole answer of the last request.
     is_answered: Cell<bool>,
     is_body_held: Cell<bool>,
+    // A large body or answer has begun, whose buffer has not grown.
+    wants_receive_buffer: Cell<bool>,
+    wants_send_buffer: Cell<bool>,
     head_refusal: Cell<Option<HeadRefusal>>,
     // Chunks of the current body that have passed.
     chunks: Cell<usize>,
@@ -362,6 +375,9 @@
     stream: TcpStream,
     gate: Rc<GateState>,
     heads: HeadLimits,
+    // Charges for buffers of the system that have grown, kept until the connection ends.
+    receive_charge: Option<MemoryCharge>,
+    send_charge: Option<MemoryCharge>,
     turns: ChunkTurns,
     // The place among others that send many chunks, while the connection waits for its turn.
     ticket: Option<Ticket>,
@@ -393,6 +409,8 @@
             has_request: Cell::new(false),
             is_answered: Cell::new(true),
             is_body_held: Cell::new(false),
+            wants_receive_buffer: Cell::new(false),
+            wants_send_buffer: Cell::new(false),
             head_refusal: Cell::new(None),
             chunks: Cell::new(0),
             is_write_blocked: Cell::new(false),
@@ -402,6 +420,8 @@
             stream,
             gate: Rc::new(gate),
             heads,
+            receive_charge: None,
+            send_charge: None,
             turns: ChunkTurns::default(),
             ticket: None,
             ahead: BytesMut::new(),
@@ -518,6 +538,11 @@
         buffer: &mut ReadBuf<'_>,
         limit: usize,
     ) -> Poll<io::Result<()>> {
+        if self.gate.wants_receive_buffer.take() && self.receive_charge.is_none() {
+            let mut charge = self.heads.charge.sibling();
+            let has_grown = grow_buffer(&self.stream, Direction::Receive, &mut charge);
+            self.receive_charge = has_grown.then_some(charge);
+        }
         let limit = limit.min(self.bytes_left);
         let before = buffer.filled().len();
         let stream = Pin::new(&mut self.stream);
@@ -686,6 +711,11 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        if this.gate.wants_send_buffer.take() && this.send_charge.is_none() {
+            let mut charge = this.heads.charge.sibling();
+            let has_grown = grow_buffer(&this.stream, Direction::Send, &mut charge);
+            this.send_charge = has_grown.then_some(charge);
+        }
         let polled = Pin::new(&mut this.stream).poll_write(cx, buf);
         this.note_written(polled)
     }
--- a/crates/eelgrasshill_ports/src/connection_limit.rs
+++ b/crates/eelgrasshill_ports/src/connection_limit.rs
@@ -24,7 +24,7 @@
 const STALL_TIME: Duration = Duration::from_millis(500);
 
 /// Time without a byte taken from which on the caller of an answer counts as gone.
-const UNREAD_TIME: Duration = Duration::from_secs(30);
+const UNREAD_TIME: Duration = Duration::from_secs(10);
 
 /// Bytes of a request that count as progress.
 ///
--- a/crates/eelgrasshill_ports/src/sliced_body.rs
+++ b/crates/eelgrasshill_ports/src/sliced_body.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 
 use crate::RequestGate;
+use crate::socket_limits::{Direction, LARGE_BYTES};
 
 /// Maximum size of a slice, and of the server's write buffer before a slice is added.
 pub(crate) const SLICE_BYTES: usize = 8 << 10;
@@ -20,8 +21,13 @@
     gate: Option<RequestGate>,
 }
 
-impl<B> SlicedBody<B> {
+impl<B: MessageBody> SlicedBody<B> {
     pub(crate) fn new(body: B, gate: Option<RequestGate>) -> Self {
+        if let (BodySize::Sized(length), Some(gate)) = (body.size(), &gate)
+            && length >= LARGE_BYTES as u64
+        {
+            gate.grow_buffer(Direction::Send);
+        }
         Self {
             body,
             rest: Bytes::new(),
