--- a/crates/eelgrasshill_ports/tests/caller_stream.rs
+++ b/crates/eelgrasshill_ports/tests/caller_stream.rs
@@ -11,8 +11,8 @@
 use actix_web::web::{self, Bytes};
 use actix_web::{App, HttpRequest, HttpResponse};
 use eelgrasshill_ports::{
-    BodyFraming, CallerServerSettings, CallerStream, ConnectionLimit, HeadLimits, MemoryAccount,
-    MemoryLimits, RequestGate, run_caller_server,
+    BodyFraming, CallerServerSettings, CallerStream, ConnectionLimit, HeadLimits, HeadRefusal,
+    MemoryAccount, MemoryLimits, RequestGate, run_caller_server,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -82,6 +82,36 @@
     assert_eq!(read_passed(&mut stream).await, heads[1]);
 }
 
+/// Guards against heads that take memory without a bound, and against a refusal of those allowed.
+#[actix_web::test]
+async fn a_head_that_is_too_large_is_replaced() {
+    let line = |length| format!("GET /{} HTTP/1.1\r\n", "x".repeat(length));
+    let headers = |length| format!("a: {}\r\n\r\n", "x".repeat(length));
+    let cases = [
+        (line(8_000), headers(16_000), None),
+        (line(9_000), headers(1), Some(HeadRefusal::TooLarge)),
+        (line(1), headers(17_000), Some(HeadRefusal::TooLarge)),
+        (line(1), "x".repeat(200_000), Some(HeadRefusal::TooLarge)),
+    ];
+    for (line, headers, refusal) in cases {
+        let (mut caller, mut stream, gate) = connect(true).await;
+        let sent = format!("{line}{headers}");
+        let head = sent.clone();
+        let sender = actix_web::rt::spawn(async move {
+            caller.write_all(sent.as_bytes()).await.unwrap();
+            caller
+        });
+        let passed = read_passed(&mut stream).await;
+        let _caller = sender.await.unwrap();
+        assert_eq!(gate.head_refusal(), refusal, "{} bytes", head.len());
+        let expected = match refusal {
+            Some(_refusal) => "GET / HTTP/1.1\r\nconnection: close\r\n\r\n",
+            None => &head,
+        };
+        assert_eq!(passed, expected);
+    }
+}
+
 /// Guards against a head that passes since it is taken for a part of the body before it.
 #[actix_web::test]
 async fn a_body_passes_up_to_its_end() {
--- a/crates/eelgrasshill_settings/tests/gateway.rs
+++ b/crates/eelgrasshill_settings/tests/gateway.rs
@@ -39,6 +39,13 @@
     }
 }
 
+/// Returns whether the connections fit in the machine, with all else that it holds.
+fn fits(settings: &GatewaySettings) -> bool {
+    let budget = settings.budget();
+    budget.needed_bytes(settings.max_connections) <= budget.memory
+        && budget.check(settings.max_connections).is_ok()
+}
+
 fn retry_cases() -> Vec<Case> {
     vec![
         case("retries", "extra = 33.1578947368421", Expected::Used, |s| {
@@ -85,6 +92,21 @@
         case("host", "memory-mb =", Expected::Used, |s| {
             s.memory_mb == 256
         }),
+        case("host", "memory-mb = 182", Expected::Used, fits),
+        case("host", "descriptors = 500", Expected::Used, |s| {
+            s.max_connections == 87 && fits(s)
+        }),
+        case("host", "descriptors = 300", Expected::Used, fits),
+        case("host", "descriptors = 264", Expected::Default, |s| {
+            s.max_connections == 1
+        }),
+        case("host", "memory-mb = 40", Expected::Default, |s| {
+            s.max_connections == 1
+        }),
+        case("bounds", "connections = 100", Expected::Used, |s| {
+            s.max_connections == 100 && fits(s)
+        }),
+        case("bounds", "connections = 5000", Expected::Default, fits),
         case("host", "memory-mb = 0", Expected::Default, |s| {
             s.memory_mb == 256
         }),
