Throw away all that follows a refused head, and time unread answers once

After the answer to a refused head the stream looked for the next head in what followed, and could refuse again. A caller who takes no bytes was noted anew at each poll, so it never counted as gone. Both found by reading; the first has a check in a_head_that_is_too_large_is_replaced.

--- a/crates/eelgrasshill_ports/src/caller_stream.rs
+++ b/crates/eelgrasshill_ports/src/caller_stream.rs
@@ -390,6 +390,8 @@
     bytes_left: usize,
     chunks_left: usize,
     has_ended: bool,
+    // A head was refused, so what follows it is thrown away.
+    has_refused: bool,
     // Whether requests are served whose caller has closed its side of the connection.
     allows_half_closed: bool,
 }
@@ -430,6 +432,7 @@
             bytes_left: PASS_BYTES,
             chunks_left: PASS_CHUNKS,
             has_ended: false,
+            has_refused: false,
             allows_half_closed,
         }
     }
@@ -457,7 +460,6 @@
         let mut stage = self.gate.stage.get();
         if self.scanned == 0 {
             self.request_line = 0;
-            self.gate.head_refusal.set(None);
             if !self.ahead.is_empty() {
                 self.gate
                     .connection
@@ -509,6 +511,7 @@
 
     /// Puts another request in the place of one that is refused, and drops what has arrived of it.
     fn refuse_head(&mut self, refusal: HeadRefusal) {
+        self.has_refused = true;
         self.gate.head_refusal.set(Some(refusal));
         self.ahead = BytesMut::from(REFUSED_HEAD);
         self.complete_head(REFUSED_HEAD.len());
@@ -589,6 +592,7 @@
                 other => return other,
             }
         }
+        self.ahead.clear();
         self.start_pass(cx);
         Poll::Pending
     }
@@ -627,7 +631,7 @@
         if was_blocked && polled.is_ready() {
             self.gate.wake();
         }
-        if was_blocked || polled.is_pending() {
+        if was_blocked != polled.is_pending() {
             self.gate.connection.set_blocked(polled.is_pending());
         }
         polled
@@ -653,7 +657,8 @@
                 return Poll::Pending;
             }
             let mut read_limit = READ_AHEAD_BYTES;
-            if matches!(this.gate.stage(), Stage::Head { .. }) && !this.is_head_held() {
+            let is_head = matches!(this.gate.stage(), Stage::Head { .. });
+            if is_head && !this.is_head_held() && !this.has_refused {
                 match this.scan_head() {
                     HeadScan::Complete => {}
                     HeadScan::Refused(refusal) => this.refuse_head(refusal),
@@ -666,7 +671,7 @@
             if this.is_pass_over() {
                 continue;
             }
-            if this.gate.head_refusal.get().is_some() && this.ahead.is_empty() {
+            if this.has_refused && this.ahead.is_empty() {
                 return this.poll_discard(cx);
             }
             if this.ahead.is_empty() {
--- a/crates/eelgrasshill_ports/tests/caller_stream.rs
+++ b/crates/eelgrasshill_ports/tests/caller_stream.rs
@@ -109,6 +109,8 @@
             None => &head,
         };
         assert_eq!(passed, expected);
+        drop(gate.open_request(BodyFraming::Length(0)));
+        assert_eq!(read_passed(&mut stream).await, "", "after {refusal:?}");
     }
 }
 
