--- a/crates/eelgrasshill_ports/src/caller_stream.rs
+++ b/crates/eelgrasshill_ports/src/caller_stream.rs
@@ -6,14 +6,13 @@
 //! answered. What arrives meanwhile waits undecoded, a few KB here and the rest in the system's
 //! receive buffer.
 
-use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll};
 
 use actix_web::rt::net::TcpStream;
 use bytes::{Buf, BytesMut};
@@ -21,8 +20,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::chunk_turns::{ChunkTurns, Ticket};
+use crate::request_gate::GateState;
+use crate::request_stage::Stage;
 use crate::socket_limits::{Direction, grow_buffer};
-use crate::{Connection, ConnectionPhase, MemoryCharge};
+use crate::{Connection, ConnectionPhase, HeadRefusal, MemoryCharge, RequestGate};
 
 /// Bytes that are read while they may not be passed on yet, for each connection.
 ///
@@ -52,31 +53,6 @@
 /// Request that the server gets in place of one whose head is refused.
 const REFUSED_HEAD: &[u8] = b"GET / HTTP/1.1\r\nconnection: close\r\n\r\n";
 
-/// Bytes of the line end after the data of a chunk.
-const CHUNK_END_BYTES: u64 = 2;
-
-/// How the end of a request's body is found.
-#[derive(Clone, Copy, Debug)]
-pub enum BodyFraming {
-    /// The body has that many bytes.
-    Length(u64),
-    /// The body is sent in chunks.
-    Chunked,
-    /// The body ends with the connection.
-    Unbounded,
-}
-
-/// Why a request is refused before its head is complete.
-///
-/// The service finds it in the extensions of the request that takes the place of the refused one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HeadRefusal {
-    /// The headers, or the request line, are longer than allowed.
-    TooLarge,
-    /// The host's memory for requests is used up.
-    MemoryFull,
-}
-
 /// Limits of the heads of one connection.
 #[derive(Debug)]
 pub struct HeadLimits {
@@ -86,282 +62,6 @@
     pub charge: MemoryCharge,
 }
 
-/// Tells the stream of a connection about the request that the server serves.
-#[derive(Clone, Debug)]
-pub struct RequestGate(Rc<GateState>);
-
-impl RequestGate {
-    /// Lets the body of a request pass whose head was decoded.
-    ///
-    /// The next head does not pass before the result is dropped.
-    #[must_use]
-    pub fn open_request(&self, framing: BodyFraming) -> OpenGate {
-        self.0.stage.set(match framing {
-            BodyFraming::Length(length) => Stage::Sized(length),
-            BodyFraming::Chunked => Stage::ChunkSize(0),
-            BodyFraming::Unbounded => Stage::Unbounded,
-        });
-        self.0.has_request.set(true);
-        self.0.is_answered.set(false);
-        self.0.chunks.set(0);
-        self.0.connection.set_phase(match framing {
-            BodyFraming::Length(0) => ConnectionPhase::Serving,
-            _ => ConnectionPhase::Receiving,
-        });
-        self.0.wake();
-        OpenGate(Rc::clone(&self.0))
-    }
-
-    /// Returns why the request whose head was decoded last stands for a refused one, if it does.
-    #[must_use]
-    pub fn head_refusal(&self) -> Option<HeadRefusal> {
-        self.0.head_refusal.get()
-    }
-
-    /// Returns the connection.
-    #[must_use]
-    pub fn connection(&self) -> &Connection {
-        &self.0.connection
-    }
-
-    /// Holds back the rest of the body until the result is dropped.
-    #[must_use]
-    pub fn hold_body(&self) -> HeldBody {
-        self.0.is_body_held.set(true);
-        HeldBody(Rc::clone(&self.0))
-    }
-
-    /// Lets the system's buffer grow for a large body or answer, if memory is left for that.
-    pub(crate) fn grow_buffer(&self, direction: Direction) {
-        match direction {
-            Direction::Receive => &self.0.wants_receive_buffer,
-            Direction::Send => &self.0.wants_send_buffer,
-        }
-        .set(true);
-    }
-
-    /// Notes that the server has the whole answer.
-    pub(crate) fn end_answer(&self) {
-        self.0.is_answered.set(true);
-        self.0
-            .connection
-            .change_phase(ConnectionPhase::Serving, ConnectionPhase::Flushing);
-    }
-}
-
-/// A body whose rest is held back; it passes when this is dropped.
-#[derive(Debug)]
-pub struct HeldBody(Rc<GateState>);
-
-impl Drop for HeldBody {
-    fn drop(&mut self) {
-        self.0.is_body_held.set(false);
-        self.0.wake();
-    }
-}
-
-/// A request without an answer; the next head may pass when this is dropped.
-#[derive(Debug)]
-pub struct OpenGate(Rc<GateState>);
-
-impl Drop for OpenGate {
-    fn drop(&mut self) {
-        self.0.has_request.set(false);
-        self.0.wake();
-    }
-}
-
-/// What the next byte of a connection belongs to.
-#[derive(Clone, Copy, Debug)]
-enum Stage {
-    /// The head of a request.
-    Head {
-        /// Whether a byte of the head has passed that is not a line end.
-        has_begun: bool,
-        /// Whether the line has no byte yet, except for a carriage return.
-        is_blank: bool,
-    },
-    /// A complete head with that many bytes left.
-    CompleteHead(u64),
-    /// The next body or head, once the server has decoded the head that has passed.
-    Decoding,
-    /// A body with that many bytes left.
-    Sized(u64),
-    /// The size of a chunk, with the value of its digits so far.
-    ChunkSize(u64),
-    /// The rest of the line after the size of a chunk.
-    ChunkExtension(u64),
-    /// The data of a chunk and its line end, with that many bytes left.
-    ChunkData(u64),
-    /// The lines after the last chunk.
-    Trailer {
-        /// Whether the line has no byte yet, except for a carriage return.
-        is_blank: bool,
-    },
-    /// A body that ends with the connection.
-    Unbounded,
-}
-
-impl Stage {
-    const HEAD: Self = Self::Head {
-        has_begun: false,
-        is_blank: true,
-    };
-
-    /// Returns the stage after a byte.
-    fn after(self, byte: u8) -> Self {
-        match (self, byte) {
-            (
-                Self::Head {
-                    has_begun: true,
-                    is_blank: true,
-                },
-                b'\n',
-            ) => Self::Decoding,
-            (Self::Head { has_begun, .. }, b'\n') => Self::Head {
-                has_begun,
-                is_blank: true,
-            },
-            (Self::Trailer { is_blank: true }, b'\n') => Self::HEAD,
-            (Self::Trailer { .. }, b'\n') => Self::Trailer { is_blank: true },
-            (Self::Head { .. } | Self::Trailer { .. }, b'\r') | (Self::Decoding, _) => self,
-            (Self::Head { .. }, _) => Self::Head {
-                has_begun: true,
-                is_blank: false,
-            },
-            (Self::Trailer { .. }, _) => Self::Trailer { is_blank: false },
-            (Self::ChunkSize(0) | Self::ChunkExtension(0), b'\n') => {
-                Self::Trailer { is_blank: true }
-            }
-            (Self::ChunkSize(size) | Self::ChunkExtension(size), b'\n') => {
-                Self::ChunkData(size.saturating_add(CHUNK_END_BYTES))
-            }
-            // The server ends a connection with a size that is no number.
-            (Self::ChunkSize(size), _) => match char::from(byte).to_digit(16) {
-                Some(digit) => {
-                    Self::ChunkSize(size.saturating_mul(16).saturating_add(digit.into()))
-                }
-                None => Self::ChunkExtension(size),
-            },
-            (Self::ChunkExtension(_) | Self::Unbounded, _) => self,
-            (Self::CompleteHead(_) | Self::Sized(_) | Self::ChunkData(_), _) => self.after_data(1),
-        }
-    }
-
-    /// Returns the stage after bytes of a head or a body's data, which are no more than are left.
-    fn after_data(self, count: u64) -> Self {
-        match self {
-            Self::CompleteHead(left) if left > count => Self::CompleteHead(left - count),
-            Self::CompleteHead(_) => Self::Decoding,
-            Self::Sized(left) if left > count => Self::Sized(left - count),
-            Self::Sized(_) => Self::HEAD,
-            Self::ChunkData(left) if left > count => Self::ChunkData(left - count),
-            Self::ChunkData(_) => Self::ChunkSize(0),
-            other => other,
-        }
-    }
-
-    /// Returns how many bytes may pass without a look at them.
-    fn data_left(self) -> u64 {
-        match self {
-            Self::CompleteHead(left) | Self::Sized(left) | Self::ChunkData(left) => left,
-            Self::Unbounded => u64::MAX,
-            _ => 0,
-        }
-    }
-}
-
-#[derive(Debug)]
-struct GateState {
-    connection: Connection,
-    stage: Cell<Stage>,
-    has_request: Cell<bool>,
-    // The server has the whole answer of the last request.
-    is_answered: Cell<bool>,
-    is_body_held: Cell<bool>,
-    // A large body or answer has begun, whose buffer has not grown.
-    wants_receive_buffer: Cell<bool>,
-    wants_send_buffer: Cell<bool>,
-    head_refusal: Cell<Option<HeadRefusal>>,
-    // Chunks of the current body that have passed.
-    chunks: Cell<usize>,
-    // The system takes no more bytes of answers.
-    is_write_blocked: Cell<bool>,
-    // The server's task, if it waits for bytes that are held back.
-    waiting: RefCell<Option<Waker>>,
-}
-
-impl GateState {
-    fn wake(&self) {
-        if let Some(waker) = self.waiting.take() {
-            waker.wake();
-        }
-    }
-
-    fn wait(&self, cx: &Context<'_>) {
-        self.waiting.replace(Some(cx.waker().clone()));
-    }
-
-    fn stage(&self) -> Stage {
-        // A body without bytes has ended already.
-        if matches!(self.stage.get(), Stage::Sized(0)) {
-            self.stage.set(Stage::HEAD);
-        }
-        self.stage.get()
-    }
-
-    /// Sets the stage after bytes of a request have passed.
-    fn note_passed(&self, stage: Stage, count: usize) {
-        let before = self.stage.replace(stage);
-        self.connection.note_received(count);
-        let has_ended =
-            matches!(stage, Stage::Head { .. }) && !matches!(before, Stage::Head { .. });
-        if has_ended {
-            self.connection.set_phase(if self.is_answered.get() {
-                ConnectionPhase::Idle
-            } else {
-                ConnectionPhase::Serving
-            });
-        }
-    }
-
-    /// Returns how many of the next bytes of a body may pass, and counts them as passed.
-    ///
-    /// A head passes only once it is complete. `chunks_left` is how many chunks may begin.
-    fn pass(&self, bytes: &[u8], chunks_left: &mut usize) -> usize {
-        let mut stage = self.stage();
-        let mut passed = 0;
-        while let Some(byte) = bytes.get(passed) {
-            let is_held = match stage {
-                Stage::Head { .. } | Stage::Decoding => true,
-                Stage::CompleteHead(_) => false,
-                Stage::ChunkSize(_) => self.is_body_held.get() || *chunks_left == 0,
-                _ => self.is_body_held.get(),
-            };
-            if is_held {
-                break;
-            }
-            let data_left = usize::try_from(stage.data_left()).unwrap_or(usize::MAX);
-            if data_left > 0 {
-                let count = data_left.min(bytes.len() - passed);
-                stage = stage.after_data(count as u64);
-                passed += count;
-            } else {
-                stage = stage.after(*byte);
-                passed += 1;
-                if matches!(stage, Stage::ChunkData(_)) {
-                    *chunks_left -= 1;
-                    self.chunks.set(self.chunks.get() + 1);
-                }
-            }
-        }
-        if passed > 0 {
-            self.note_passed(stage, passed);
-        }
-        passed
-    }
-}
-
 /// What a look at the bytes of a head that is not complete yet finds.
 enum HeadScan {
     Complete,
@@ -405,22 +105,9 @@
         heads: HeadLimits,
         allows_half_closed: bool,
     ) -> Self {
-        let gate = GateState {
-            connection,
-            stage: Cell::new(Stage::HEAD),
-            has_request: Cell::new(false),
-            is_answered: Cell::new(true),
-            is_body_held: Cell::new(false),
-            wants_receive_buffer: Cell::new(false),
-            wants_send_buffer: Cell::new(false),
-            head_refusal: Cell::new(None),
-            chunks: Cell::new(0),
-            is_write_blocked: Cell::new(false),
-            waiting: RefCell::new(None),
-        };
         Self {
             stream,
-            gate: Rc::new(gate),
+            gate: Rc::new(GateState::new(connection)),
             heads,
             receive_charge: None,
             send_charge: None,
--- a/crates/eelgrasshill_ports/src/lib.rs
+++ b/crates/eelgrasshill_ports/src/lib.rs
@@ -24,6 +24,8 @@
 mod peer_stream;
 mod plain;
 mod pool;
+mod request_gate;
+mod request_stage;
 mod send_queue;
 mod sliced_body;
 mod socket_limits;
@@ -32,9 +34,7 @@
 pub use bounded::AnswerBody;
 pub use caller_body::{BodyError, BodyLimits, CallerBody, read_caller_body};
 pub use caller_server::{CallerServerSettings, run_caller_server};
-pub use caller_stream::{
-    BodyFraming, CallerStream, HeadLimits, HeadRefusal, HeldBody, OpenGate, RequestGate,
-};
+pub use caller_stream::{CallerStream, HeadLimits};
 pub use client::{HttpClient, HttpClientSettings};
 pub use clock::BootClock;
 pub use connection_limit::{CloseCause, Connection, ConnectionLimit, ConnectionPhase};
@@ -58,5 +58,7 @@
 pub use pool::{
     CountedBody, HttpConnection, HttpPool, call_unpooled, read_counted_body, read_response_body,
 };
+pub use request_gate::{HeadRefusal, HeldBody, OpenGate, RequestGate};
+pub use request_stage::BodyFraming;
 pub use send_queue::{parse_unsent_peers, unsent_peers};
 pub use socket_limits::{bound_buffers, descriptor_limit};
