--- a/crates/eelgrasshill_ports/src/caller_server.rs
+++ b/crates/eelgrasshill_ports/src/caller_server.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
@@ -50,6 +50,16 @@
     pub shutdown_s: u64,
 }
 
+impl CallerServerSettings {
+    fn head_limits(&self, connection: &Connection, peer: Option<SocketAddr>) -> HeadLimits {
+        let address = peer.map(|peer| peer.ip());
+        HeadLimits {
+            max_bytes: Arc::clone(&self.max_head_bytes),
+            charge: self.memory.charge(address, connection.memory(), 0),
+        }
+    }
+}
+
 /// Starts a server for callers on all listeners.
 ///
 /// `on_connect` adds data to each connection, which its requests can read. They can also read the
@@ -126,6 +136,9 @@
                     async move {
                         let answer = answer.await;
                         drop(open);
+                        if answer.is_err() {
+                            gate.as_ref().inspect(|gate| gate.end_answer());
+                        }
                         answer.map(|answer| {
                             let answer: Response<B> = answer.into();
                             answer.map_body(|_head, body| SlicedBody::new(body, gate))
@@ -136,14 +149,7 @@
             apply_fn_factory(http, move |stream: TcpStream, http| {
                 let peer_address = stream.peer_addr().ok();
                 let admitted = settings.connections.admit().map(|connection| {
-                    let heads = HeadLimits {
-                        max_bytes: Arc::clone(&settings.max_head_bytes),
-                        charge: settings.memory.charge(
-                            peer_address.map(|address| address.ip()),
-                            connection.memory(),
-                            0,
-                        ),
-                    };
+                    let heads = settings.head_limits(&connection, peer_address);
                     let half_closed = settings.allows_half_closed;
                     let stream = CallerStream::new(stream, connection.clone(), heads, half_closed)
                         .with_turns(turns.clone());
