--- a/crates/eelgrasshill_settings/src/entry.rs
+++ b/crates/eelgrasshill_settings/src/entry.rs
@@ -19,7 +19,7 @@
 const SECTIONS_HINT: &str = "[host], [platform], [peers], [bounds] and [fleet]";
 
 /// Memory of a machine whose settings do not say it, in MB, on which 4,096 connections fit.
-const DEFAULT_MEMORY_MB: u64 = 1_280;
+const DEFAULT_MEMORY_MB: u64 = 1_536;
 
 const DEFAULT_WORKER_THREADS: u64 = 2;
 const DEFAULT_LOG_RETENTION_HOURS: u64 = 24;
