--- a/crates/eelgrasshill_ports/src/connection_limit.rs
+++ b/crates/eelgrasshill_ports/src/connection_limit.rs
@@ -67,7 +67,7 @@
     Rejected,
 }
 
-/// Connections that may be closed, in the order of the time since which they wait.
+/// What the host waits for on a connection that may be closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Waiting {
     Receiving,
@@ -75,6 +75,7 @@
     Unread,
 }
 
+/// Place of a connection among those that may be closed: what for, since when, its number.
 type Place = (Waiting, Moment, u64);
 
 #[derive(Debug)]
