Log why a stream is cut, and whether its engine was given up

A broken stream was logged without its cause, so that an engine which broke off could not be told from one that this host had given up. The line says why no other engine took the stream, and a counter tells the two apart.

--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -23,6 +23,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::codec::PlatformCodec;
+use crate::refusal::RefusalCause;
 use crate::relayed::{IncomingAnswer, RelayedRequest, SendFailure, start_response};
 use crate::telemetry;
 
@@ -62,6 +63,23 @@
     Broken,
 }
 
+/// Why the caller's connection ends before its stream does.
+#[derive(Clone, Copy, Debug, Display)]
+enum CutCause {
+    /// The caller has left.
+    #[display("deserted")]
+    Deserted,
+    /// The upstream broke off, and the route allows no resumption.
+    #[display("not-resumable")]
+    NotResumable,
+    /// No attempt, no time or no retry budget is left.
+    #[display("no-attempt")]
+    NoAttempt,
+    /// No other upstream can take the stream, for this reason.
+    #[display("{_0}")]
+    NoUpstream(RefusalCause),
+}
+
 /// Waits until the events that were passed on have reached the caller.
 ///
 /// An error of the body drops everything that the server has not written yet.
@@ -327,28 +345,42 @@
                     None
                 }
             };
-            if let Some(next) = self.resume(last, sender, &mut earlier).await {
-                events = next;
-                runs += 1;
-            } else if let Some(mut kept) = earlier {
+            let was_silent = earlier.is_some();
+            let cause = match self.resume(last, sender, &mut earlier).await {
+                Ok(next) => {
+                    events = next;
+                    runs += 1;
+                    continue;
+                }
+                Err(cause) => cause,
+            };
+            if let Some(mut kept) = earlier {
                 kept.progress_at = BootClock.now();
                 telemetry::count_handover("kept");
                 log::info!(
                     "request: id={} upstream={} event={last:?} keeps the stream, \
-                     no other took it",
+                     no other took it: {cause}",
                     self.metadata.id,
                     kept.incoming.upstream.id
                 );
                 events = kept;
+                continue;
+            }
+            if sender.is_closed() {
+                self.log_stream("deserted", runs, last, pause);
             } else {
-                let is_deserted = sender.is_closed();
-                let end = if is_deserted { "deserted" } else { "broken" };
-                self.log_stream(end, runs, last, pause);
-                flush_events(sender).await;
-                // This fails only if the caller has left.
-                let _deserted = sender.send(Err(BrokenStream)).await;
-                return;
+                telemetry::count_cut_stream(was_silent);
+                log::info!(
+                    "request: id={} sends={} stream cut, cause={cause} silent={was_silent}",
+                    self.metadata.id,
+                    self.sends
+                );
+                self.log_stream("broken", runs, last, pause);
             }
+            flush_events(sender).await;
+            // This fails only if the caller has left.
+            let _deserted = sender.send(Err(BrokenStream)).await;
+            return;
         }
     }
 
@@ -432,14 +464,18 @@
     ///
     /// `earlier` is the silent upstream that has the stream, if any. It is given up once another one
     /// may work on the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no other upstream took the stream.
     async fn resume(
         &mut self,
         last: Option<u64>,
         sender: &BodySender,
         earlier: &mut Option<EventReader<C>>,
-    ) -> Option<EventReader<C>> {
+    ) -> Result<EventReader<C>, CutCause> {
         if self.route.repeat != Repeat::ResumableStream {
-            return None;
+            return Err(CutCause::NotResumable);
         }
         while self.may_repeat() && !sender.is_closed() {
             let candidate = match self.choose() {
@@ -450,7 +486,7 @@
                         self.metadata.id,
                         refusal.cause
                     );
-                    return None;
+                    return Err(CutCause::NoUpstream(refusal.cause));
                 }
             };
             // No other engine can follow the last attempt, so that gets all the time left.
@@ -468,7 +504,7 @@
                 loop {
                     tokio::select! {
                         answer = &mut sending => break answer,
-                        () = sender.closed() => return None,
+                        () = sender.closed() => return Err(CutCause::Deserted),
                         () = refusal_window(&sent), if earlier.is_some() => {
                             let later = LaterAttempt::Unanswered(REFUSAL_WINDOW);
                             give_up_earlier(earlier, &id, later).await;
@@ -484,7 +520,7 @@
                 Ok(mut incoming) if incoming.response.status().is_success() => {
                     incoming.guard.record_answer_start();
                     let memory = self.lease_answer();
-                    return Some(EventReader::new(incoming, last, memory));
+                    return Ok(EventReader::new(incoming, last, memory));
                 }
                 Ok(mut incoming) => incoming.guard.set_outcome(RequestOutcome::Failed),
                 Err(failure) => {
@@ -493,7 +529,9 @@
                         self.metadata.id
                     );
                     match &failure {
-                        SendFailure::Quarantined(_) => return None,
+                        SendFailure::Quarantined(_) => {
+                            return Err(CutCause::NoUpstream(RefusalCause::QuarantinedPart));
+                        }
                         SendFailure::Lost(error) => self.note_lost(&candidate.upstream, error),
                         SendFailure::Unsent
                         | SendFailure::NotRun
@@ -503,7 +541,7 @@
                 }
             }
         }
-        None
+        Err(CutCause::NoAttempt)
     }
 
     /// Learns from a complete stream how long an event and the whole answer take.
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -167,6 +167,12 @@
     metrics::counter!("eelgrasshill_stream_handovers_total", "end" => end).increment(1);
 }
 
+/// Counts a stream that this host cut, by whether its engine was silent or had broken off.
+pub(crate) fn count_cut_stream(was_silent: bool) {
+    let engine = if was_silent { "silent" } else { "broken" };
+    metrics::counter!("eelgrasshill_cut_streams_total", "engine" => engine).increment(1);
+}
+
 /// Counts an attempt that an upstream did not begin to answer, by how it ended.
 pub(crate) fn count_lost_attempt(error: &CallError) {
     let end = match error {
