Let a silent engine keep its stream for most of the caller's patience

After 1 s without an event the stream was offered to another engine, and 150 ms later its own engine was closed. If the other one then refused, nobody had the stream, and the caller's connection was cut.

The cause is a constant that took the earliest sign of a silent engine for trouble, and a check whether another engine can go on in time that looked at the deadline (12 s) and not at the moment when the caller leaves (2 to 2.4 s). The limit is now three quarters of the caller's patience, which the route states, and another engine is asked only if it can send an event in the rest. The check is repeated while no engine can.

--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -14,8 +14,8 @@
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::{BootClock, CallError, MemoryLease};
 use eelgrasshill_relay::{
-    EventSplitter, LaterAttempt, REFUSAL_WINDOW, Repeat, RequestOutcome, can_go_on_in_time,
-    has_content,
+    EventSplitter, LaterAttempt, REFUSAL_WINDOW, Repeat, RequestOutcome, SilencePolicy,
+    can_go_on_in_time, has_content,
 };
 use http_body_util::BodyExt;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -27,11 +27,14 @@
 use crate::relayed::{IncomingAnswer, RelayedRequest, SendFailure, start_response};
 use crate::telemetry;
 
-/// Maximum silence within a stream before it is resumed on another engine.
-///
-/// Half of the two seconds after which callers leave, and several times the longest pause that
-/// still counts as on time.
-const SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of an attempt to resume a stream while another attempt is left.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time between checks whether another engine can take the stream of a silent one.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest time that a caller may take to read the end of a stream that is cut.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time in which the server writes the events that it has taken from the channel.
 const WRITE_INTERVAL: Duration = Duration::from_millis(50);
@@ -90,12 +93,9 @@
         }
         tokio::time::sleep(WRITE_INTERVAL).await;
     };
-    if tokio::time::timeout(SILENCE_TIMEOUT, waiting)
-        .await
-        .is_err()
-    {
+    if tokio::time::timeout(FLUSH_TIMEOUT, waiting).await.is_err() {
         log::info!(
-            "request: a caller did not read its stream within {SILENCE_TIMEOUT:?}, \
+            "request: a caller did not read its stream within {FLUSH_TIMEOUT:?}, \
              the rest is dropped"
         );
     }
@@ -114,8 +114,10 @@
     splitter: EventSplitter,
     // Memory of the event that is not complete.
     memory: MemoryLease,
-    // When the stream last made progress, or was last found to be silent.
+    // When the stream last made progress.
     progress_at: Moment,
+    // When the upstream was last found to be silent, since then.
+    silent_at: Option<Moment>,
     // Times between the first events.
     intervals: Vec<Duration>,
     longest_pause: Duration,
@@ -138,6 +140,7 @@
             memory,
             splitter: EventSplitter::new(last_event),
             progress_at: BootClock.now(),
+            silent_at: None,
             intervals: Vec::new(),
             longest_pause: Duration::ZERO,
             has_started: false,
@@ -160,20 +163,29 @@
     fn record_progress(&mut self, now: Moment) {
         let interval = now.since(self.progress_at);
         self.progress_at = now;
+        let was_silent = self.silent_at.take().is_some();
         // The time until the first event says nothing about the steps of the stream.
         if !std::mem::replace(&mut self.has_started, true) {
             return;
         }
         self.goes_on = true;
         self.longest_pause = self.longest_pause.max(interval);
-        if self.intervals.len() < MAX_INTERVALS {
+        if !was_silent && self.intervals.len() < MAX_INTERVALS {
             self.intervals.push(interval);
         }
     }
 
-    /// Returns how long the stream may make no progress from now on.
-    fn patience(&self, silence_timeout: Duration) -> Duration {
-        silence_timeout.saturating_sub(BootClock.now().since(self.progress_at))
+    /// Returns for how long the stream has made no progress.
+    fn silence(&self) -> Duration {
+        BootClock.now().since(self.progress_at)
+    }
+
+    /// Returns the time until the upstream counts as silent, again if it did before.
+    fn time_until_silent(&self, limit: Duration) -> Duration {
+        match self.silent_at {
+            None => limit.saturating_sub(self.silence()),
+            Some(at) => SILENCE_CHECK_INTERVAL.saturating_sub(BootClock.now().since(at)),
+        }
     }
 
     async fn next(&mut self, bound: Duration) -> ReadOutcome {
@@ -262,7 +274,7 @@
         "request: id={id} upstream={} event={:?} silent={} is given up, later={later:?}",
         events.incoming.upstream.id,
         events.splitter.last(),
-        BootClock.now().since(events.progress_at).as_millis()
+        events.silence().as_millis()
     );
     events.give_up().await;
 }
@@ -355,7 +367,7 @@
                 Err(cause) => cause,
             };
             if let Some(mut kept) = earlier {
-                kept.progress_at = BootClock.now();
+                kept.silent_at = Some(BootClock.now());
                 telemetry::count_handover("kept");
                 log::info!(
                     "request: id={} upstream={} event={last:?} keeps the stream, \
@@ -389,13 +401,13 @@
         events: &mut EventReader<C>,
         sender: &BodySender,
     ) -> StreamEnd {
-        let silence_timeout = match self.route.repeat {
-            Repeat::ResumableStream => SILENCE_TIMEOUT,
-            Repeat::Idempotent | Repeat::Once | Repeat::Stream => self.time_left(),
-        };
         loop {
+            let limit = match self.route.repeat {
+                Repeat::ResumableStream => events.time_until_silent(self.silence_policy().limit()),
+                Repeat::Idempotent | Repeat::Once | Repeat::Stream => self.time_left(),
+            };
             let next = tokio::select! {
-                next = events.next(events.patience(silence_timeout).min(self.time_left())) => next,
+                next = events.next(limit.min(self.time_left())) => next,
                 () = sender.closed() => return StreamEnd::Deserted,
             };
             match next {
@@ -413,9 +425,9 @@
                 }
                 // A silent engine keeps the stream as long as no other could resume it.
                 ReadOutcome::Broken(CallError::Timeout { .. })
-                    if !self.time_left().is_zero() && !self.can_resume() =>
+                    if !self.time_left().is_zero() && !self.can_resume(events.silence()) =>
                 {
-                    events.progress_at = BootClock.now();
+                    events.silent_at = Some(BootClock.now());
                 }
                 ReadOutcome::Broken(error) => {
                     log::info!(
@@ -436,8 +448,12 @@
         }
     }
 
+    fn silence_policy(&self) -> SilencePolicy {
+        SilencePolicy::new(self.route.objective, self.route.max_pause)
+    }
+
     /// Returns whether another engine could resume the stream now, and send an event in time.
-    fn can_resume(&self) -> bool {
+    fn can_resume(&self, silence: Duration) -> bool {
         let is_allowed =
             self.route.repeat == Repeat::ResumableStream && self.sends < self.route.max_attempts;
         if !is_allowed {
@@ -453,7 +469,10 @@
                 state.speeds.prompt_time(&self.target_pool, model, tokens),
             )
         };
-        let is_in_time = |wait| can_go_on_in_time(self.time_left(), wait, prompt_time);
+        let time = self
+            .silence_policy()
+            .time_to_go_on(silence, self.time_left());
+        let is_in_time = |wait| can_go_on_in_time(time, wait, prompt_time);
         has_budget
             && self
                 .choose()
@@ -494,7 +513,7 @@
             let bound = if is_last {
                 self.time_left()
             } else {
-                self.time_left().min(SILENCE_TIMEOUT)
+                self.time_left().min(RESUME_TIMEOUT)
             };
             let id = self.metadata.id.clone();
             let sent = Notify::new();
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -74,7 +74,7 @@
 pub use retries::{RetryBudget, RetrySettings};
 pub use selection::{Candidate, NoUpstream, SelectionSettings, UpstreamQuery, UpstreamSelector};
 pub use start_wait::{START_PERCENT, max_start_wait};
-pub use stream_handover::{LaterAttempt, REFUSAL_WINDOW, can_go_on_in_time};
+pub use stream_handover::{LaterAttempt, REFUSAL_WINDOW, SilencePolicy, can_go_on_in_time};
 pub use tables::{
     CallerBounds, EnginePool, Model, Organisation, Repeat, Route, Tables, WeightedPool,
 };
--- a/crates/eelgrasshill_relay/src/stream_handover.rs
+++ b/crates/eelgrasshill_relay/src/stream_handover.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use crate::caller_patience;
+
 /// Time after a request was sent in which its engine may refuse it and the earlier engine is kept.
 ///
 /// A refusal takes a round trip. The earlier engine must have ended 400 ms after the later one
@@ -12,6 +14,44 @@
 /// time is used up for 100 ms.
 pub const REFUSAL_WINDOW: Duration = Duration::from_millis(150);
 
+/// Part of a caller's patience after which a silent engine's stream is offered to another engine.
+///
+/// Sound engines pause for a second or so. The rest is for the other engine's first event.
+const SILENCE_PERCENT: u32 = 75;
+
+/// When the stream of a silent engine is offered to another one, by when its caller leaves.
+#[derive(Clone, Copy, Debug)]
+pub struct SilencePolicy {
+    patience: Duration,
+}
+
+impl SilencePolicy {
+    /// Creates the policy of a route with this objective and longest pause.
+    #[must_use]
+    pub fn new(objective: Duration, max_pause: Option<Duration>) -> Self {
+        Self {
+            patience: caller_patience(objective, max_pause),
+        }
+    }
+
+    /// Returns the silence after which another engine may be asked.
+    #[must_use]
+    pub fn limit(self) -> Duration {
+        self.patience * SILENCE_PERCENT / 100
+    }
+
+    /// Returns the time within which another engine must send an event to be asked.
+    ///
+    /// A caller that is still there after its expected patience waits until its deadline.
+    #[must_use]
+    pub fn time_to_go_on(self, silence: Duration, time_left: Duration) -> Duration {
+        match self.patience.saturating_sub(silence) {
+            Duration::ZERO => time_left,
+            until_leave => time_left.min(until_leave),
+        }
+    }
+}
+
 /// What is known of the attempt at the later engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LaterAttempt {
@@ -37,7 +77,7 @@
     }
 }
 
-/// Returns whether another engine could send an event before the deadline.
+/// Returns whether another engine could send an event in the time left.
 ///
 /// If not, only the silent engine can still go on with the stream. `start_wait` is the time until
 /// the other engine reads the prompt and `prompt_time` the time that this takes.
--- a/crates/eelgrasshill_relay/tests/stream_handover.rs
+++ b/crates/eelgrasshill_relay/tests/stream_handover.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use eelgrasshill_relay::{LaterAttempt, REFUSAL_WINDOW, can_go_on_in_time};
+use eelgrasshill_relay::{LaterAttempt, REFUSAL_WINDOW, SilencePolicy, can_go_on_in_time};
 
 /// Time after the later engine's start in which the earlier one must have ended.
 const BOUND: Duration = Duration::from_millis(400);
@@ -50,3 +50,26 @@
         );
     }
 }
+
+/// Guards against moving the stream of a sound engine that pauses, and against moving it to an engine
+/// whose first event would come after the caller has left.
+#[test]
+fn a_silent_engine_keeps_its_stream_for_most_of_the_callers_patience() {
+    let ms = Duration::from_millis;
+    // Callers leave after two seconds, four objectives or eight pauses, whichever is longest.
+    let cases = [
+        (ms(300), Some(ms(250)), ms(2_000)),
+        (ms(300), Some(ms(300)), ms(2_400)),
+        (ms(1_200), None, ms(4_800)),
+    ];
+    for (objective, max_pause, patience) in cases {
+        let policy = SilencePolicy::new(objective, max_pause);
+        assert!(policy.limit() >= ms(1_400), "{objective:?}: a second or so");
+        assert!(policy.limit() + ms(400) <= patience, "{objective:?}");
+        let silence = policy.limit();
+        let left = policy.time_to_go_on(silence, ms(10_000));
+        assert_eq!(left + silence, patience, "{objective:?}");
+        assert_eq!(policy.time_to_go_on(silence, ms(100)), ms(100));
+        assert_eq!(policy.time_to_go_on(patience, ms(9_000)), ms(9_000));
+    }
+}
