Read what has arrived before an upstream counts as silent

When a gateway got no processor time for longer than the limit, callers saw all of its streams end: the timers had passed before the events that waited in the sockets were read, so each engine was taken for silent and given up. On hosts with a twelfth of a core a large configuration can take that long. A task whose timer has passed is polled before the task that reads the engine's connection.

The last 100 ms of each timeout now begin when the rest has passed, which is time to read. It holds for the events of a stream and for the heads of all answers; a caller that reads nothing, and so keeps the gateway from reading, is covered as well.

--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod shared;
 mod stream;
 mod telemetry;
+mod timeout;
 mod topics;
 mod upstream_signals;
 
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -32,6 +32,7 @@
 use crate::refusal::{Refusal, RefusalCause};
 use crate::shared::{LoadGuard, Shared, TriedUpstreams};
 use crate::telemetry;
+use crate::timeout::timeout_after_read;
 use crate::upstream_signals::{note_cold, note_leaving, note_rest};
 
 /// Timeout for opening a connection.
@@ -417,7 +418,7 @@
         self.sends += 1;
         self.charge_repeat();
         sent.notify_one();
-        let answer = tokio::time::timeout(bound, connection.send(request)).await;
+        let answer = timeout_after_read(bound, connection.send(request)).await;
         match answer {
             Ok(Ok(response)) => self.read_head(upstream, response, connection, guard),
             Ok(Err(CallError::NotSent { .. })) => {
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -26,6 +26,7 @@
 use crate::refusal::RefusalCause;
 use crate::relayed::{IncomingAnswer, RelayedRequest, SendFailure, start_response};
 use crate::telemetry;
+use crate::timeout::{READ_TIME, timeout_after_read};
 
 /// Timeout of an attempt to resume a stream while another attempt is left.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
@@ -183,7 +184,8 @@
     /// Returns the time until the upstream counts as silent, again if it did before.
     fn time_until_silent(&self, limit: Duration) -> Duration {
         match self.silent_at {
-            None => limit.saturating_sub(self.silence()),
+            // A caller that read nothing may have kept this host from reading.
+            None => limit.saturating_sub(self.silence()).max(READ_TIME),
             Some(at) => SILENCE_CHECK_INTERVAL.saturating_sub(BootClock.now().since(at)),
         }
     }
@@ -234,7 +236,7 @@
                 }
             }
         };
-        tokio::time::timeout(bound, read)
+        timeout_after_read(bound, read)
             .await
             .unwrap_or(ReadOutcome::Broken(CallError::Timeout {
                 address: address.to_string(),
