Wait for a late upstream while no other one can be asked

Callers of requests that may be repeated got 504 long before their deadline: an attempt was given up after three objectives, and only then it turned out that no other upstream, no attempt or no retry budget was left. An engine's silence is no reason to end an answer sooner. The check of a silent stream, whether another engine could take it, now also precedes the end of an attempt: for heads of all answers, and for a stream's first event.

--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -4,6 +4,7 @@
 //! again, and whether an answer is accepted as its own. The inputs are the route, the host's state,
 //! what was tried so far and the time left.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,11 +18,13 @@
 };
 use eelgrasshill_relay::{
     Availability, Candidate, CrashId, HomeRegions, ModelKey, NoUpstream, Organisation, PartRefusal,
-    ProbedParts, PromptPart, RequestOutcome, Route, START_PERCENT, Upstream, max_start_wait,
+    ProbedParts, PromptPart, RequestOutcome, Route, START_PERCENT, Upstream, can_go_on_in_time,
+    max_start_wait,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::sync::Notify;
+use tokio::time::error::Elapsed;
 
 use crate::codec::{
     AnswerHead, CallerHeaders, ForwardInfo, PlatformCodec, RequestMetadata, RunStatement,
@@ -61,6 +64,9 @@
 /// It waits for the model, for its adapter, and again if one of them is unloaded.
 const MAX_MODEL_WAITS: u32 = 4;
 
+/// Time between checks whether another upstream can be asked in place of a silent one.
+pub(crate) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Minimum time left for which another attempt is worth starting.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(15);
 
@@ -193,6 +199,57 @@
                 .take(&self.target_pool, BootClock.now())
     }
 
+    /// Returns whether another upstream could be asked now, and begin to answer within `time`.
+    ///
+    /// If not, only the upstream that was asked last can still answer.
+    pub(crate) fn can_repeat(&self, time: Duration) -> bool {
+        let is_allowed = self.route.repeat.is_repeatable() && self.sends < self.route.max_attempts;
+        if !is_allowed {
+            return false;
+        }
+        let now = BootClock.now();
+        let (has_budget, prompt_time) = {
+            let mut state = self.shared.state();
+            let model = self.metadata.model.as_ref();
+            let tokens = self.metadata.prompt_tokens;
+            (
+                state.retries.allows(&self.target_pool, now),
+                state.speeds.prompt_time(&self.target_pool, model, tokens),
+            )
+        };
+        let is_in_time = |wait| can_go_on_in_time(time, wait, prompt_time);
+        has_budget
+            && self
+                .choose()
+                .is_ok_and(|candidate| is_in_time(candidate.wait))
+    }
+
+    /// Awaits an upstream's answer until the timeout, and longer while no other can be asked.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Elapsed`] if another upstream can be asked, or no time is left.
+    async fn await_answer<F: Future>(
+        &self,
+        timeout: Duration,
+        answer: F,
+    ) -> Result<F::Output, Elapsed> {
+        let mut answer = pin!(answer);
+        let mut timeout = timeout;
+        loop {
+            match timeout_after_read(timeout, &mut answer).await {
+                Ok(output) => return Ok(output),
+                Err(elapsed) => {
+                    let time_left = self.time_left();
+                    if time_left.is_zero() || self.can_repeat(time_left) {
+                        return Err(elapsed);
+                    }
+                    timeout = SILENCE_CHECK_INTERVAL.min(time_left);
+                }
+            }
+        }
+    }
+
     /// Chooses the upstream for the next attempt.
     ///
     /// # Errors
@@ -418,7 +475,7 @@
         self.sends += 1;
         self.charge_repeat();
         sent.notify_one();
-        let answer = timeout_after_read(bound, connection.send(request)).await;
+        let answer = self.await_answer(bound, connection.send(request)).await;
         match answer {
             Ok(Ok(response)) => self.read_head(upstream, response, connection, guard),
             Ok(Err(CallError::NotSent { .. })) => {
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -14,8 +14,7 @@
 use eelgrasshill_domain::Moment;
 use eelgrasshill_ports::{BootClock, CallError, MemoryLease};
 use eelgrasshill_relay::{
-    EventSplitter, LaterAttempt, REFUSAL_WINDOW, Repeat, RequestOutcome, SilencePolicy,
-    can_go_on_in_time, has_content,
+    EventSplitter, LaterAttempt, REFUSAL_WINDOW, Repeat, RequestOutcome, SilencePolicy, has_content,
 };
 use http_body_util::BodyExt;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -24,16 +23,15 @@
 
 use crate::codec::PlatformCodec;
 use crate::refusal::RefusalCause;
-use crate::relayed::{IncomingAnswer, RelayedRequest, SendFailure, start_response};
+use crate::relayed::{
+    IncomingAnswer, RelayedRequest, SILENCE_CHECK_INTERVAL, SendFailure, start_response,
+};
 use crate::telemetry;
 use crate::timeout::{READ_TIME, timeout_after_read};
 
 /// Timeout of an attempt to resume a stream while another attempt is left.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time between checks whether another engine can take the stream of a silent one.
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Longest time that a caller may take to read the end of a stream that is cut.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -294,7 +292,17 @@
     ) -> Result<HttpResponse, (Self, SendFailure)> {
         let mut response = start_response(incoming.response.status(), incoming.response.headers());
         let mut events = EventReader::new(incoming, self.metadata.last_event, self.lease_answer());
-        let first = match events.next(first_bound.min(self.time_left())).await {
+        let mut bound = first_bound;
+        let first = loop {
+            let next = events.next(bound.min(self.time_left())).await;
+            let is_timeout = matches!(next, ReadOutcome::Broken(CallError::Timeout { .. }));
+            let time_left = self.time_left();
+            if !is_timeout || time_left.is_zero() || self.can_repeat(time_left) {
+                break next;
+            }
+            bound = SILENCE_CHECK_INTERVAL;
+        };
+        let first = match first {
             ReadOutcome::Events(bytes) => bytes,
             ReadOutcome::End => Bytes::new(),
             ReadOutcome::Broken(error) => {
@@ -456,29 +464,8 @@
 
     /// Returns whether another engine could resume the stream now, and send an event in time.
     fn can_resume(&self, silence: Duration) -> bool {
-        let is_allowed =
-            self.route.repeat == Repeat::ResumableStream && self.sends < self.route.max_attempts;
-        if !is_allowed {
-            return false;
-        }
-        let now = BootClock.now();
-        let (has_budget, prompt_time) = {
-            let mut state = self.shared.state();
-            let model = self.metadata.model.as_ref();
-            let tokens = self.metadata.prompt_tokens;
-            (
-                state.retries.allows(&self.target_pool, now),
-                state.speeds.prompt_time(&self.target_pool, model, tokens),
-            )
-        };
-        let time = self
-            .silence_policy()
-            .time_to_go_on(silence, self.time_left());
-        let is_in_time = |wait| can_go_on_in_time(time, wait, prompt_time);
-        has_budget
-            && self
-                .choose()
-                .is_ok_and(|candidate| is_in_time(candidate.wait))
+        let policy = self.silence_policy();
+        self.can_repeat(policy.time_to_go_on(silence, self.time_left()))
     }
 
     /// Resumes the stream after the last event that was passed on, if that is allowed.
