Read plain topics and the header that names a resumed stream

A stream may go on only at the software version that began it, on whichever host the caller returns to. The hosts will keep in the store what they need for that: a keyed topic for the base version of each pool, and a plain log for the streams of other versions.

The client of the store gets both topics. A page says whether more records follow, so that a log is read to its end without a further call, and an expired read carries the first offset that the topic has. A request's `Resumes` is decoded; it is passed on as before.

--- a/crates/eelgrasshill_gateway/src/codec.rs
+++ b/crates/eelgrasshill_gateway/src/codec.rs
@@ -91,6 +91,8 @@
     pub declared_prompt: Option<String>,
     /// Id of the last event that the caller received in an earlier attempt.
     pub last_event: Option<u64>,
+    /// Id of the caller's request that brought the first event of the stream it takes up.
+    pub resumes: Option<String>,
 }
 
 /// What the gateway adds to the headers of a request that it forwards.
@@ -251,6 +253,12 @@
     /// Lease for giving orders to engines.
     #[display("lease")]
     Lease,
+    /// Base version of the software of each pool, under its name.
+    #[display("software")]
+    Software,
+    /// Software versions of streams; its records have no keys.
+    #[display("stream-versions")]
+    StreamVersions,
 }
 
 /// Records read from a topic, with the topic's end.
@@ -260,8 +268,10 @@
     pub era: Era,
     /// Records in order of their offsets; their keys are empty in a topic without keys.
     pub records: Vec<KeyedRecord>,
-    /// Offset after the last record of the topic.
+    /// Offset after the last record of the page, or of the topic if no more follow.
     pub end: Offset,
+    /// Whether the topic has more records after those of the page.
+    pub has_more: bool,
 }
 
 /// Reason why a call to the store failed.
@@ -269,7 +279,10 @@
 pub enum StoreError {
     /// The records from the requested offset on have expired.
     #[display("the records from the requested offset on have expired")]
-    Expired,
+    Expired {
+        /// First offset that the topic has, if the store states it.
+        first: Option<Offset>,
+    },
     /// The answer is of an earlier era than another one before; a write may be lost.
     #[display("the answer is of era {_0}, which has ended")]
     #[error(ignore)]
--- a/crates/eelgrasshill_gateway/src/convert.rs
+++ b/crates/eelgrasshill_gateway/src/convert.rs
@@ -28,6 +28,8 @@
         Topic::Upstreams => 2,
         Topic::Hosts => 3,
         Topic::Lease => 4,
+        Topic::Software => 5,
+        Topic::StreamVersions => 6,
     }
 }
 
--- a/crates/eelgrasshill_gateway/src/follow.rs
+++ b/crates/eelgrasshill_gateway/src/follow.rs
@@ -80,15 +80,17 @@
                 .min(bounds.max_key_age * KEY_AGE_PERCENT / 100)
                 .min(bounds.evacuation_delay * EVACUATION_PERCENT / 100),
             Topic::Upstreams => bounds.leaving_delay,
-            // The lease is not followed.
-            Topic::Hosts | Topic::Lease => HOST_BOUND,
+            // Only the first three topics are followed.
+            Topic::Hosts | Topic::Lease | Topic::Software | Topic::StreamVersions => HOST_BOUND,
         };
         let policy = ReadPolicy::new(bound, patience);
         let (wait, pause) = match topic {
             // A changed configuration ends the wait.
             Topic::Config => (policy.read_interval, Duration::ZERO),
             Topic::Upstreams => (Duration::ZERO, policy.read_interval),
-            Topic::Hosts | Topic::Lease => (Duration::ZERO, HOST_READ_PAUSE),
+            Topic::Hosts | Topic::Lease | Topic::Software | Topic::StreamVersions => {
+                (Duration::ZERO, HOST_READ_PAUSE)
+            }
         };
         Self {
             wait,
@@ -140,7 +142,7 @@
                 follower.pause = MIN_RETRY_PAUSE;
                 tokio::time::sleep(follower.settings().pause).await;
             }
-            Err(StoreError::Expired) => {
+            Err(StoreError::Expired { .. }) => {
                 log::info!(
                     "store: topic={topic} records expired before they were read, \
                      reading the newest of each key"
--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -227,7 +227,7 @@
         self.picker.set_limits(admission_limits(bounds));
     }
 
-    /// Returns the records of a topic; none for the lease, which is not kept by key.
+    /// Returns the records of a topic; none for those that hosts do not follow.
     pub fn topic(&mut self, topic: Topic) -> Option<&mut KeyedTopic> {
         self.topic_and_compressor(topic)
             .map(|(keyed_topic, _compressor)| keyed_topic)
@@ -242,7 +242,7 @@
             Topic::Config => &mut self.config,
             Topic::Upstreams => &mut self.upstreams_topic,
             Topic::Hosts => &mut self.hosts,
-            Topic::Lease => return None,
+            Topic::Lease | Topic::Software | Topic::StreamVersions => return None,
         };
         Some((keyed_topic, &mut self.compressor))
     }
@@ -277,7 +277,7 @@
                         self.upstreams.remove(&id, true, now);
                     }
                 }
-                Topic::Hosts | Topic::Lease => {}
+                Topic::Hosts | Topic::Lease | Topic::Software | Topic::StreamVersions => {}
             }
         }
         // A restored configuration was compared above, also if its record did not change.
@@ -289,7 +289,7 @@
                 Topic::Config => self.apply_config(record, now),
                 Topic::Upstreams => self.apply_upstream(record, changes.is_new_era, now),
                 Topic::Hosts => self.apply_host(record),
-                Topic::Lease => {}
+                Topic::Lease | Topic::Software | Topic::StreamVersions => {}
             }
         }
         if topic == Topic::Config {
