Decide which software version may begin a stream and go on with it

Engines of several software versions may serve side by side in one pool, and what two of them write does not fit together. Nothing bound a stream to the version that began it: a resumed stream went to any engine that holds the model.

An upstream's entry now gives its software version. A query may be bound to one, on the host and at the picker; the query to a picker carries it, and older hosts omit it.

`SoftwareVersions` decides, without I/O, at which versions new streams may begin, which of them must be written to the log, when the base version of a pool is read or written, and what a stream is bound to that a caller takes up.

Measured: the new tests pass. With the filter taken out of the holders, or out of the holder that the asking host names, `a_bound_stream_gets_upstreams_of_its_version_only` fails.

--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -750,6 +750,7 @@
             tried: &query.excluded,
             // The host excludes the engines outside of the home regions.
             homes: None,
+            software: query.software.as_ref(),
         };
         // Engines rest for the hosts that they asked, and those exclude them.
         let no_rests = EngineRests::default();
--- a/crates/eelgrasshill_gateway/src/pick_socket.rs
+++ b/crates/eelgrasshill_gateway/src/pick_socket.rs
@@ -10,13 +10,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use derive_more::{Display, Error, From};
 use eelgrasshill_domain::{FastMap, FastSet, HostName, NameError, ZoneName};
 use eelgrasshill_peer::generated as message;
 use eelgrasshill_peer::generated::PartAccusation;
 use eelgrasshill_peer::generated::pick_datagram::Kind;
 use eelgrasshill_ports::{BootClock, lock};
 use eelgrasshill_relay::{
-    OrganisationHash, Pick, PromptQuery, RequestIdentity, RequestOutcome, Ticket,
+    OrganisationHash, Pick, PromptQuery, RequestIdentity, RequestOutcome, SoftwareVersion, Ticket,
+    VersionError,
 };
 use prost::Message;
 use tokio::net::UdpSocket;
@@ -55,6 +57,8 @@
 pub(crate) struct HostQuery {
     pub(crate) prompt: PromptQuery,
     pub(crate) adapter: Option<eelgrasshill_domain::AdapterName>,
+    /// Software version that the engine must run, if the request is bound to one.
+    pub(crate) software: Option<SoftwareVersion>,
     /// Zone of the request's host.
     pub(crate) zone: ZoneName,
     /// Engines that the host does not use for the request.
@@ -89,6 +93,17 @@
     Away,
 }
 
+/// Reason why a query cannot be decoded.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error, From)]
+enum QueryError {
+    /// A name is invalid.
+    #[display("{_0}")]
+    Name(NameError),
+    /// The software version is invalid.
+    #[display("{_0}")]
+    Software(VersionError),
+}
+
 impl PickSocket {
     /// Binds the socket to the address for peers.
     pub(crate) fn bind(address: SocketAddr) -> io::Result<Self> {
@@ -105,7 +120,7 @@
         let ticket = query.prompt.ticket;
         let (sender, receiver) = oneshot::channel();
         lock(&self.waiting).insert(ticket, sender);
-        self.send(picker, Kind::Query(encode_query(query)));
+        self.send(picker, Kind::Query(Box::new(encode_query(query))));
         let reply = tokio::time::timeout(REPLY_TIMEOUT, receiver).await;
         lock(&self.waiting).remove(&ticket);
         match reply {
@@ -260,6 +275,7 @@
         identity: prompt.identity.map_or(0, |identity| identity.0),
         organisation: prompt.organisation.map_or(0, |organisation| organisation.0),
         output_tokens: prompt.output_tokens,
+        software: query.software.as_ref().map(ToString::to_string),
         zone: query.zone.to_string(),
         holder: query.holder.to_string(),
         excluded: query
@@ -271,8 +287,9 @@
     }
 }
 
-fn decode_query(query: &message::PickQuery) -> Result<HostQuery, NameError> {
+fn decode_query(query: &message::PickQuery) -> Result<HostQuery, QueryError> {
     let model_key = decode_model_key(&query.asked.clone().unwrap_or_default())?;
+    let software = query.software.as_deref().map(SoftwareVersion::new);
     let excluded: Result<_, _> = query.excluded.iter().map(|id| HostName::new(id)).collect();
     Ok(HostQuery {
         prompt: PromptQuery {
@@ -291,6 +308,7 @@
             output_tokens: query.output_tokens,
         },
         adapter: model_key.adapter,
+        software: software.transpose()?,
         zone: ZoneName::new(&query.zone)?,
         excluded: excluded?,
         holder: HostName::new(&query.holder)?,
--- a/crates/eelgrasshill_gateway/src/picked_request.rs
+++ b/crates/eelgrasshill_gateway/src/picked_request.rs
@@ -239,6 +239,7 @@
                 output_tokens: self.metadata.output_tokens,
             },
             adapter: self.metadata.adapter.clone(),
+            software: self.software.clone(),
             zone: self.shared.settings.zone.clone(),
             excluded: state.excluded(&query, now),
             holder: holder.clone(),
@@ -263,6 +264,7 @@
             rank: self.rank(),
             tried: &self.tried,
             homes: self.homes(),
+            software: self.software.as_ref(),
         }
     }
 
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -384,6 +384,7 @@
         body,
         charge,
         arrived_at,
+        software: None,
         tried: crate::shared::TriedUpstreams::default(),
         sends: 0,
         suspects,
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -17,7 +17,8 @@
 };
 use eelgrasshill_relay::{
     Availability, Candidate, CrashId, HomeRegions, ModelKey, NoUpstream, Organisation, PartRefusal,
-    ProbedParts, PromptPart, RequestOutcome, Route, START_PERCENT, Upstream, max_start_wait,
+    ProbedParts, PromptPart, RequestOutcome, Route, START_PERCENT, SoftwareVersion, Upstream,
+    max_start_wait,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -92,6 +93,8 @@
     pub arrived_at: Moment,
     /// When the caller must have its final answer.
     pub deadline: Moment,
+    /// Software version that the stream is bound to, if it is.
+    pub software: Option<SoftwareVersion>,
     /// Upstreams that the request was sent to or that could not be reached.
     pub tried: TriedUpstreams,
     /// How often the request was sent.
--- a/crates/eelgrasshill_generate/src/main.rs
+++ b/crates/eelgrasshill_generate/src/main.rs
@@ -16,6 +16,8 @@
     let descriptors = protox::compile(["peer.proto"], [proto_dir])?;
     tonic_prost_build::configure()
         .out_dir(out_dir)
+        // A query is several times larger than the other kinds.
+        .boxed(".eelgrasshill.peer.PickDatagram.kind.query")
         .compile_fds(descriptors)?;
     Ok(())
 }
--- a/crates/eelgrasshill_relay/examples/pick_cost.rs
+++ b/crates/eelgrasshill_relay/examples/pick_cost.rs
@@ -9,7 +9,7 @@
 use eelgrasshill_domain::{HostName, ModelName, Moment, PoolName, ZoneName};
 use eelgrasshill_relay::{
     AdmissionLimits, EnginePicker, EngineSpeeds, OrganisationHash, PickCandidate, PromptQuery,
-    RequestIdentity, Ticket, Upstream,
+    RequestIdentity, SoftwareVersion, Ticket, Upstream,
 };
 
 const PICKS: u64 = 20_000;
@@ -47,6 +47,7 @@
             memory: Vec::new(),
             disk: Vec::new(),
             cold_remaining: Duration::ZERO,
+            software: SoftwareVersion::default(),
         }),
         cost: Duration::ZERO,
     };
--- a/crates/eelgrasshill_relay/src/known_upstreams.rs
+++ b/crates/eelgrasshill_relay/src/known_upstreams.rs
@@ -14,7 +14,7 @@
     AdapterName, FastMap, FastSet, HostName, ModelName, Moment, Offset, PoolName, ZoneName, record,
 };
 
-use crate::{HoldingsUpdate, LeavingNotice, LeavingNotices};
+use crate::{HoldingsUpdate, LeavingNotice, LeavingNotices, SoftwareVersion};
 
 /// How long an upstream is used after its entry lapsed.
 ///
@@ -54,6 +54,8 @@
         /// Start time by its own clock, in milliseconds since 1970.
         #[serde(rename = "born")]
         pub started_ms: u64,
+        /// Version of its software; empty if it states none.
+        pub software: SoftwareVersion,
         /// Models that are loaded and can serve requests.
         pub holdings: Vec<ResidentModel>,
         /// Models whose weights are cached in its main memory, for a fast load.
@@ -282,6 +284,11 @@
         self.entries.get(id).map(|entry| &entry.upstream)
     }
 
+    /// Returns the upstreams whose entries are known, also of those that are leaving.
+    pub fn registered(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.entries.values().map(|entry| &entry.upstream)
+    }
+
     /// Returns the upstreams that may get requests.
     pub fn available(&self, now: Moment) -> impl Iterator<Item = &Arc<Upstream>> {
         self.present(now)
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod reservations;
 mod retries;
 mod selection;
+mod software_versions;
 mod start_wait;
 mod stream_handover;
 mod tables;
@@ -73,6 +74,10 @@
 pub use reservations::{RequestIdentity, Reservations, ReturnQuery, ReturningCaller};
 pub use retries::{RetryBudget, RetrySettings};
 pub use selection::{Candidate, NoUpstream, SelectionSettings, UpstreamQuery, UpstreamSelector};
+pub use software_versions::{
+    BaseWish, PresentVersion, Resolution, SoftwareVersion, SoftwareVersions, StartRule, StreamId,
+    StreamVersions, VersionError, VersionSource, add_stream,
+};
 pub use start_wait::{START_PERCENT, max_start_wait};
 pub use stream_handover::{LaterAttempt, REFUSAL_WINDOW, can_go_on_in_time};
 pub use tables::{
--- a/crates/eelgrasshill_relay/src/selection.rs
+++ b/crates/eelgrasshill_relay/src/selection.rs
@@ -16,8 +16,8 @@
 };
 
 use crate::{
-    EngineRests, EngineSpeeds, HomeRegions, KnownUpstreams, PickCandidate, Upstream,
-    UpstreamHealth, UpstreamLoads,
+    EngineRests, EngineSpeeds, HomeRegions, KnownUpstreams, PickCandidate, SoftwareVersion,
+    Upstream, UpstreamHealth, UpstreamLoads,
 };
 
 /// Number of slots to which the cost of running requests is scaled.
@@ -70,12 +70,23 @@
     pub tried: &'a FastSet<HostName>,
     /// Regions in which the upstream must be, if the request has home regions.
     pub homes: Option<HomeRegions<'a>>,
+    /// Version of the software that the upstream must run, if the request is bound to one.
+    pub software: Option<&'a SoftwareVersion>,
 }
 
 impl UpstreamQuery<'_> {
     /// Returns whether an upstream can serve the request and was not tried.
     fn is_served_by(&self, upstream: &Upstream) -> bool {
-        self.holds_model(upstream) && self.is_home(upstream) && !self.tried.contains(&upstream.id)
+        self.holds_model(upstream)
+            && self.is_home(upstream)
+            && self.runs_software(upstream)
+            && !self.tried.contains(&upstream.id)
+    }
+
+    /// Returns whether an upstream runs the software that the request is bound to.
+    fn runs_software(&self, upstream: &Upstream) -> bool {
+        self.software
+            .is_none_or(|software| upstream.software == *software)
     }
 
     /// Returns whether an upstream is in the request's home regions.
@@ -215,6 +226,7 @@
                 upstream.id == *holder
                     && upstream.pool == *query.pool
                     && query.is_home(upstream)
+                    && query.runs_software(upstream)
                     && !query.tried.contains(holder)
             });
             all.extend(known);
--- /dev/null
+++ b/crates/eelgrasshill_relay/src/software_versions.rs
@@ -0,0 +1,671 @@
+//! Software versions of upstreams, and which of them may go on with a stream.
+//!
+//! What two versions of an engine's software write does not fit together, so a stream goes on only
+//! at upstreams of the version that began it, whichever host the caller returns to. Each pool has a
+//! base version, which the store keeps. A stream of another version is written to a log before its
+//! first event is passed on; a stream that is not in the log is one of the base version. While a
+//! pool has one version, nothing is written for a stream.
+//!
+//! The base version changes only once it had no upstream for the horizon, in which all streams that
+//! it began have ended.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use eelgrasshill_domain::{FastMap, FastSet, Moment, PoolName, fields_hash, scalar};
+use serde::{Deserialize, Serialize};
+
+use crate::Era;
+
+/// Maximum length of a software version, in bytes, so that it fits into a datagram.
+const MAX_VERSION_BYTES: usize = 96;
+
+/// Time from the appearance of a version beside another one until it is used for new streams.
+///
+/// By then all hosts whose upstreams' records are as recent as that know of it.
+const ACTIVATION_DELAY: Duration = Duration::from_millis(1_500);
+
+/// Pause after a failed append in which new streams begin at the base version only.
+const APPEND_RETRY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Horizon until a configuration is known.
+const DEFAULT_HORIZON: Duration = Duration::from_secs(16);
+
+/// Time that is added to the longest timeout of all routes for the horizon.
+const HORIZON_SLACK: Duration = Duration::from_secs(1);
+
+/// Streams that are remembered at most; beyond, the oldest are forgotten.
+///
+/// At the default horizon that is some 4,000 streams per second.
+const MAX_STREAMS: usize = 65_536;
+
+/// Error for a software version that is too long.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[display("a software version has at most {MAX_VERSION_BYTES} bytes, got {bytes}")]
+pub struct VersionError {
+    /// Length of the version.
+    pub bytes: usize,
+}
+
+/// Version of an upstream's software; empty if it states none.
+#[derive(
+    Clone, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct SoftwareVersion(Arc<str>);
+
+impl SoftwareVersion {
+    /// Creates a version from its text.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`VersionError`] if the text is too long.
+    pub fn new(text: &str) -> Result<Self, VersionError> {
+        let bytes = text.len();
+        if bytes > MAX_VERSION_BYTES {
+            return Err(VersionError { bytes });
+        }
+        Ok(Self(Arc::from(text)))
+    }
+
+    /// Returns the version as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<String> for SoftwareVersion {
+    type Error = VersionError;
+
+    fn try_from(text: String) -> Result<Self, VersionError> {
+        Self::new(&text)
+    }
+}
+
+impl From<SoftwareVersion> for String {
+    fn from(version: SoftwareVersion) -> Self {
+        version.0.to_string()
+    }
+}
+
+scalar! {
+    /// Hash of the request that began a stream; equal on all hosts.
+    pub struct StreamId(pub u64);
+}
+
+impl StreamId {
+    /// Computes the hash from the request's id and its organisation.
+    #[must_use]
+    pub fn new(request_id: &str, organisation: Option<&str>) -> Self {
+        Self(fields_hash(&[
+            request_id.as_bytes(),
+            organisation.unwrap_or("").as_bytes(),
+        ]))
+    }
+}
+
+/// Streams of one pool and version, as the log lists them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamVersions {
+    /// Pool whose upstreams serve the streams.
+    pub pool: PoolName,
+    /// Version that began them.
+    pub version: SoftwareVersion,
+    /// The streams.
+    pub streams: Vec<StreamId>,
+}
+
+/// A version of which a pool has an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PresentVersion {
+    /// The version.
+    pub version: SoftwareVersion,
+    /// Earliest start of its upstreams, in milliseconds since 1970.
+    pub started_ms: u64,
+    /// Whether one of its upstreams takes new requests.
+    pub takes_requests: bool,
+}
+
+/// What a host must do about a pool's base version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BaseWish {
+    /// Read it from the store.
+    Read,
+    /// Write this version, if the topic has not changed since it was read.
+    Propose(SoftwareVersion),
+}
+
+/// Whether a new stream may begin at a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartRule {
+    /// It may, and it is found again without a record.
+    Unwritten,
+    /// It may, and its record must be in the log before its first event is passed on.
+    Written,
+    /// Not all hosts may know of the version yet.
+    NotYet,
+}
+
+/// How the version of a stream is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum VersionSource {
+    /// This host passed events of the stream on.
+    #[display("memory")]
+    Memory,
+    /// The pool had no other version within the horizon.
+    #[display("only-version")]
+    OnlyVersion,
+    /// The log has a record of the stream.
+    #[display("log")]
+    Log,
+    /// The log has none, so the stream is one of the base version.
+    #[display("base")]
+    Base,
+}
+
+/// The version of a stream that a caller takes up again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Resolution {
+    /// It is known without the store.
+    Known(SoftwareVersion, VersionSource),
+    /// The log and the base version must be read first.
+    Read,
+}
+
+#[derive(Clone, Debug)]
+struct Presence {
+    // Moment from which the version is used, and from which a read of the base version counts for
+    // it. None if the host has known it from its first view on, or if it was alone.
+    ready_at: Option<Moment>,
+    last_seen: Moment,
+    is_present: bool,
+    takes_requests: bool,
+    started_ms: u64,
+}
+
+impl Presence {
+    fn is_ready(&self, now: Moment) -> bool {
+        self.ready_at.is_none_or(|ready_at| ready_at <= now)
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct PoolVersions {
+    // Those that were present within the horizon.
+    versions: FastMap<SoftwareVersion, Presence>,
+    base: Option<SoftwareVersion>,
+    // When the latest read of the base was sent; none if it must be read again.
+    base_read_at: Option<Moment>,
+    // The version that the pool had when it last had a single one, or its last known base.
+    preferred: Option<SoftwareVersion>,
+}
+
+impl PoolVersions {
+    fn note_present(&mut self, present: &[PresentVersion], horizon: Duration, now: Moment) {
+        self.versions
+            .retain(|_version, presence| now.since(presence.last_seen) <= horizon);
+        // All versions of a view after none are new, so that none is delayed for another one.
+        let ready_at = if self.versions.is_empty() {
+            self.base.is_some().then_some(now)
+        } else {
+            Some(now.after(ACTIVATION_DELAY))
+        };
+        for presence in self.versions.values_mut() {
+            presence.is_present = false;
+            presence.takes_requests = false;
+        }
+        for row in present {
+            let presence = self
+                .versions
+                .entry(row.version.clone())
+                .or_insert(Presence {
+                    ready_at,
+                    last_seen: now,
+                    is_present: true,
+                    takes_requests: false,
+                    started_ms: 0,
+                });
+            // Other hosts may have missed it for longer and changed the base in that time.
+            if now.since(presence.last_seen) > ACTIVATION_DELAY && presence.is_ready(now) {
+                presence.ready_at = Some(now);
+            }
+            presence.last_seen = now;
+            presence.is_present = true;
+            presence.takes_requests = row.takes_requests;
+            presence.started_ms = row.started_ms;
+        }
+        if let Some(only) = self.only_version() {
+            self.preferred = Some(only.clone());
+        }
+    }
+
+    /// Returns the version that was present within the horizon, if it was the only one.
+    fn only_version(&self) -> Option<&SoftwareVersion> {
+        let mut versions = self.versions.keys();
+        versions.next().filter(|_version| versions.next().is_none())
+    }
+
+    /// Returns the base, if it was read since this version may be used.
+    fn base_for(&self, presence: &Presence) -> Option<&SoftwareVersion> {
+        let base = self.base.as_ref()?;
+        // After a restore of the store, the base from before it holds until it is read again.
+        let is_read = presence
+            .ready_at
+            .is_none_or(|ready_at| self.base_read_at.is_some_and(|sent_at| ready_at <= sent_at));
+        is_read.then_some(base)
+    }
+
+    fn start(&self, version: &SoftwareVersion, now: Moment) -> StartRule {
+        let Some(presence) = self.versions.get(version) else {
+            return StartRule::NotYet;
+        };
+        match self.base_for(presence) {
+            _ if !presence.is_ready(now) => StartRule::NotYet,
+            Some(base) if base == version => StartRule::Unwritten,
+            Some(_) => StartRule::Written,
+            None if self.versions.len() == 1 => StartRule::Unwritten,
+            None => StartRule::NotYet,
+        }
+    }
+
+    /// Returns the present version whose upstreams started first.
+    fn oldest(&self) -> Option<&SoftwareVersion> {
+        let present = self.versions.iter().filter(|(_, known)| known.is_present);
+        let oldest = present.min_by_key(|(version, known)| (known.started_ms, *version));
+        oldest.map(|(version, _presence)| version)
+    }
+
+    fn wants_read(&self, now: Moment) -> bool {
+        let Some(sent_at) = self.base_read_at else {
+            return !self.versions.is_empty();
+        };
+        let mut ready = self.versions.values().filter_map(|known| known.ready_at);
+        ready.any(|ready_at| ready_at <= now && sent_at < ready_at)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct KnownStream {
+    pool: PoolName,
+    version: SoftwareVersion,
+    // Whether this host passed events of it on, or was about to.
+    is_own: bool,
+    at: Moment,
+}
+
+/// What one host knows of its pools' software versions and of the streams that they began.
+#[derive(Clone, Debug)]
+pub struct SoftwareVersions {
+    started_at: Moment,
+    horizon: Duration,
+    pools: FastMap<PoolName, PoolVersions>,
+    streams: FastMap<StreamId, KnownStream>,
+    // Streams in the order in which they were noted; one that was noted again occurs twice.
+    noted: VecDeque<(StreamId, Moment)>,
+    // Own streams whose records must be written again.
+    rewrites: FastSet<StreamId>,
+    append_failed_at: Option<Moment>,
+    era: Option<Era>,
+    restored_at: Option<Moment>,
+}
+
+impl SoftwareVersions {
+    /// Creates the state of a host that has just started.
+    #[must_use]
+    pub fn new(started_at: Moment) -> Self {
+        Self {
+            started_at,
+            horizon: DEFAULT_HORIZON,
+            pools: FastMap::default(),
+            streams: FastMap::default(),
+            noted: VecDeque::new(),
+            rewrites: FastSet::default(),
+            append_failed_at: None,
+            era: None,
+            restored_at: None,
+        }
+    }
+
+    /// Raises the horizon above the longest timeout of all routes.
+    ///
+    /// It is never lowered, since streams of earlier configurations may go on.
+    pub fn raise_horizon(&mut self, longest_timeout: Duration) {
+        self.horizon = self.horizon.max(longest_timeout + HORIZON_SLACK);
+    }
+
+    /// Notes the versions that a pool has now.
+    ///
+    /// To be called at least once per second, since a version counts as gone otherwise.
+    pub fn note_present(&mut self, pool: &PoolName, present: &[PresentVersion], now: Moment) {
+        let horizon = self.horizon;
+        let known = self.pools.entry(pool.clone()).or_default();
+        known.note_present(present, horizon, now);
+    }
+
+    /// Removes the pools that are not to be followed any more.
+    pub fn retain_pools(&mut self, is_followed: impl Fn(&PoolName) -> bool) {
+        self.pools.retain(|pool, _known| is_followed(pool));
+    }
+
+    /// Returns whether a version of a pool was noted within the horizon.
+    #[must_use]
+    pub fn has_seen(&self, pool: &PoolName, version: &SoftwareVersion) -> bool {
+        self.pools
+            .get(pool)
+            .is_some_and(|known| known.versions.contains_key(version))
+    }
+
+    /// Notes a pool's base version, as a read of the store shows it; returns whether it changed.
+    pub fn note_base(
+        &mut self,
+        pool: &PoolName,
+        base: Option<SoftwareVersion>,
+        read_sent_at: Moment,
+    ) -> bool {
+        let Some(known) = self.pools.get_mut(pool) else {
+            return false;
+        };
+        if known.base_read_at.is_some_and(|at| at > read_sent_at) {
+            return false;
+        }
+        known.base_read_at = Some(read_sent_at);
+        if known.base == base {
+            return false;
+        }
+        let before = std::mem::replace(&mut known.base, base);
+        // A restore may have lost the record.
+        known.preferred = before.or(known.preferred.take());
+        // Own streams of other versions may have begun without a record.
+        let unwritten = self.streams.iter().filter(|(_, stream)| {
+            stream.is_own && stream.pool == *pool && known.base.as_ref() != Some(&stream.version)
+        });
+        self.rewrites.extend(unwritten.map(|(stream, _)| *stream));
+        true
+    }
+
+    /// Returns a pool's base version, if it is known.
+    #[must_use]
+    pub fn base(&self, pool: &PoolName) -> Option<&SoftwareVersion> {
+        self.pools.get(pool)?.base.as_ref()
+    }
+
+    /// Returns what to do about a pool's base version.
+    ///
+    /// `view_confirmed_at` is when the upstreams' records were known to be the newest.
+    #[must_use]
+    pub fn wants_base(
+        &self,
+        pool: &PoolName,
+        view_confirmed_at: Option<Moment>,
+        now: Moment,
+    ) -> Option<BaseWish> {
+        let known = self.pools.get(pool)?;
+        if known.wants_read(now) {
+            return Some(BaseWish::Read);
+        }
+        let proposal = match &known.base {
+            None => {
+                let preferred = known.preferred.as_ref();
+                preferred
+                    .filter(|version| known.versions.contains_key(*version))
+                    .or_else(|| known.oldest())
+            }
+            Some(base) => {
+                let is_gone = !known.versions.contains_key(base)
+                    && now.since(self.started_at) > self.horizon
+                    && is_recent(view_confirmed_at, now);
+                is_gone.then(|| known.oldest()).flatten()
+            }
+        };
+        proposal.cloned().map(BaseWish::Propose)
+    }
+
+    /// Returns whether a new stream may begin at a version, and whether it must be written.
+    #[must_use]
+    pub fn start(&self, pool: &PoolName, version: &SoftwareVersion, now: Moment) -> StartRule {
+        self.pools
+            .get(pool)
+            .map_or(StartRule::NotYet, |known| known.start(version, now))
+    }
+
+    /// Returns the version at which new streams must begin while others cannot; none if any may.
+    #[must_use]
+    pub fn allowed_for_new(&self, pool: &PoolName, now: Moment) -> Option<SoftwareVersion> {
+        let known = self.pools.get(pool)?;
+        let can_start = |version: &SoftwareVersion| match known.start(version, now) {
+            StartRule::Unwritten => true,
+            StartRule::Written => !self.is_append_failing(now),
+            StartRule::NotYet => false,
+        };
+        let serving = || known.versions.iter().filter(|(_, one)| one.takes_requests);
+        if serving().count() <= 1 || serving().all(|(version, _)| can_start(version)) {
+            return None;
+        }
+        let startable = serving().filter(|(version, _)| can_start(version));
+        let is_other = |version: &SoftwareVersion| known.base.as_ref() != Some(version);
+        let first = startable
+            .min_by_key(|(version, one)| (is_other(version), one.started_ms, (*version).clone()));
+        first.map(|(version, _presence)| version.clone())
+    }
+
+    /// Notes whether an append to the log succeeded.
+    pub fn note_append(&mut self, is_ok: bool, now: Moment) {
+        self.append_failed_at = (!is_ok).then_some(now);
+    }
+
+    /// Returns whether an append failed just now.
+    #[must_use]
+    pub fn is_append_failing(&self, now: Moment) -> bool {
+        self.append_failed_at
+            .is_some_and(|failed_at| now.since(failed_at) < APPEND_RETRY_PAUSE)
+    }
+
+    /// Notes the version at which this host begins a stream, or goes on with one.
+    pub fn note_stream(
+        &mut self,
+        stream: StreamId,
+        pool: &PoolName,
+        version: &SoftwareVersion,
+        now: Moment,
+    ) {
+        let known = KnownStream {
+            pool: pool.clone(),
+            version: version.clone(),
+            is_own: true,
+            at: now,
+        };
+        self.insert(stream, known);
+    }
+
+    /// Notes records of the log, in their order.
+    pub fn note_records(&mut self, records: &[StreamVersions], now: Moment) {
+        for record in records {
+            for stream in &record.streams {
+                if self.streams.get(stream).is_some_and(|known| known.is_own) {
+                    continue;
+                }
+                let known = KnownStream {
+                    pool: record.pool.clone(),
+                    version: record.version.clone(),
+                    is_own: false,
+                    at: now,
+                };
+                self.insert(*stream, known);
+            }
+        }
+    }
+
+    fn insert(&mut self, stream: StreamId, known: KnownStream) {
+        self.noted.push_back((stream, known.at));
+        self.streams.insert(stream, known);
+        while self.noted.len() > MAX_STREAMS {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some((stream, at)) = self.noted.pop_front() else {
+            return;
+        };
+        // It may have been noted again.
+        if self
+            .streams
+            .get(&stream)
+            .is_some_and(|known| known.at <= at)
+        {
+            self.streams.remove(&stream);
+            self.rewrites.remove(&stream);
+        }
+    }
+
+    /// Forgets the streams that were noted longer ago than the horizon.
+    pub fn expire(&mut self, now: Moment) {
+        while let Some((_stream, at)) = self.noted.front()
+            && now.since(*at) > self.horizon
+        {
+            self.forget_oldest();
+        }
+    }
+
+    /// Returns how many streams are remembered.
+    #[must_use]
+    pub fn stream_count(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Returns the version of a stream that a caller takes up, if it is known without the store.
+    ///
+    /// `view_confirmed_at` is when the upstreams' records were known to be the newest.
+    #[must_use]
+    pub fn resolve(
+        &self,
+        stream: StreamId,
+        pool: &PoolName,
+        view_confirmed_at: Option<Moment>,
+        now: Moment,
+    ) -> Resolution {
+        if let Some(known) = self.known_stream(stream, pool)
+            && known.is_own
+        {
+            return Resolution::Known(known.version.clone(), VersionSource::Memory);
+        }
+        let Some(known) = self.pools.get(pool) else {
+            return Resolution::Read;
+        };
+        match known.only_version() {
+            Some(only)
+                if known.base_read_at.is_some()
+                    && known.base.as_ref().is_none_or(|base| base == only)
+                    && now.since(self.started_at) >= self.horizon
+                    && is_recent(view_confirmed_at, now) =>
+            {
+                Resolution::Known(only.clone(), VersionSource::OnlyVersion)
+            }
+            Some(_) | None => Resolution::Read,
+        }
+    }
+
+    /// Returns the version of a stream after the log and the base version were read for it.
+    ///
+    /// None if it is not known, for example since a restore of the store may have lost its record.
+    #[must_use]
+    pub fn resolve_read(
+        &self,
+        stream: StreamId,
+        pool: &PoolName,
+        now: Moment,
+    ) -> Option<(SoftwareVersion, VersionSource)> {
+        if let Some(known) = self.known_stream(stream, pool) {
+            let source = if known.is_own {
+                VersionSource::Memory
+            } else {
+                VersionSource::Log
+            };
+            return Some((known.version.clone(), source));
+        }
+        let was_restored = self
+            .restored_at
+            .is_some_and(|at| now.since(at) <= self.horizon);
+        let known = self.pools.get(pool)?;
+        let base = known.base.clone().filter(|_base| !was_restored)?;
+        known.base_read_at?;
+        Some((base, VersionSource::Base))
+    }
+
+    fn known_stream(&self, stream: StreamId, pool: &PoolName) -> Option<&KnownStream> {
+        let known = self.streams.get(&stream);
+        known.filter(|known| known.pool == *pool)
+    }
+
+    /// Notes the store's era; returns whether the store was restored.
+    ///
+    /// A restored store may lack records, so all own streams are written again.
+    pub fn note_era(&mut self, era: Era, now: Moment) -> bool {
+        let before = self
+            .era
+            .replace(self.era.map_or(era, |known| known.max(era)));
+        if before.is_none_or(|before| before >= era) {
+            return false;
+        }
+        self.restored_at = Some(now);
+        for known in self.pools.values_mut() {
+            known.base_read_at = None;
+        }
+        let own = self.streams.iter().filter(|(_, known)| known.is_own);
+        self.rewrites.extend(own.map(|(stream, _known)| *stream));
+        true
+    }
+
+    /// Notes that an append of these streams may have taken effect although it failed.
+    ///
+    /// They may go on at another version, so what they went on at is written again.
+    pub fn note_doubtful(&mut self, streams: impl IntoIterator<Item = StreamId>) {
+        for stream in streams {
+            if self.streams.contains_key(&stream) {
+                self.rewrites.insert(stream);
+            }
+        }
+    }
+
+    /// Takes up to `max` streams whose records must be written again; none while appends fail.
+    pub fn take_rewrites(&mut self, max: usize, now: Moment) -> Vec<StreamVersions> {
+        if self.is_append_failing(now) {
+            return Vec::new();
+        }
+        let taken: Vec<_> = self.rewrites.iter().take(max).copied().collect();
+        let mut records = Vec::new();
+        for stream in taken {
+            self.rewrites.remove(&stream);
+            if let Some(known) = self.streams.get(&stream) {
+                add_stream(&mut records, &known.pool, &known.version, stream);
+            }
+        }
+        records
+    }
+}
+
+/// Adds a stream to the record of its pool and version.
+pub fn add_stream(
+    records: &mut Vec<StreamVersions>,
+    pool: &PoolName,
+    version: &SoftwareVersion,
+    stream: StreamId,
+) {
+    let mut same = records.iter_mut();
+    match same.find(|record| record.pool == *pool && record.version == *version) {
+        Some(record) => record.streams.push(stream),
+        None => records.push(StreamVersions {
+            pool: pool.clone(),
+            version: version.clone(),
+            streams: vec![stream],
+        }),
+    }
+}
+
+/// Returns whether a view of the upstreams is so recent that no version is used that it lacks.
+fn is_recent(view_confirmed_at: Option<Moment>, now: Moment) -> bool {
+    view_confirmed_at.is_some_and(|at| now.since(at) < ACTIVATION_DELAY)
+}
--- a/crates/eelgrasshill_relay/tests/cold_engines.rs
+++ b/crates/eelgrasshill_relay/tests/cold_engines.rs
@@ -5,7 +5,8 @@
 use eelgrasshill_domain::{FastMap, FastSet, HostName, Moment, PoolName, ZoneName};
 use eelgrasshill_relay::{
     ColdBound, ColdEngines, ColdRule, EngineRests, EngineSpeeds, KnownUpstreams, NoUpstream,
-    SelectionSettings, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    SelectionSettings, SoftwareVersion, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery,
+    UpstreamSelector,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -58,6 +59,7 @@
         memory: Vec::new(),
         disk: Vec::new(),
         cold_remaining,
+        software: SoftwareVersion::default(),
     }
 }
 
@@ -252,6 +254,7 @@
         rank: 0,
         tried: &tried,
         homes: None,
+        software: None,
     };
     let decide = |upstreams: &KnownUpstreams, loads: &UpstreamLoads, rests: &EngineRests| {
         let selector = UpstreamSelector {
--- a/crates/eelgrasshill_relay/tests/engine_picker.rs
+++ b/crates/eelgrasshill_relay/tests/engine_picker.rs
@@ -8,7 +8,7 @@
 use eelgrasshill_domain::{HostName, ModelName, Moment, PoolName, ZoneName};
 use eelgrasshill_relay::{
     AdmissionLimits, EnginePicker, EngineSpeeds, Pick, PickCandidate, PromptQuery, RequestIdentity,
-    ResidentModel, Ticket, Upstream,
+    ResidentModel, SoftwareVersion, Ticket, Upstream,
 };
 use prompt_simulation::{
     Burst, Class, Deployment, Fault, Load, LoadOutcome, Policy, simulate, simulate_load,
@@ -141,6 +141,7 @@
         memory: Vec::new(),
         disk: Vec::new(),
         cold_remaining: Duration::ZERO,
+        software: SoftwareVersion::default(),
     };
     let candidates = (0..count).map(|number| PickCandidate {
         upstream: Arc::new(upstream(number)),
--- a/crates/eelgrasshill_relay/tests/engine_simulation/mod.rs
+++ b/crates/eelgrasshill_relay/tests/engine_simulation/mod.rs
@@ -9,7 +9,7 @@
 };
 use eelgrasshill_relay::{
     Action, EnginePool, EngineReport, KnownUpstreams, Model, ModelKey, NextCall, OrderOutcome,
-    PlacementPlanner, ResidentModel, Upstream, UpstreamLoads,
+    PlacementPlanner, ResidentModel, SoftwareVersion, Upstream, UpstreamLoads,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -322,6 +322,7 @@
                 memory: Vec::new(),
                 disk: engine.disk.clone(),
                 cold_remaining: Duration::ZERO,
+                software: SoftwareVersion::default(),
             };
             upstreams.insert(upstream, self.now());
         }
--- a/crates/eelgrasshill_relay/tests/evacuation.rs
+++ b/crates/eelgrasshill_relay/tests/evacuation.rs
@@ -6,8 +6,8 @@
 use eelgrasshill_domain::{FastSet, HostName, ModelName, Moment, Offset, PoolName, ZoneName};
 use eelgrasshill_relay::{
     EngineRests, EngineSpeeds, KeyedRecord, KeyedTopic, KnownUpstreams, NoUpstream, ResidentModel,
-    SelectionSettings, TopicUpdate, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery,
-    UpstreamSelector,
+    SelectionSettings, SoftwareVersion, TopicUpdate, Upstream, UpstreamHealth, UpstreamLoads,
+    UpstreamQuery, UpstreamSelector,
 };
 
 const NOW: Moment = Moment(1_000);
@@ -40,6 +40,7 @@
         memory: Vec::new(),
         disk: Vec::new(),
         cold_remaining: Duration::ZERO,
+        software: SoftwareVersion::default(),
     }
 }
 
@@ -74,6 +75,7 @@
         rank: 0,
         tried: &tried,
         homes: None,
+        software: None,
     };
     let near = host("e-near");
     let candidates = selector.pick_candidates(&query, &near, NOW);
--- a/crates/eelgrasshill_relay/tests/home_regions.rs
+++ b/crates/eelgrasshill_relay/tests/home_regions.rs
@@ -7,8 +7,8 @@
 use eelgrasshill_domain::{FastSet, HostName, ModelName, Moment, PoolName, RouteName, ZoneName};
 use eelgrasshill_relay::{
     EngineRests, EngineSpeeds, HomeRegions, KnownUpstreams, NoUpstream, Organisation, Repeat,
-    ResidentModel, Route, SelectionSettings, Upstream, UpstreamHealth, UpstreamLoads,
-    UpstreamQuery, UpstreamSelector,
+    ResidentModel, Route, SelectionSettings, SoftwareVersion, Upstream, UpstreamHealth,
+    UpstreamLoads, UpstreamQuery, UpstreamSelector,
 };
 
 const NOW: Moment = Moment(1_000);
@@ -41,6 +41,7 @@
         memory: Vec::new(),
         disk: Vec::new(),
         cold_remaining: Duration::ZERO,
+        software: SoftwareVersion::default(),
     }
 }
 
@@ -119,6 +120,7 @@
             rank: 0,
             tried: &tried,
             homes: HomeRegions::new(&route, Some(&organisation), &zones),
+            software: None,
         };
         let excluded = selector.excluded(&query, NOW);
         for id in ids {
--- a/crates/eelgrasshill_relay/tests/prompt_simulation/mod.rs
+++ b/crates/eelgrasshill_relay/tests/prompt_simulation/mod.rs
@@ -11,8 +11,9 @@
 use eelgrasshill_domain::{FastMap, FastSet, HostName, ModelName, Moment, PoolName, ZoneName};
 use eelgrasshill_relay::{
     AdmissionLimits, EnginePicker, EngineRests, EngineSpeeds, KnownUpstreams, OrganisationHash,
-    Pick, PickCandidate, PromptQuery, RequestIdentity, ResidentModel, SelectionSettings, Ticket,
-    Upstream, UpstreamHealth, UpstreamLoad, UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    Pick, PickCandidate, PromptQuery, RequestIdentity, ResidentModel, SelectionSettings,
+    SoftwareVersion, Ticket, Upstream, UpstreamHealth, UpstreamLoad, UpstreamLoads, UpstreamQuery,
+    UpstreamSelector,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -213,6 +214,7 @@
             memory: Vec::new(),
             disk: Vec::new(),
             cold_remaining: Duration::ZERO,
+            software: SoftwareVersion::default(),
         };
         ids.insert(upstream.id.clone(), number);
         upstreams.insert(upstream.clone(), Moment(1));
@@ -605,6 +607,7 @@
             rank: 0,
             tried: &FastSet::default(),
             homes: None,
+            software: None,
         };
         let random = &mut self.random;
         let chosen = selector.choose(
--- a/crates/eelgrasshill_relay/tests/records.rs
+++ b/crates/eelgrasshill_relay/tests/records.rs
@@ -9,8 +9,8 @@
 use eelgrasshill_relay::{
     EngineRests, EngineSpeeds, EventSplitter, HoldingsUpdate, KeyedRecord, KeyedTopic,
     KnownUpstreams, MaxKeyAge, Peer, RANKS, RequestOutcome, ResidentModel, RetryBudget,
-    RetrySettings, SelectionSettings, Tree, Upstream, UpstreamHealth, UpstreamLoad, UpstreamLoads,
-    UpstreamQuery, UpstreamSelector,
+    RetrySettings, SelectionSettings, SoftwareVersion, Tree, Upstream, UpstreamHealth,
+    UpstreamLoad, UpstreamLoads, UpstreamQuery, UpstreamSelector,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -47,6 +47,7 @@
         memory: Vec::new(),
         disk: Vec::new(),
         cold_remaining: Duration::ZERO,
+        software: SoftwareVersion::default(),
     }
 }
 
@@ -335,6 +336,7 @@
                 rank,
                 tried,
                 homes: None,
+                software: None,
             };
             let first_candidate = |_count| 0;
             selector.choose(&query, first_candidate, Moment(1_000))
--- a/crates/eelgrasshill_relay/tests/restored_topics.rs
+++ b/crates/eelgrasshill_relay/tests/restored_topics.rs
@@ -6,7 +6,8 @@
 
 use eelgrasshill_domain::{HostName, Moment, Offset, PoolName, Version, ZoneName};
 use eelgrasshill_relay::{
-    ConfigInForce, Era, KeyedRecord, KeyedTopic, KnownUpstreams, TopicUpdate, Upstream,
+    ConfigInForce, Era, KeyedRecord, KeyedTopic, KnownUpstreams, SoftwareVersion, TopicUpdate,
+    Upstream,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
@@ -265,6 +266,7 @@
         memory: Vec::new(),
         disk: Vec::new(),
         cold_remaining: Duration::ZERO,
+        software: SoftwareVersion::default(),
     };
     // The known entry, the restored one, and whether requests go to the upstream after 0 s and 2 s.
     let cases = [
--- /dev/null
+++ b/crates/eelgrasshill_relay/tests/software_versions.rs
@@ -0,0 +1,305 @@
+//! Tests which software versions may begin streams and go on with them.
+
+use std::time::Duration;
+
+use eelgrasshill_domain::{FastSet, HostName, Moment, PoolName, ZoneName};
+use eelgrasshill_relay::{
+    BaseWish, EngineRests, EngineSpeeds, Era, KnownUpstreams, PresentVersion, Resolution,
+    SelectionSettings, SoftwareVersion, SoftwareVersions, StartRule, StreamId, StreamVersions,
+    Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector, VersionSource,
+};
+
+/// Longest timeout of the routes; the horizon is 20 s.
+const TIMEOUT: Duration = Duration::from_secs(19);
+
+const STREAM: StreamId = StreamId(7);
+
+fn version(text: &str) -> SoftwareVersion {
+    SoftwareVersion::new(text).expect("the version is short")
+}
+
+fn pool() -> PoolName {
+    PoolName::new("p").expect("the name is valid")
+}
+
+/// A host with its clock, which notes the versions of each step for some time.
+struct Host {
+    versions: SoftwareVersions,
+    now: Moment,
+}
+
+impl Host {
+    fn new() -> Self {
+        let now = Moment(1_000);
+        let mut versions = SoftwareVersions::new(now);
+        versions.raise_horizon(TIMEOUT);
+        Self { versions, now }
+    }
+
+    /// Notes the versions at each quarter of a second.
+    fn see(&mut self, present: &str, millis: u64) {
+        let rows = present.split_whitespace().zip(1..);
+        let rows: Vec<_> = rows
+            .map(|(text, started_ms)| PresentVersion {
+                version: version(text),
+                started_ms,
+                takes_requests: true,
+            })
+            .collect();
+        self.versions.note_present(&pool(), &rows, self.now);
+        for _tick in 0..millis / 250 {
+            self.now = self.now.after(Duration::from_millis(250));
+            self.versions.note_present(&pool(), &rows, self.now);
+        }
+    }
+
+    fn read_base(&mut self, base: Option<&str>) {
+        self.versions
+            .note_base(&pool(), base.map(version), self.now);
+    }
+
+    fn starts(&self) -> String {
+        let rule = |text| match self.versions.start(&pool(), &version(text), self.now) {
+            StartRule::Unwritten => 'u',
+            StartRule::Written => 'w',
+            StartRule::NotYet => '-',
+        };
+        ["a", "b"].into_iter().map(rule).collect()
+    }
+
+    fn wish(&self) -> String {
+        let wish = self.versions.wants_base(&pool(), Some(self.now), self.now);
+        match wish {
+            None => String::new(),
+            Some(BaseWish::Read) => "read".to_owned(),
+            Some(BaseWish::Propose(version)) => version.to_string(),
+        }
+    }
+
+    fn allowed(&self) -> Option<SoftwareVersion> {
+        self.versions.allowed_for_new(&pool(), self.now)
+    }
+
+    fn resolve(&self) -> Resolution {
+        self.versions
+            .resolve(STREAM, &pool(), Some(self.now), self.now)
+    }
+
+    fn resolve_read(&self) -> Option<(SoftwareVersion, VersionSource)> {
+        self.versions.resolve_read(STREAM, &pool(), self.now)
+    }
+}
+
+/// Views of the pool with the time that each lasts; `=x` reads base x, and `=` finds none.
+fn play(steps: &[(&str, u64)]) -> Host {
+    let mut host = Host::new();
+    for (step, millis) in steps {
+        match step.strip_prefix('=') {
+            Some("") => host.read_base(None),
+            Some(base) => host.read_base(Some(base)),
+            None => host.see(step, *millis),
+        }
+    }
+    host
+}
+
+#[test]
+fn streams_begin_where_all_hosts_find_them() {
+    // Steps, rules of versions a and b, wish, version that new streams are limited to.
+    let cases: [(&[_], _, _, _); 11] = [
+        (&[], "--", "", None),
+        (&[("a", 0)], "u-", "read", None),
+        (&[("a", 0), ("=", 0)], "u-", "a", None),
+        (&[("a", 0), ("=a", 0)], "u-", "", None),
+        // Two versions at the start: none begins before the base is known.
+        (&[("b a", 0), ("=", 0)], "--", "b", None),
+        (&[("a b", 0), ("=b", 0)], "wu", "", None),
+        // A new version beside the base.
+        (&[("a", 0), ("=a", 0), ("a b", 1_250)], "u-", "", Some("a")),
+        (
+            &[("a", 0), ("=a", 0), ("a b", 1_500)],
+            "u-",
+            "read",
+            Some("a"),
+        ),
+        (
+            &[("a", 0), ("=a", 0), ("a b", 1_500), ("=a", 0)],
+            "uw",
+            "",
+            None,
+        ),
+        // The base has been gone for less, and for more than the horizon.
+        (
+            &[("a", 0), ("=a", 0), ("b", 20_000), ("=a", 0)],
+            "uw",
+            "",
+            None,
+        ),
+        (
+            &[("a", 0), ("=a", 0), ("b", 20_250), ("=a", 0)],
+            "-w",
+            "b",
+            None,
+        ),
+    ];
+    for (steps, starts, wish, allowed) in cases {
+        let host = play(steps);
+        assert_eq!(host.starts(), starts, "{steps:?}");
+        assert_eq!(host.wish(), wish, "{steps:?}");
+        assert_eq!(host.allowed(), allowed.map(version), "{steps:?}");
+    }
+    let mut host = play(&[("b a", 0), ("=a", 0)]);
+    host.versions.note_append(false, host.now);
+    assert_eq!(host.allowed(), Some(version("a")));
+    host.see("b a", 1_000);
+    assert_eq!(host.allowed(), None);
+}
+
+#[test]
+fn taken_up_streams_go_on_at_their_version() {
+    let only = Resolution::Known(version("a"), VersionSource::OnlyVersion);
+    let cases: [(&[_], _, _); 5] = [
+        // A host that has just started may have missed a version.
+        (&[("a", 19_750), ("=a", 0)], Resolution::Read, Some("a")),
+        (&[("a", 20_000), ("=a", 0)], only.clone(), Some("a")),
+        (&[("a", 20_000), ("=", 0)], only, None),
+        (&[("a b", 20_000), ("=a", 0)], Resolution::Read, Some("a")),
+        (
+            &[("a b", 0), ("a", 20_000), ("=a", 0)],
+            Resolution::Read,
+            Some("a"),
+        ),
+    ];
+    for (steps, resolution, read) in cases {
+        let host = play(steps);
+        assert_eq!(host.resolve(), resolution, "{steps:?}");
+        let base = read.map(|text| (version(text), VersionSource::Base));
+        assert_eq!(host.resolve_read(), base, "{steps:?}");
+    }
+    let mut host = play(&[("a b", 20_000), ("=a", 0)]);
+    let record = |text| StreamVersions {
+        pool: pool(),
+        version: version(text),
+        streams: vec![STREAM],
+    };
+    host.versions
+        .note_records(&[record("a"), record("b")], host.now);
+    assert_eq!(host.resolve(), Resolution::Read);
+    assert_eq!(
+        host.resolve_read(),
+        Some((version("b"), VersionSource::Log))
+    );
+    host.versions
+        .note_stream(STREAM, &pool(), &version("b"), host.now);
+    host.versions.note_records(&[record("a")], host.now);
+    let own = Resolution::Known(version("b"), VersionSource::Memory);
+    assert_eq!(host.resolve(), own);
+    host.now = host.now.after(Duration::from_millis(20_001));
+    host.versions.expire(host.now);
+    assert_eq!(host.versions.stream_count(), 0);
+}
+
+#[test]
+fn a_restore_leaves_only_records_and_memory() {
+    let mut host = play(&[("a b", 20_000), ("=a", 0)]);
+    assert!(!host.versions.note_era(Era(1), host.now));
+    host.versions
+        .note_stream(STREAM, &pool(), &version("a"), host.now);
+    assert!(host.versions.note_era(Era(2), host.now));
+    assert!(!host.versions.note_era(Era(2), host.now));
+    assert_eq!(
+        (host.wish().as_str(), host.starts().as_str()),
+        ("read", "uw")
+    );
+    // Own streams are written again, once, when appends succeed.
+    let rewritten = [StreamVersions {
+        pool: pool(),
+        version: version("a"),
+        streams: vec![STREAM],
+    }];
+    host.versions.note_append(false, host.now);
+    assert_eq!(host.versions.take_rewrites(9, host.now), []);
+    host.versions.note_append(true, host.now);
+    assert_eq!(host.versions.take_rewrites(9, host.now), rewritten);
+    assert_eq!(host.versions.take_rewrites(9, host.now), []);
+    host.versions.note_doubtful([STREAM, StreamId(8)]);
+    assert_eq!(host.versions.take_rewrites(9, host.now), rewritten);
+    // The base from before the restore is written again.
+    host.read_base(None);
+    assert_eq!(host.wish(), "a");
+    host.read_base(Some("a"));
+    let read = |host: &Host| host.versions.resolve_read(StreamId(8), &pool(), host.now);
+    assert_eq!(read(&host), None);
+    host.see("a b", 20_250);
+    assert_eq!(read(&host), Some((version("a"), VersionSource::Base)));
+}
+
+/// Guards against bound streams that are sent or picked to another version.
+#[test]
+fn a_bound_stream_gets_upstreams_of_its_version_only() {
+    let now = Moment(1);
+    let name = |text: &str| HostName::new(text).expect("the name is valid");
+    let zone = ZoneName::new("z").expect("the name is valid");
+    let mut upstreams = KnownUpstreams::default();
+    for id in ["a", "b"] {
+        let upstream = Upstream {
+            id: name(id),
+            pool: pool(),
+            zone: zone.clone(),
+            address: "127.0.0.1:1".parse().expect("the address is valid"),
+            slots: 1,
+            leaving: false,
+            started_ms: 1,
+            software: version(id),
+            holdings: Vec::new(),
+            memory: Vec::new(),
+            disk: Vec::new(),
+            cold_remaining: Duration::ZERO,
+        };
+        upstreams.insert(upstream, now);
+    }
+    let selector = UpstreamSelector {
+        upstreams: &upstreams,
+        loads: &UpstreamLoads::default(),
+        health: &UpstreamHealth::default(),
+        rests: &EngineRests::default(),
+        speeds: &EngineSpeeds::new(38),
+        zone: &zone,
+        settings: &SelectionSettings::default(),
+    };
+    for (bound, expected) in [
+        (None, "ab"),
+        (Some("a"), "a"),
+        (Some("b"), "b"),
+        (Some("c"), ""),
+    ] {
+        let software = bound.map(version);
+        let query = UpstreamQuery {
+            pool: &pool(),
+            model: None,
+            adapter: None,
+            rank: 0,
+            tried: &FastSet::default(),
+            homes: None,
+            software: software.as_ref(),
+        };
+        let usable = |id: &&str| selector.usable(&query, &name(id), now).is_some();
+        assert_eq!(
+            ["a", "b"]
+                .iter()
+                .filter(|id| usable(id))
+                .copied()
+                .collect::<String>(),
+            expected
+        );
+        // The holder that the host knows of is not added if it runs another version.
+        let picks = selector.pick_candidates(&query, &name("a"), now);
+        let mut ids: Vec<_> = picks.iter().map(|pick| pick.upstream.id.as_str()).collect();
+        ids.sort_unstable();
+        assert_eq!(ids.concat(), expected, "picks for {bound:?}");
+        assert_eq!(
+            selector.choose(&query, |_| 0, now).is_ok(),
+            !expected.is_empty()
+        );
+    }
+}
--- a/crates/eelgrasshill_relay/tests/upstream_signals.rs
+++ b/crates/eelgrasshill_relay/tests/upstream_signals.rs
@@ -5,8 +5,8 @@
 use eelgrasshill_domain::{FastSet, HostName, ModelName, Moment, Offset, PoolName, ZoneName};
 use eelgrasshill_relay::{
     EngineRests, EngineSpeeds, KnownUpstreams, LeavingNotice, NoUpstream, RequestOutcome,
-    ResidentModel, SelectionSettings, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery,
-    UpstreamSelector,
+    ResidentModel, SelectionSettings, SoftwareVersion, Upstream, UpstreamHealth, UpstreamLoads,
+    UpstreamQuery, UpstreamSelector,
 };
 
 fn name(text: &str) -> HostName {
@@ -29,6 +29,7 @@
         memory: Vec::new(),
         disk: Vec::new(),
         cold_remaining: Duration::ZERO,
+        software: SoftwareVersion::default(),
     }
 }
 
@@ -412,6 +413,7 @@
             rank: 0,
             tried: &tried,
             homes: None,
+            software: None,
         };
         let chosen = selector.choose(&query, |_count| 0, Moment(100));
         let chosen = chosen.map(|candidate| candidate.upstream.id.clone());
