Keep base versions, and write and look up the versions of streams

A host that remembers nothing must find out which software version began a stream that a caller takes up, without a call to the store for each stream.

Three tasks beside the followers do the I/O for `SoftwareVersions`. One reads the base version of each pool, and writes it where it is missing or its version has gone: the first root at once, other hosts after 0.3 to 1 s, each on the condition that the topic has not changed. One appends streams of other versions to the log; those that wait during an append go into the next one. One answers look-ups from one read of the log and of the base versions for all that wait. What an append without an answer may have written, and after a restore of the store all that this host remembers, is written again.

The horizon after which a version counts as gone is the longest timeout of the routes and 3 s: a host may learn 2 s later than another one that a version has gone, and begin streams until then.

Requests are not bound to versions yet.

--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod run;
 mod server;
 mod shared;
+mod software_versions;
 mod stream;
 mod telemetry;
 mod topics;
--- a/crates/eelgrasshill_gateway/src/run.rs
+++ b/crates/eelgrasshill_gateway/src/run.rs
@@ -26,6 +26,7 @@
 use crate::register::{register, unregister};
 use crate::server::{serve_admin, serve_callers};
 use crate::shared::Shared;
+use crate::software_versions::track_software;
 use crate::telemetry::install_metrics;
 
 /// Minimum duration of a drain.
@@ -128,6 +129,7 @@
     let shared = Arc::new(Shared::<C>::new(settings));
     let callers = start_servers(&shared, metrics)?;
     start_followers(&shared, &store);
+    track_software(&shared, &store);
     let peers = bind(shared.settings.peer_address)?;
     peers.set_nonblocking(true).map_err(StartError::System)?;
     let picks =
--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -24,6 +24,7 @@
 use crate::open_requests::OpenRequests;
 use crate::pick_socket::PickSocket;
 use crate::picked_request::PickGuard;
+use crate::software_versions::SoftwareTracker;
 use crate::telemetry;
 
 /// Added to the count of open requests when the host closes.
@@ -87,6 +88,8 @@
     pub order_wakeup: Notify,
     /// Starts the next round of the exchange early.
     pub exchange_wakeup: Notify,
+    /// Software versions of the upstreams and of streams.
+    pub(crate) software: SoftwareTracker,
     bounds: Mutex<GatewayBounds>,
     state: Mutex<GatewayState<C>>,
     order_state: Mutex<OrderState>,
@@ -136,11 +139,13 @@
             capacity: Some(Capacity(settings.capacity)),
         };
         let connections = ConnectionLimit::new("callers", settings.max_connections);
+        let started_at = BootClock.now();
         Self {
+            software: SoftwareTracker::new(started_at),
             bounds: Mutex::new(settings.bounds),
             state: Mutex::new(GatewayState::new(&settings, self_peer.clone())),
             order_state: Mutex::new(OrderState::new(&settings, incarnation)),
-            started_at: BootClock.now(),
+            started_at,
             answer_memory: AnswerMemory::new(ANSWER_MEMORY_BYTES),
             memory: MemoryAccount::new(MemoryLimits::of_machine(settings.memory_mb))
                 .with_reclaim(connections.clone()),
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -290,6 +290,21 @@
         .increment(1);
 }
 
+/// Counts streams whose software versions were to be written, by what became of it.
+pub(crate) fn count_stream_versions(end: &'static str, count: usize) {
+    metrics::counter!("eelgrasshill_stream_versions_total", "end" => end).increment(count as u64);
+}
+
+/// Counts an append of streams' software versions by its end.
+pub(crate) fn count_stream_append(end: &'static str) {
+    metrics::counter!("eelgrasshill_stream_version_appends_total", "end" => end).increment(1);
+}
+
+/// Counts a stream that a caller took up, by how its software version was found.
+pub(crate) fn count_stream_look(source: String) {
+    metrics::counter!("eelgrasshill_stream_version_looks_total", "source" => source).increment(1);
+}
+
 /// Counts a new era of the store, which begins when it is restored from an older copy.
 pub(crate) fn count_store_restore() {
     metrics::counter!("eelgrasshill_store_restores_total").increment(1);
--- a/crates/eelgrasshill_relay/src/software_versions.rs
+++ b/crates/eelgrasshill_relay/src/software_versions.rs
@@ -31,10 +31,12 @@
 const APPEND_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Horizon until a configuration is known.
-const DEFAULT_HORIZON: Duration = Duration::from_secs(16);
+const DEFAULT_HORIZON: Duration = Duration::from_secs(18);
 
 /// Time that is added to the longest timeout of all routes for the horizon.
-const HORIZON_SLACK: Duration = Duration::from_secs(1);
+///
+/// Another host may learn two seconds later that a version has gone, and streams begin until then.
+const HORIZON_SLACK: Duration = Duration::from_secs(3);
 
 /// Streams that are remembered at most; beyond, the oldest are forgotten.
 ///
@@ -300,7 +302,8 @@
 #[derive(Clone, Debug)]
 pub struct SoftwareVersions {
     started_at: Moment,
-    horizon: Duration,
+    // None until a configuration is known.
+    horizon: Option<Duration>,
     pools: FastMap<PoolName, PoolVersions>,
     streams: FastMap<StreamId, KnownStream>,
     // Streams in the order in which they were noted; one that was noted again occurs twice.
@@ -318,7 +321,7 @@
     pub fn new(started_at: Moment) -> Self {
         Self {
             started_at,
-            horizon: DEFAULT_HORIZON,
+            horizon: None,
             pools: FastMap::default(),
             streams: FastMap::default(),
             noted: VecDeque::new(),
@@ -333,14 +336,20 @@
     ///
     /// It is never lowered, since streams of earlier configurations may go on.
     pub fn raise_horizon(&mut self, longest_timeout: Duration) {
-        self.horizon = self.horizon.max(longest_timeout + HORIZON_SLACK);
+        let horizon = longest_timeout + HORIZON_SLACK;
+        self.horizon = Some(self.horizon.map_or(horizon, |known| known.max(horizon)));
+    }
+
+    /// Returns the time after which all streams that began before have ended.
+    fn horizon(&self) -> Duration {
+        self.horizon.unwrap_or(DEFAULT_HORIZON)
     }
 
     /// Notes the versions that a pool has now.
     ///
     /// To be called at least once per second, since a version counts as gone otherwise.
     pub fn note_present(&mut self, pool: &PoolName, present: &[PresentVersion], now: Moment) {
-        let horizon = self.horizon;
+        let horizon = self.horizon();
         let known = self.pools.entry(pool.clone()).or_default();
         known.note_present(present, horizon, now);
     }
@@ -350,6 +359,25 @@
         self.pools.retain(|pool, _known| is_followed(pool));
     }
 
+    /// Returns the pools that are followed.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolName> {
+        self.pools.keys()
+    }
+
+    /// Returns whether a pool is followed.
+    #[must_use]
+    pub fn has_pool(&self, pool: &PoolName) -> bool {
+        self.pools.contains_key(pool)
+    }
+
+    /// Returns the versions that a pool has now.
+    pub fn present(&self, pool: &PoolName) -> impl Iterator<Item = &SoftwareVersion> {
+        let versions = self.pools.get(pool).into_iter();
+        let versions = versions.flat_map(|known| &known.versions);
+        let present = versions.filter(|(_version, presence)| presence.is_present);
+        present.map(|(version, _presence)| version)
+    }
+
     /// Returns whether a version of a pool was noted within the horizon.
     #[must_use]
     pub fn has_seen(&self, pool: &PoolName, version: &SoftwareVersion) -> bool {
@@ -392,6 +420,13 @@
         self.pools.get(pool)?.base.as_ref()
     }
 
+    /// Returns whether a pool's base version was read.
+    #[must_use]
+    pub fn is_any_base_read(&self) -> bool {
+        let mut pools = self.pools.values();
+        pools.any(|known| known.base_read_at.is_some())
+    }
+
     /// Returns what to do about a pool's base version.
     ///
     /// `view_confirmed_at` is when the upstreams' records were known to be the newest.
@@ -415,7 +450,7 @@
             }
             Some(base) => {
                 let is_gone = !known.versions.contains_key(base)
-                    && now.since(self.started_at) > self.horizon
+                    && now.since(self.started_at) > self.horizon()
                     && is_recent(view_confirmed_at, now);
                 is_gone.then(|| known.oldest()).flatten()
             }
@@ -524,7 +559,7 @@
     /// Forgets the streams that were noted longer ago than the horizon.
     pub fn expire(&mut self, now: Moment) {
         while let Some((_stream, at)) = self.noted.front()
-            && now.since(*at) > self.horizon
+            && now.since(*at) > self.horizon()
         {
             self.forget_oldest();
         }
@@ -559,7 +594,7 @@
             Some(only)
                 if known.base_read_at.is_some()
                     && known.base.as_ref().is_none_or(|base| base == only)
-                    && now.since(self.started_at) >= self.horizon
+                    && now.since(self.started_at) >= self.horizon()
                     && is_recent(view_confirmed_at, now) =>
             {
                 Resolution::Known(only.clone(), VersionSource::OnlyVersion)
@@ -588,7 +623,7 @@
         }
         let was_restored = self
             .restored_at
-            .is_some_and(|at| now.since(at) <= self.horizon);
+            .is_some_and(|at| now.since(at) <= self.horizon());
         let known = self.pools.get(pool)?;
         let base = known.base.clone().filter(|_base| !was_restored)?;
         known.base_read_at?;
--- a/crates/eelgrasshill_relay/src/tables.rs
+++ b/crates/eelgrasshill_relay/src/tables.rs
@@ -220,6 +220,11 @@
         rows.iter().find(|row| path.starts_with(&row.prefix))
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns whether a route of that name is configured.
     #[must_use]
     pub fn has_route(&self, name: &RouteName) -> bool {
