Write a stream again that may be in the log with another version

An append without an answer may have taken effect. Its stream is closed and may begin again at the base version, which is not written: until the record was replaced, another host would have taken the stream up at the first version. Such a stream is now written at the base version too.

Measured: `a_restore_leaves_only_records_and_memory` covers the rule.

--- a/crates/eelgrasshill_gateway/src/software_versions.rs
+++ b/crates/eelgrasshill_gateway/src/software_versions.rs
@@ -169,14 +169,7 @@
             refresh(self, now);
             self.software.wakeup.notify_one();
         }
-        let rule = {
-            let mut versions = self.software.versions();
-            let rule = versions.start(pool, version, now);
-            if rule != StartRule::NotYet {
-                versions.note_stream(stream, pool, version, now);
-            }
-            rule
-        };
+        let rule = self.software.versions().begin(stream, pool, version, now);
         match rule {
             StartRule::NotYet => StreamStart::NotYet,
             StartRule::Unwritten => StreamStart::Free,
--- a/crates/eelgrasshill_relay/src/software_versions.rs
+++ b/crates/eelgrasshill_relay/src/software_versions.rs
@@ -466,6 +466,25 @@
             .map_or(StartRule::NotYet, |known| known.start(version, now))
     }
 
+    /// Begins a stream at a version if it may, and remembers it.
+    ///
+    /// A stream that an append may have written with another version is written in any case.
+    pub fn begin(
+        &mut self,
+        stream: StreamId,
+        pool: &PoolName,
+        version: &SoftwareVersion,
+        now: Moment,
+    ) -> StartRule {
+        let rule = match self.start(pool, version, now) {
+            StartRule::NotYet => return StartRule::NotYet,
+            StartRule::Unwritten if self.rewrites.contains(&stream) => StartRule::Written,
+            rule @ (StartRule::Unwritten | StartRule::Written) => rule,
+        };
+        self.note_stream(stream, pool, version, now);
+        rule
+    }
+
     /// Returns the version at which new streams must begin while others cannot; none if any may.
     #[must_use]
     pub fn allowed_for_new(&self, pool: &PoolName, now: Moment) -> Option<SoftwareVersion> {
@@ -498,7 +517,7 @@
             .is_some_and(|failed_at| now.since(failed_at) < APPEND_RETRY_PAUSE)
     }
 
-    /// Notes the version at which this host begins a stream, or goes on with one.
+    /// Notes the version at which this host goes on with a stream.
     pub fn note_stream(
         &mut self,
         stream: StreamId,
--- a/crates/eelgrasshill_relay/tests/software_versions.rs
+++ b/crates/eelgrasshill_relay/tests/software_versions.rs
@@ -222,7 +222,13 @@
     host.versions.note_append(true, host.now);
     assert_eq!(host.versions.take_rewrites(9, host.now), rewritten);
     assert_eq!(host.versions.take_rewrites(9, host.now), []);
+    let begin = |host: &mut Host| {
+        host.versions
+            .begin(STREAM, &pool(), &version("a"), host.now)
+    };
+    assert_eq!(begin(&mut host), StartRule::Unwritten);
     host.versions.note_doubtful([STREAM, StreamId(8)]);
+    assert_eq!(begin(&mut host), StartRule::Written);
     assert_eq!(host.versions.take_rewrites(9, host.now), rewritten);
     // The base from before the restore is written again.
     host.read_base(None);
