Resume an entry host's answer only at its software version

An entry host knew the version of a model, but not that of the engine's software, so a broken answer could go on at an engine whose text does not fit, or at its own engine after a restart with other software.

An engine may state the version of its software in its report (`software`). Engines that state none count as alike, and their reports look as before. An answer that has begun is resumed only at upstreams with the software of the first one. Hosts refuse reports with unknown fields, so they are updated before engines that state a version.

The new test has three cases. Without the check in `Upstream::holds`, answers go on at another version; without `has_same_software`, at the engine that restarted. With both it passes. The tests of the crates entry, route, ports, standin and eelgrasshill pass.

--- a/crates/eelgrasshill_entry/src/answer/attempt.rs
+++ b/crates/eelgrasshill_entry/src/answer/attempt.rs
@@ -134,26 +134,21 @@
         }
     }
 
-    /// Sets the model version and the text after which the engine continues.
+    /// Sets the versions of model and software and the text after which the engine continues.
     ///
-    /// A resumed answer keeps the version of its first tokens.
+    /// A resumed answer keeps the versions of its first tokens.
     fn prepare_request(&mut self, host: &HostName, tokens: &[String]) {
         let generate = &mut self.request.generate;
         let view = self.shared.view.load();
-        let resident = view
-            .upstreams()
-            .iter()
-            .find(|upstream| upstream.host == *host)
-            .and_then(|upstream| {
-                upstream
-                    .residents
-                    .iter()
-                    .find(|r| r.model == generate.model)
-            });
+        let upstream = view.upstreams().iter().find(|u| u.host == *host);
         if tokens.is_empty()
-            && let Some(resident) = resident
+            && let Some(upstream) = upstream
         {
-            generate.version.clone_from(&resident.version);
+            self.software.clone_from(&upstream.software);
+            let mut residents = upstream.residents.iter();
+            if let Some(resident) = residents.find(|r| r.model == generate.model) {
+                generate.version.clone_from(&resident.version);
+            }
         }
         generate.resume = (!tokens.is_empty()).then(|| Resume {
             next_index: tokens.len() as u64,
--- a/crates/eelgrasshill_entry/src/answer/mod.rs
+++ b/crates/eelgrasshill_entry/src/answer/mod.rs
@@ -73,6 +73,8 @@
     last_token_at: Moment,
     /// The index of the first token of the current attempt.
     resumed_from: u64,
+    /// The software version of the engine that generates the first tokens.
+    software: String,
 }
 
 impl<E: EngineClient> Answer<E> {
@@ -111,6 +113,7 @@
             first_token_at: None,
             last_token_at,
             resumed_from: 0,
+            software: String::new(),
         };
         match answer.reserve_and_wait().await {
             Ok(host) => Ok((answer, host)),
@@ -138,17 +141,19 @@
             self.reservation = Some(reservation);
             self.record_step(StepEvent::Admitted { cost });
         }
-        let host = self.wait_for_upstream(Vec::new(), None, deadline).await?;
+        let host = self.wait_for_upstream(Vec::new(), false, deadline).await?;
         let wait = BootClock.now().since(self.request.arrived);
         self.labels.record_queue_wait(wait);
         Ok(host)
     }
 
     /// Queues the request until an upstream other than those in `avoid` is free.
+    ///
+    /// An answer that has begun goes on only at the versions of its first tokens.
     async fn wait_for_upstream(
         &mut self,
         avoid: Vec<HostName>,
-        version: Option<String>,
+        has_begun: bool,
         deadline: Moment,
     ) -> Result<HostName, ApiError> {
         self.guard = None;
@@ -156,7 +161,8 @@
         let requirement = Requirement::Model {
             model: self.request.model.clone(),
             adapter: self.request.generate.adapter.clone(),
-            version,
+            version: has_begun.then(|| self.request.generate.version.clone()),
+            software: has_begun.then(|| self.software.clone()),
         };
         let route = &self.request.grant.route;
         let cost = self.request.prompt_tokens + self.request.generate.max_tokens;
@@ -284,20 +290,31 @@
         {
             return Err(ApiError::may_have_run(Code::UpstreamFailed, error));
         }
-        let host = match resume_at {
-            ResumeAt::Same(host) => host,
-            ResumeAt::Other { avoid } => {
-                let deadline = now.after(self.timeouts.queue_wait);
-                let version = (from_token > 0).then(|| self.request.generate.version.clone());
-                self.wait_for_upstream(avoid, version, deadline)
-                    .await
-                    .map_err(ApiError::after_run)?
+        let has_begun = from_token > 0;
+        let avoid = match resume_at {
+            ResumeAt::Same(host) if !has_begun || self.has_same_software(&host) => {
+                stream.begin_attempt(host, now);
+                return Ok(());
             }
+            ResumeAt::Same(host) => vec![host],
+            ResumeAt::Other { avoid } => avoid,
         };
+        let deadline = now.after(self.timeouts.queue_wait);
+        let host = self
+            .wait_for_upstream(avoid, has_begun, deadline)
+            .await
+            .map_err(ApiError::after_run)?;
         stream.begin_attempt(host, BootClock.now());
         Ok(())
     }
 
+    /// Returns whether an upstream has not restarted with other software, as far as is known.
+    fn has_same_software(&self, host: &HostName) -> bool {
+        let view = self.shared.view.load();
+        let upstream = view.upstreams().iter().find(|u| u.host == *host);
+        upstream.is_none_or(|upstream| upstream.software == self.software)
+    }
+
     fn record_step(&mut self, event: StepEvent) {
         let elapsed = BootClock.now().since(self.request.arrived);
         let at_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
--- a/crates/eelgrasshill_entry/src/control/view.rs
+++ b/crates/eelgrasshill_entry/src/control/view.rs
@@ -44,12 +44,14 @@
 fn with_report(mut upstream: Upstream, engine: &TrackedEngine, slots: u32) -> Upstream {
     let report = &engine.report;
     let (running, waiting) = engine.running_and_waiting();
-    upstream = upstream.with_report(UpstreamReport {
-        running,
-        waiting,
-        slots,
-        taken_at: engine.taken_at,
-    });
+    upstream = upstream
+        .with_software(report.software.clone())
+        .with_report(UpstreamReport {
+            running,
+            waiting,
+            slots,
+            taken_at: engine.taken_at,
+        });
     for resident in &report.resident {
         upstream = upstream.with_resident(ResidentModel {
             model: resident.model.clone(),
--- a/crates/eelgrasshill_entry/tests/resumed_stream.rs
+++ b/crates/eelgrasshill_entry/tests/resumed_stream.rs
@@ -1,4 +1,4 @@
-//! Tests that an entry host ends an engine's run of an answer before another run of it goes on.
+//! Tests at which engines an answer goes on, and that the earlier run of it has ended before.
 
 #![expect(clippy::unwrap_used, reason = "a test stops at its first failure")]
 
@@ -13,7 +13,7 @@
 use eelgrasshill_ports::EngineReport;
 use serde_json::{Value, json};
 use support::Fleet;
-use support::caller::chat;
+use support::caller::{Reply, chat};
 
 /// Time after the start of a later run in which the earlier one must have ended.
 const BOUND: Duration = Duration::from_millis(400);
@@ -82,10 +82,23 @@
 ///
 /// The first engine that gets the answer sends some tokens and falls silent. Further runs on the same
 /// engine send nothing. Another engine sends the rest.
-fn serve(mut stream: TcpStream, engine: usize, report: &EngineReport, runs: &Runs) {
+///
+/// After its first run, it reports as if it had restarted with the software `restarted`, if not empty.
+fn serve(
+    mut stream: TcpStream,
+    engine: usize,
+    mut report: EngineReport,
+    restarted: &str,
+    runs: &Runs,
+) {
     while let Some((path, request)) = read_request(&mut stream) {
         if path == "/report" {
-            let report = serde_json::to_string(report).unwrap();
+            let has_run = runs.lock().unwrap().iter().any(|run| run.engine == engine);
+            if has_run && !restarted.is_empty() {
+                restarted.clone_into(&mut report.software);
+                report.report_number += 1;
+            }
+            let report = serde_json::to_string(&report).unwrap();
             let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n";
             let answer = format!("{head}content-length: {}\r\n\r\n{report}", report.len());
             if stream.write_all(answer.as_bytes()).is_err() {
@@ -121,27 +134,35 @@
     }
 }
 
-fn start_engine(engine: usize, report: EngineReport, runs: &Runs) -> SocketAddr {
+fn start_engine(
+    engine: usize,
+    report: EngineReport,
+    restarted: &'static str,
+    runs: &Runs,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let runs = Arc::clone(runs);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (report, runs) = (report.clone(), Arc::clone(&runs));
-            std::thread::spawn(move || serve(stream, engine, &report, &runs));
+            std::thread::spawn(move || serve(stream, engine, report, restarted, &runs));
         }
     });
     address
 }
 
-/// Guards against an engine that is kept at work on an answer which goes on over another connection.
-#[actix_web::test]
-async fn an_earlier_run_ends_before_a_later_one_goes_on() {
+/// Sends a request to three engines of the given software versions; returns the answer and its runs.
+///
+/// Each engine restarts with the software `restarted` after its first run, unless that is empty.
+async fn run_answer(software: [&str; 3], restarted: &'static str) -> (Reply, Vec<Run>) {
     let mut fleet = Fleet::start(0);
     let runs = Runs::default();
     let mut changes = Vec::new();
     for (number, engine) in fleet.engines.iter().enumerate() {
-        let address = start_engine(number, engine.handle.report(), &runs);
+        let mut report = engine.handle.report();
+        software[number].clone_into(&mut report.software);
+        let address = start_engine(number, report, restarted, &runs);
         let name: HostName = format!("engine-{number}").parse().unwrap();
         fleet.tables.hosts.get_mut(&name).unwrap().address = address;
         let key = RowKey::Host(name);
@@ -163,6 +184,13 @@
     let reply = chat(&fleet.url(0, ""), Some(key.reveal()), "notes", "x", TOKENS).await;
     std::thread::sleep(BOUND);
     let runs = runs.lock().unwrap().clone();
+    (reply, runs)
+}
+
+/// Guards against an engine that is kept at work on an answer which goes on over another connection.
+#[actix_web::test]
+async fn an_earlier_run_ends_before_a_later_one_goes_on() {
+    let (reply, runs) = run_answer([""; 3], "").await;
     let expected: String = (0..TOKENS).map(|index| format!("t{index} ")).collect();
     assert!(reply.is_complete(), "{reply:?}: {runs:?}");
     assert_eq!(reply.text(), expected, "{runs:?}");
@@ -177,3 +205,25 @@
         assert!(after.is_some_and(|after| after <= BOUND), "{runs:?}");
     }
 }
+
+/// Guards against an answer that goes on at an engine of another software version.
+#[actix_web::test]
+async fn an_answer_goes_on_only_at_its_software_version() {
+    let cases = [
+        (["1", "2", "3"], ""),
+        (["1", "1", "2"], ""),
+        (["1", "1", "2"], "2"),
+    ];
+    for (software, restarted) in cases {
+        let (reply, runs) = run_answer(software, restarted).await;
+        let first = runs[0].engine;
+        let has_other = |engine: usize| {
+            software[engine] != software[first] || engine == first && !restarted.is_empty()
+        };
+        let goes_on = (0..software.len()).any(|engine| engine != first && !has_other(engine));
+        assert!(
+            !runs[1..].iter().any(|run| has_other(run.engine)) && reply.is_complete() == goes_on,
+            "{software:?}, restarted {restarted:?}: {reply:?}: {runs:?}"
+        );
+    }
+}
--- a/crates/eelgrasshill_ports/src/engine.rs
+++ b/crates/eelgrasshill_ports/src/engine.rs
@@ -122,6 +122,11 @@
         /// The age of the report, in milliseconds.
         #[serde(rename = "age")]
         pub age_ms: u64,
+        /// The version of the engine's software.
+        ///
+        /// It is left out where all engines run the same one.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        pub software: String,
     }
 
     /// A change that an engine is ordered to make.
--- a/crates/eelgrasshill_route/src/ticket.rs
+++ b/crates/eelgrasshill_route/src/ticket.rs
@@ -27,6 +27,8 @@
             adapter: Option<AdapterName>,
             /// Version required to resume an answer that it began.
             version: Option<String>,
+            /// Version of the upstream's software, required to resume an answer that it began.
+            software: Option<String>,
         },
         /// A plain service, for which nothing has to be loaded.
         Plain,
@@ -64,6 +66,7 @@
             model,
             adapter: None,
             version: None,
+            software: None,
         }
     }
 }
--- a/crates/eelgrasshill_route/src/view.rs
+++ b/crates/eelgrasshill_route/src/view.rs
@@ -45,6 +45,8 @@
         pub zone: ZoneName,
         /// State of the upstream in the host list.
         pub presence: Presence,
+        /// Version of its software; empty if it states none.
+        pub software: String,
         /// Models loaded in its memory.
         pub residents: Vec<ResidentModel>,
         /// Latest load report, if any has arrived.
@@ -76,6 +78,7 @@
             pool,
             zone,
             presence: Presence::Live,
+            software: String::new(),
             residents: Vec::new(),
             report: None,
             cached_prefixes: FastSet::default(),
@@ -89,6 +92,13 @@
         self
     }
 
+    /// Sets the version of its software.
+    #[must_use]
+    pub fn with_software(mut self, software: String) -> Self {
+        self.software = software;
+        self
+    }
+
     /// Sets the latest load report.
     #[must_use]
     pub fn with_report(mut self, report: UpstreamReport) -> Self {
@@ -109,17 +119,19 @@
             model,
             adapter,
             version,
+            software,
         } = requirement
         else {
             return true;
         };
-        self.residents.iter().any(|resident| {
+        let holds_model = self.residents.iter().any(|resident| {
             resident.model == *model
                 && version.as_ref().is_none_or(|v| resident.version == *v)
                 && adapter
                     .as_ref()
                     .is_none_or(|a| resident.adapters.contains(a))
-        })
+        });
+        holds_model && software.as_ref().is_none_or(|s| self.software == *s)
     }
 }
 
@@ -199,7 +211,7 @@
 
     /// Returns the upstreams of a pool that may meet a requirement.
     ///
-    /// A version or an adapter is not checked here; see [`Upstream::holds`].
+    /// Versions and adapters are not checked here; see [`Upstream::holds`].
     pub(crate) fn holders(&self, pool: &PoolName, requirement: &Requirement) -> Option<&Holders> {
         let index = self.pools.get(pool)?;
         match requirement {
--- a/crates/eelgrasshill_route/tests/dispatch.rs
+++ b/crates/eelgrasshill_route/tests/dispatch.rs
@@ -196,6 +196,7 @@
                 model: model(byte / 8 % MODELS),
                 adapter: Some(AdapterName::new("a").unwrap()),
                 version: Some("1".to_owned()),
+                software: None,
             },
             _ => Requirement::new(model(byte / 8 % MODELS)),
         };
--- a/crates/eelgrasshill_standin/src/engine/mod.rs
+++ b/crates/eelgrasshill_standin/src/engine/mod.rs
@@ -85,6 +85,7 @@
             slots: settings.slots,
             recent_orders: Vec::new(),
             age_ms: 0,
+            software: String::new(),
         };
         let state = State {
             memory,
@@ -291,6 +292,7 @@
             slots: settings.slots,
             recent_orders: orders.map(|(id, _answer)| id.clone()).collect(),
             age_ms: 0,
+            software: String::new(),
         }
     }
 }
