Bind a stream to the software version that began it

Streams held events of two software versions of a pool's engines: a resumption within an answer, the handover of a silent engine's stream and a take-up by another host each used any engine that held the model. Nothing read the version of an engine's entry, nor the id in the header `Resumes`. Engines do not check this, and nothing in the answer shows it.

The cause is that a stream had no identity beyond the connection of one host. A stream is now bound to a version when its first event is passed on; all later engines of it must run that version. A host that takes a stream up knows the version from its memory, because the pool has had no other for the horizon, or from the store: streams of other versions than the pool's base version are written to a log before their first event is passed on.

--- a/crates/eelgrasshill_gateway/src/lib.rs
+++ b/crates/eelgrasshill_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! engines. The decisions are made in `eelgrasshill_relay`. The platform's own formats and its
 //! store are supplied by the caller, as [`PlatformCodec`] and [`StoreClient`].
 
+mod bound_stream;
 mod codec;
 mod compression;
 mod convert;
--- a/crates/eelgrasshill_gateway/src/picked_request.rs
+++ b/crates/eelgrasshill_gateway/src/picked_request.rs
@@ -92,8 +92,9 @@
     ///
     /// # Errors
     ///
-    /// Returns the refusal if no engine can start the request in time.
-    pub(crate) async fn pick(&self) -> Result<Picked<C>, Refusal> {
+    /// Returns the refusal if no engine can start the request in time, or may go on with its stream.
+    pub(crate) async fn pick(&mut self) -> Result<Picked<C>, Refusal> {
+        self.limit_software().await?;
         let ticket = Ticket(rand::random());
         let mut guard = None;
         let mut has_waited = false;
@@ -239,7 +240,7 @@
                 output_tokens: self.metadata.output_tokens,
             },
             adapter: self.metadata.adapter.clone(),
-            software: self.software.clone(),
+            software: self.software.version.clone(),
             zone: self.shared.settings.zone.clone(),
             excluded: state.excluded(&query, now),
             holder: holder.clone(),
@@ -264,7 +265,7 @@
             rank: self.rank(),
             tried: &self.tried,
             homes: self.homes(),
-            software: self.software.as_ref(),
+            software: self.software.version.as_ref(),
         }
     }
 
--- a/crates/eelgrasshill_gateway/src/refusal.rs
+++ b/crates/eelgrasshill_gateway/src/refusal.rs
@@ -62,6 +62,18 @@
     /// Engines crashed on earlier requests that were the same as a whole.
     #[display("quarantined-request")]
     QuarantinedRequest,
+    /// The base version of the pool's software is not known.
+    #[display("no-base")]
+    NoBase,
+    /// The software version that began the stream is not known.
+    #[display("unknown-stream")]
+    UnknownStream,
+    /// The software version that began the stream has no upstream any more.
+    #[display("version-gone")]
+    VersionGone,
+    /// The software version of the stream could not be written to the store.
+    #[display("unwritten")]
+    Unwritten,
     /// Upstreams did not run the request, and it may not be sent again.
     #[display("refused-upstream")]
     RefusedUpstream,
@@ -123,8 +135,13 @@
             | RefusalCause::Resting
             | RefusalCause::QuarantinedPart
             | RefusalCause::QuarantinedRequest
+            | RefusalCause::NoBase
+            | RefusalCause::UnknownStream
+            | RefusalCause::VersionGone
             | RefusalCause::RefusedUpstream => StatusCode::SERVICE_UNAVAILABLE,
-            RefusalCause::Unproven | RefusalCause::Lost => StatusCode::BAD_GATEWAY,
+            RefusalCause::Unwritten | RefusalCause::Unproven | RefusalCause::Lost => {
+                StatusCode::BAD_GATEWAY
+            }
             RefusalCause::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -24,6 +24,7 @@
 };
 use futures_util::{Stream, StreamExt};
 
+use crate::bound_stream::SoftwareBinding;
 use crate::codec::{CallerHeaders, PlatformCodec, RequestMetadata};
 use crate::model_request::ModelRequester;
 use crate::picked_request::Picked;
@@ -384,7 +385,7 @@
         body,
         charge,
         arrived_at,
-        software: None,
+        software: SoftwareBinding::default(),
         tried: crate::shared::TriedUpstreams::default(),
         sends: 0,
         suspects,
@@ -534,6 +535,7 @@
                     status.as_u16()
                 );
             }
+            SendFailure::Unwritten => lost_cause = RefusalCause::Unwritten,
             SendFailure::Quarantined(_)
             | SendFailure::Unsent
             | SendFailure::NotRun
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -18,14 +18,15 @@
 };
 use eelgrasshill_relay::{
     Availability, Candidate, CrashId, HomeRegions, ModelKey, NoUpstream, Organisation, PartRefusal,
-    ProbedParts, PromptPart, RequestOutcome, Route, START_PERCENT, SoftwareVersion, Upstream,
-    can_go_on_in_time, max_start_wait,
+    ProbedParts, PromptPart, RequestOutcome, Route, START_PERCENT, Upstream, can_go_on_in_time,
+    max_start_wait,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::sync::Notify;
 use tokio::time::error::Elapsed;
 
+use crate::bound_stream::SoftwareBinding;
 use crate::codec::{
     AnswerHead, CallerHeaders, ForwardInfo, PlatformCodec, RequestMetadata, RunStatement,
 };
@@ -99,8 +100,8 @@
     pub arrived_at: Moment,
     /// When the caller must have its final answer.
     pub deadline: Moment,
-    /// Software version that the stream is bound to, if it is.
-    pub software: Option<SoftwareVersion>,
+    /// Software version that upstreams must run.
+    pub software: SoftwareBinding,
     /// Upstreams that the request was sent to or that could not be reached.
     pub tried: TriedUpstreams,
     /// How often the request was sent.
@@ -143,6 +144,8 @@
     NotRun,
     /// The request may have run.
     Lost(CallError),
+    /// The version of a new stream's upstream was not written, so no event was passed on.
+    Unwritten,
     /// The upstream answered with a server error, and a retry was taken from the budget.
     Failed,
     /// The upstream answered with this status, which may not be passed on.
@@ -344,7 +347,7 @@
             Availability::Ready { engine, .. } if self.tried.contains(&engine) => {
                 Err(Refusal::new(RefusalCause::RefusedUpstream).with_retry(MIN_RETRY_AFTER))
             }
-            // The planner does not know the home regions.
+            // The planner knows neither the home regions nor the versions of streams.
             Availability::Ready { engine, .. } if self.is_foreign(&engine) => {
                 Err(refusal.with_retry(MIN_RETRY_AFTER))
             }
@@ -359,11 +362,11 @@
         }
     }
 
-    /// Returns whether an engine is known to be outside of the request's home regions.
+    /// Returns whether an engine is known to be of another version or outside of the home regions.
     fn is_foreign(&self, engine: &HostName) -> bool {
         let state = self.shared.state();
         let upstream = state.upstreams.get(engine);
-        upstream.is_some_and(|upstream| !self.is_home(upstream))
+        upstream.is_some_and(|upstream| !self.is_home(upstream) || !self.runs_version(upstream))
     }
 
     /// Returns whether the request, after that wait, would start before its caller leaves.
@@ -472,6 +475,10 @@
         if !self.take_permit(upstream) {
             return Err(SendFailure::Unsent);
         }
+        if !self.begin_at(upstream) {
+            self.tried.insert(upstream.id.clone());
+            return Err(SendFailure::Unsent);
+        }
         let request = self.build_request(upstream, last_event);
         self.tried.insert(upstream.id.clone());
         self.sends += 1;
--- a/crates/eelgrasshill_gateway/src/software_versions.rs
+++ b/crates/eelgrasshill_gateway/src/software_versions.rs
@@ -34,6 +34,9 @@
 /// Time between these checks of a host that has just started, until a base version is known.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time between checks while a new stream waits for the base version.
+const BEGIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// How long a host counts as just started.
 const START_TIME: Duration = Duration::from_secs(5);
 
@@ -67,7 +70,8 @@
 
 #[derive(Debug)]
 struct Look {
-    stream: StreamId,
+    // None if the caller does not name the request that began the stream.
+    stream: Option<StreamId>,
     pool: PoolName,
     answer: oneshot::Sender<Found>,
 }
@@ -115,10 +119,6 @@
 
 /// How a new stream may begin.
 #[derive(Debug)]
-#[expect(
-    dead_code,
-    reason = "relayed requests are not bound to a software version yet"
-)]
 pub(crate) enum StreamStart {
     /// It may begin.
     Free,
@@ -132,10 +132,6 @@
 #[derive(Debug)]
 pub(crate) struct StreamWrite(oneshot::Receiver<bool>);
 
-#[expect(
-    dead_code,
-    reason = "relayed requests are not bound to a software version yet"
-)]
 impl StreamWrite {
     /// Waits until the store has acknowledged the write; returns false if it may not have it.
     pub(crate) async fn acknowledged(self) -> bool {
@@ -143,10 +139,6 @@
     }
 }
 
-#[expect(
-    dead_code,
-    reason = "relayed requests are not bound to a software version yet"
-)]
 impl<C: PlatformCodec> Shared<C> {
     /// Returns the version to which a new resumable stream is limited; none if any will do.
     pub(crate) fn allowed_software(&self, pool: &PoolName) -> Option<SoftwareVersion> {
@@ -154,22 +146,47 @@
         self.software.versions().allowed_for_new(pool, now)
     }
 
+    /// Waits until a new resumable stream may begin; returns false if none may after `max_wait`.
+    ///
+    /// After a start of the host, the base version may not be known yet.
+    pub(crate) async fn wait_to_begin(&self, pool: &PoolName, max_wait: Duration) -> bool {
+        let deadline = BootClock.now().after(max_wait);
+        loop {
+            let now = BootClock.now();
+            if !self.software.versions().has_pool(pool) {
+                refresh(self, now);
+            }
+            if self.software.versions().can_begin(pool, now) {
+                return true;
+            }
+            if now >= deadline {
+                return false;
+            }
+            tokio::time::sleep(BEGIN_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Begins a resumable stream at an upstream of this version, with the write that it may need.
     ///
     /// To be called when the request is sent. A stream whose write fails is to be closed and may
-    /// begin at another version, by another call.
+    /// begin at another version, by another call. `has_record` says that an earlier attempt was
+    /// written, so that this one must be as well.
     pub(crate) fn begin_stream(
         &self,
         stream: StreamId,
         pool: &PoolName,
         version: &SoftwareVersion,
+        has_record: bool,
     ) -> StreamStart {
         let now = BootClock.now();
         if !self.software.versions().has_seen(pool, version) {
             refresh(self, now);
             self.software.wakeup.notify_one();
         }
-        let rule = self.software.versions().begin(stream, pool, version, now);
+        let rule = self
+            .software
+            .versions()
+            .begin(stream, pool, version, has_record, now);
         match rule {
             StartRule::NotYet => StreamStart::NotYet,
             StartRule::Unwritten => StreamStart::Free,
@@ -208,7 +225,7 @@
     pub(crate) async fn stream_software(
         &self,
         request_id: &str,
-        stream: StreamId,
+        stream: Option<StreamId>,
         pool: &PoolName,
     ) -> Option<SoftwareVersion> {
         let asked_at = BootClock.now();
@@ -231,14 +248,14 @@
         log::info!(
             "software: request={request_id} takes up stream={:016x} pool={pool} version={version} \
              source={source} in {} ms",
-            stream.0,
+            stream.map_or(0, |stream| stream.0),
             BootClock.now().since(asked_at).as_millis()
         );
         telemetry::count_stream_look(source);
         found.map(|(version, _source)| version)
     }
 
-    async fn look_up(&self, stream: StreamId, pool: &PoolName) -> Found {
+    async fn look_up(&self, stream: Option<StreamId>, pool: &PoolName) -> Found {
         let (answer, found) = oneshot::channel();
         let look = Look {
             stream,
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -6,6 +6,7 @@
 //! stream until another one may work on it, and is then given up.
 
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_web::HttpResponse;
@@ -254,9 +255,13 @@
     match answer {
         Err(SendFailure::Unsent | SendFailure::Quarantined(_)) => LaterAttempt::NotSent,
         Err(SendFailure::NotRun) => LaterAttempt::Refused,
-        Err(SendFailure::Lost(_) | SendFailure::Failed | SendFailure::Unproven(_)) | Ok(_) => {
-            LaterAttempt::MayHaveRun
-        }
+        Err(
+            SendFailure::Lost(_)
+            | SendFailure::Failed
+            | SendFailure::Unproven(_)
+            | SendFailure::Unwritten,
+        )
+        | Ok(_) => LaterAttempt::MayHaveRun,
     }
 }
 
@@ -314,6 +319,11 @@
                 return Err((self, SendFailure::Lost(error)));
             }
         };
+        let upstream = Arc::clone(&events.incoming.upstream);
+        if !self.bind(&upstream).await {
+            events.incoming.connection.close().await;
+            return Err((self, SendFailure::Unwritten));
+        }
         events
             .incoming
             .guard
@@ -544,6 +554,7 @@
                         SendFailure::Unsent
                         | SendFailure::NotRun
                         | SendFailure::Failed
+                        | SendFailure::Unwritten
                         | SendFailure::Unproven(_) => {}
                     }
                 }
--- a/crates/eelgrasshill_relay/src/software_versions.rs
+++ b/crates/eelgrasshill_relay/src/software_versions.rs
@@ -469,31 +469,52 @@
     /// Begins a stream at a version if it may, and remembers it.
     ///
     /// A stream that an append may have written with another version is written in any case.
+    /// `has_record` says that one was written for an earlier attempt.
     pub fn begin(
         &mut self,
         stream: StreamId,
         pool: &PoolName,
         version: &SoftwareVersion,
+        has_record: bool,
         now: Moment,
     ) -> StartRule {
         let rule = match self.start(pool, version, now) {
             StartRule::NotYet => return StartRule::NotYet,
-            StartRule::Unwritten if self.rewrites.contains(&stream) => StartRule::Written,
+            StartRule::Unwritten if has_record || self.rewrites.contains(&stream) => {
+                StartRule::Written
+            }
             rule @ (StartRule::Unwritten | StartRule::Written) => rule,
         };
         self.note_stream(stream, pool, version, now);
         rule
     }
 
-    /// Returns the version at which new streams must begin while others cannot; none if any may.
+    /// Returns whether a new stream may begin at any version that takes requests.
+    ///
+    /// None may while the base version is not known, as after a start. True if none takes requests.
     #[must_use]
-    pub fn allowed_for_new(&self, pool: &PoolName, now: Moment) -> Option<SoftwareVersion> {
-        let known = self.pools.get(pool)?;
-        let can_start = |version: &SoftwareVersion| match known.start(version, now) {
+    pub fn can_begin(&self, pool: &PoolName, now: Moment) -> bool {
+        let Some(known) = self.pools.get(pool) else {
+            return false;
+        };
+        let serving = || known.versions.iter().filter(|(_, one)| one.takes_requests);
+        serving().next().is_none()
+            || serving().any(|(version, _)| self.can_start(known, version, now))
+    }
+
+    fn can_start(&self, known: &PoolVersions, version: &SoftwareVersion, now: Moment) -> bool {
+        match known.start(version, now) {
             StartRule::Unwritten => true,
             StartRule::Written => !self.is_append_failing(now),
             StartRule::NotYet => false,
-        };
+        }
+    }
+
+    /// Returns the version at which new streams must begin while others cannot; none if any may.
+    #[must_use]
+    pub fn allowed_for_new(&self, pool: &PoolName, now: Moment) -> Option<SoftwareVersion> {
+        let known = self.pools.get(pool)?;
+        let can_start = |version: &SoftwareVersion| self.can_start(known, version, now);
         let serving = || known.versions.iter().filter(|(_, one)| one.takes_requests);
         if serving().count() <= 1 || serving().all(|(version, _)| can_start(version)) {
             return None;
@@ -592,16 +613,17 @@
 
     /// Returns the version of a stream that a caller takes up, if it is known without the store.
     ///
+    /// `stream` is none if the caller does not name the request that began it.
     /// `view_confirmed_at` is when the upstreams' records were known to be the newest.
     #[must_use]
     pub fn resolve(
         &self,
-        stream: StreamId,
+        stream: Option<StreamId>,
         pool: &PoolName,
         view_confirmed_at: Option<Moment>,
         now: Moment,
     ) -> Resolution {
-        if let Some(known) = self.known_stream(stream, pool)
+        if let Some(known) = stream.and_then(|stream| self.known_stream(stream, pool))
             && known.is_own
         {
             return Resolution::Known(known.version.clone(), VersionSource::Memory);
@@ -628,11 +650,11 @@
     #[must_use]
     pub fn resolve_read(
         &self,
-        stream: StreamId,
+        stream: Option<StreamId>,
         pool: &PoolName,
         now: Moment,
     ) -> Option<(SoftwareVersion, VersionSource)> {
-        if let Some(known) = self.known_stream(stream, pool) {
+        if let Some(known) = stream.and_then(|stream| self.known_stream(stream, pool)) {
             let source = if known.is_own {
                 VersionSource::Memory
             } else {
@@ -646,6 +668,10 @@
         let known = self.pools.get(pool)?;
         let base = known.base.clone().filter(|_base| !was_restored)?;
         known.base_read_at?;
+        let is_other = |known: &KnownStream| known.pool == *pool && known.version != base;
+        if stream.is_none() && self.streams.values().any(is_other) {
+            return None;
+        }
         Some((base, VersionSource::Base))
     }
 
--- a/crates/eelgrasshill_relay/tests/software_versions.rs
+++ b/crates/eelgrasshill_relay/tests/software_versions.rs
@@ -82,11 +82,11 @@
 
     fn resolve(&self) -> Resolution {
         self.versions
-            .resolve(STREAM, &pool(), Some(self.now), self.now)
+            .resolve(Some(STREAM), &pool(), Some(self.now), self.now)
     }
 
     fn resolve_read(&self) -> Option<(SoftwareVersion, VersionSource)> {
-        self.versions.resolve_read(STREAM, &pool(), self.now)
+        self.versions.resolve_read(Some(STREAM), &pool(), self.now)
     }
 }
 
@@ -222,19 +222,23 @@
     host.versions.note_append(true, host.now);
     assert_eq!(host.versions.take_rewrites(9, host.now), rewritten);
     assert_eq!(host.versions.take_rewrites(9, host.now), []);
-    let begin = |host: &mut Host| {
+    let begin = |host: &mut Host, has_record| {
         host.versions
-            .begin(STREAM, &pool(), &version("a"), host.now)
+            .begin(STREAM, &pool(), &version("a"), has_record, host.now)
     };
-    assert_eq!(begin(&mut host), StartRule::Unwritten);
+    assert_eq!(begin(&mut host, false), StartRule::Unwritten);
+    assert_eq!(begin(&mut host, true), StartRule::Written);
     host.versions.note_doubtful([STREAM, StreamId(8)]);
-    assert_eq!(begin(&mut host), StartRule::Written);
+    assert_eq!(begin(&mut host, false), StartRule::Written);
     assert_eq!(host.versions.take_rewrites(9, host.now), rewritten);
     // The base from before the restore is written again.
     host.read_base(None);
     assert_eq!(host.wish(), "a");
     host.read_base(Some("a"));
-    let read = |host: &Host| host.versions.resolve_read(StreamId(8), &pool(), host.now);
+    let read = |host: &Host| {
+        host.versions
+            .resolve_read(Some(StreamId(8)), &pool(), host.now)
+    };
     assert_eq!(read(&host), None);
     host.see("a b", 20_250);
     assert_eq!(read(&host), Some((version("a"), VersionSource::Base)));
