Log requests whose connection ends before they have an answer

A request whose caller leaves, or whose connection the host itself ends, left no final line, so that the two could not be told apart.

--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -94,10 +94,17 @@
         return close_connection(refusal.respond());
     };
     let arrived_at = BootClock.now();
+    let mut unanswered = Unanswered {
+        id: "-".to_owned(),
+        arrived_at,
+        gate: request.conn_data::<RequestGate>().cloned(),
+        is_answered: false,
+    };
     let response = match prepare(&shared, &pool, &request, payload, arrived_at).await {
         Ok(relayed) => {
             let (id, route) = (relayed.metadata.id.clone(), Arc::clone(&relayed.route));
             open_request.set_id(&id);
+            unanswered.id.clone_from(&id);
             tokio::select! {
                 response = serve(relayed, &requester) => response,
                 // Whether the request ran is not known, and nobody will be there to pass it on.
@@ -120,6 +127,7 @@
             }
         }
     };
+    unanswered.is_answered = true;
     let is_leaving = shared.leaving().is_some();
     // The request stays open until its answer, also a refusal, has been passed on in full.
     let response = guard_body(response, open_request);
@@ -130,6 +138,30 @@
     }
 }
 
+/// Guard that logs a request whose connection ends before it has an answer.
+#[derive(Debug)]
+struct Unanswered {
+    id: String,
+    arrived_at: Moment,
+    gate: Option<RequestGate>,
+    is_answered: bool,
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let has_left = self.gate.as_ref().is_some_and(RequestGate::has_caller_left);
+        telemetry::count_unanswered(has_left);
+        log::info!(
+            "request: id={} ended without an answer, caller-left={has_left} ms={}",
+            self.id,
+            BootClock.now().since(self.arrived_at).as_millis()
+        );
+    }
+}
+
 /// Makes the server close the connection after this answer.
 fn close_connection(mut response: HttpResponse) -> HttpResponse {
     response
--- a/crates/eelgrasshill_gateway/src/telemetry.rs
+++ b/crates/eelgrasshill_gateway/src/telemetry.rs
@@ -167,6 +167,12 @@
     metrics::counter!("eelgrasshill_stream_handovers_total", "end" => end).increment(1);
 }
 
+/// Counts a request whose connection ended before it had an answer, by who ended it.
+pub(crate) fn count_unanswered(has_caller_left: bool) {
+    let end = if has_caller_left { "caller" } else { "host" };
+    metrics::counter!("eelgrasshill_unanswered_requests_total", "end" => end).increment(1);
+}
+
 /// Counts a stream that this host cut, by whether its engine was silent or had broken off.
 pub(crate) fn count_cut_stream(was_silent: bool) {
     let engine = if was_silent { "silent" } else { "broken" };
--- a/crates/eelgrasshill_ports/src/caller_stream.rs
+++ b/crates/eelgrasshill_ports/src/caller_stream.rs
@@ -260,8 +260,12 @@
         let room = limit.saturating_sub(self.ahead.len()).min(storage.len());
         let mut read = ReadBuf::uninit(&mut storage[..room]);
         let polled = Pin::new(&mut self.stream).poll_read(cx, &mut read);
+        if matches!(polled, Poll::Ready(Err(_))) {
+            self.gate.has_caller_left.set(true);
+        }
         if matches!(polled, Poll::Ready(Ok(()))) {
             self.has_ended = read.filled().is_empty();
+            self.gate.has_caller_left.set(self.has_ended);
             self.ahead.extend_from_slice(read.filled());
         }
         polled
--- a/crates/eelgrasshill_ports/src/request_gate.rs
+++ b/crates/eelgrasshill_ports/src/request_gate.rs
@@ -64,6 +64,12 @@
         HeldBody(Rc::clone(&self.0))
     }
 
+    /// Returns whether the caller was seen to have closed or reset the connection.
+    #[must_use]
+    pub fn has_caller_left(&self) -> bool {
+        self.0.has_caller_left.get()
+    }
+
     /// Lets the system's buffer grow for a large body or answer, if memory is left for that.
     pub(crate) fn grow_buffer(&self, direction: Direction) {
         match direction {
@@ -112,6 +118,8 @@
     // The server has the whole answer of the last request.
     pub(crate) is_answered: Cell<bool>,
     pub(crate) is_body_held: Cell<bool>,
+    // The caller has closed or reset the connection.
+    pub(crate) has_caller_left: Cell<bool>,
     // A large body or answer has begun, whose buffer has not grown.
     pub(crate) wants_receive_buffer: Cell<bool>,
     pub(crate) wants_send_buffer: Cell<bool>,
@@ -132,6 +140,7 @@
             has_request: Cell::new(false),
             is_answered: Cell::new(true),
             is_body_held: Cell::new(false),
+            has_caller_left: Cell::new(false),
             wants_receive_buffer: Cell::new(false),
             wants_send_buffer: Cell::new(false),
             head_refusal: Cell::new(None),
