--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -229,6 +229,14 @@
                 .is_ok_and(|candidate| is_in_time(candidate.wait))
     }
 
+    /// Returns whether an upstream that has not begun to answer may be given up.
+    ///
+    /// Either another one can be asked, or the caller gets no answer of this one in time.
+    pub(crate) fn may_give_up(&self) -> bool {
+        let time_left = self.time_left();
+        time_left <= MIN_ATTEMPT_TIME || self.can_repeat(time_left)
+    }
+
     /// Awaits an upstream's answer until the timeout, and longer while no other can be asked.
     ///
     /// # Errors
@@ -245,11 +253,10 @@
             match timeout_after_read(timeout, &mut answer).await {
                 Ok(output) => return Ok(output),
                 Err(elapsed) => {
-                    let time_left = self.time_left();
-                    if time_left.is_zero() || self.can_repeat(time_left) {
+                    if self.may_give_up() {
                         return Err(elapsed);
                     }
-                    timeout = SILENCE_CHECK_INTERVAL.min(time_left);
+                    timeout = SILENCE_CHECK_INTERVAL.min(self.time_left());
                 }
             }
         }
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -301,8 +301,7 @@
         let first = loop {
             let next = events.next(bound.min(self.time_left())).await;
             let is_timeout = matches!(next, ReadOutcome::Broken(CallError::Timeout { .. }));
-            let time_left = self.time_left();
-            if !is_timeout || time_left.is_zero() || self.can_repeat(time_left) {
+            if !is_timeout || self.may_give_up() {
                 break next;
             }
             bound = SILENCE_CHECK_INTERVAL;
