Move a silent engine's stream only to one with a free slot

Callers saw streams end midway when their engine was silent for longer and another one queued the request: the silent engine was closed after 150 ms, and the other one refused later, when its queue was full or its time was over.

An engine that has a free slot answers within the 150 ms, or runs the request. A stream is now offered only to such an engine, as the exchanged loads show it; if there is none, its own engine keeps it and the check is repeated.

--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -204,13 +204,13 @@
                 .take(&self.target_pool, BootClock.now())
     }
 
-    /// Returns whether another upstream could be asked now, and begin to answer within `time`.
+    /// Returns another upstream that could be asked now, and begin to answer within `time`.
     ///
-    /// If not, only the upstream that was asked last can still answer.
-    pub(crate) fn can_repeat(&self, time: Duration) -> bool {
+    /// If there is none, only the upstream that was asked last can still answer.
+    pub(crate) fn next_candidate(&self, time: Duration) -> Option<Candidate> {
         let is_allowed = self.route.repeat.is_repeatable() && self.sends < self.route.max_attempts;
         if !is_allowed {
-            return false;
+            return None;
         }
         let now = BootClock.now();
         let (has_budget, prompt_time) = {
@@ -222,11 +222,8 @@
                 state.speeds.prompt_time(&self.target_pool, model, tokens),
             )
         };
-        let is_in_time = |wait| can_go_on_in_time(time, wait, prompt_time);
-        has_budget
-            && self
-                .choose()
-                .is_ok_and(|candidate| is_in_time(candidate.wait))
+        let candidate = self.choose().ok().filter(|_candidate| has_budget);
+        candidate.filter(|candidate| can_go_on_in_time(time, candidate.wait, prompt_time))
     }
 
     /// Returns whether an upstream that has not begun to answer may be given up.
@@ -234,7 +231,7 @@
     /// Either another one can be asked, or the caller gets no answer of this one in time.
     pub(crate) fn may_give_up(&self) -> bool {
         let time_left = self.time_left();
-        time_left <= MIN_ATTEMPT_TIME || self.can_repeat(time_left)
+        time_left <= MIN_ATTEMPT_TIME || self.next_candidate(time_left).is_some()
     }
 
     /// Awaits an upstream's answer until the timeout, and longer while no other can be asked.
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -471,10 +471,13 @@
         SilencePolicy::new(self.route.objective, self.route.max_pause)
     }
 
-    /// Returns whether another engine could resume the stream now, and send an event in time.
+    /// Returns whether another engine could resume the stream at once, and send an event in time.
     fn can_resume(&self, silence: Duration) -> bool {
-        let policy = self.silence_policy();
-        self.can_repeat(policy.time_to_go_on(silence, self.time_left()))
+        let time = self
+            .silence_policy()
+            .time_to_go_on(silence, self.time_left());
+        self.next_candidate(time)
+            .is_some_and(|candidate| candidate.has_free_slot())
     }
 
     /// Resumes the stream after the last event that was passed on, if that is allowed.
@@ -496,6 +499,10 @@
         }
         while self.may_repeat() && !sender.is_closed() {
             let candidate = match self.choose() {
+                // It may refuse the stream when the silent upstream has been given up.
+                Ok(candidate) if earlier.is_some() && !candidate.has_free_slot() => {
+                    return Err(CutCause::NoUpstream(RefusalCause::Overloaded));
+                }
                 Ok(candidate) => candidate,
                 Err(refusal) => {
                     log::info!(
--- a/crates/eelgrasshill_relay/src/selection.rs
+++ b/crates/eelgrasshill_relay/src/selection.rs
@@ -125,6 +125,12 @@
             cost: 0,
         }
     }
+
+    /// Returns whether the upstream is expected to run the request at once.
+    #[must_use]
+    pub fn has_free_slot(&self) -> bool {
+        self.running < self.upstream.slots
+    }
 }
 
 /// Reason why no upstream can take a request.
