Trust a missing record of a stream only in the era of its base version

After the store came back from an older copy and all hosts were killed, streams went on at another version: the records of the last seconds were lost, and a host that started later could not know that, so it took a missing record for a stream of the base version. Found by a review.

The base version's record now has the era of the store in which it was written. In a later era a missing record says nothing, until all streams that may have lost theirs have ended; then the base is written again with the new era.

--- a/crates/eelgrasshill_gateway/src/software_versions.rs
+++ b/crates/eelgrasshill_gateway/src/software_versions.rs
@@ -11,10 +11,10 @@
 use eelgrasshill_domain::{FastMap, Moment, Offset, PoolName};
 use eelgrasshill_ports::{BootClock, CallError, lock};
 use eelgrasshill_relay::{
-    BaseWish, Era, PresentVersion, Repeat, Resolution, SoftwareVersion, SoftwareVersions,
-    StartRule, StreamId, StreamVersions, VersionSource, add_stream,
+    BaseVersion, BaseWish, Era, PresentVersion, Repeat, Resolution, SoftwareVersion,
+    SoftwareVersions, StartRule, StreamId, StreamVersions, VersionSource, add_stream,
 };
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::codec::{PlatformCodec, StoreClient, StoreError, Topic};
@@ -51,12 +51,6 @@
 /// Random in this range, so that mostly one host writes if the first root does not.
 const PROPOSAL_DELAY_S: std::ops::Range<f64> = 0.3..1.0;
 
-/// Value of a base version's record.
-#[derive(Debug, Serialize, Deserialize)]
-struct BaseRecord {
-    version: SoftwareVersion,
-}
-
 #[derive(Debug)]
 struct Write {
     stream: StreamId,
@@ -479,9 +473,9 @@
     let page = read?;
     let mut bases = FastMap::default();
     for record in &page.records {
-        match serde_json::from_slice::<BaseRecord>(&record.value) {
+        match serde_json::from_slice::<BaseVersion>(&record.value) {
             Ok(base) => {
-                bases.insert(Arc::clone(&record.key), base.version);
+                bases.insert(Arc::clone(&record.key), base);
             }
             Err(error) => log::warn!(
                 "software: topic={} offset={} skipped: {error}",
@@ -495,7 +489,7 @@
     for pool in pools {
         let base = bases.remove(pool.as_str());
         if versions.note_base(&pool, base.clone(), sent_at) {
-            let text = base.as_ref().map_or("none", SoftwareVersion::as_str);
+            let text = base.as_ref().map_or("none", |base| base.version.as_str());
             log::info!(
                 "software: pool={pool} base={text} read, offset={}",
                 page.end
@@ -680,9 +674,11 @@
         end: Offset,
     ) -> Result<Offset, StoreError> {
         let sent_at = BootClock.now();
-        let value = encode(&BaseRecord {
-            version: version.clone(),
-        });
+        let base = BaseVersion {
+            version,
+            era: self.shared.software.versions().base_era(sent_at),
+        };
+        let value = encode(&base);
         let written = self
             .store
             .append(Topic::Software, pool.as_str(), &value, Some(end))
@@ -694,10 +690,12 @@
         let mut versions = self.shared.software.versions();
         let before = versions.base(pool).cloned();
         let present: BTreeSet<_> = versions.present(pool).map(ToString::to_string).collect();
-        versions.note_base(pool, Some(version.clone()), sent_at);
+        versions.note_base(pool, Some(base.clone()), sent_at);
         log::info!(
-            "software: pool={pool} base={version} written, before={} present={present:?} \
+            "software: pool={pool} base={} written, era={} before={} present={present:?} \
              offset={offset}",
+            base.version,
+            base.era,
             before.as_ref().map_or("none", SoftwareVersion::as_str)
         );
         Ok(offset.next())
--- a/crates/eelgrasshill_relay/src/software_versions.rs
+++ b/crates/eelgrasshill_relay/src/software_versions.rs
@@ -120,6 +120,15 @@
     pub streams: Vec<StreamId>,
 }
 
+/// Base version of a pool, with the era of the store in which it was written.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BaseVersion {
+    /// The version.
+    pub version: SoftwareVersion,
+    /// Era of the store; a later one may lack records of streams that this one had.
+    pub era: Era,
+}
+
 /// A version of which a pool has an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PresentVersion {
@@ -199,6 +208,8 @@
     // Those that were present within the horizon.
     versions: FastMap<SoftwareVersion, Presence>,
     base: Option<SoftwareVersion>,
+    // Era in which the base was written.
+    base_era: Era,
     // When the latest read of the base was sent; none if it must be read again.
     base_read_at: Option<Moment>,
     // The version that the pool had when it last had a single one, or its last known base.
@@ -312,7 +323,10 @@
     rewrites: FastSet<StreamId>,
     append_failed_at: Option<Moment>,
     era: Option<Era>,
-    restored_at: Option<Moment>,
+    // Since when this host knows that the store is in that era.
+    era_since: Moment,
+    // The era before a restore that this host has seen.
+    earlier_era: Option<Era>,
 }
 
 impl SoftwareVersions {
@@ -328,7 +342,8 @@
             rewrites: FastSet::default(),
             append_failed_at: None,
             era: None,
-            restored_at: None,
+            era_since: started_at,
+            earlier_era: None,
         }
     }
 
@@ -390,7 +405,7 @@
     pub fn note_base(
         &mut self,
         pool: &PoolName,
-        base: Option<SoftwareVersion>,
+        base: Option<BaseVersion>,
         read_sent_at: Moment,
     ) -> bool {
         let Some(known) = self.pools.get_mut(pool) else {
@@ -400,6 +415,8 @@
             return false;
         }
         known.base_read_at = Some(read_sent_at);
+        known.base_era = base.as_ref().map(|base| base.era).unwrap_or_default();
+        let base = base.map(|base| base.version);
         if known.base == base {
             return false;
         }
@@ -448,6 +465,8 @@
                     .filter(|version| known.versions.contains_key(*version))
                     .or_else(|| known.oldest())
             }
+            // Streams whose records a restore lost have ended.
+            Some(base) if known.base_era != self.era() && self.has_era_settled(now) => Some(base),
             Some(base) => {
                 let is_gone = !known.versions.contains_key(base)
                     && now.since(self.started_at) > self.horizon()
@@ -662,11 +681,9 @@
             };
             return Some((known.version.clone(), source));
         }
-        let was_restored = self
-            .restored_at
-            .is_some_and(|at| now.since(at) <= self.horizon());
         let known = self.pools.get(pool)?;
-        let base = known.base.clone().filter(|_base| !was_restored)?;
+        let has_all_records = known.base_era == self.era() || self.has_era_settled(now);
+        let base = known.base.clone().filter(|_base| has_all_records)?;
         known.base_read_at?;
         let is_other = |known: &KnownStream| known.pool == *pool && known.version != base;
         if stream.is_none() && self.streams.values().any(is_other) {
@@ -684,13 +701,16 @@
     ///
     /// A restored store may lack records, so all own streams are written again.
     pub fn note_era(&mut self, era: Era, now: Moment) -> bool {
-        let before = self
-            .era
-            .replace(self.era.map_or(era, |known| known.max(era)));
-        if before.is_none_or(|before| before >= era) {
+        let before = self.era;
+        if before.is_some_and(|before| before >= era) {
+            return false;
+        }
+        self.era = Some(era);
+        self.era_since = now;
+        self.earlier_era = before;
+        if before.is_none() {
             return false;
         }
-        self.restored_at = Some(now);
         for known in self.pools.values_mut() {
             known.base_read_at = None;
         }
@@ -699,6 +719,26 @@
         true
     }
 
+    /// Returns the store's era.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        self.era.unwrap_or_default()
+    }
+
+    /// Returns the era of a base version that is written now.
+    ///
+    /// It is the earlier one while streams may be alive whose records a restore lost.
+    #[must_use]
+    pub fn base_era(&self, now: Moment) -> Era {
+        let earlier = self.earlier_era.filter(|_era| !self.has_era_settled(now));
+        earlier.unwrap_or_else(|| self.era())
+    }
+
+    /// Returns whether all streams have ended that may have lost their records with a restore.
+    fn has_era_settled(&self, now: Moment) -> bool {
+        now.since(self.era_since) > self.horizon()
+    }
+
     /// Notes that an append of these streams may have taken effect although it failed.
     ///
     /// They may go on at another version, so what they went on at is written again.
--- a/crates/eelgrasshill_relay/tests/software_versions.rs
+++ b/crates/eelgrasshill_relay/tests/software_versions.rs
@@ -4,9 +4,10 @@
 
 use eelgrasshill_domain::{FastSet, HostName, Moment, PoolName, ZoneName};
 use eelgrasshill_relay::{
-    BaseWish, EngineRests, EngineSpeeds, Era, KnownUpstreams, PresentVersion, Resolution,
-    SelectionSettings, SoftwareVersion, SoftwareVersions, StartRule, StreamId, StreamVersions,
-    Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector, VersionSource,
+    BaseVersion, BaseWish, EngineRests, EngineSpeeds, Era, KnownUpstreams, PresentVersion,
+    Resolution, SelectionSettings, SoftwareVersion, SoftwareVersions, StartRule, StreamId,
+    StreamVersions, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery, UpstreamSelector,
+    VersionSource,
 };
 
 /// Longest timeout of the routes; the horizon is 20 s.
@@ -23,6 +24,13 @@
 }
 
 /// A host with its clock, which notes the versions of each step for some time.
+fn in_first_era(text: &str) -> BaseVersion {
+    BaseVersion {
+        version: version(text),
+        era: Era::default(),
+    }
+}
+
 struct Host {
     versions: SoftwareVersions,
     now: Moment,
@@ -55,7 +63,7 @@
 
     fn read_base(&mut self, base: Option<&str>) {
         self.versions
-            .note_base(&pool(), base.map(version), self.now);
+            .note_base(&pool(), base.map(in_first_era), self.now);
     }
 
     fn starts(&self) -> String {
