Number the records of a stream, and wait for a success after a failed append

Its attempt also took a doubtful write for one that was not carried out, and could begin at the base without a record.

Each record now has a number, and the highest counts. The end of a write is one of written, not written and doubtful, and only the second one needs no further record. After a failed append, or while one takes longer than 300 ms, new streams begin at the base until an append succeeds; an empty one is tried twice per second.

--- a/crates/eelgrasshill_gateway/src/bound_stream.rs
+++ b/crates/eelgrasshill_gateway/src/bound_stream.rs
@@ -12,7 +12,7 @@
 use crate::codec::PlatformCodec;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relayed::{MIN_RETRY_AFTER, RelayedRequest};
-use crate::software_versions::{StreamStart, StreamWrite};
+use crate::software_versions::{StreamStart, StreamWrite, WriteEnd};
 
 /// Maximum time from a stream's first event until the store acknowledges its version.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -132,10 +132,9 @@
     pub(crate) async fn bind(&mut self, upstream: &Arc<Upstream>) -> bool {
         if let Some(write) = self.software.write.take() {
             let timeout = WRITE_TIMEOUT.min(self.time_left());
-            let acknowledged = tokio::time::timeout(timeout, write.acknowledged()).await;
-            if acknowledged != Ok(true) {
-                // Unless the write is still under way, it is repeated for what the stream goes on at.
-                self.software.has_record = acknowledged.is_err();
+            let end = tokio::time::timeout(timeout, write.ended()).await;
+            if end != Ok(WriteEnd::Written) {
+                self.software.has_record = end != Ok(WriteEnd::NotWritten);
                 log::info!(
                     "request: id={} upstream={} version={} cannot begin, it was not written",
                     self.metadata.id,
--- a/crates/eelgrasshill_gateway/src/software_versions.rs
+++ b/crates/eelgrasshill_gateway/src/software_versions.rs
@@ -12,7 +12,7 @@
 use eelgrasshill_ports::{BootClock, CallError, lock};
 use eelgrasshill_relay::{
     BaseVersion, BaseWish, Era, PresentVersion, Repeat, Resolution, SoftwareVersion,
-    SoftwareVersions, StartRule, StreamId, StreamVersions, VersionSource, add_stream,
+    SoftwareVersions, StartRule, StreamId, StreamRecord, StreamVersions, VersionSource, add_stream,
 };
 use serde::Serialize;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -37,6 +37,9 @@
 /// Time between checks while a new stream waits for the base version.
 const BEGIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time between appends of no streams while appends fail.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How long a host counts as just started.
 const START_TIME: Duration = Duration::from_secs(5);
 
@@ -56,8 +59,20 @@
     stream: StreamId,
     pool: PoolName,
     version: SoftwareVersion,
+    revision: u64,
     // None for a record that is written again.
-    done: Option<oneshot::Sender<bool>>,
+    done: Option<oneshot::Sender<WriteEnd>>,
+}
+
+/// How the write of a stream's version ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WriteEnd {
+    /// The store has acknowledged it.
+    Written,
+    /// The store does not have it and will not.
+    NotWritten,
+    /// The store may have it, or carry it out later.
+    Doubtful,
 }
 
 type Found = Option<(SoftwareVersion, VersionSource)>;
@@ -124,12 +139,13 @@
 
 /// Write of a stream's version that is under way.
 #[derive(Debug)]
-pub(crate) struct StreamWrite(oneshot::Receiver<bool>);
+pub(crate) struct StreamWrite(oneshot::Receiver<WriteEnd>);
 
 impl StreamWrite {
-    /// Waits until the store has acknowledged the write; returns false if it may not have it.
-    pub(crate) async fn acknowledged(self) -> bool {
-        self.0.await.unwrap_or(false)
+    /// Waits until the write has ended.
+    pub(crate) async fn ended(self) -> WriteEnd {
+        // Without room in the queue it was not sent.
+        self.0.await.unwrap_or(WriteEnd::NotWritten)
     }
 }
 
@@ -190,6 +206,7 @@
                     stream,
                     pool: pool.clone(),
                     version: version.clone(),
+                    revision: now.0,
                     done: Some(done),
                 };
                 // A write that does not fit drops its sender, so that it counts as failed.
@@ -297,9 +314,19 @@
     let mut is_failing = false;
     while !shared.is_stopped() {
         let mut batch = Vec::new();
-        if queue.recv_many(&mut batch, MAX_BATCH).await == 0 {
+        let received = async { queue.recv_many(&mut batch, MAX_BATCH).await > 0 };
+        let is_open = if is_failing {
+            // New streams wait for a success, so an empty batch is tried.
+            let received = tokio::time::timeout(PROBE_INTERVAL, received).await;
+            received.unwrap_or(true)
+        } else {
+            received.await
+        };
+        if !is_open {
             return;
         }
+        let sent_at = BootClock.now();
+        shared.software.versions().note_append_sent(sent_at);
         let result = append_batch(&store, &batch).await;
         note_store_era(&shared, &store);
         finish_writes(&shared, batch, result.as_ref().err());
@@ -316,7 +343,8 @@
 async fn append_batch<S: StoreClient>(store: &S, batch: &[Write]) -> Result<(), StoreError> {
     let mut records = Vec::new();
     for write in batch {
-        add_stream(&mut records, &write.pool, &write.version, write.stream);
+        let stream = StreamRecord(write.stream, write.revision);
+        add_stream(&mut records, &write.pool, &write.version, stream);
     }
     let value = encode(&records);
     store
@@ -344,17 +372,22 @@
         Some(StoreError::Failed(_) | StoreError::EarlierEra(_)) => true,
     };
     let is_written = error.is_none();
+    let write_end = match (is_written, may_be_written) {
+        (true, _) => WriteEnd::Written,
+        (false, true) => WriteEnd::Doubtful,
+        (false, false) => WriteEnd::NotWritten,
+    };
     let again = batch
         .iter()
         .filter(|write| may_be_written || (!is_written && write.done.is_none()));
     let mut versions = shared.software.versions();
-    versions.note_append(is_written, BootClock.now());
+    versions.note_append(is_written);
     versions.note_doubtful(again.map(|write| write.stream));
     drop(versions);
     for write in batch {
         if let Some(done) = write.done {
             // The request may have ended.
-            let _request_ended = done.send(is_written);
+            let _request_ended = done.send(write_end);
         }
     }
 }
@@ -606,11 +639,12 @@
         let writes = &self.shared.software.writes;
         let mut versions = self.shared.software.versions();
         for record in versions.take_rewrites(writes.capacity() / 2, now) {
-            for stream in record.streams {
+            for StreamRecord(stream, revision) in record.streams {
                 let write = Write {
                     stream,
                     pool: record.pool.clone(),
                     version: record.version.clone(),
+                    revision,
                     done: None,
                 };
                 if writes.try_send(write).is_err() {
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -76,7 +76,7 @@
 pub use selection::{Candidate, NoUpstream, SelectionSettings, UpstreamQuery, UpstreamSelector};
 pub use software_versions::{
     BaseVersion, BaseWish, PresentVersion, Resolution, SoftwareVersion, SoftwareVersions,
-    StartRule, StreamId, StreamVersions, VersionError, VersionSource, add_stream,
+    StartRule, StreamId, StreamRecord, StreamVersions, VersionError, VersionSource, add_stream,
 };
 pub use start_wait::{START_PERCENT, max_start_wait};
 pub use stream_handover::{LaterAttempt, REFUSAL_WINDOW, SilencePolicy, can_go_on_in_time};
--- a/crates/eelgrasshill_relay/src/software_versions.rs
+++ b/crates/eelgrasshill_relay/src/software_versions.rs
@@ -27,8 +27,8 @@
 /// By then all hosts whose upstreams' records are as recent as that know of it.
 const ACTIVATION_DELAY: Duration = Duration::from_millis(1_500);
 
-/// Pause after a failed append in which new streams begin at the base version only.
-const APPEND_RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Time from which on an append that is under way counts as failing.
+const MAX_APPEND_TIME: Duration = Duration::from_millis(300);
 
 /// Horizon until a configuration is known.
 const DEFAULT_HORIZON: Duration = Duration::from_secs(18);
@@ -117,9 +117,15 @@
     /// Version that began them.
     pub version: SoftwareVersion,
     /// The streams.
-    pub streams: Vec<StreamId>,
+    pub streams: Vec<StreamRecord>,
 }
 
+/// A stream, and the number of its record among those of the stream.
+///
+/// An append without an answer may be carried out after later ones; the highest number counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamRecord(pub StreamId, pub u64);
+
 /// Base version of a pool, with the era of the store in which it was written.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BaseVersion {
@@ -306,6 +312,7 @@
     version: SoftwareVersion,
     // Whether this host passed events of it on, or was about to.
     is_own: bool,
+    revision: u64,
     at: Moment,
 }
 
@@ -321,7 +328,8 @@
     noted: VecDeque<(StreamId, Moment)>,
     // Own streams whose records must be written again.
     rewrites: FastSet<StreamId>,
-    append_failed_at: Option<Moment>,
+    has_append_failed: bool,
+    append_sent_at: Option<Moment>,
     era: Option<Era>,
     // Since when this host knows that the store is in that era.
     era_since: Moment,
@@ -340,7 +348,8 @@
             streams: FastMap::default(),
             noted: VecDeque::new(),
             rewrites: FastSet::default(),
-            append_failed_at: None,
+            has_append_failed: false,
+            append_sent_at: None,
             era: None,
             era_since: started_at,
             earlier_era: None,
@@ -545,16 +554,22 @@
         first.map(|(version, _presence)| version.clone())
     }
 
+    /// Notes that an append to the log is sent.
+    pub fn note_append_sent(&mut self, now: Moment) {
+        self.append_sent_at = Some(now);
+    }
+
     /// Notes whether an append to the log succeeded.
-    pub fn note_append(&mut self, is_ok: bool, now: Moment) {
-        self.append_failed_at = (!is_ok).then_some(now);
+    pub fn note_append(&mut self, is_ok: bool) {
+        self.append_sent_at = None;
+        self.has_append_failed = !is_ok;
     }
 
-    /// Returns whether an append failed just now.
+    /// Returns whether the last append failed, or the one under way takes too long.
     #[must_use]
     pub fn is_append_failing(&self, now: Moment) -> bool {
-        self.append_failed_at
-            .is_some_and(|failed_at| now.since(failed_at) < APPEND_RETRY_PAUSE)
+        let is_late = |sent_at| now.since(sent_at) >= MAX_APPEND_TIME;
+        self.has_append_failed || self.append_sent_at.is_some_and(is_late)
     }
 
     /// Notes the version at which this host goes on with a stream.
@@ -569,22 +584,25 @@
             pool: pool.clone(),
             version: version.clone(),
             is_own: true,
+            revision: now.0,
             at: now,
         };
         self.insert(stream, known);
     }
 
-    /// Notes records of the log, in their order.
+    /// Notes records of the log.
     pub fn note_records(&mut self, records: &[StreamVersions], now: Moment) {
         for record in records {
-            for stream in &record.streams {
-                if self.streams.get(stream).is_some_and(|known| known.is_own) {
+            for StreamRecord(stream, revision) in &record.streams {
+                let is_newer = |known: &KnownStream| known.is_own || known.revision > *revision;
+                if self.streams.get(stream).is_some_and(is_newer) {
                     continue;
                 }
                 let known = KnownStream {
                     pool: record.pool.clone(),
                     version: record.version.clone(),
                     is_own: false,
+                    revision: *revision,
                     at: now,
                 };
                 self.insert(*stream, known);
@@ -760,7 +778,8 @@
         for stream in taken {
             self.rewrites.remove(&stream);
             if let Some(known) = self.streams.get(&stream) {
-                add_stream(&mut records, &known.pool, &known.version, stream);
+                let record = StreamRecord(stream, known.revision);
+                add_stream(&mut records, &known.pool, &known.version, record);
             }
         }
         records
@@ -772,7 +791,7 @@
     records: &mut Vec<StreamVersions>,
     pool: &PoolName,
     version: &SoftwareVersion,
-    stream: StreamId,
+    stream: StreamRecord,
 ) {
     let mut same = records.iter_mut();
     match same.find(|record| record.pool == *pool && record.version == *version) {
