Write the streams of a version whose base is not confirmed

A host that had seen a single version for some time began streams without a record although it knew another base version: after a pool without upstreams, or when the base could not be read again. A host that read the base later took such a stream for one of the base.

a_version_beside_an_unconfirmed_base_is_written failed before (Unwritten instead of Written).

--- a/crates/eelgrasshill_relay/src/software_versions.rs
+++ b/crates/eelgrasshill_relay/src/software_versions.rs
@@ -285,8 +285,10 @@
             _ if !presence.is_ready(now) => StartRule::NotYet,
             Some(base) if base == version => StartRule::Unwritten,
             Some(_) => StartRule::Written,
-            None if self.versions.len() == 1 => StartRule::Unwritten,
-            None => StartRule::NotYet,
+            None if self.versions.len() > 1 => StartRule::NotYet,
+            // The known base may not be that of the store any more; a record is right in any case.
+            None if self.base.is_some() => StartRule::Written,
+            None => StartRule::Unwritten,
         }
     }
 
--- a/crates/eelgrasshill_relay/tests/software_versions.rs
+++ b/crates/eelgrasshill_relay/tests/software_versions.rs
@@ -99,9 +99,15 @@
 }
 
 /// Views of the pool with the time that each lasts; `=x` reads base x, and `=` finds none.
+///
+/// In the step `later` time passes without a view.
 fn play(steps: &[(&str, u64)]) -> Host {
     let mut host = Host::new();
     for (step, millis) in steps {
+        if *step == "later" {
+            host.now = host.now.after(Duration::from_millis(*millis));
+            continue;
+        }
         match step.strip_prefix('=') {
             Some("") => host.read_base(None),
             Some(base) => host.read_base(Some(base)),
@@ -247,6 +253,28 @@
     assert_eq!(read(&host), Some((version("a"), VersionSource::Base)));
 }
 
+/// Guards against streams without a record at a version that another host takes for another base.
+#[test]
+fn a_version_beside_an_unconfirmed_base_is_written() {
+    let cases: [&[_]; 2] = [
+        // The keeper was late, and the base could not be read again.
+        &[
+            ("a", 2_000),
+            ("=a", 0),
+            ("b", 22_000),
+            ("later", 1_750),
+            ("b", 0),
+        ],
+        // The pool was empty for the horizon.
+        &[("a", 2_000), ("=a", 0), ("", 22_000), ("b", 0)],
+    ];
+    for steps in cases {
+        let host = play(steps);
+        let rule = host.versions.start(&pool(), &version("b"), host.now);
+        assert_eq!(rule, StartRule::Written, "{steps:?}");
+    }
+}
+
 /// Guards against an append without an answer that is carried out after the one which replaced it.
 #[test]
 fn a_late_record_does_not_replace_a_newer_one() {
