Look a stream up unless the host has watched the pool without a gap

A host that was suspended, or had old records of the upstreams, for longer than a version was there took the only version it knew for that of all streams, without a look at the store. The short way now needs that the host has looked at recent records without a gap for the horizon, and so does a change of the base; a take-up looks at the upstreams first.

--- a/crates/eelgrasshill_gateway/src/software_versions.rs
+++ b/crates/eelgrasshill_gateway/src/software_versions.rs
@@ -240,9 +240,7 @@
         pool: &PoolName,
     ) -> Option<SoftwareVersion> {
         let asked_at = BootClock.now();
-        if !self.software.versions().has_pool(pool) {
-            refresh(self, asked_at);
-        }
+        refresh(self, asked_at);
         let confirmed_at = self.state().upstreams_topic.confirmed_at();
         let resolution = self
             .software
@@ -547,10 +545,16 @@
 
 /// Notes the versions that are present in the pools of resumable routes.
 fn refresh<C: PlatformCodec>(shared: &Shared<C>, now: Moment) {
-    let Some((present, longest_timeout)) = present_versions(&shared.state(), now) else {
-        return;
+    let (found, confirmed_at) = {
+        let state = shared.state();
+        let confirmed_at = state.upstreams_topic.confirmed_at();
+        (present_versions(&state, now), confirmed_at)
     };
     let mut versions = shared.software.versions();
+    versions.note_view(confirmed_at, now);
+    let Some((present, longest_timeout)) = found else {
+        return;
+    };
     versions.raise_horizon(longest_timeout);
     versions.retain_pools(|pool| present.contains_key(pool));
     for (pool, rows) in &present {
--- a/crates/eelgrasshill_relay/src/software_versions.rs
+++ b/crates/eelgrasshill_relay/src/software_versions.rs
@@ -218,6 +218,7 @@
     base_era: Era,
     // When the latest read of the base was sent; none if it must be read again.
     base_read_at: Option<Moment>,
+    followed_since: Option<Moment>,
     // The version that the pool had when it last had a single one, or its last known base.
     preferred: Option<SoftwareVersion>,
 }
@@ -321,7 +322,10 @@
 /// What one host knows of its pools' software versions and of the streams that they began.
 #[derive(Clone, Debug)]
 pub struct SoftwareVersions {
-    started_at: Moment,
+    // Since when no version can have come and gone unseen.
+    watched_since: Moment,
+    // When the upstreams were last looked at.
+    watched_at: Moment,
     // None until a configuration is known.
     horizon: Option<Duration>,
     pools: FastMap<PoolName, PoolVersions>,
@@ -344,7 +348,8 @@
     #[must_use]
     pub fn new(started_at: Moment) -> Self {
         Self {
-            started_at,
+            watched_since: started_at,
+            watched_at: started_at,
             horizon: None,
             pools: FastMap::default(),
             streams: FastMap::default(),
@@ -371,12 +376,30 @@
         self.horizon.unwrap_or(DEFAULT_HORIZON)
     }
 
+    /// Notes that the upstreams are looked at, by records that were the newest at this moment.
+    ///
+    /// A version may have come and gone while they were not, or the records were older.
+    pub fn note_view(&mut self, view_confirmed_at: Option<Moment>, now: Moment) {
+        let is_continuous = now.since(self.watched_at) <= ACTIVATION_DELAY;
+        if !is_continuous || !is_recent(view_confirmed_at, now) {
+            self.watched_since = now;
+        }
+        self.watched_at = now;
+    }
+
+    /// Returns whether this host has seen all versions that a pool had within the horizon.
+    fn has_seen_all(&self, known: &PoolVersions, now: Moment) -> bool {
+        let since = known.followed_since.max(Some(self.watched_since));
+        since.is_some_and(|since| now.since(since) >= self.horizon())
+    }
+
     /// Notes the versions that a pool has now.
     ///
     /// To be called at least once per second, since a version counts as gone otherwise.
     pub fn note_present(&mut self, pool: &PoolName, present: &[PresentVersion], now: Moment) {
         let horizon = self.horizon();
         let known = self.pools.entry(pool.clone()).or_default();
+        known.followed_since.get_or_insert(now);
         known.note_present(present, horizon, now);
     }
 
@@ -480,7 +503,7 @@
             Some(base) if known.base_era != self.era() && self.has_era_settled(now) => Some(base),
             Some(base) => {
                 let is_gone = !known.versions.contains_key(base)
-                    && now.since(self.started_at) > self.horizon()
+                    && self.has_seen_all(known, now)
                     && is_recent(view_confirmed_at, now);
                 is_gone.then(|| known.oldest()).flatten()
             }
@@ -674,7 +697,7 @@
             Some(only)
                 if known.base_read_at.is_some()
                     && known.base.as_ref().is_none_or(|base| base == only)
-                    && now.since(self.started_at) >= self.horizon()
+                    && self.has_seen_all(known, now)
                     && is_recent(view_confirmed_at, now) =>
             {
                 Resolution::Known(only.clone(), VersionSource::OnlyVersion)
--- a/crates/eelgrasshill_relay/tests/software_versions.rs
+++ b/crates/eelgrasshill_relay/tests/software_versions.rs
@@ -57,6 +57,7 @@
         self.versions.note_present(&pool(), &rows, self.now);
         for _tick in 0..millis / 250 {
             self.now = self.now.after(Duration::from_millis(250));
+            self.versions.note_view(Some(self.now), self.now);
             self.versions.note_present(&pool(), &rows, self.now);
         }
     }
@@ -253,6 +254,18 @@
     assert_eq!(read(&host), Some((version("a"), VersionSource::Base)));
 }
 
+/// Guards against hosts that take the only version which they have seen for that of all streams.
+#[test]
+fn a_version_may_have_come_and_gone_while_a_host_saw_nothing() {
+    let mut host = play(&[("a", 20_000), ("=a", 0), ("later", 15_000), ("a", 250)]);
+    assert_eq!(host.resolve(), Resolution::Read);
+    host.see("a", 20_000);
+    assert!(matches!(host.resolve(), Resolution::Known(..)));
+    let stale = Some(Moment(1));
+    host.versions.note_view(stale, host.now);
+    assert_eq!(host.resolve(), Resolution::Read);
+}
+
 /// Guards against streams without a record at a version that another host takes for another base.
 #[test]
 fn a_version_beside_an_unconfirmed_base_is_written() {
