--- a/crates/eelgrasshill_gateway/src/bound_stream.rs
+++ b/crates/eelgrasshill_gateway/src/bound_stream.rs
@@ -17,6 +17,11 @@
 /// Maximum time from a stream's first event until the store acknowledges its version.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum time to find the version of a stream that is taken up.
+///
+/// It covers two reads of the store, since a look-up may wait for the one before.
+const MAX_LOOK_TIME: Duration = Duration::from_secs(1);
+
 /// Maximum wait of a new stream for its pool's base version.
 ///
 /// It covers a write and a read of the store.
@@ -64,11 +69,12 @@
         }
         if !self.software.is_bound {
             let stream = self.stream_id();
+            let timeout = MAX_LOOK_TIME.min(self.time_left());
             let found = self
                 .shared
-                .stream_software(&self.metadata.id, stream, &self.target_pool)
-                .await;
-            let Some(version) = found else {
+                .stream_software(&self.metadata.id, stream, &self.target_pool);
+            let found = tokio::time::timeout(timeout, found).await;
+            let Some(version) = found.ok().flatten() else {
                 return Err(Refusal::new(RefusalCause::UnknownStream).with_retry(MIN_RETRY_AFTER));
             };
             if let Some(stream) = stream {
