--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -112,6 +112,8 @@
 struct EventReader<C: PlatformCodec> {
     incoming: IncomingAnswer<C>,
     splitter: EventSplitter,
+    // Complete events, while the memory of the next one is charged.
+    whole: Option<Bytes>,
     // Memory of the event that is not complete.
     memory: MemoryLease,
     // When the stream last made progress.
@@ -139,6 +141,7 @@
             is_unframed,
             memory,
             splitter: EventSplitter::new(last_event),
+            whole: None,
             progress_at: BootClock.now(),
             silent_at: None,
             intervals: Vec::new(),
@@ -204,6 +207,9 @@
             })
         };
         let read = async {
+            if let Some(whole) = self.whole.take() {
+                return ReadOutcome::Events(whole);
+            }
             loop {
                 match self.incoming.response.body_mut().frame().await {
                     None if self.splitter.has_partial() => return lost("event cut off".to_owned()),
@@ -217,7 +223,7 @@
                         let Ok(bytes) = frame.into_data() else {
                             continue;
                         };
-                        let whole = self.splitter.push(&bytes);
+                        self.whole = self.splitter.push(&bytes);
                         if self.splitter.is_overlong() {
                             return malformed("too many bytes without a further event".to_owned());
                         }
@@ -225,7 +231,7 @@
                         if let Err(error) = self.memory.resize_charged(partial).await {
                             return malformed(error.to_string());
                         }
-                        if let Some(whole) = whole {
+                        if let Some(whole) = self.whole.take() {
                             if has_content(&whole) {
                                 self.record_progress(BootClock.now());
                             }
