Read what has arrived before an engine counts as silent

An entry host that got no processor time for longer than the idle timeout closed its engines' connections and resumed the answers, although events of the engines waited in its sockets: after the stall the timers were handled first, and `attempt` chose between a timer and events at random.

The time for which a caller accepts no token no longer counts as its engine's silence. The idle timeout stays as long as before where the host isn't delayed; the deadline isn't moved.

The extension for a blocked caller is tested only in the state machine (an_extension_delays_the_idle_timeout_but_not_the_deadline), not with a caller.

--- a/crates/eelgrasshill_entry/src/answer/attempt.rs
+++ b/crates/eelgrasshill_entry/src/answer/attempt.rs
@@ -22,6 +22,12 @@
 /// Interval at which a running answer checks that its caller's key is still valid.
 const KEY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Last part of the idle timeout, which begins again when the rest has passed.
+///
+/// After a time without processor time, timers have passed before the sockets were read. This is
+/// the time to read them.
+const READ_TIME: Duration = Duration::from_millis(100);
+
 /// Maximum time for which a caller may accept no token.
 const CALLER_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -58,6 +64,8 @@
         stream.step(attempt, StreamEvent::Opened, BootClock.now());
         let mut answered = false;
         let mut next_check = opened.after(KEY_CHECK_INTERVAL);
+        // Whether READ_TIME has begun since the last event.
+        let mut is_last_read = false;
         loop {
             if BootClock.now() >= next_check {
                 next_check = BootClock.now().after(KEY_CHECK_INTERVAL);
@@ -66,9 +74,13 @@
                 }
             }
             // Only an ended stream has no wake-up; the moment in the past ticks it at once.
-            let wake = stream.next_wake().unwrap_or(opened).min(next_check);
+            let mut stream_wake = stream.next_wake().unwrap_or(opened);
+            if !is_last_read {
+                stream_wake = before(stream_wake, READ_TIME);
+            }
             let event = tokio::select! {
-                event = events.next() => event,
+                // A timer may have passed while events that refute it waited to be read.
+                biased;
                 () = parts.closed() => {
                     // The engine stops when it notices the closed connection; `cancel` makes
                     // it stop sooner.
@@ -76,13 +88,20 @@
                     let _ignored = self.engine.cancel(address, request_id).await;
                     return end_attempt(stream, attempt, StreamEvent::CallerGone);
                 }
-                () = BootClock.sleep_until(wake) => {
+                event = events.next() => event,
+                () = BootClock.sleep_until(stream_wake.min(next_check)) => {
+                    let now = BootClock.now();
+                    if !is_last_read && now >= stream_wake {
+                        is_last_read = true;
+                        stream.extend_idle(now.after(READ_TIME));
+                    }
                     match self.step_tick(stream, attempt, &host, opened) {
                         Some(ended) => return ended,
                         None => continue,
                     }
                 }
             };
+            is_last_read = false;
             let now = BootClock.now();
             if !answered && matches!(event, Some(Ok(_))) {
                 answered = true;
@@ -108,15 +127,7 @@
                     };
                     let action = stream.step(attempt, event, now);
                     if action == Some(StreamAction::Finish) {
-                        let tokens = stream.tokens().len() as u64;
-                        return AttemptEnd::Completed {
-                            reason: chunk.finish_reason.unwrap_or_default(),
-                            usage: Usage {
-                                prompt_tokens: self.request.prompt_tokens,
-                                cached_tokens: chunk.usage.unwrap_or_default().cached_tokens,
-                                completion_tokens: tokens,
-                            },
-                        };
+                        return self.completed(stream, chunk.finish_reason, chunk.usage);
                     }
                     action
                 }
@@ -128,12 +139,30 @@
                     if !send_token(parts, text).await {
                         return end_attempt(stream, attempt, StreamEvent::CallerGone);
                     }
+                    // The engine was not read while its caller accepted no token.
+                    stream.extend_idle(BootClock.now().after(self.timeouts.idle));
                 }
                 Some(action) => return attempt_end(action),
             }
         }
     }
 
+    fn completed(
+        &self,
+        stream: &ResumableStream<String>,
+        reason: Option<String>,
+        usage: Option<Usage>,
+    ) -> AttemptEnd {
+        AttemptEnd::Completed {
+            reason: reason.unwrap_or_default(),
+            usage: Usage {
+                prompt_tokens: self.request.prompt_tokens,
+                cached_tokens: usage.unwrap_or_default().cached_tokens,
+                completion_tokens: stream.tokens().len() as u64,
+            },
+        }
+    }
+
     /// Sets the versions of model and software and the text after which the engine continues.
     ///
     /// A resumed answer keeps the versions of its first tokens.
@@ -232,6 +261,12 @@
     }
 }
 
+/// Returns the moment `span` earlier.
+fn before(moment: Moment, span: Duration) -> Moment {
+    let span = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+    Moment(moment.0.saturating_sub(span))
+}
+
 /// Sends a token to the caller; returns false if it is not accepted in time.
 async fn send_token(parts: &mpsc::Sender<AnswerPart>, text: String) -> bool {
     match tokio::time::timeout(CALLER_WRITE_TIMEOUT, parts.send(AnswerPart::Token(text))).await {
--- a/crates/eelgrasshill_route/src/resumable_stream.rs
+++ b/crates/eelgrasshill_route/src/resumable_stream.rs
@@ -29,7 +29,8 @@
     settings: ResumeSettings,
     idle_timeout: Duration,
     deadline: Moment,
-    last_activity: Moment,
+    /// When the current attempt's upstream counts as silent.
+    idle_at: Moment,
     attempt: Attempt,
     host: HostName,
     avoid: Vec<HostName>,
@@ -57,7 +58,7 @@
             settings: ResumeSettings::default(),
             idle_timeout: timeouts.idle,
             deadline: now.after(timeouts.whole_answer),
-            last_activity: now,
+            idle_at: now.after(timeouts.idle),
             attempt: Attempt::default(),
             host,
             avoid: Vec::new(),
@@ -110,15 +111,22 @@
     /// Returns when [`StreamEvent::Tick`] is due.
     #[must_use]
     pub fn next_wake(&self) -> Option<Moment> {
-        let idle_at = self.last_activity.after(self.idle_timeout);
-        (!self.is_ended()).then(|| idle_at.min(self.deadline))
+        (!self.is_ended()).then(|| self.idle_at.min(self.deadline))
+    }
+
+    /// Moves the end of the idle timeout to `until`, if it is due before.
+    ///
+    /// For a time in which the connection was not read: the upstream was not silent then. The next
+    /// event starts the idle timeout again.
+    pub fn extend_idle(&mut self, until: Moment) {
+        self.idle_at = self.idle_at.max(until);
     }
 
     /// Begins the current attempt on an upstream.
     pub fn begin_attempt(&mut self, host: HostName, now: Moment) {
         self.leaving = false;
         self.host = host;
-        self.last_activity = now;
+        self.restart_idle(now);
     }
 
     /// Applies an event of an attempt and returns the action it requires, if any.
@@ -136,7 +144,7 @@
             StreamEvent::Tick => return self.tick(now),
             _ if now >= self.deadline => return self.tick(now),
             _ if attempt != self.attempt => return None,
-            StreamEvent::Opened | StreamEvent::Ping => self.last_activity = now,
+            StreamEvent::Opened | StreamEvent::Ping => self.restart_idle(now),
             StreamEvent::Leaving => self.leaving = true,
             StreamEvent::Failed => return Some(self.disconnect(DisconnectCause::Failed, now)),
             StreamEvent::Chunk {
@@ -149,6 +157,10 @@
         None
     }
 
+    fn restart_idle(&mut self, now: Moment) {
+        self.idle_at = now.after(self.idle_timeout);
+    }
+
     fn next_index(&self) -> u64 {
         self.tokens.len() as u64
     }
@@ -163,7 +175,7 @@
         if *request != self.request {
             return Some(self.disconnect(DisconnectCause::WrongRequest, now));
         }
-        self.last_activity = now;
+        self.restart_idle(now);
         if index > self.next_index() {
             return Some(self.disconnect(DisconnectCause::Gap, now));
         }
@@ -189,7 +201,7 @@
         if now >= self.deadline {
             return Some(self.end(StreamAction::Fail(StreamFailure::Deadline)));
         }
-        if now.since(self.last_activity) >= self.idle_timeout {
+        if now >= self.idle_at {
             return Some(self.disconnect(DisconnectCause::Silent, now));
         }
         None
@@ -208,7 +220,7 @@
         self.consecutive += 1;
         self.resumes += 1;
         self.attempt.0 += 1;
-        self.last_activity = now;
+        self.restart_idle(now);
         StreamAction::Resume {
             cause,
             attempt: self.attempt,
--- a/crates/eelgrasshill_route/tests/stream.rs
+++ b/crates/eelgrasshill_route/tests/stream.rs
@@ -448,3 +448,28 @@
         );
     }
 }
+
+/// Guards against a resume because of a time in which the connection was not read.
+#[test]
+fn an_extension_delays_the_idle_timeout_but_not_the_deadline() {
+    let request = RequestId::new("mine").unwrap();
+    let mut stream: ResumableStream<Token> =
+        ResumableStream::new(request, Repeat::Allowed, &TIMEOUTS, host(0), Moment(0));
+    let attempt = stream.attempt();
+    stream.extend_idle(Moment(1_000));
+    assert_eq!(stream.next_wake(), Some(Moment(2_000)));
+    stream.extend_idle(Moment(3_000));
+    assert_eq!(stream.next_wake(), Some(Moment(3_000)));
+    assert_eq!(stream.step(attempt, StreamEvent::Tick, Moment(2_999)), None);
+    // The next event ends the extension.
+    stream.extend_idle(Moment(9_000));
+    stream.step(attempt, StreamEvent::Ping, Moment(3_000));
+    assert_eq!(stream.next_wake(), Some(Moment(5_000)));
+    let silent = stream.step(attempt, StreamEvent::Tick, Moment(5_000));
+    assert!(
+        matches!(silent, Some(StreamAction::Resume { .. })),
+        "{silent:?}"
+    );
+    stream.extend_idle(Moment(700_000));
+    assert_eq!(stream.next_wake(), Some(Moment(600_000)));
+}
