Load a model at the software version that a stream needs

Callers who took up a stream at a version whose engines did not hold its model were refused with 503 (`not-held`), or sent to an engine that was not allowed for them: the lease holder looked for the model at engines of all versions, found a copy and planned nothing.

Cause: a miss named the model only. It names the software version too now, in the request to the lease holder as well; copies at other versions do not answer it, and a load is planned at an engine of the version. A request without a version, as from hosts of an earlier release, means any.

`a_model_is_loaded_at_the_software_version_that_needs_it` fails if engines of other versions count.

--- a/crates/eelgrasshill_gateway/src/gateway_state.rs
+++ b/crates/eelgrasshill_gateway/src/gateway_state.rs
@@ -17,7 +17,7 @@
 use eelgrasshill_relay::{
     AdmissionLimits, AnswerTimes, Candidate, ColdBound, ColdEngines, ConfigInForce, CrashingParts,
     EnginePicker, EngineRests, EngineSpeeds, Era, EventIntervals, HostCounts, HostHash,
-    KeyedRecord, KeyedTopic, KnownUpstreams, ModelKey, NewsLimit, NoUpstream, PartRefusal, Peer,
+    KeyedRecord, KeyedTopic, KnownUpstreams, Miss, NewsLimit, NoUpstream, PartRefusal, Peer,
     PeerRole, Pick, PickerHost, ProbeTurn, ProbedParts, PromptPart, RateLimiter, ReceivedTotals,
     RetryBudget, RetrySettings, SelectionSettings, SmoothedDemand, Tables, Ticket, TopicChanges,
     Totals, TotalsSender, Tree, Upstream, UpstreamHealth, UpstreamLoads, UpstreamQuery,
@@ -148,7 +148,7 @@
     /// Holder of the lease for orders to engines.
     pub holder: Option<HolderStatus>,
     /// Models that, as the lease holder answered, no engine will hold before the given moment.
-    pub unavailable_until: FastMap<ModelKey, Moment>,
+    pub unavailable_until: FastMap<Miss, Moment>,
     /// When a child last asked for the demand at other hosts.
     pub demand_requested: Option<Moment>,
     compressor: RecordCompressor,
--- a/crates/eelgrasshill_gateway/src/model_request.rs
+++ b/crates/eelgrasshill_gateway/src/model_request.rs
@@ -13,7 +13,7 @@
 use eelgrasshill_peer::generated::gateway_client::GatewayClient;
 use eelgrasshill_peer::{generated as message, open_channel};
 use eelgrasshill_ports::BootClock;
-use eelgrasshill_relay::{Availability, HoldingsUpdate, ModelKey};
+use eelgrasshill_relay::{Availability, HoldingsUpdate, Miss};
 use tonic::transport::Channel;
 
 use crate::codec::PlatformCodec;
@@ -43,12 +43,12 @@
 /// Also returns the update on what the chosen engine holds.
 pub(crate) fn request_as_holder<C: PlatformCodec>(
     shared: &Shared<C>,
-    model_key: &ModelKey,
+    miss: &Miss,
     now: Moment,
 ) -> Option<(Availability, Option<HoldingsUpdate>)> {
     let mut order_state = shared.order_state();
     let fence = order_state.lease.fence(now)?;
-    let availability = order_state.planner.resolve_miss(model_key, now);
+    let availability = order_state.planner.resolve_miss(miss, now);
     let update = match &availability {
         Availability::Ready { engine, .. } => order_state.planner.holdings_update(fence, engine),
         Availability::Later { .. } => None,
@@ -62,21 +62,19 @@
     pub(crate) async fn request<C: PlatformCodec>(
         &self,
         shared: &Arc<Shared<C>>,
-        model_key: &ModelKey,
+        miss: &Miss,
     ) -> Availability {
         let now = BootClock.now();
         let holder = {
             let mut state = shared.state();
-            state
-                .unavailable_until
-                .retain(|_model_key, until| now < *until);
-            if let Some(until) = state.unavailable_until.get(model_key) {
+            state.unavailable_until.retain(|_miss, until| now < *until);
+            if let Some(until) = state.unavailable_until.get(miss) {
                 let after = until.since(now);
                 return Availability::Later { after };
             }
             state.holder(now).cloned()
         };
-        if let Some((availability, update)) = request_as_holder(shared, model_key, now) {
+        if let Some((availability, update)) = request_as_holder(shared, miss, now) {
             if let Some(update) = update {
                 shared.state().upstreams.apply_update(update, now);
             }
@@ -87,13 +85,10 @@
                 after: DEFAULT_RETRY_AFTER,
             };
         };
-        let availability = self.call(shared, holder.address, model_key).await;
+        let availability = self.call(shared, holder.address, miss).await;
         if let Availability::Later { after } = &availability {
             let until = BootClock.now().after((*after).min(MAX_UNAVAILABLE_TTL));
-            shared
-                .state()
-                .unavailable_until
-                .insert(model_key.clone(), until);
+            shared.state().unavailable_until.insert(miss.clone(), until);
         }
         availability
     }
@@ -102,7 +97,7 @@
         &self,
         shared: &Shared<C>,
         address: SocketAddr,
-        model_key: &ModelKey,
+        miss: &Miss,
     ) -> Availability {
         let unavailable = Availability::Later {
             after: DEFAULT_RETRY_AFTER,
@@ -114,7 +109,8 @@
             return unavailable;
         };
         let request = message::NeedRequest {
-            asked: Some(encode_model_key(model_key)),
+            asked: Some(encode_model_key(&miss.key)),
+            software: miss.software.as_ref().map(ToString::to_string),
         };
         let mut client = GatewayClient::new(channel.clone());
         let answered = tokio::time::timeout(HOLDER_TIMEOUT, client.need(request)).await;
--- a/crates/eelgrasshill_gateway/src/peers.rs
+++ b/crates/eelgrasshill_gateway/src/peers.rs
@@ -19,7 +19,7 @@
 use crate::fetch::answer_fetch;
 use crate::model_request::request_as_holder;
 use crate::shared::Shared;
-use eelgrasshill_relay::Availability;
+use eelgrasshill_relay::{Availability, Miss, SoftwareVersion};
 
 struct PeerService<C: PlatformCodec> {
     shared: Arc<Shared<C>>,
@@ -73,10 +73,13 @@
     ) -> Result<Response<message::NeedReply>, Status> {
         let asked = request.get_ref().asked.as_ref();
         let model_key = asked.ok_or_else(|| Status::invalid_argument("no model is named"))?;
-        let model_key =
+        let key =
             decode_model_key(model_key).map_err(|e| Status::invalid_argument(e.to_string()))?;
-        let Some((availability, update)) =
-            request_as_holder(&self.shared, &model_key, BootClock.now())
+        let software = request.get_ref().software.as_deref();
+        let software = software.map(SoftwareVersion::new).transpose();
+        let software = software.map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let miss = Miss { key, software };
+        let Some((availability, update)) = request_as_holder(&self.shared, &miss, BootClock.now())
         else {
             return Ok(Response::new(message::NeedReply::default()));
         };
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -17,9 +17,9 @@
     AnswerBody, BootClock, CallError, HttpConnection, HttpPool, MemoryCharge, MemoryLease,
 };
 use eelgrasshill_relay::{
-    Availability, Candidate, CrashId, HomeRegions, ModelKey, NoUpstream, Organisation, PartRefusal,
-    ProbedParts, PromptPart, RequestOutcome, Route, START_PERCENT, Upstream, can_go_on_in_time,
-    max_start_wait,
+    Availability, Candidate, CrashId, HomeRegions, Miss, ModelKey, NoUpstream, Organisation,
+    PartRefusal, ProbedParts, PromptPart, RequestOutcome, Route, START_PERCENT, Upstream,
+    can_go_on_in_time, max_start_wait,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -335,14 +335,16 @@
         let Some(model) = self.metadata.model.clone() else {
             return Err(refusal);
         };
-        let model_key = ModelKey {
+        let key = ModelKey {
             pool: self.target_pool.clone(),
             model,
             adapter: self.metadata.adapter.clone(),
         };
-        let availability = requester.request(&self.shared, &model_key).await;
+        let software = self.software.version.clone();
+        let miss = Miss { key, software };
+        let availability = requester.request(&self.shared, &miss).await;
         log::info!(
-            "request: id={} waits={} needs {model_key:?}: {availability:?}",
+            "request: id={} waits={} needs {miss:?}: {availability:?}",
             self.metadata.id,
             self.model_waits
         );
@@ -351,7 +353,7 @@
             Availability::Ready { engine, .. } if self.tried.contains(&engine) => {
                 Err(Refusal::new(RefusalCause::RefusedUpstream).with_retry(MIN_RETRY_AFTER))
             }
-            // The planner knows neither the home regions nor the versions of streams.
+            // The planner does not know the home regions, and one of an earlier release no versions.
             Availability::Ready { engine, .. } if self.is_foreign(&engine) => {
                 Err(refusal.with_retry(MIN_RETRY_AFTER))
             }
--- a/crates/eelgrasshill_relay/examples/plan_cost.rs
+++ b/crates/eelgrasshill_relay/examples/plan_cost.rs
@@ -43,7 +43,9 @@
                     adapter: Some(adapter(number % 20)),
                 };
                 let start = Instant::now();
-                simulation.planner.resolve_miss(&model_key, now);
+                simulation
+                    .planner
+                    .resolve_miss(&model_key.clone().into(), now);
                 miss_time += start.elapsed();
                 misses += 1;
             }
--- a/crates/eelgrasshill_relay/src/lib.rs
+++ b/crates/eelgrasshill_relay/src/lib.rs
@@ -64,7 +64,7 @@
 pub use news_limit::NewsLimit;
 pub use picker_host::PickerHost;
 pub use placement::{
-    Action, Availability, EngineReport, EngineState, HoldingsUpdate, NextCall, OrderOutcome,
+    Action, Availability, EngineReport, EngineState, HoldingsUpdate, Miss, NextCall, OrderOutcome,
     PlacementPlanner,
 };
 pub use prompt_part::PromptPart;
--- a/crates/eelgrasshill_relay/src/placement.rs
+++ b/crates/eelgrasshill_relay/src/placement.rs
@@ -32,7 +32,7 @@
 use load_pacer::LoadPacer;
 use pool_models::PoolModels;
 
-use crate::{EnginePool, KnownUpstreams, ModelKey, ResidentModel, UpstreamLoads};
+use crate::{EnginePool, KnownUpstreams, ModelKey, ResidentModel, SoftwareVersion, UpstreamLoads};
 
 /// Time between withdrawing a copy from use and unloading it.
 ///
@@ -135,6 +135,24 @@
     }
 }
 
+/// A model or adapter that requests wait for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Miss {
+    /// The model or adapter.
+    pub key: ModelKey,
+    /// Software version that the engine must run; any if none.
+    pub software: Option<SoftwareVersion>,
+}
+
+impl From<ModelKey> for Miss {
+    fn from(key: ModelKey) -> Self {
+        Self {
+            key,
+            software: None,
+        }
+    }
+}
+
 /// Demand for the models of one pool.
 #[derive(Clone, Debug, Default)]
 struct PoolDemand {
@@ -151,7 +169,7 @@
     pools: FastMap<PoolName, Arc<PoolModels>>,
     pool_demands: FastMap<PoolName, PoolDemand>,
     load_pacers: FastMap<PoolName, LoadPacer>,
-    misses: FastMap<ModelKey, Moment>,
+    misses: FastMap<Miss, Moment>,
     load_window: Duration,
     revision: u64,
     last_plan: Moment,
@@ -230,21 +248,21 @@
     }
 
     /// Returns when a model or adapter is available, and plans a load if necessary.
-    pub fn resolve_miss(&mut self, model_key: &ModelKey, now: Moment) -> Availability {
-        if let Some(found) = self.held_availability(model_key, now) {
+    pub fn resolve_miss(&mut self, miss: &Miss, now: Moment) -> Availability {
+        if let Some(found) = self.held_availability(miss, now) {
             return found;
         }
-        self.misses.insert(model_key.clone(), now);
-        let found = match &model_key.adapter {
+        self.misses.insert(miss.clone(), now);
+        let found = match &miss.key.adapter {
             // An adapter of a model that an engine keeps needs no plan, and most misses are of
             // that kind.
-            Some(_adapter) => self.adapter_availability(model_key, now),
+            Some(_adapter) => self.adapter_availability(miss, now),
             None => None,
         };
-        let found = found.or_else(|| self.loading_availability(model_key, now));
+        let found = found.or_else(|| self.loading_availability(miss, now));
         found.unwrap_or_else(|| {
             self.plan(now);
-            let planned = self.planned_availability(model_key, now);
+            let planned = self.planned_availability(miss, now);
             planned.unwrap_or(Availability::Later {
                 after: DEFAULT_RETRY_DELAY,
             })
@@ -254,48 +272,48 @@
     /// Returns the availability of an adapter whose model an engine keeps.
     ///
     /// An engine that carries out another order takes this one after it.
-    fn adapter_availability(&self, model_key: &ModelKey, now: Moment) -> Option<Availability> {
-        if let Some(engine) = self.best_adapter_engine(&model_key.pool, &model_key.model) {
+    fn adapter_availability(&self, miss: &Miss, now: Moment) -> Option<Availability> {
+        if let Some(engine) = self.best_adapter_engine(miss) {
             return Some(Availability::Ready {
                 engine: engine.clone(),
                 after: ADAPTER_READY_TIME,
             });
         }
-        self.soonest(&model_key.pool, |state| {
+        self.soonest(miss, |state| {
             let after = state.order_ends_after(now)?;
-            let will_take = state.keeps(&model_key.model) && !state.is_down();
+            let will_take = state.keeps(&miss.key.model) && !state.is_down();
             will_take.then_some(after + ADAPTER_READY_TIME)
         })
     }
 
     /// Returns the availability of a model or adapter that an engine holds.
-    fn held_availability(&self, model_key: &ModelKey, now: Moment) -> Option<Availability> {
-        self.soonest(&model_key.pool, |state| {
-            state.held_after(&model_key.model, model_key.adapter.as_ref(), now)
+    fn held_availability(&self, miss: &Miss, now: Moment) -> Option<Availability> {
+        self.soonest(miss, |state| {
+            state.held_after(&miss.key.model, miss.key.adapter.as_ref(), now)
         })
     }
 
     /// Returns the availability of a model that is being loaded, or of its adapter after that.
-    fn loading_availability(&self, model_key: &ModelKey, now: Moment) -> Option<Availability> {
-        let adapter_time = match &model_key.adapter {
+    fn loading_availability(&self, miss: &Miss, now: Moment) -> Option<Availability> {
+        let adapter_time = match &miss.key.adapter {
             Some(_adapter) => ADAPTER_READY_TIME,
             None => Duration::ZERO,
         };
-        self.soonest(&model_key.pool, |state| {
-            let after = state.loaded_after(&model_key.model, now)?;
+        self.soonest(miss, |state| {
+            let after = state.loaded_after(&miss.key.model, now)?;
             Some(after + adapter_time)
         })
     }
 
-    /// Returns the engine of a pool with the shortest delay.
+    /// Returns the engine that may serve a miss with the shortest delay.
     fn soonest(
         &self,
-        pool: &PoolName,
+        miss: &Miss,
         delay: impl Fn(&EngineState) -> Option<Duration>,
     ) -> Option<Availability> {
         let engines = self.engines.iter();
         let delays = engines
-            .filter(|(_id, state)| state.pool == *pool)
+            .filter(|(_id, state)| state.serves(miss))
             .filter_map(|(id, state)| Some((delay(state)?, id)));
         delays.min().map(|(after, id)| Availability::Ready {
             engine: id.clone(),
@@ -304,11 +322,11 @@
     }
 
     /// Returns the availability that the next orders will lead to.
-    fn planned_availability(&self, model_key: &ModelKey, now: Moment) -> Option<Availability> {
-        let pool = self.pools.get(&model_key.pool)?;
-        let model = pool.model(&model_key.model)?;
-        self.soonest(&model_key.pool, |state| {
-            let room_delay = state.planned_load_room_delay(&model_key.model, now)?;
+    fn planned_availability(&self, miss: &Miss, now: Moment) -> Option<Availability> {
+        let pool = self.pools.get(&miss.key.pool)?;
+        let model = pool.model(&miss.key.model)?;
+        self.soonest(miss, |state| {
+            let room_delay = state.planned_load_room_delay(&miss.key.model, now)?;
             Some(room_delay + ORDER_LATENCY + state.load_time(model) + REPORT_SLACK)
         })
     }
--- a/crates/eelgrasshill_relay/src/placement/adapter_orders.rs
+++ b/crates/eelgrasshill_relay/src/placement/adapter_orders.rs
@@ -10,7 +10,7 @@
 
 use super::engine_state::EngineState;
 use super::pool_models::PoolModels;
-use super::{Action, PlacementPlanner};
+use super::{Action, Miss, PlacementPlanner};
 use crate::ModelKey;
 
 /// Minimum time that a loaded adapter stays.
@@ -23,7 +23,7 @@
     /// Returns the adapters that requests wait for, and forgets those that an engine holds.
     pub(crate) fn adapter_misses(&mut self, now: Moment) -> AdapterMisses {
         let mut found = AdapterMisses::default();
-        if self.misses.keys().all(|key| key.adapter.is_none()) {
+        if self.misses.keys().all(|miss| miss.key.adapter.is_none()) {
             return found;
         }
         let mut holders: FastMap<(&PoolName, &ModelName), Vec<(&HostName, &EngineState)>> =
@@ -34,20 +34,20 @@
                 holders.push((id, state));
             }
         }
-        self.misses.retain(|key, _at| {
+        self.misses.retain(|miss, _at| {
+            let key = &miss.key;
             let Some(adapter) = &key.adapter else {
                 return true;
             };
             let Some(holders) = holders.get(&(&key.pool, &key.model)) else {
                 return true;
             };
-            let is_held = holders.iter().any(|(_id, state)| {
+            let serving = || holders.iter().filter(|(_id, state)| state.serves(miss));
+            let is_held = serving().any(|(_id, state)| {
                 let after = state.held_after(&key.model, Some(adapter), now);
                 after.is_some()
             });
-            let takers = holders
-                .iter()
-                .filter(|(_id, state)| state.takes_adapters(&key.model));
+            let takers = serving().filter(|(_id, state)| state.takes_adapters(&key.model));
             let best = takers.min_by_key(|(_id, state)| state.adapter_count());
             if let Some((id, _state)) = best
                 && !is_held
@@ -83,14 +83,10 @@
     }
 
     /// Returns the engine with the fewest adapters, for the next adapter of a model.
-    pub(crate) fn best_adapter_engine(
-        &self,
-        pool: &PoolName,
-        model: &ModelName,
-    ) -> Option<&HostName> {
+    pub(crate) fn best_adapter_engine(&self, miss: &Miss) -> Option<&HostName> {
         let engines = self.engines.iter();
         engines
-            .filter(|(_id, state)| state.pool == *pool && state.takes_adapters(model))
+            .filter(|(_id, state)| state.serves(miss) && state.takes_adapters(&miss.key.model))
             .min_by_key(|(_id, state)| state.adapter_count())
             .map(|(id, _state)| id)
     }
--- a/crates/eelgrasshill_relay/src/placement/engine_state.rs
+++ b/crates/eelgrasshill_relay/src/placement/engine_state.rs
@@ -10,10 +10,10 @@
 use super::planned_load::PlannedLoad;
 use super::pool_models::PoolModels;
 use super::{
-    ADAPTER_LOAD_TIME, Action, MAX_REPORT_AGE, MIN_RESIDENCE, NextCall, REPORT_INTERVAL,
+    ADAPTER_LOAD_TIME, Action, MAX_REPORT_AGE, MIN_RESIDENCE, Miss, NextCall, REPORT_INTERVAL,
     REPORT_SLACK, UNLOAD_LATENCY, UNLOAD_REPORT_INTERVAL, VACATE_DELAY,
 };
-use crate::{Model, ResidentModel, Upstream};
+use crate::{Model, ResidentModel, SoftwareVersion, Upstream};
 
 record! {
     /// Report of an engine, reduced to what the planner needs.
@@ -107,6 +107,7 @@
 #[derive(Clone, Debug)]
 pub struct EngineState {
     pub(crate) pool: PoolName,
+    pub(crate) software: SoftwareVersion,
     pub(crate) started_ms: u64,
     pub(crate) holdings: Vec<ResidentModel>,
     // Models whose weights are cached in main memory or on disk.
@@ -134,6 +135,7 @@
     pub(crate) fn new(upstream: &Upstream) -> Self {
         Self {
             pool: upstream.pool.clone(),
+            software: upstream.software.clone(),
             started_ms: upstream.started_ms,
             holdings: upstream.holdings.clone(),
             memory: upstream.memory.clone(),
@@ -168,6 +170,16 @@
         }
     }
 
+    /// Returns whether the engine is one that a miss may wait for.
+    pub(crate) fn serves(&self, miss: &Miss) -> bool {
+        self.pool == miss.key.pool && self.runs(miss.software.as_ref())
+    }
+
+    /// Returns whether the engine runs a software version; true if any will do.
+    pub(crate) fn runs(&self, software: Option<&SoftwareVersion>) -> bool {
+        software.is_none_or(|software| self.software == *software)
+    }
+
     /// Returns the orders that the engine may carry out at a later count of accepted orders.
     fn late_actions(&self) -> impl Iterator<Item = &Action> {
         let orders = self.orders.unwrap_or(0);
--- a/crates/eelgrasshill_relay/src/placement/planned_load.rs
+++ b/crates/eelgrasshill_relay/src/placement/planned_load.rs
@@ -12,7 +12,7 @@
 use super::load_estimate::{EngineIndex, LoadEstimate, ModelIndex};
 use super::pool_models::PoolModels;
 use super::{Action, PlacementPlanner, VACATE_DELAY};
-use crate::{Model, ModelKey};
+use crate::{Model, ModelKey, SoftwareVersion};
 
 /// How long a planned load is pursued before it is planned again.
 const PLANNED_LOAD_TTL: Duration = Duration::from_secs(12);
@@ -55,8 +55,7 @@
     /// Plans loads for engines, after dropping expired plans.
     pub(crate) fn plan(&mut self, now: Moment) {
         self.last_plan = now;
-        self.misses
-            .retain(|_model_key, at| now.since(*at) < MISS_TTL);
+        self.misses.retain(|_miss, at| now.since(*at) < MISS_TTL);
         for state in self.engines.values_mut() {
             let is_old =
                 |planned_load: &PlannedLoad| now.since(planned_load.since) > PLANNED_LOAD_TTL;
@@ -76,13 +75,14 @@
 
     fn plan_pool(&mut self, name: &PoolName, pool: &PoolModels, now: Moment) {
         let mut estimate = self.estimate(name);
-        let models = self.models_to_load(name, pool, &mut estimate);
+        let mut models = self.models_to_load(name, pool, &mut estimate);
+        models.extend(self.bound_models_to_load(name, pool, &mut estimate));
         if models.is_empty() {
             return;
         }
         let mut free_engines = self.free_engines(name, pool, &mut estimate, now);
-        for (model, needed) in models {
-            let Some((position, evictions)) = best_engine(&free_engines, model, needed, &estimate)
+        for (model, need) in models {
+            let Some((position, evictions)) = best_engine(&free_engines, model, &need, &estimate)
             else {
                 continue;
             };
@@ -156,18 +156,16 @@
     }
 
     /// Returns the models that should get another copy, the most urgent first.
-    ///
-    /// The flag says whether requests wait for the model.
     fn models_to_load<'a>(
         &self,
         name: &PoolName,
         pool: &'a PoolModels,
         estimate: &mut LoadEstimate,
-    ) -> Vec<(PlannedModel<'a>, bool)> {
+    ) -> Vec<(PlannedModel<'a>, Need)> {
         let misses = self.misses.keys();
         let needed: FastSet<_> = misses
-            .filter(|model_key| model_key.pool == *name)
-            .map(|model_key| &model_key.model)
+            .filter(|miss| miss.key.pool == *name)
+            .map(|miss| &miss.key.model)
             .collect();
         let mut found = Vec::new();
         for row in pool.models() {
@@ -191,12 +189,49 @@
                 by_weight.then_with(|| model.row.name.cmp(&other.row.name))
             },
         );
+        let need = |is_needed| {
+            if is_needed {
+                Need::Waiting
+            } else {
+                Need::Demand
+            }
+        };
         found
             .into_iter()
-            .map(|(_weight, model, needed)| (model, needed))
+            .map(|(_weight, model, needed)| (model, need(needed)))
             .collect()
     }
 
+    /// Returns the models that requests need at a software version whose engines do not have them.
+    fn bound_models_to_load<'a>(
+        &self,
+        name: &PoolName,
+        pool: &'a PoolModels,
+        estimate: &mut LoadEstimate,
+    ) -> Vec<(PlannedModel<'a>, Need)> {
+        let mut found = Vec::new();
+        for miss in self.misses.keys().filter(|miss| miss.key.pool == *name) {
+            let (Some(software), Some(row)) = (&miss.software, pool.model(&miss.key.model)) else {
+                continue;
+            };
+            let is_coming = self.counted_engines(name).any(|(_id, state)| {
+                let has_model = state.keeps(&row.name) || state.incoming_model() == Some(&row.name);
+                state.runs(Some(software)) && has_model
+            });
+            let index = estimate.add_model(&row.name);
+            let need = Need::Bound(software.clone());
+            let is_new = found
+                .iter()
+                .all(|(model, known): &(PlannedModel<'_>, Need)| {
+                    model.index != index || *known != need
+                });
+            if !is_coming && is_new {
+                found.push((PlannedModel { index, row }, need));
+            }
+        }
+        found
+    }
+
     /// Returns the engines for which a load may be planned.
     fn free_engines(
         &self,
@@ -219,6 +254,7 @@
                 .filter(|held| !state.is_recent(&held.model, now));
             found.push(FreeEngine {
                 id: id.clone(),
+                software: state.software.clone(),
                 index,
                 memory_mb: state.free_memory(pool),
                 replaceable: replaceable
@@ -326,9 +362,21 @@
     row: &'a Model,
 }
 
+/// Why a model should get another copy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Need {
+    /// Its demand exceeds what its engines serve.
+    Demand,
+    /// Requests wait for it.
+    Waiting,
+    /// Requests wait for it at engines of this software version.
+    Bound(SoftwareVersion),
+}
+
 /// An engine for which a load may be planned.
 struct FreeEngine {
     id: HostName,
+    software: SoftwareVersion,
     index: EngineIndex,
     memory_mb: u64,
     // Copies that may be unloaded, with their sizes in MB.
@@ -396,17 +444,18 @@
 fn best_engine(
     free_engines: &[FreeEngine],
     model: PlannedModel<'_>,
-    needed: bool,
+    need: &Need,
     estimate: &LoadEstimate,
 ) -> Option<(usize, Vec<ModelIndex>)> {
-    let bonus = match (estimate.copies(model.index), needed) {
-        (0, true) => MISSING_BONUS_PERMILLE + WAITING_BONUS_PERMILLE,
-        (0, false) => MISSING_BONUS_PERMILLE,
-        _ => 0,
+    let bonus = match (need, estimate.copies(model.index)) {
+        (Need::Bound(_), _) | (Need::Waiting, 0) => MISSING_BONUS_PERMILLE + WAITING_BONUS_PERMILLE,
+        (Need::Demand, 0) => MISSING_BONUS_PERMILLE,
+        (Need::Demand | Need::Waiting, _) => 0,
     };
     let mut best: Option<(i64, usize, Vec<ModelIndex>)> = None;
     for (position, engine) in free_engines.iter().enumerate() {
-        if estimate.held(engine.index).contains(&model.index) {
+        let is_other = matches!(need, Need::Bound(software) if engine.software != *software);
+        if is_other || estimate.held(engine.index).contains(&model.index) {
             continue;
         }
         let Some((evictions, loss)) = engine.evictions(model, estimate) else {
--- a/crates/eelgrasshill_relay/tests/engine_simulation/mod.rs
+++ b/crates/eelgrasshill_relay/tests/engine_simulation/mod.rs
@@ -46,6 +46,10 @@
     ModelName::new(&format!("m{number}")).expect("the name is valid")
 }
 
+pub fn newer_software() -> SoftwareVersion {
+    SoftwareVersion::new("newer").expect("the version is short")
+}
+
 pub fn adapter(number: usize) -> AdapterName {
     AdapterName::new(&format!("a{number}")).expect("the name is valid")
 }
@@ -87,6 +91,8 @@
     pub silent: Vec<HostName>,
     /// Engines of an evacuated zone.
     pub evacuated: Vec<HostName>,
+    /// Engines of another software version.
+    pub newer: Vec<HostName>,
     /// Calls to evacuated engines.
     pub evacuated_calls: u64,
     memory_mb: u64,
@@ -140,6 +146,7 @@
             models,
             silent: Vec::new(),
             evacuated: Vec::new(),
+            newer: Vec::new(),
             evacuated_calls: 0,
             memory_mb: MEMORY_MB,
             store_load_ms: STORE_LOAD_MS,
@@ -194,7 +201,7 @@
                 adapter: Some(adapter(random.random_range(0..20))),
             };
             let now = self.now();
-            self.planner.resolve_miss(&model_key, now);
+            self.planner.resolve_miss(&model_key.clone().into(), now);
         }
     }
 
@@ -322,7 +329,11 @@
                 memory: Vec::new(),
                 disk: engine.disk.clone(),
                 cold_remaining: Duration::ZERO,
-                software: SoftwareVersion::default(),
+                software: if self.newer.contains(id) {
+                    newer_software()
+                } else {
+                    SoftwareVersion::default()
+                },
             };
             upstreams.insert(upstream, self.now());
         }
--- a/crates/eelgrasshill_relay/tests/placement.rs
+++ b/crates/eelgrasshill_relay/tests/placement.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::{HostName, Moment};
-use eelgrasshill_relay::{Availability, ModelKey};
+use eelgrasshill_relay::{Availability, Miss, ModelKey};
 use engine_simulation::{EngineSimulation, FaultRates, model, pool_name};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rustix::time::{ClockId, clock_gettime};
@@ -66,7 +66,7 @@
     let mut ready = false;
     for _try in 0..100 {
         let now = simulation.now();
-        ready |= matches!(simulation.planner.resolve_miss(&model_key, now),
+        ready |= matches!(simulation.planner.resolve_miss(&model_key.clone().into(), now),
             Availability::Ready { after, .. } if after < Duration::from_millis(1));
         simulation.run(100, FaultRates::default());
     }
@@ -95,7 +95,9 @@
             adapter: None,
         };
         let now = simulation.now();
-        let availability = simulation.planner.resolve_miss(&model_key, now);
+        let availability = simulation
+            .planner
+            .resolve_miss(&model_key.clone().into(), now);
         let Availability::Ready { engine, after } = availability else {
             panic!("model {number} is not available: {availability:?}");
         };
@@ -193,7 +195,9 @@
     };
     let now = simulation.now();
     // In an incident, the first request for an adapter was deferred by 1.5 s.
-    let availability = simulation.planner.resolve_miss(&model_key, now);
+    let availability = simulation
+        .planner
+        .resolve_miss(&model_key.clone().into(), now);
     assert!(
         matches!(
             availability,
@@ -203,7 +207,9 @@
     );
     simulation.run(20, FaultRates::default());
     let now = simulation.now();
-    let availability = simulation.planner.resolve_miss(&model_key, now);
+    let availability = simulation
+        .planner
+        .resolve_miss(&model_key.clone().into(), now);
     assert!(
         matches!(
             availability,
@@ -214,6 +220,38 @@
     assert_eq!(Moment(now.0), now);
 }
 
+/// Guards against refusing a stream at a software version whose engines lack its model.
+#[test]
+fn a_model_is_loaded_at_the_software_version_that_needs_it() {
+    let mut simulation = EngineSimulation::new(4, 8, 5);
+    let newer = ["e2", "e3"].map(|id| HostName::new(id).expect("the name is valid"));
+    simulation.newer = newer.to_vec();
+    simulation.run(3_000, FaultRates::default());
+    for needed_adapter in [None, Some(engine_simulation::adapter(3))] {
+        // Engine `e0` of the other version holds it.
+        let miss = Miss {
+            key: ModelKey {
+                pool: pool_name(),
+                model: model(0),
+                adapter: needed_adapter,
+            },
+            software: Some(engine_simulation::newer_software()),
+        };
+        let mut last = None;
+        for _try in 0..20 {
+            let now = simulation.now();
+            last = Some(simulation.planner.resolve_miss(&miss, now));
+            simulation.run(500, FaultRates::default());
+        }
+        assert!(
+            matches!(&last, Some(Availability::Ready { engine, after })
+                if newer.contains(engine) && after.is_zero()),
+            "{miss:?}: {last:?}"
+        );
+    }
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
+
 /// A busy model gets a further copy, which takes seconds to load, while its adapters are requested.
 ///
 /// Requests for adapters waited for the new copy and its successors, and no engine that held the
@@ -234,7 +272,9 @@
     };
     for (wait_ms, most_ms) in [(30, 40), (0, 20)] {
         let now = simulation.now();
-        let availability = simulation.planner.resolve_miss(&model_key, now);
+        let availability = simulation
+            .planner
+            .resolve_miss(&model_key.clone().into(), now);
         assert!(
             matches!(
                 availability,
@@ -267,7 +307,9 @@
         adapter: Some(engine_simulation::adapter(3)),
     };
     let now = simulation.now();
-    let availability = simulation.planner.resolve_miss(&model_key, now);
+    let availability = simulation
+        .planner
+        .resolve_miss(&model_key.clone().into(), now);
     let Availability::Ready { after, .. } = availability else {
         panic!("expected the end of the load, got {availability:?}");
     };
@@ -277,7 +319,9 @@
     );
     simulation.run(3_700, FaultRates::default());
     let now = simulation.now();
-    let availability = simulation.planner.resolve_miss(&model_key, now);
+    let availability = simulation
+        .planner
+        .resolve_miss(&model_key.clone().into(), now);
     assert!(
         matches!(
             availability,
@@ -318,7 +362,9 @@
                 adapter: Some(engine_simulation::adapter(number % 20)),
             };
             let now = simulation.now();
-            simulation.planner.resolve_miss(&model_key, now);
+            simulation
+                .planner
+                .resolve_miss(&model_key.clone().into(), now);
         }
         simulation.pass_time(200);
         let start = thread_time();
