Keep the last copy of a model at each software version

While two software versions served, a busy model could lose its last copy at one of them to another model, since copies at the other version made up for the loss in the estimate. Streams of that version could not go on until it was loaded again.

Such a copy now counts as much as one without which requests wait. Nothing changes for pools with one version, and for models that have a single copy.

`the_last_copy_of_a_software_version_stays` fails without it.

--- a/crates/eelgrasshill_relay/src/placement/load_estimate.rs
+++ b/crates/eelgrasshill_relay/src/placement/load_estimate.rs
@@ -12,6 +12,8 @@
 
 use eelgrasshill_domain::{FastMap, ModelName};
 
+use crate::SoftwareVersion;
+
 /// Load of an engine, in thousandths, above which all added load starts too late.
 const SATURATION_PERMILLE: u64 = 650;
 
@@ -34,8 +36,9 @@
     loss: Cell<Option<i64>>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct EngineLoad {
+    software: SoftwareVersion,
     held: Vec<ModelIndex>,
     load: u64,
 }
@@ -49,9 +52,9 @@
 }
 
 impl LoadEstimate {
-    /// Creates an estimate for engines that hold the given models.
+    /// Creates an estimate for engines of a software version that hold the given models.
     pub(crate) fn new<'a>(
-        engines: impl Iterator<Item = Vec<&'a ModelName>>,
+        engines: impl Iterator<Item = (&'a SoftwareVersion, Vec<&'a ModelName>)>,
         work: Option<&FastMap<ModelName, u64>>,
     ) -> Self {
         let mut estimate = Self::default();
@@ -59,7 +62,7 @@
             let index = estimate.add_model(name);
             estimate.models[index.0].work = *work;
         }
-        for (position, names) in engines.enumerate() {
+        for (position, (software, names)) in engines.enumerate() {
             let held: Vec<_> = names
                 .into_iter()
                 .map(|name| estimate.add_model(name))
@@ -67,7 +70,11 @@
             for index in &held {
                 estimate.models[index.0].holders.push(EngineIndex(position));
             }
-            estimate.engines.push(EngineLoad { held, load: 0 });
+            estimate.engines.push(EngineLoad {
+                software: software.clone(),
+                held,
+                load: 0,
+            });
         }
         for position in 0..estimate.engines.len() {
             estimate.update_load(EngineIndex(position));
@@ -110,6 +117,16 @@
         u64::try_from(self.models[model.0].holders.len()).unwrap_or(u64::MAX)
     }
 
+    /// Returns whether other engines hold a model, but none of this engine's software version.
+    pub(crate) fn is_last_of_version(&self, engine: EngineIndex, model: ModelIndex) -> bool {
+        let holders = &self.models[model.0].holders;
+        let software = &self.engines[engine.0].software;
+        let same = holders
+            .iter()
+            .filter(|holder| self.engines[holder.0].software == *software);
+        holders.len() > 1 && same.count() == 1
+    }
+
     pub(crate) fn work(&self, model: ModelIndex) -> u64 {
         self.models[model.0].work
     }
--- a/crates/eelgrasshill_relay/src/placement/planned_load.rs
+++ b/crates/eelgrasshill_relay/src/placement/planned_load.rs
@@ -151,7 +151,10 @@
         let held = self.counted_engines(name).map(|(_id, state)| {
             let models = state.holdings.iter().map(|held| &held.model);
             let kept = models.filter(|model| state.keeps(model));
-            kept.chain(state.incoming_model()).collect()
+            (
+                &state.software,
+                kept.chain(state.incoming_model()).collect(),
+            )
         });
         let pool_demand = self.pool_demands.get(name);
         LoadEstimate::new(held, pool_demand.map(|pool_demand| &pool_demand.work))
@@ -414,6 +417,9 @@
         let spare = self.replaceable.iter().map(|(held, size)| {
             let last_copy_bonus = if estimate.copies(*held) == 1 {
                 saturating_i64(MISSING_BONUS_PERMILLE)
+            } else if estimate.is_last_of_version(self.index, *held) {
+                // Streams of this version can go on nowhere else.
+                saturating_i64(MISSING_BONUS_PERMILLE + WAITING_BONUS_PERMILLE)
             } else {
                 0
             };
--- a/crates/eelgrasshill_relay/tests/engine_simulation/mod.rs
+++ b/crates/eelgrasshill_relay/tests/engine_simulation/mod.rs
@@ -219,9 +219,15 @@
     }
 
     pub fn copies(&self, number: usize) -> usize {
+        let all: Vec<_> = self.engines.keys().cloned().collect();
+        self.copies_at(&all, number)
+    }
+
+    pub fn copies_at(&self, ids: &[HostName], number: usize) -> usize {
         let name = model(number);
         let holds = |engine: &&Engine| engine.held.iter().any(|(held, _adapters)| *held == name);
-        self.engines.values().filter(holds).count()
+        let engines = ids.iter().filter_map(|id| self.engines.get(id));
+        engines.filter(holds).count()
     }
 
     /// Moves the engines that hold a model to a zone that is evacuated.
--- a/crates/eelgrasshill_relay/tests/placement.rs
+++ b/crates/eelgrasshill_relay/tests/placement.rs
@@ -269,6 +269,26 @@
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
 
+/// Guards against unloading the copy at which streams of a software version can go on.
+#[test]
+fn the_last_copy_of_a_software_version_stays() {
+    let mut simulation = EngineSimulation::new(10, 25, 1);
+    let newer = ["e0", "e1"].map(|id| HostName::new(id).expect("the name is valid"));
+    simulation.newer = newer.to_vec();
+    simulation.set_demand(0, 2_700);
+    simulation.run(40_000, FaultRates::default());
+    assert!(simulation.copies(0) > 2, "{} copies", simulation.copies(0));
+    let count = |simulation: &EngineSimulation| simulation.copies_at(&newer, 0);
+    assert!(count(&simulation) > 0);
+    simulation.set_demand(0, 100);
+    for number in 5..15 {
+        simulation.set_demand(number, 200);
+    }
+    simulation.run(40_000, FaultRates::default());
+    assert!(count(&simulation) > 0);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
+
 /// A busy model gets a further copy, which takes seconds to load, while its adapters are requested.
 ///
 /// Requests for adapters waited for the new copy and its successors, and no engine that held the
