Split the software versions by what they decide

Moves only, for readers: versions, records of streams and the versions of one pool in the relay crate; the tasks for the log and for the base versions in the gateway crate.

--- a/crates/eelgrasshill_gateway/src/software_versions.rs
+++ b/crates/eelgrasshill_gateway/src/software_versions.rs
@@ -4,20 +4,24 @@
 //! together by the next one, and so are look-ups by the next read. A stream of the base version
 //! causes no call to the store.
 
-use std::collections::BTreeSet;
+mod base_keeper;
+mod stream_log;
+
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use eelgrasshill_domain::{FastMap, Moment, Offset, PoolName};
-use eelgrasshill_ports::{BootClock, CallError, lock};
+use eelgrasshill_domain::{FastMap, Moment, PoolName};
+use eelgrasshill_ports::{BootClock, lock};
 use eelgrasshill_relay::{
-    BaseVersion, BaseWish, Era, PresentVersion, Repeat, Resolution, SoftwareVersion,
-    SoftwareVersions, StartRule, StreamId, StreamRecord, StreamVersions, VersionSource, add_stream,
+    PresentVersion, Repeat, Resolution, SoftwareVersion, SoftwareVersions, StartRule, StreamId,
+    VersionSource,
 };
 use serde::Serialize;
 use tokio::sync::{Notify, mpsc, oneshot};
 
-use crate::codec::{PlatformCodec, StoreClient, StoreError, Topic};
+use self::base_keeper::BaseKeeper;
+use self::stream_log::{answer_looks, append_writes};
+use crate::codec::{PlatformCodec, StoreClient};
 use crate::gateway_state::GatewayState;
 use crate::shared::Shared;
 use crate::telemetry;
@@ -25,35 +29,9 @@
 /// Maximum number of writes, and of look-ups, that wait for the tasks; more fail at once.
 const MAX_QUEUED: usize = 1_024;
 
-/// Maximum number of streams in one append, some 20 kB.
-const MAX_BATCH: usize = 1_024;
-
-/// Time between checks of the versions that are present.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Time between these checks of a host that has just started, until a base version is known.
-const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Time between checks while a new stream waits for the base version.
 const BEGIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Time between appends of no streams while appends fail.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-
-/// How long a host counts as just started.
-const START_TIME: Duration = Duration::from_secs(5);
-
-/// Maximum pause after failed reads or writes of the base versions.
-const MAX_RETRY_PAUSE: Duration = Duration::from_secs(2);
-
-/// Factor by which the pause grows with each failure.
-const RETRY_PAUSE_FACTOR: u32 = 2;
-
-/// Time after which a host other than the first root writes a base version, in seconds.
-///
-/// Random in this range, so that mostly one host writes if the first root does not.
-const PROPOSAL_DELAY_S: std::ops::Range<f64> = 0.3..1.0;
-
 #[derive(Debug)]
 struct Write {
     stream: StreamId,
@@ -292,244 +270,10 @@
         store.clone(),
         queues.looks,
     ));
-    let keeper = BaseKeeper {
-        shared: Arc::clone(shared),
-        store: store.clone(),
-        proposal_at: None,
-        retry_at: Moment::default(),
-        pause: CHECK_INTERVAL,
-        is_failing: false,
-    };
+    let keeper = BaseKeeper::new(Arc::clone(shared), store.clone());
     actix_web::rt::spawn(keeper.run());
 }
 
-/// Appends the versions of streams to the log until the host stops.
-async fn append_writes<C: PlatformCodec, S: StoreClient>(
-    shared: Arc<Shared<C>>,
-    store: S,
-    mut queue: mpsc::Receiver<Write>,
-) {
-    let mut is_failing = false;
-    while !shared.is_stopped() {
-        let mut batch = Vec::new();
-        let received = async { queue.recv_many(&mut batch, MAX_BATCH).await > 0 };
-        let is_open = if is_failing {
-            // New streams wait for a success, so an empty batch is tried.
-            let received = tokio::time::timeout(PROBE_INTERVAL, received).await;
-            received.unwrap_or(true)
-        } else {
-            received.await
-        };
-        if !is_open {
-            return;
-        }
-        let sent_at = BootClock.now();
-        shared.software.versions().note_append_sent(sent_at);
-        let result = append_batch(&store, &batch).await;
-        note_store_era(&shared, &store);
-        finish_writes(&shared, batch, result.as_ref().err());
-        match result {
-            Ok(()) if is_failing => log::info!("software: appends to the log regained"),
-            Err(error) if !is_failing => log::warn!("software: appends to the log fail: {error}"),
-            Ok(()) | Err(_) => continue,
-        }
-        is_failing = !is_failing;
-    }
-}
-
-/// Appends the writes as one record, which lists the streams by pool and version.
-async fn append_batch<S: StoreClient>(store: &S, batch: &[Write]) -> Result<(), StoreError> {
-    let mut records = Vec::new();
-    for write in batch {
-        let stream = StreamRecord(write.stream, write.revision);
-        add_stream(&mut records, &write.pool, &write.version, stream);
-    }
-    let value = encode(&records);
-    store
-        .append(Topic::StreamVersions, "", &value, None)
-        .await
-        .map(|_position| ())
-}
-
-fn finish_writes<C: PlatformCodec>(
-    shared: &Shared<C>,
-    batch: Vec<Write>,
-    error: Option<&StoreError>,
-) {
-    let end = if error.is_none() { "written" } else { "failed" };
-    telemetry::count_stream_append(end);
-    telemetry::count_stream_versions(end, batch.len());
-    let may_be_written = match error {
-        None
-        | Some(
-            StoreError::Refused(_)
-            | StoreError::Conflict { .. }
-            | StoreError::Expired { .. }
-            | StoreError::Failed(CallError::NotSent { .. }),
-        ) => false,
-        Some(StoreError::Failed(_) | StoreError::EarlierEra(_)) => true,
-    };
-    let is_written = error.is_none();
-    let write_end = match (is_written, may_be_written) {
-        (true, _) => WriteEnd::Written,
-        (false, true) => WriteEnd::Doubtful,
-        (false, false) => WriteEnd::NotWritten,
-    };
-    let again = batch
-        .iter()
-        .filter(|write| may_be_written || (!is_written && write.done.is_none()));
-    let mut versions = shared.software.versions();
-    versions.note_append(is_written);
-    versions.note_doubtful(again.map(|write| write.stream));
-    drop(versions);
-    for write in batch {
-        if let Some(done) = write.done {
-            // The request may have ended.
-            let _request_ended = done.send(write_end);
-        }
-    }
-}
-
-/// Answers look-ups from the log and the base versions until the host stops.
-async fn answer_looks<C: PlatformCodec, S: StoreClient>(
-    shared: Arc<Shared<C>>,
-    store: S,
-    mut queue: mpsc::Receiver<Look>,
-) {
-    let mut reader = LogReader {
-        shared: Arc::clone(&shared),
-        store: store.clone(),
-        position: Offset::default(),
-        era: None,
-    };
-    let mut is_failing = false;
-    while !shared.is_stopped() {
-        let mut looks = Vec::new();
-        if queue.recv_many(&mut looks, MAX_QUEUED).await == 0 {
-            return;
-        }
-        let (log, bases) = tokio::join!(reader.read(), read_bases(&shared, &store));
-        {
-            let versions = shared.software.versions();
-            let now = BootClock.now();
-            for look in looks {
-                let found = versions.resolve_read(look.stream, &look.pool, now);
-                let found = found.filter(|(_version, source)| match source {
-                    VersionSource::Memory | VersionSource::OnlyVersion => true,
-                    VersionSource::Log => log.is_ok(),
-                    VersionSource::Base => log.is_ok() && bases.is_ok(),
-                });
-                // The request may have ended.
-                let _request_ended = look.answer.send(found);
-            }
-        }
-        match log.and(bases.map(|_end| ())) {
-            Ok(()) if is_failing => log::info!("software: look-ups of streams regained"),
-            Err(error) if !is_failing => log::warn!("software: look-ups of streams fail: {error}"),
-            Ok(()) | Err(_) => continue,
-        }
-        is_failing = !is_failing;
-    }
-}
-
-struct LogReader<C: PlatformCodec, S: StoreClient> {
-    shared: Arc<Shared<C>>,
-    store: S,
-    position: Offset,
-    // Era of the position; none before the first read.
-    era: Option<Era>,
-}
-
-impl<C: PlatformCodec, S: StoreClient> LogReader<C, S> {
-    /// Reads the records that were added since the last read.
-    async fn read(&mut self) -> Result<(), StoreError> {
-        let topic = Topic::StreamVersions;
-        loop {
-            let read = self.store.read(topic, self.position, Duration::ZERO).await;
-            note_store_era(&self.shared, &self.store);
-            let page = match read {
-                Ok(page) => page,
-                Err(StoreError::Expired { first }) => {
-                    let first = first.unwrap_or_default();
-                    if first == self.position {
-                        return Err(StoreError::Expired { first: Some(first) });
-                    }
-                    self.position = first;
-                    continue;
-                }
-                Err(error) => {
-                    telemetry::count_store_call(topic, "failed");
-                    return Err(error);
-                }
-            };
-            telemetry::count_store_call(topic, "read");
-            // Offsets of an earlier era are assigned again.
-            if self
-                .era
-                .replace(page.era)
-                .is_some_and(|era| era != page.era)
-            {
-                self.position = Offset::default();
-                continue;
-            }
-            let now = BootClock.now();
-            let mut versions = self.shared.software.versions();
-            for record in &page.records {
-                match serde_json::from_slice::<Vec<StreamVersions>>(&record.value) {
-                    Ok(rows) => versions.note_records(&rows, now),
-                    Err(error) => log::warn!(
-                        "software: topic={topic} offset={} skipped: {error}",
-                        record.offset
-                    ),
-                }
-            }
-            self.position = page.end;
-            if !page.has_more {
-                return Ok(());
-            }
-        }
-    }
-}
-
-/// Reads the base versions of all pools; returns the end of their topic.
-async fn read_bases<C: PlatformCodec, S: StoreClient>(
-    shared: &Shared<C>,
-    store: &S,
-) -> Result<Offset, StoreError> {
-    let sent_at = BootClock.now();
-    let read = store.newest(Topic::Software).await;
-    let end = if read.is_ok() { "newest" } else { "failed" };
-    telemetry::count_store_call(Topic::Software, end);
-    note_store_era(shared, store);
-    let page = read?;
-    let mut bases = FastMap::default();
-    for record in &page.records {
-        match serde_json::from_slice::<BaseVersion>(&record.value) {
-            Ok(base) => {
-                bases.insert(Arc::clone(&record.key), base);
-            }
-            Err(error) => log::warn!(
-                "software: topic={} offset={} skipped: {error}",
-                Topic::Software,
-                record.offset
-            ),
-        }
-    }
-    let mut versions = shared.software.versions();
-    let pools: Vec<_> = versions.pools().cloned().collect();
-    for pool in pools {
-        let base = bases.remove(pool.as_str());
-        if versions.note_base(&pool, base.clone(), sent_at) {
-            let text = base.as_ref().map_or("none", |base| base.version.as_str());
-            log::info!(
-                "software: pool={pool} base={text} read, offset={}",
-                page.end
-            );
-        }
-    }
-    Ok(page.end)
-}
-
 /// Passes the store's era on to the host's state and to the software versions.
 fn note_store_era<C: PlatformCodec, S: StoreClient>(shared: &Shared<C>, store: &S) {
     if let Some(era) = store.era() {
@@ -603,165 +347,6 @@
     Some((present, longest_timeout))
 }
 
-/// Follows the versions that are present, and reads and writes the base versions.
-struct BaseKeeper<C: PlatformCodec, S: StoreClient> {
-    shared: Arc<Shared<C>>,
-    store: S,
-    // When this host writes a base version although it is not the first root.
-    proposal_at: Option<Moment>,
-    // When the store is called again after a failure.
-    retry_at: Moment,
-    pause: Duration,
-    is_failing: bool,
-}
-
-impl<C: PlatformCodec, S: StoreClient> BaseKeeper<C, S> {
-    async fn run(mut self) {
-        while !self.shared.is_stopped() {
-            let now = BootClock.now();
-            refresh(&self.shared, now);
-            note_store_era(&self.shared, &self.store);
-            self.queue_rewrites(now);
-            if now >= self.retry_at {
-                let result = self.check_bases(now).await;
-                self.note_result(result);
-            }
-            let is_starting = now.since(self.shared.started_at) < START_TIME
-                && !self.shared.software.versions().is_any_base_read();
-            let pause = if is_starting {
-                START_CHECK_INTERVAL
-            } else {
-                CHECK_INTERVAL
-            };
-            let wakeup = self.shared.software.wakeup.notified();
-            let _early = tokio::time::timeout(pause, wakeup).await;
-        }
-    }
-
-    /// Queues the records that must be written again, as far as they fit.
-    fn queue_rewrites(&self, now: Moment) {
-        let writes = &self.shared.software.writes;
-        let mut versions = self.shared.software.versions();
-        for record in versions.take_rewrites(writes.capacity() / 2, now) {
-            for StreamRecord(stream, revision) in record.streams {
-                let write = Write {
-                    stream,
-                    pool: record.pool.clone(),
-                    version: record.version.clone(),
-                    revision,
-                    done: None,
-                };
-                if writes.try_send(write).is_err() {
-                    versions.note_doubtful([stream]);
-                }
-            }
-        }
-    }
-
-    fn wishes(&self, now: Moment) -> Vec<(PoolName, BaseWish)> {
-        let confirmed_at = self.shared.state().upstreams_topic.confirmed_at();
-        let versions = self.shared.software.versions();
-        let wish = |pool: &PoolName| {
-            let wish = versions.wants_base(pool, confirmed_at, now)?;
-            Some((pool.clone(), wish))
-        };
-        versions.pools().filter_map(wish).collect()
-    }
-
-    async fn check_bases(&mut self, now: Moment) -> Result<(), StoreError> {
-        let wishes = self.wishes(now);
-        if wishes.is_empty() {
-            self.proposal_at = None;
-            return Ok(());
-        }
-        let may_propose = self.may_propose(now);
-        if !may_propose && wishes.iter().all(|(_pool, wish)| *wish != BaseWish::Read) {
-            return Ok(());
-        }
-        let mut end = read_bases(&self.shared, &self.store).await?;
-        if !may_propose {
-            return Ok(());
-        }
-        for (pool, wish) in self.wishes(BootClock.now()) {
-            let BaseWish::Propose(version) = wish else {
-                continue;
-            };
-            end = self.propose(&pool, version, end).await?;
-        }
-        Ok(())
-    }
-
-    /// Returns whether this host may write base versions: as the first root, or after a delay.
-    fn may_propose(&mut self, now: Moment) -> bool {
-        let is_first_root = {
-            let mut state = self.shared.state();
-            state.hosts.confirmed_at().is_some() && state.tree.position(now).reads_store
-        };
-        let proposal_at = *self.proposal_at.get_or_insert_with(|| {
-            let delay = rand::random_range(PROPOSAL_DELAY_S);
-            now.after(Duration::from_secs_f64(delay))
-        });
-        is_first_root || now >= proposal_at
-    }
-
-    /// Writes a base version if the topic still ends there; returns its end.
-    async fn propose(
-        &self,
-        pool: &PoolName,
-        version: SoftwareVersion,
-        end: Offset,
-    ) -> Result<Offset, StoreError> {
-        let sent_at = BootClock.now();
-        let base = BaseVersion {
-            version,
-            era: self.shared.software.versions().base_era(sent_at),
-        };
-        let value = encode(&base);
-        let written = self
-            .store
-            .append(Topic::Software, pool.as_str(), &value, Some(end))
-            .await;
-        let result = if written.is_ok() { "append" } else { "failed" };
-        telemetry::count_store_call(Topic::Software, result);
-        note_store_era(&self.shared, &self.store);
-        let (_era, offset) = written?;
-        let mut versions = self.shared.software.versions();
-        let before = versions.base(pool).cloned();
-        let present: BTreeSet<_> = versions.present(pool).map(ToString::to_string).collect();
-        versions.note_base(pool, Some(base.clone()), sent_at);
-        log::info!(
-            "software: pool={pool} base={} written, era={} before={} present={present:?} \
-             offset={offset}",
-            base.version,
-            base.era,
-            before.as_ref().map_or("none", SoftwareVersion::as_str)
-        );
-        Ok(offset.next())
-    }
-
-    fn note_result(&mut self, result: Result<(), StoreError>) {
-        match result {
-            // Another host was first; its record is read next.
-            Ok(()) | Err(StoreError::Conflict { .. }) => {
-                self.pause = CHECK_INTERVAL;
-                if std::mem::take(&mut self.is_failing) {
-                    log::info!("software: the base versions' topic regained");
-                }
-            }
-            Err(error) => {
-                if !std::mem::replace(&mut self.is_failing, true) {
-                    log::warn!("software: the base versions' topic lost: {error}");
-                }
-                let pause = self.pause;
-                self.pause = (pause * RETRY_PAUSE_FACTOR).min(MAX_RETRY_PAUSE);
-                self.retry_at = BootClock
-                    .now()
-                    .after(pause.mul_f64(rand::random_range(0.5..1.0)));
-            }
-        }
-    }
-}
-
 /// Encodes a record as JSON.
 fn encode(record: &impl Serialize) -> Vec<u8> {
     serde_json::to_vec(record).unwrap_or_else(|error| {
--- a/crates/eelgrasshill_relay/src/software_versions.rs
+++ b/crates/eelgrasshill_relay/src/software_versions.rs
@@ -9,23 +9,21 @@
 //! The base version changes only once it had no upstream for the horizon, in which all streams that
 //! it began have ended.
 
+mod pool_versions;
+mod stream_record;
+mod version;
+
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::time::Duration;
 
-use derive_more::{Display, Error};
-use eelgrasshill_domain::{FastMap, FastSet, Moment, PoolName, fields_hash, scalar};
-use serde::{Deserialize, Serialize};
+use derive_more::Display;
+use eelgrasshill_domain::{FastMap, FastSet, Moment, PoolName};
 
 use crate::Era;
-
-/// Maximum length of a software version, in bytes, so that it fits into a datagram.
-const MAX_VERSION_BYTES: usize = 96;
-
-/// Time from the appearance of a version beside another one until it is used for new streams.
-///
-/// By then all hosts whose upstreams' records are as recent as that know of it.
-const ACTIVATION_DELAY: Duration = Duration::from_millis(1_500);
+use pool_versions::{ACTIVATION_DELAY, PoolVersions, is_recent};
+pub use pool_versions::{BaseVersion, PresentVersion, StartRule};
+pub use stream_record::{StreamId, StreamRecord, StreamVersions, add_stream};
+pub use version::{SoftwareVersion, VersionError};
 
 /// Time from which on an append that is under way counts as failing.
 const MAX_APPEND_TIME: Duration = Duration::from_millis(300);
@@ -43,109 +41,6 @@
 /// At the default horizon that is some 4,000 streams per second.
 const MAX_STREAMS: usize = 65_536;
 
-/// Error for a software version that is too long.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
-#[display("a software version has at most {MAX_VERSION_BYTES} bytes, got {bytes}")]
-pub struct VersionError {
-    /// Length of the version.
-    pub bytes: usize,
-}
-
-/// Version of an upstream's software; empty if it states none.
-#[derive(
-    Clone, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(try_from = "String", into = "String")]
-pub struct SoftwareVersion(Arc<str>);
-
-impl SoftwareVersion {
-    /// Creates a version from its text.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`VersionError`] if the text is too long.
-    pub fn new(text: &str) -> Result<Self, VersionError> {
-        let bytes = text.len();
-        if bytes > MAX_VERSION_BYTES {
-            return Err(VersionError { bytes });
-        }
-        Ok(Self(Arc::from(text)))
-    }
-
-    /// Returns the version as text.
-    #[must_use]
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
-
-impl TryFrom<String> for SoftwareVersion {
-    type Error = VersionError;
-
-    fn try_from(text: String) -> Result<Self, VersionError> {
-        Self::new(&text)
-    }
-}
-
-impl From<SoftwareVersion> for String {
-    fn from(version: SoftwareVersion) -> Self {
-        version.0.to_string()
-    }
-}
-
-scalar! {
-    /// Hash of the request that began a stream; equal on all hosts.
-    pub struct StreamId(pub u64);
-}
-
-impl StreamId {
-    /// Computes the hash from the request's id and its organisation.
-    #[must_use]
-    pub fn new(request_id: &str, organisation: Option<&str>) -> Self {
-        Self(fields_hash(&[
-            request_id.as_bytes(),
-            organisation.unwrap_or("").as_bytes(),
-        ]))
-    }
-}
-
-/// Streams of one pool and version, as the log lists them.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StreamVersions {
-    /// Pool whose upstreams serve the streams.
-    pub pool: PoolName,
-    /// Version that began them.
-    pub version: SoftwareVersion,
-    /// The streams.
-    pub streams: Vec<StreamRecord>,
-}
-
-/// A stream, and the number of its record among those of the stream.
-///
-/// An append without an answer may be carried out after later ones; the highest number counts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StreamRecord(pub StreamId, pub u64);
-
-/// Base version of a pool, with the era of the store in which it was written.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BaseVersion {
-    /// The version.
-    pub version: SoftwareVersion,
-    /// Era of the store; a later one may lack records of streams that this one had.
-    pub era: Era,
-}
-
-/// A version of which a pool has an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PresentVersion {
-    /// The version.
-    pub version: SoftwareVersion,
-    /// Earliest start of its upstreams, in milliseconds since 1970.
-    pub started_ms: u64,
-    /// Whether one of its upstreams takes new requests.
-    pub takes_requests: bool,
-}
-
 /// What a host must do about a pool's base version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BaseWish {
@@ -155,17 +50,6 @@
     Propose(SoftwareVersion),
 }
 
-/// Whether a new stream may begin at a version.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StartRule {
-    /// It may, and it is found again without a record.
-    Unwritten,
-    /// It may, and its record must be in the log before its first event is passed on.
-    Written,
-    /// Not all hosts may know of the version yet.
-    NotYet,
-}
-
 /// How the version of a stream is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum VersionSource {
@@ -192,123 +76,6 @@
     Read,
 }
 
-#[derive(Clone, Debug)]
-struct Presence {
-    // Moment from which the version is used, and from which a read of the base version counts for
-    // it. None if the host has known it from its first view on, or if it was alone.
-    ready_at: Option<Moment>,
-    last_seen: Moment,
-    is_present: bool,
-    takes_requests: bool,
-    started_ms: u64,
-}
-
-impl Presence {
-    fn is_ready(&self, now: Moment) -> bool {
-        self.ready_at.is_none_or(|ready_at| ready_at <= now)
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct PoolVersions {
-    // Those that were present within the horizon.
-    versions: FastMap<SoftwareVersion, Presence>,
-    base: Option<SoftwareVersion>,
-    // Era in which the base was written.
-    base_era: Era,
-    // When the latest read of the base was sent; none if it must be read again.
-    base_read_at: Option<Moment>,
-    followed_since: Option<Moment>,
-    // The version that the pool had when it last had a single one, or its last known base.
-    preferred: Option<SoftwareVersion>,
-}
-
-impl PoolVersions {
-    fn note_present(&mut self, present: &[PresentVersion], horizon: Duration, now: Moment) {
-        self.versions
-            .retain(|_version, presence| now.since(presence.last_seen) <= horizon);
-        // All versions of a view after none are new, so that none is delayed for another one.
-        let ready_at = if self.versions.is_empty() {
-            self.base.is_some().then_some(now)
-        } else {
-            Some(now.after(ACTIVATION_DELAY))
-        };
-        for presence in self.versions.values_mut() {
-            presence.is_present = false;
-            presence.takes_requests = false;
-        }
-        for row in present {
-            let presence = self
-                .versions
-                .entry(row.version.clone())
-                .or_insert(Presence {
-                    ready_at,
-                    last_seen: now,
-                    is_present: true,
-                    takes_requests: false,
-                    started_ms: 0,
-                });
-            // Other hosts may have missed it for longer and changed the base in that time.
-            if now.since(presence.last_seen) > ACTIVATION_DELAY && presence.is_ready(now) {
-                presence.ready_at = Some(now);
-            }
-            presence.last_seen = now;
-            presence.is_present = true;
-            presence.takes_requests = row.takes_requests;
-            presence.started_ms = row.started_ms;
-        }
-        if let Some(only) = self.only_version() {
-            self.preferred = Some(only.clone());
-        }
-    }
-
-    /// Returns the version that was present within the horizon, if it was the only one.
-    fn only_version(&self) -> Option<&SoftwareVersion> {
-        let mut versions = self.versions.keys();
-        versions.next().filter(|_version| versions.next().is_none())
-    }
-
-    /// Returns the base, if it was read since this version may be used.
-    fn base_for(&self, presence: &Presence) -> Option<&SoftwareVersion> {
-        let base = self.base.as_ref()?;
-        // After a restore of the store, the base from before it holds until it is read again.
-        let is_read = presence
-            .ready_at
-            .is_none_or(|ready_at| self.base_read_at.is_some_and(|sent_at| ready_at <= sent_at));
-        is_read.then_some(base)
-    }
-
-    fn start(&self, version: &SoftwareVersion, now: Moment) -> StartRule {
-        let Some(presence) = self.versions.get(version) else {
-            return StartRule::NotYet;
-        };
-        match self.base_for(presence) {
-            _ if !presence.is_ready(now) => StartRule::NotYet,
-            Some(base) if base == version => StartRule::Unwritten,
-            Some(_) => StartRule::Written,
-            None if self.versions.len() > 1 => StartRule::NotYet,
-            // The known base may not be that of the store any more; a record is right in any case.
-            None if self.base.is_some() => StartRule::Written,
-            None => StartRule::Unwritten,
-        }
-    }
-
-    /// Returns the present version whose upstreams started first.
-    fn oldest(&self) -> Option<&SoftwareVersion> {
-        let present = self.versions.iter().filter(|(_, known)| known.is_present);
-        let oldest = present.min_by_key(|(version, known)| (known.started_ms, *version));
-        oldest.map(|(version, _presence)| version)
-    }
-
-    fn wants_read(&self, now: Moment) -> bool {
-        let Some(sent_at) = self.base_read_at else {
-            return !self.versions.is_empty();
-        };
-        let mut ready = self.versions.values().filter_map(|known| known.ready_at);
-        ready.any(|ready_at| ready_at <= now && sent_at < ready_at)
-    }
-}
-
 #[derive(Clone, Debug)]
 struct KnownStream {
     pool: PoolName,
@@ -810,26 +577,3 @@
         records
     }
 }
-
-/// Adds a stream to the record of its pool and version.
-pub fn add_stream(
-    records: &mut Vec<StreamVersions>,
-    pool: &PoolName,
-    version: &SoftwareVersion,
-    stream: StreamRecord,
-) {
-    let mut same = records.iter_mut();
-    match same.find(|record| record.pool == *pool && record.version == *version) {
-        Some(record) => record.streams.push(stream),
-        None => records.push(StreamVersions {
-            pool: pool.clone(),
-            version: version.clone(),
-            streams: vec![stream],
-        }),
-    }
-}
-
-/// Returns whether a view of the upstreams is so recent that no version is used that it lacks.
-fn is_recent(view_confirmed_at: Option<Moment>, now: Moment) -> bool {
-    view_confirmed_at.is_some_and(|at| now.since(at) < ACTIVATION_DELAY)
-}
