Read a base version again after a long gap in recent views only

Two faults of one check. A host whose upstreams' records were old for longer than the horizon, as in a zone that is cut off, went on with its base version although other hosts may have changed it: streams that it began were found at the new base elsewhere (ORDER). And a host that stood still for 1.5 s while the store was away refused all new streams until the store was back, also in a pool with one version (503 `no-base`).

Cause: the gap was counted from any view, however old, and against 1.5 s, though a base cannot change sooner than the horizon after a version was last present. It is counted between recent views now, against half of the horizon.

`the_base_is_read_again_after_a_long_gap_only` fails before: 3 of its 4 cases.

--- a/crates/eelgrasshill_relay/src/software_versions.rs
+++ b/crates/eelgrasshill_relay/src/software_versions.rs
@@ -93,6 +93,7 @@
     watched_since: Moment,
     // When the upstreams were last looked at.
     watched_at: Moment,
+    is_view_recent: bool,
     // None until a configuration is known.
     horizon: Option<Duration>,
     pools: FastMap<PoolName, PoolVersions>,
@@ -117,6 +118,7 @@
         Self {
             watched_since: started_at,
             watched_at: started_at,
+            is_view_recent: true,
             horizon: None,
             pools: FastMap::default(),
             streams: FastMap::default(),
@@ -148,7 +150,8 @@
     /// A version may have come and gone while they were not, or the records were older.
     pub fn note_view(&mut self, view_confirmed_at: Option<Moment>, now: Moment) {
         let is_continuous = now.since(self.watched_at) <= ACTIVATION_DELAY;
-        if !is_continuous || !is_recent(view_confirmed_at, now) {
+        self.is_view_recent = is_recent(view_confirmed_at, now);
+        if !is_continuous || !self.is_view_recent {
             self.watched_since = now;
         }
         self.watched_at = now;
@@ -167,7 +170,7 @@
         let horizon = self.horizon();
         let known = self.pools.entry(pool.clone()).or_default();
         known.followed_since.get_or_insert(now);
-        known.note_present(present, horizon, now);
+        known.note_present(present, self.is_view_recent, horizon, now);
     }
 
     /// Removes the pools that are not to be followed any more.
--- a/crates/eelgrasshill_relay/src/software_versions/pool_versions.rs
+++ b/crates/eelgrasshill_relay/src/software_versions/pool_versions.rs
@@ -50,6 +50,8 @@
     // it. None if the host has known it from its first view on, or if it was alone.
     ready_at: Option<Moment>,
     last_seen: Moment,
+    // When it was last present in a recent view.
+    confirmed_at: Moment,
     pub(super) is_present: bool,
     pub(super) takes_requests: bool,
     pub(super) started_ms: u64,
@@ -76,9 +78,11 @@
 }
 
 impl PoolVersions {
+    /// Notes the versions that are present in a view of the upstreams, which may be an old one.
     pub(super) fn note_present(
         &mut self,
         present: &[PresentVersion],
+        is_recent_view: bool,
         horizon: Duration,
         now: Moment,
     ) {
@@ -101,13 +105,17 @@
                 .or_insert(Presence {
                     ready_at,
                     last_seen: now,
+                    confirmed_at: now,
                     is_present: true,
                     takes_requests: false,
                     started_ms: 0,
                 });
-            // Other hosts may have missed it for longer and changed the base in that time.
-            if now.since(presence.last_seen) > ACTIVATION_DELAY && presence.is_ready(now) {
-                presence.ready_at = Some(now);
+            if is_recent_view {
+                // Other hosts may have missed it for the horizon and changed the base.
+                if now.since(presence.confirmed_at) > horizon / 2 && presence.is_ready(now) {
+                    presence.ready_at = Some(now);
+                }
+                presence.confirmed_at = now;
             }
             presence.last_seen = now;
             presence.is_present = true;
--- a/crates/eelgrasshill_relay/tests/software_versions.rs
+++ b/crates/eelgrasshill_relay/tests/software_versions.rs
@@ -288,6 +288,31 @@
     }
 }
 
+/// Guards against a base that changed while the host was cut off, and refusals after a short stop.
+#[test]
+fn the_base_is_read_again_after_a_long_gap_only() {
+    for (millis, is_stopped, expected) in [
+        (2_000, true, "uw "),
+        (12_000, true, "-- read"),
+        (2_000, false, "uw "),
+        (12_000, false, "-- read"),
+    ] {
+        let mut host = play(&[("a b", 3_000), ("=a", 0), ("a b", 3_000)]);
+        let stale = Some(host.now);
+        for _tick in 0..millis / 250 {
+            host.now = host.now.after(Duration::from_millis(250));
+            if !is_stopped {
+                host.versions.note_view(stale, host.now);
+                host.see("a b", 0);
+            }
+        }
+        host.versions.note_view(Some(host.now), host.now);
+        host.see("a b", 0);
+        let seen = format!("{} {}", host.starts(), host.wish());
+        assert_eq!(seen, expected, "{millis} {is_stopped}");
+    }
+}
+
 /// Guards against an append without an answer that is carried out after the one which replaced it.
 #[test]
 fn a_late_record_does_not_replace_a_newer_one() {
