Write streams of the base version while a restore is recent

After a restore of the store, a missing record says nothing for the horizon, since it may have been lost.

`a_restore_leaves_only_records_and_memory` fails before. Its check of streams that an earlier attempt has written moves to the time before the restore, since after it all streams are written; it holds there as before.

--- a/crates/eelgrasshill_relay/src/software_versions.rs
+++ b/crates/eelgrasshill_relay/src/software_versions.rs
@@ -303,7 +303,11 @@
     ) -> StartRule {
         let rule = match self.start(pool, version, now) {
             StartRule::NotYet => return StartRule::NotYet,
-            StartRule::Unwritten if has_record || self.rewrites.contains(&stream) => {
+            StartRule::Unwritten
+                if has_record
+                    || self.rewrites.contains(&stream)
+                    || self.needs_record(pool, now) =>
+            {
                 StartRule::Written
             }
             rule @ (StartRule::Unwritten | StartRule::Written) => rule,
@@ -312,6 +316,15 @@
         rule
     }
 
+    /// Returns whether a stream of the base version is found only with a record.
+    ///
+    /// So it is for the horizon after a restore, in which a missing record says nothing.
+    fn needs_record(&self, pool: &PoolName, now: Moment) -> bool {
+        let needs_record =
+            |known: &PoolVersions| known.base_era != self.era() && known.only_version().is_none();
+        self.pools.get(pool).is_some_and(needs_record) && !self.is_append_failing(now)
+    }
+
     /// Returns whether a new stream may begin at any version that takes requests.
     ///
     /// None may while the base version is not known, as after a start. True if none takes requests.
--- a/crates/eelgrasshill_relay/tests/software_versions.rs
+++ b/crates/eelgrasshill_relay/tests/software_versions.rs
@@ -212,9 +212,21 @@
 #[test]
 fn a_restore_leaves_only_records_and_memory() {
     let mut host = play(&[("a b", 20_000), ("=a", 0)]);
+    let begin = |host: &mut Host, stream, has_record| {
+        host.versions
+            .begin(stream, &pool(), &version("a"), has_record, host.now)
+    };
+    let rewritten = [StreamVersions {
+        pool: pool(),
+        version: version("a"),
+        streams: vec![StreamRecord(STREAM, host.now.0)],
+    }];
+    assert_eq!(begin(&mut host, STREAM, false), StartRule::Unwritten);
+    assert_eq!(begin(&mut host, STREAM, true), StartRule::Written);
+    host.versions.note_doubtful([STREAM, StreamId(8)]);
+    assert_eq!(begin(&mut host, STREAM, false), StartRule::Written);
+    assert_eq!(host.versions.take_rewrites(9, host.now), rewritten);
     assert!(!host.versions.note_era(Era(1), host.now));
-    host.versions
-        .note_stream(STREAM, &pool(), &version("a"), host.now);
     assert!(host.versions.note_era(Era(2), host.now));
     assert!(!host.versions.note_era(Era(2), host.now));
     assert_eq!(
@@ -222,25 +234,15 @@
         ("read", "uw")
     );
     // Own streams are written again, once, when appends succeed.
-    let rewritten = [StreamVersions {
-        pool: pool(),
-        version: version("a"),
-        streams: vec![StreamRecord(STREAM, host.now.0)],
-    }];
     host.versions.note_append(false);
     assert_eq!(host.versions.take_rewrites(9, host.now), []);
+    let other = StreamId(9);
+    assert_eq!(begin(&mut host, other, false), StartRule::Unwritten);
     host.versions.note_append(true);
     assert_eq!(host.versions.take_rewrites(9, host.now), rewritten);
     assert_eq!(host.versions.take_rewrites(9, host.now), []);
-    let begin = |host: &mut Host, has_record| {
-        host.versions
-            .begin(STREAM, &pool(), &version("a"), has_record, host.now)
-    };
-    assert_eq!(begin(&mut host, false), StartRule::Unwritten);
-    assert_eq!(begin(&mut host, true), StartRule::Written);
-    host.versions.note_doubtful([STREAM, StreamId(8)]);
-    assert_eq!(begin(&mut host, false), StartRule::Written);
-    assert_eq!(host.versions.take_rewrites(9, host.now), rewritten);
+    // A missing record says nothing until the base is written in this era.
+    assert_eq!(begin(&mut host, other, false), StartRule::Written);
     // The base from before the restore is written again.
     host.read_base(None);
     assert_eq!(host.wish(), "a");
