Doubt a missing base version after a start in a later era

A host that started after a restore which had lost a pool's base version wrote it again with the store's era, as if no record could be missing: a stream of another version whose record was lost too was then found at the base (ORDER).

The era before counts as known at the first sight of a later one, so that the base is written with it for the horizon, and missing records are not trusted until then. A store in its first era is not affected.

--- a/crates/eelgrasshill_relay/src/software_versions.rs
+++ b/crates/eelgrasshill_relay/src/software_versions.rs
@@ -533,7 +533,8 @@
         }
         self.era = Some(era);
         self.era_since = now;
-        self.earlier_era = before;
+        // A host that starts in a later era may have missed the restore.
+        self.earlier_era = before.or_else(|| era.0.checked_sub(1).map(Era));
         if before.is_none() {
             return false;
         }
--- a/crates/eelgrasshill_relay/tests/software_versions.rs
+++ b/crates/eelgrasshill_relay/tests/software_versions.rs
@@ -227,6 +227,8 @@
     assert_eq!(begin(&mut host, STREAM, false), StartRule::Written);
     assert_eq!(host.versions.take_rewrites(9, host.now), rewritten);
     assert!(!host.versions.note_era(Era(1), host.now));
+    // The restore may have lost the base, and records with it.
+    assert_eq!(host.versions.base_era(host.now), Era(0));
     assert!(host.versions.note_era(Era(2), host.now));
     assert!(!host.versions.note_era(Era(2), host.now));
     assert_eq!(
