Take no model's only copy for a software version while it is in demand

Where engines have little room, loads for streams at one software version unloaded the only copy of other models: requests for those were refused, loaded them again, and the next stream unloaded them once more.

Cause: a model's only copy counted less than a model without which streams wait at one version. With demand for it, it counts as much now. An idle one may still be replaced.

`models_keep_a_copy_beside_loads_for_a_software_version` fails before.

--- a/crates/eelgrasshill_relay/src/placement/planned_load.rs
+++ b/crates/eelgrasshill_relay/src/placement/planned_load.rs
@@ -408,6 +408,7 @@
     fn evictions(
         &self,
         model: PlannedModel<'_>,
+        need: &Need,
         estimate: &LoadEstimate,
     ) -> Option<(Vec<ModelIndex>, i64)> {
         let needed_mb = model.row.weights_mb.saturating_sub(self.memory_mb);
@@ -415,15 +416,19 @@
             return Some((Vec::new(), 0));
         }
         let spare = self.replaceable.iter().map(|(held, size)| {
-            let last_copy_bonus = if estimate.copies(*held) == 1 {
-                saturating_i64(MISSING_BONUS_PERMILLE)
-            } else if estimate.is_last_of_version(self.index, *held) {
+            let last_copy_bonus = match need {
                 // Streams of this version can go on nowhere else.
-                saturating_i64(MISSING_BONUS_PERMILLE + WAITING_BONUS_PERMILLE)
-            } else {
-                0
+                _ if estimate.is_last_of_version(self.index, *held) => {
+                    MISSING_BONUS_PERMILLE + WAITING_BONUS_PERMILLE
+                }
+                _ if estimate.copies(*held) > 1 => 0,
+                // New requests would wait for it, as streams do for the other one.
+                Need::Bound(_) if estimate.work(*held) > IDLE_PERMILLE => {
+                    MISSING_BONUS_PERMILLE + WAITING_BONUS_PERMILLE
+                }
+                Need::Demand | Need::Waiting | Need::Bound(_) => MISSING_BONUS_PERMILLE,
             };
-            let loss = estimate.loss(self.index, *held) + last_copy_bonus;
+            let loss = estimate.loss(self.index, *held) + saturating_i64(last_copy_bonus);
             (loss, estimate.name(*held), *held, *size)
         });
         // A single copy that is large enough is preferred to several.
@@ -467,7 +472,7 @@
         if is_other || estimate.held(engine.index).contains(&model.index) {
             continue;
         }
-        let Some((evictions, loss)) = engine.evictions(model, estimate) else {
+        let Some((evictions, loss)) = engine.evictions(model, need, estimate) else {
             continue;
         };
         if !may_evict && !evictions.is_empty() {
--- a/crates/eelgrasshill_relay/tests/placement.rs
+++ b/crates/eelgrasshill_relay/tests/placement.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use eelgrasshill_domain::{HostName, Moment};
-use eelgrasshill_relay::{Availability, Miss, ModelKey};
+use eelgrasshill_relay::{Availability, Miss, ModelKey, SoftwareVersion};
 use engine_simulation::{EngineSimulation, FaultRates, model, pool_name};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rustix::time::{ClockId, clock_gettime};
@@ -289,6 +289,41 @@
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
 
+/// Guards against loads for a software version that leave models without any copy.
+#[test]
+fn models_keep_a_copy_beside_loads_for_a_software_version() {
+    let mut simulation = EngineSimulation::new(12, 28, 5).with_fast_store();
+    simulation.newer = (0..6)
+        .map(|number| HostName::new(&format!("e{number}")).expect("the name is valid"))
+        .collect();
+    for number in 0..28 {
+        simulation.set_demand(number, if number < 4 { 1_200 } else { 20 });
+    }
+    simulation.run(40_000, FaultRates::default());
+    for step in 0..240 {
+        for number in (0..28).cycle().skip(7 * step).take(7) {
+            let is_newer = (step / 4 + number) % 2 == 0;
+            let miss = Miss {
+                key: ModelKey {
+                    pool: pool_name(),
+                    model: model(number),
+                    adapter: None,
+                },
+                software: Some(if is_newer {
+                    engine_simulation::newer_software()
+                } else {
+                    SoftwareVersion::default()
+                }),
+            };
+            let now = simulation.now();
+            simulation.planner.resolve_miss(&miss, now);
+        }
+        simulation.run(250, FaultRates::default());
+        let missing = (0..28).find(|number| simulation.copies(*number) == 0);
+        assert_eq!(missing, None, "in step {step}");
+    }
+}
+
 /// A busy model gets a further copy, which takes seconds to load, while its adapters are requested.
 ///
 /// Requests for adapters waited for the new copy and its successors, and no engine that held the
