End the last attempt in time for its answer

An attempt that no other can follow, and the last piece of a longer wait, were given all the time left.

No test of its own: it would have to measure milliseconds.

--- a/crates/eelgrasshill_gateway/src/relay.rs
+++ b/crates/eelgrasshill_gateway/src/relay.rs
@@ -600,7 +600,7 @@
 
 /// Returns the timeout of an attempt: all the time left, unless another could follow.
 fn attempt_timeout<C: PlatformCodec>(relayed: &RelayedRequest<C>) -> Duration {
-    let time_left = relayed.time_left();
+    let time_left = relayed.answer_time();
     let has_next =
         relayed.route.repeat.is_repeatable() && relayed.sends + 1 < relayed.route.max_attempts;
     if has_next {
--- a/crates/eelgrasshill_gateway/src/relayed.rs
+++ b/crates/eelgrasshill_gateway/src/relayed.rs
@@ -234,6 +234,11 @@
         time_left <= MIN_ATTEMPT_TIME || self.next_candidate(time_left).is_some()
     }
 
+    /// Returns the time left for an upstream's answer, so that a refusal reaches the caller in time.
+    pub(crate) fn answer_time(&self) -> Duration {
+        self.time_left().saturating_sub(MIN_ATTEMPT_TIME)
+    }
+
     /// Awaits an upstream's answer until the timeout, and longer while no other can be asked.
     ///
     /// # Errors
@@ -253,7 +258,7 @@
                     if self.may_give_up() {
                         return Err(elapsed);
                     }
-                    timeout = SILENCE_CHECK_INTERVAL.min(self.time_left());
+                    timeout = SILENCE_CHECK_INTERVAL.min(self.answer_time());
                 }
             }
         }
--- a/crates/eelgrasshill_gateway/src/stream.rs
+++ b/crates/eelgrasshill_gateway/src/stream.rs
@@ -305,7 +305,7 @@
         let mut events = EventReader::new(incoming, self.metadata.last_event, self.lease_answer());
         let mut bound = first_bound;
         let first = loop {
-            let next = events.next(bound.min(self.time_left())).await;
+            let next = events.next(bound.min(self.answer_time())).await;
             let is_timeout = matches!(next, ReadOutcome::Broken(CallError::Timeout { .. }));
             if !is_timeout || self.may_give_up() {
                 break next;
