Keep idle connections longer than callers reuse them

The host's idle timeout was 20 s, and callers were seen to send requests on connections that had been idle for up to 20 s; what crosses the close is lost and costs the caller a try.

The default of `idle-ms` is 60 s now, so that callers close first; the limit on connections still closes idle ones for room.

--- a/crates/eelgrasshill_settings/src/gateway.rs
+++ b/crates/eelgrasshill_settings/src/gateway.rs
@@ -61,7 +61,9 @@
 
 const DEFAULT_MAX_KEY_AGE_MS: u64 = 5_000;
 const DEFAULT_HEAD_TIMEOUT_MS: u64 = 5_000;
-const DEFAULT_IDLE_TIMEOUT_MS: u64 = 20_000;
+/// The default of `idle-ms`. A request that crosses the close of its connection is lost, so callers
+/// should be the ones that close idle connections.
+const DEFAULT_IDLE_TIMEOUT_MS: u64 = 60_000;
 const DEFAULT_LEAVING_DELAY_MS: u64 = 2_000;
 
 /// The default of `config-ms`, the shortest delay that platforms ask for.
