--- a/crates/eelgrasshill_relay/tests/software_versions.rs
+++ b/crates/eelgrasshill_relay/tests/software_versions.rs
@@ -23,7 +23,6 @@
     PoolName::new("p").expect("the name is valid")
 }
 
-/// A host with its clock, which notes the versions of each step for some time.
 fn in_first_era(text: &str) -> BaseVersion {
     BaseVersion {
         version: version(text),
@@ -31,6 +30,7 @@
     }
 }
 
+/// A host with its clock, which notes the versions of each step for some time.
 struct Host {
     versions: SoftwareVersions,
     now: Moment,
