--- a/crates/eelgrasshill_gateway/src/shared.rs
+++ b/crates/eelgrasshill_gateway/src/shared.rs
@@ -53,7 +53,7 @@
 }
 
 impl OrderState {
-    fn new(settings: &GatewaySettings, incarnation: Incarnation, started_at: Moment) -> Self {
+    fn new(settings: &GatewaySettings, incarnation: Incarnation) -> Self {
         let name = settings.name.clone();
         let handover_delay = settings.orders.handover_delay;
         let mut lease = Lease::new(name, settings.peer_address, incarnation, handover_delay);
@@ -62,7 +62,7 @@
         }
         Self {
             lease,
-            planner: PlacementPlanner::new(settings.orders.load_window, started_at),
+            planner: PlacementPlanner::new(settings.orders.load_window),
         }
     }
 }
@@ -144,7 +144,7 @@
             software: SoftwareTracker::new(started_at),
             bounds: Mutex::new(settings.bounds),
             state: Mutex::new(GatewayState::new(&settings, self_peer.clone())),
-            order_state: Mutex::new(OrderState::new(&settings, incarnation, started_at)),
+            order_state: Mutex::new(OrderState::new(&settings, incarnation)),
             started_at,
             answer_memory: AnswerMemory::new(ANSWER_MEMORY_BYTES),
             memory: MemoryAccount::new(MemoryLimits::of_machine(settings.memory_mb))
--- a/crates/eelgrasshill_relay/src/placement.rs
+++ b/crates/eelgrasshill_relay/src/placement.rs
@@ -51,11 +51,6 @@
 /// Time between reports during an unload, or while the engine is down.
 const UNLOAD_REPORT_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time from a start of the host until the demand of all models is known.
-///
-/// All hosts may have started with it, and averages of demand begin at zero.
-const DEMAND_SETTLE_TIME: Duration = Duration::from_secs(4);
-
 /// Minimum time that a copy stays before a busier model may replace it.
 ///
 /// A jump in demand that ends within this time moves nothing.
@@ -176,17 +171,14 @@
     load_pacers: FastMap<PoolName, LoadPacer>,
     misses: FastMap<Miss, Moment>,
     load_window: Duration,
-    demand_known_at: Moment,
     revision: u64,
     last_plan: Moment,
 }
 
 impl PlacementPlanner {
-    /// Creates the planner of a host that started at this moment.
-    ///
-    /// `load_window` is the window of the limit on loads.
+    /// Creates a planner without state; `load_window` is the window of the limit on loads.
     #[must_use]
-    pub fn new(load_window: Duration, started_at: Moment) -> Self {
+    pub fn new(load_window: Duration) -> Self {
         Self {
             engines: BTreeMap::new(),
             pools: FastMap::default(),
@@ -194,7 +186,6 @@
             load_pacers: FastMap::default(),
             misses: FastMap::default(),
             load_window,
-            demand_known_at: started_at.after(DEMAND_SETTLE_TIME),
             revision: 0,
             last_plan: Moment(0),
         }
--- a/crates/eelgrasshill_relay/src/placement/planned_load.rs
+++ b/crates/eelgrasshill_relay/src/placement/planned_load.rs
@@ -81,11 +81,9 @@
             return;
         }
         let mut free_engines = self.free_engines(name, pool, &mut estimate, now);
-        let is_demand_known = now >= self.demand_known_at;
         for (model, need) in models {
-            let may_evict = is_demand_known || need != Need::Demand;
-            let best = best_engine(&free_engines, model, &need, may_evict, &estimate);
-            let Some((position, evictions)) = best else {
+            let Some((position, evictions)) = best_engine(&free_engines, model, &need, &estimate)
+            else {
                 continue;
             };
             let engine = free_engines.remove(position);
@@ -458,7 +456,6 @@
     free_engines: &[FreeEngine],
     model: PlannedModel<'_>,
     need: &Need,
-    may_evict: bool,
     estimate: &LoadEstimate,
 ) -> Option<(usize, Vec<ModelIndex>)> {
     let bonus = match (need, estimate.copies(model.index)) {
@@ -475,9 +472,6 @@
         let Some((evictions, loss)) = engine.evictions(model, need, estimate) else {
             continue;
         };
-        if !may_evict && !evictions.is_empty() {
-            continue;
-        }
         let gain = estimate.gain(engine.index, model.index, &evictions) + saturating_i64(bonus);
         let load_ms = u64::try_from(engine.load_time(model).as_millis()).unwrap_or(u64::MAX);
         let value = gain
